--- /dev/null
+++ b/interface/mesh.thrift
@@ -0,0 +1,303 @@
+// Messages between the processes of the system. The generated code is committed in src/wire/gen-cpp;
+// scripts/generate writes it anew.
+namespace cpp mimosarun.wire
+
+// A hybrid logical clock reading.
+struct Stamp {
+  1: i64 physicalMicros = 0,
+  2: i32 logical = 0,
+}
+
+// One control replica as a member of a replicated log. The incarnation names one life of its data folder.
+struct Replica {
+  1: string name,
+  2: i64 incarnation = 0,
+  3: string region,
+  4: string failureDomain,
+  5: bool voter = true,
+}
+
+enum CommandKind {
+  Noop = 0,
+  Propose = 1,
+  Accept = 2,
+  SetTargetState = 3,
+  ChangeMembers = 4,
+  Claim = 5,
+  Complete = 6,
+  Release = 7,
+  Expire = 8,
+}
+
+enum TargetIntent {
+  Serving = 0,
+  Draining = 1,
+  Stopped = 2,
+}
+
+// One command of a replicated log; the kind tells which fields are in use.
+struct Command {
+  1: CommandKind kind = CommandKind.Noop,
+  2: string requestId,
+  3: string author,
+  4: i64 basedOn = 0,
+  5: i64 proposal = 0,
+  6: string body,
+  7: string target,
+  8: TargetIntent intent = TargetIntent.Serving,
+  9: list<Replica> members,
+  10: string key,
+  11: string token,
+  12: i32 status = 0,
+  13: string contentType,
+  14: i64 atMicros = 0,
+  15: string fingerprint,
+}
+
+struct LogEntry {
+  1: i64 index = 0,
+  2: i64 term = 0,
+  3: Command command,
+}
+
+enum RaftKind {
+  PreVote = 0,
+  PreVoteReply = 1,
+  Vote = 2,
+  VoteReply = 3,
+  Append = 4,
+  AppendReply = 5,
+  Snapshot = 6,
+}
+
+struct RaftMessage {
+  1: string group,
+  2: RaftKind kind = RaftKind.PreVote,
+  3: string sender,
+  4: i64 senderIncarnation = 0,
+  5: string receiver,
+  6: i64 receiverIncarnation = 0,
+  7: i64 term = 0,
+  8: i64 logIndex = 0,
+  9: i64 logTerm = 0,
+  10: i64 commit = 0,
+  11: bool granted = false,
+  12: list<LogEntry> entries,
+  13: string snapshot,
+  14: list<Replica> members,
+  15: i64 round = 0,
+}
+
+struct RaftBatch {
+  1: Stamp sentAt,
+  2: list<RaftMessage> messages,
+}
+
+// The durable term and vote of a replica.
+struct Ballot {
+  1: i64 term = 0,
+  2: string votedFor,
+}
+
+// A checksummed state of a replicated log up to an index.
+struct SnapshotFile {
+  1: i64 index = 0,
+  2: i64 term = 0,
+  3: list<Replica> members,
+  4: string state,
+}
+
+struct GroupStatus {
+  1: string group,
+  2: bool formed = false,
+  3: string replica,
+  4: i64 incarnation = 0,
+  5: string leader,
+  6: i64 term = 0,
+  7: i64 commit = 0,
+  8: i64 applied = 0,
+  9: list<Replica> members,
+  10: map<string, i64> silentMillis,
+  11: i64 lastIndex = 0,
+  12: bool failed = false,
+}
+
+enum ResultCode {
+  Done = 0,
+  NotLeader = 1,
+  Unknown = 2,
+  StaleBase = 3,
+  NoSuchProposal = 4,
+  Invalid = 5,
+  Taken = 6,
+  Unavailable = 7,
+}
+
+struct CommandResult {
+  1: ResultCode code = ResultCode.Done,
+  2: string message,
+  3: i64 version = 0,
+  4: i64 proposal = 0,
+  5: string leader,
+  6: bool finished = false,
+  7: i32 status = 0,
+  8: string contentType,
+  9: string body,
+}
+
+// A change of the configuration between two versions: a compressed JSON patch and the hash it leads to.
+struct ConfigurationUpdate {
+  1: i64 fromVersion = 0,
+  2: i64 toVersion = 0,
+  3: string hash,
+  4: bool whole = false,
+  5: binary payload,
+}
+
+struct ClaimRecord {
+  1: string key,
+  2: string token,
+  3: i64 claimedAtMicros = 0,
+  4: bool finished = false,
+  5: i32 status = 0,
+  6: string contentType,
+  7: string body,
+  8: string fingerprint,
+}
+
+struct StoredResult {
+  1: string requestId,
+  2: CommandResult result,
+}
+
+struct ClaimImage {
+  1: list<ClaimRecord> claims,
+  2: list<StoredResult> results,
+}
+
+struct Proposal {
+  1: i64 number = 0,
+  2: i64 basedOn = 0,
+  3: string author,
+  4: string body,
+  5: i64 atMicros = 0,
+}
+
+struct VersionRecord {
+  1: i64 version = 0,
+  2: string author,
+  3: string summary,
+  4: i64 atMicros = 0,
+  5: string hash,
+}
+
+struct ConfigurationImage {
+  1: i64 version = 0,
+  2: string body,
+  3: list<VersionRecord> history,
+  4: list<Proposal> proposals,
+  5: i64 nextProposal = 1,
+  6: list<StoredResult> results,
+  7: list<ConfigurationUpdate> updates,
+}
+
+enum MemberState {
+  Alive = 0,
+  Suspect = 1,
+  Dead = 2,
+  Leaving = 3,
+}
+
+enum TargetPhase {
+  Absent = 0,
+  Starting = 1,
+  Ready = 2,
+  Draining = 3,
+}
+
+// What a node says of itself and of its target.
+struct Member {
+  1: string name,
+  2: i64 incarnation = 0,
+  3: i64 revision = 0,
+  4: MemberState state = MemberState.Alive,
+  5: string region,
+  6: string failureDomain,
+  7: string peerAddress,
+  8: string gateAddress,
+  9: string serviceName,
+  10: string targetName,
+  11: TargetPhase phase = TargetPhase.Absent,
+  12: i32 slots = 0,
+  13: i64 version = 0,
+}
+
+struct Gossip {
+  1: Stamp sentAt,
+  2: string sender,
+  3: list<Member> members,
+  4: i64 version = 0,
+  5: string hash,
+  6: bool full = false,
+  7: i64 digest = 0,
+  8: bool mesh = false,
+}
+
+struct GossipReply {
+  1: list<Member> members,
+  2: i64 version = 0,
+  3: Stamp sentAt,
+  4: i64 digest = 0,
+  5: string name,
+}
+
+// What a relay tells control of its failure domain.
+struct DomainReport {
+  1: string failureDomain,
+  2: string region,
+  3: string relay,
+  4: i32 alive = 0,
+  5: map<i64, i32> nodesAtVersion,
+  6: list<string> stragglers,
+  7: list<Member> sample,
+  8: i64 ageMillis = 0,
+}
+
+struct WatchRequest {
+  1: i64 heldVersion = 0,
+  2: i32 waitMillis = 0,
+  3: DomainReport report,
+  4: Stamp sentAt,
+  5: string failureDomain,
+}
+
+struct WatchReply {
+  1: ConfigurationUpdate update,
+  2: list<Member> sample,
+  3: Stamp sentAt,
+  4: bool unchanged = true,
+}
+
+service ControlPeer {
+  // Hands over messages of replicated logs; the answer is the heartbeat of the connection.
+  Stamp deliver(1: RaftBatch batch),
+  // The state of one group as this replica sees it.
+  GroupStatus status(1: string group),
+  // Asks to be taken into a group as a learner under a new incarnation.
+  CommandResult join(1: string group, 2: Replica replica),
+  // Runs a command on this replica if it leads the group.
+  CommandResult submit(1: string group, 2: Command command, 3: i32 waitMillis),
+  // Long poll of a relay for a newer configuration; carries its report.
+  WatchReply watch(1: WatchRequest request),
+  // The reports of failure domains that this replica holds.
+  list<DomainReport> reports(),
+}
+
+service NodePeer {
+  // Exchange of member records; the answer is also the liveness probe.
+  GossipReply exchange(1: Gossip gossip),
+  // Probes another node on behalf of the caller.
+  bool probe(1: string name, 2: string address),
+  // Change from a held version to this node's own.
+  ConfigurationUpdate fetch(1: i64 heldVersion),
+}
--- /dev/null
+++ b/src/caller/callhistory.cpp
@@ -0,0 +1,38 @@
+#include "caller/callhistory.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace mimosarun {
+
+static constexpr size_t kRecordsInShard = 256;
+
+const CallHistory::Shard&
+CallHistory::ShardOf(const std::string& aCall) const
+{
+  return m_shards[std::hash<std::string>{}(aCall) % m_shards.size()];
+}
+
+void
+CallHistory::Add(CallRecord aRecord)
+{
+  Shard& shard = const_cast<Shard&>(ShardOf(aRecord.call));
+  const std::lock_guard lock(shard.mutex);
+  shard.records.push_back(std::move(aRecord));
+  if (shard.records.size() > kRecordsInShard) {
+    shard.records.pop_front();
+  }
+}
+
+std::optional<CallRecord>
+CallHistory::Find(const std::string& aCall) const
+{
+  const Shard& shard = ShardOf(aCall);
+  const std::lock_guard lock(shard.mutex);
+  const auto found = std::find_if(shard.records.begin(), shard.records.end(), [&](const CallRecord& aRecord) {
+    return aRecord.call == aCall;
+  });
+  return found == shard.records.end() ? std::nullopt : std::optional(*found);
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/caller/callhistory.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "common/clock.h"
+
+#include <array>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** One attempt of a call at a gate. */
+struct AttemptRecord
+{
+  std::string node;
+  std::string end;
+  std::chrono::microseconds time{ 0 };
+};
+
+/** What became of a call, for 'explain call'. */
+struct CallRecord
+{
+  std::string call;
+  std::string route;
+  int64_t version = 0;
+  int status = 0;
+  std::string outcome;
+  std::string reason;
+  std::chrono::microseconds time{ 0 };
+  std::vector<AttemptRecord> attempts;
+};
+
+/** The last calls of an entry. Thread-safe; in shards. */
+class CallHistory
+{
+public:
+  void Add(CallRecord aRecord);
+  std::optional<CallRecord> Find(const std::string& aCall) const;
+
+private:
+  struct Shard
+  {
+    mutable std::mutex mutex;
+    std::deque<CallRecord> records;
+  };
+
+  const Shard& ShardOf(const std::string& aCall) const;
+
+  std::array<Shard, 8> m_shards;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/common/backoff.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+namespace mimosarun {
+
+/** Exponential backoff with full jitter between attempts to reach a peer; a success resets it. */
+class Backoff
+{
+public:
+  struct Options
+  {
+    std::chrono::milliseconds first{ 50 };
+    std::chrono::milliseconds limit{ 2000 };
+  };
+
+  explicit Backoff(Options aOptions);
+
+  /** The wait before the next attempt, drawn between half and the whole of the current step. */
+  std::chrono::milliseconds Next();
+
+  /** Starts again from the first step. */
+  void Reset();
+
+private:
+  Options m_options;
+  std::chrono::milliseconds m_step;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/common/digest.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace mimosarun {
+
+/** SHA-256 of some bytes, as 64 lower-case hexadecimal digits. */
+std::string
+Sha256(std::string_view aBytes);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/common/event.cpp
@@ -0,0 +1,65 @@
+#include "common/event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace mimosarun {
+
+static constexpr std::array kCatalogue{
+  EventDescription{ Event::ProcessStarted, Severity::Info, "process-started" },
+  EventDescription{ Event::ProcessStopping, Severity::Info, "process-stopping" },
+  EventDescription{ Event::SettingsRefused, Severity::Warning, "settings-refused" },
+  EventDescription{ Event::PortRefused, Severity::Error, "port-refused" },
+  EventDescription{ Event::GroupFormed, Severity::Info, "group-formed" },
+  EventDescription{ Event::LeaderElected, Severity::Info, "leader-elected" },
+  EventDescription{ Event::LeaderSteppedDown, Severity::Warning, "leader-stepped-down" },
+  EventDescription{ Event::JournalTailCut, Severity::Warning, "journal-tail-cut" },
+  EventDescription{ Event::JournalCorrupt, Severity::Error, "journal-corrupt" },
+  EventDescription{ Event::StorageFailed, Severity::Error, "storage-failed" },
+  EventDescription{ Event::SnapshotTaken, Severity::Info, "snapshot-taken" },
+  EventDescription{ Event::SnapshotInstalled, Severity::Info, "snapshot-installed" },
+  EventDescription{ Event::MembersChanged, Severity::Info, "members-changed" },
+  EventDescription{ Event::ReplicaSilent, Severity::Warning, "replica-silent" },
+  EventDescription{ Event::ReplicaHeard, Severity::Info, "replica-heard" },
+  EventDescription{ Event::JoinRequested, Severity::Info, "join-requested" },
+  EventDescription{ Event::VersionAccepted, Severity::Info, "version-accepted" },
+  EventDescription{ Event::ProposalStored, Severity::Info, "proposal-stored" },
+  EventDescription{ Event::CommandRefused, Severity::Warning, "command-refused" },
+  EventDescription{ Event::VersionApplied, Severity::Info, "version-applied" },
+  EventDescription{ Event::VersionRefused, Severity::Warning, "version-refused" },
+  EventDescription{ Event::TargetIntentChanged, Severity::Info, "target-intent-changed" },
+  EventDescription{ Event::MemberJoined, Severity::Info, "member-joined" },
+  EventDescription{ Event::MemberSuspected, Severity::Warning, "member-suspected" },
+  EventDescription{ Event::MemberDead, Severity::Warning, "member-dead" },
+  EventDescription{ Event::MemberLeft, Severity::Info, "member-left" },
+  EventDescription{ Event::RelayChanged, Severity::Info, "relay-changed" },
+  EventDescription{ Event::ControlUnreachable, Severity::Warning, "control-unreachable" },
+  EventDescription{ Event::ControlReached, Severity::Info, "control-reached" },
+  EventDescription{ Event::TargetAnnounced, Severity::Info, "target-announced" },
+  EventDescription{ Event::TargetLost, Severity::Warning, "target-lost" },
+  EventDescription{ Event::TargetPhaseChanged, Severity::Info, "target-phase-changed" },
+  EventDescription{ Event::CallRefused, Severity::Info, "call-refused" },
+  EventDescription{ Event::CallUnknown, Severity::Warning, "call-unknown" },
+  EventDescription{ Event::CallRetried, Severity::Info, "call-retried" },
+  EventDescription{ Event::ClaimGranted, Severity::Info, "claim-granted" },
+  EventDescription{ Event::ClaimRepeated, Severity::Info, "claim-repeated" },
+  EventDescription{ Event::ClaimReleased, Severity::Info, "claim-released" },
+  EventDescription{ Event::GateDrained, Severity::Info, "gate-drained" },
+};
+
+std::span<const EventDescription>
+EventCatalogue()
+{
+  return kCatalogue;
+}
+
+const EventDescription&
+Describe(Event aEvent)
+{
+  const auto* row = std::find_if(kCatalogue.begin(),
+                                 kCatalogue.end(),
+                                 [aEvent](const EventDescription& aRow) { return aRow.event == aEvent; });
+  return row == kCatalogue.end() ? kCatalogue.front() : *row;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/common/event.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace mimosarun {
+
+/** Numbered log events; docs/EVENTS.md lists each with its meaning and remedy. */
+enum class Event
+{
+  ProcessStarted = 100,
+  ProcessStopping = 101,
+  SettingsRefused = 102,
+  PortRefused = 103,
+
+  GroupFormed = 200,
+  LeaderElected = 201,
+  LeaderSteppedDown = 202,
+  JournalTailCut = 203,
+  JournalCorrupt = 204,
+  StorageFailed = 205,
+  SnapshotTaken = 206,
+  SnapshotInstalled = 207,
+  MembersChanged = 208,
+  ReplicaSilent = 209,
+  ReplicaHeard = 210,
+  JoinRequested = 211,
+
+  VersionAccepted = 300,
+  ProposalStored = 301,
+  CommandRefused = 302,
+  VersionApplied = 303,
+  VersionRefused = 304,
+  TargetIntentChanged = 305,
+
+  MemberJoined = 400,
+  MemberSuspected = 401,
+  MemberDead = 402,
+  MemberLeft = 403,
+  RelayChanged = 404,
+  ControlUnreachable = 405,
+  ControlReached = 406,
+
+  TargetAnnounced = 500,
+  TargetLost = 501,
+  TargetPhaseChanged = 502,
+  CallRefused = 503,
+  CallUnknown = 504,
+  CallRetried = 505,
+  ClaimGranted = 506,
+  ClaimRepeated = 507,
+  ClaimReleased = 508,
+  GateDrained = 509,
+};
+
+/** How much attention an event needs. */
+enum class Severity
+{
+  Info,
+  Warning,
+  Error,
+};
+
+/** One row of the catalogue of events. */
+struct EventDescription
+{
+  Event event;
+  Severity severity;
+  std::string_view name;
+};
+
+/** All events, in ascending order of their numbers. */
+std::span<const EventDescription>
+EventCatalogue();
+
+/** The catalogue's row of an event. */
+const EventDescription&
+Describe(Event aEvent);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/configurationstate.cpp
@@ -0,0 +1,292 @@
+#include "control/configurationstate.h"
+
+#include "common/compression.h"
+#include "common/log.h"
+#include "control/group.h"
+#include "control/membership.h"
+#include "wire/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr size_t kVersionSummaryLimit = 1024;
+static constexpr size_t kProposalLimit = 64;
+static constexpr size_t kPatchLimitBytes = 16UL * 1024 * 1024;
+
+ConfigurationState::ConfigurationState()
+  : m_current(EmptySnapshot())
+{
+}
+
+wire::CommandResult
+ConfigurationState::Apply(const wire::LogEntry& aEntry)
+{
+  const std::lock_guard lock(m_mutex);
+  const wire::Command& command = aEntry.command;
+  if (const auto known = m_results.Find(command.requestId); known && !command.requestId.empty()) {
+    return *known;
+  }
+  wire::CommandResult result = ApplyLocked(command);
+  m_results.Store(command.requestId, result);
+  if (result.code != wire::ResultCode::Done) {
+    Log(Event::CommandRefused, { { "author", command.author }, { "reason", result.message } });
+  }
+  return result;
+}
+
+wire::CommandResult
+ConfigurationState::ApplyLocked(const wire::Command& aCommand)
+{
+  switch (aCommand.kind) {
+    case wire::CommandKind::Propose:
+      return Propose(aCommand);
+    case wire::CommandKind::Accept:
+      return Accept(aCommand);
+    case wire::CommandKind::SetTargetState:
+      return SetTargetState(aCommand);
+    default:
+      return {};
+  }
+}
+
+wire::CommandResult
+ConfigurationState::CheckBase(int64_t aBase) const
+{
+  if (aBase == m_current->version) {
+    return {};
+  }
+  const std::string author = m_versions.empty() ? "nobody" : m_versions.back().author;
+  wire::CommandResult refusal = Refusal(wire::ResultCode::StaleBase,
+                                        "based on version " + std::to_string(aBase) + ", but version " +
+                                          std::to_string(m_current->version) + " by " + author +
+                                          " is in force; look at it and propose again based on it");
+  refusal.version = m_current->version;
+  return refusal;
+}
+
+wire::CommandResult
+ConfigurationState::Propose(const wire::Command& aCommand)
+{
+  if (wire::CommandResult base = CheckBase(aCommand.basedOn); base.code != wire::ResultCode::Done) {
+    return base;
+  }
+  const Result<Configuration> parsed =
+    ParseConfiguration(aCommand.body, "proposal", DocumentOrigin::Operator);
+  if (!parsed) {
+    return Refusal(wire::ResultCode::Invalid, parsed.error().message);
+  }
+  wire::Proposal proposal;
+  proposal.number = m_nextProposal++;
+  proposal.basedOn = aCommand.basedOn;
+  proposal.author = aCommand.author;
+  proposal.body = aCommand.body;
+  proposal.atMicros = aCommand.atMicros;
+  wire::CommandResult result;
+  result.proposal = proposal.number;
+  result.version = m_current->version;
+  m_proposals[proposal.number] = std::move(proposal);
+  if (m_proposals.size() > kProposalLimit) {
+    m_proposals.erase(m_proposals.begin());
+  }
+  Log(Event::ProposalStored, { { "proposal", result.proposal }, { "author", aCommand.author } });
+  return result;
+}
+
+wire::CommandResult
+ConfigurationState::Accept(const wire::Command& aCommand)
+{
+  const auto proposal = m_proposals.find(aCommand.proposal);
+  if (proposal == m_proposals.end()) {
+    return Refusal(wire::ResultCode::NoSuchProposal,
+                   "proposal " + std::to_string(aCommand.proposal) +
+                     " isn't open; list them with 'show proposals'");
+  }
+  if (wire::CommandResult base = CheckBase(proposal->second.basedOn); base.code != wire::ResultCode::Done) {
+    return base;
+  }
+  nlohmann::json document = nlohmann::json::parse(proposal->second.body, nullptr, true, true);
+  const nlohmann::json held = nlohmann::json::parse(m_current->text);
+  if (held.contains("targets")) {
+    document["targets"] = held["targets"];
+  }
+  wire::CommandResult result =
+    Install(aCommand, document.dump(), "proposal " + std::to_string(aCommand.proposal));
+  if (result.code == wire::ResultCode::Done) {
+    m_proposals.erase(proposal);
+  }
+  return result;
+}
+
+wire::CommandResult
+ConfigurationState::SetTargetState(const wire::Command& aCommand)
+{
+  const auto intent = static_cast<TargetIntent>(aCommand.intent);
+  nlohmann::json document = nlohmann::json::parse(m_current->text);
+  nlohmann::json& targets = document["targets"];
+  if (intent == TargetIntent::Serving) {
+    targets.erase(aCommand.target);
+  } else {
+    targets[aCommand.target] = { { "intent", Name(intent) } };
+  }
+  if (targets.empty()) {
+    document.erase("targets");
+  }
+  return Install(aCommand, document.dump(), aCommand.target + " " + Name(intent));
+}
+
+wire::CommandResult
+ConfigurationState::Install(const wire::Command& aCommand,
+                            const std::string& aText,
+                            const std::string& aSummary)
+{
+  Result<SnapshotPointer> made = MakeSnapshot(m_current->version + 1, aText);
+  if (!made) {
+    return Refusal(wire::ResultCode::Invalid, made.error().message);
+  }
+  m_history.Add(MakeDelta(*m_current, *made.value()));
+  m_current = std::move(made.value());
+  m_versions.push_back({ .version = m_current->version,
+                         .author = aCommand.author,
+                         .summary = aSummary,
+                         .acceptedAt = WallTime(std::chrono::microseconds(aCommand.atMicros)),
+                         .hash = m_current->hash });
+  if (m_versions.size() > kVersionSummaryLimit) {
+    m_versions.erase(m_versions.begin());
+  }
+  m_changed.notify_all();
+  Log(Event::VersionAccepted,
+      { { "version", m_current->version }, { "author", aCommand.author }, { "summary", aSummary } });
+  wire::CommandResult result;
+  result.version = m_current->version;
+  return result;
+}
+
+std::string
+ConfigurationState::Image() const
+{
+  const std::lock_guard lock(m_mutex);
+  wire::ConfigurationImage image;
+  image.version = m_current->version;
+  image.body = m_current->text;
+  for (const VersionSummary& summary : m_versions) {
+    wire::VersionRecord record;
+    record.version = summary.version;
+    record.author = summary.author;
+    record.summary = summary.summary;
+    record.atMicros = summary.acceptedAt.time_since_epoch().count();
+    record.hash = summary.hash;
+    image.history.push_back(std::move(record));
+  }
+  image.updates.assign(m_history.Updates().begin(), m_history.Updates().end());
+  for (const auto& [number, proposal] : m_proposals) {
+    image.proposals.push_back(proposal);
+  }
+  image.nextProposal = m_nextProposal;
+  image.results = m_results.Image();
+  return Encode(image);
+}
+
+Result<void>
+ConfigurationState::Restore(const std::string& aImage)
+{
+  const std::lock_guard lock(m_mutex);
+  m_current = EmptySnapshot();
+  m_history.Clear();
+  m_versions.clear();
+  m_proposals.clear();
+  m_nextProposal = 1;
+  m_results.Restore({});
+  if (aImage.empty()) {
+    return boost::outcome_v2::success();
+  }
+  MIMOSARUN_TRY(const wire::ConfigurationImage image, Decode<wire::ConfigurationImage>(aImage));
+  if (image.version > 0) {
+    MIMOSARUN_TRY(m_current, MakeSnapshot(image.version, image.body));
+  }
+  for (const wire::VersionRecord& record : image.history) {
+    m_versions.push_back({ .version = record.version,
+                           .author = record.author,
+                           .summary = record.summary,
+                           .acceptedAt = WallTime(std::chrono::microseconds(record.atMicros)),
+                           .hash = record.hash });
+  }
+  for (const wire::ConfigurationUpdate& update : image.updates) {
+    m_history.Add(update);
+  }
+  for (const wire::Proposal& proposal : image.proposals) {
+    m_proposals[proposal.number] = proposal;
+  }
+  m_nextProposal = image.nextProposal;
+  m_results.Restore(image.results);
+  m_changed.notify_all();
+  return boost::outcome_v2::success();
+}
+
+SnapshotPointer
+ConfigurationState::Current() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_current;
+}
+
+SnapshotPointer
+ConfigurationState::WaitForNewer(int64_t aHeldVersion, Deadline aDeadline) const
+{
+  std::unique_lock lock(m_mutex);
+  m_changed.wait_until(lock, aDeadline, [&] { return m_current->version > aHeldVersion; });
+  return m_current;
+}
+
+wire::ConfigurationUpdate
+ConfigurationState::UpdateFrom(int64_t aHeldVersion) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_history.Compose(aHeldVersion, *m_current);
+}
+
+std::vector<wire::Proposal>
+ConfigurationState::Proposals() const
+{
+  const std::lock_guard lock(m_mutex);
+  std::vector<wire::Proposal> proposals;
+  for (const auto& [number, proposal] : m_proposals) {
+    proposals.push_back(proposal);
+  }
+  return proposals;
+}
+
+std::vector<VersionSummary>
+ConfigurationState::Versions() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_versions;
+}
+
+Result<std::string>
+ConfigurationState::Difference(int64_t aFrom, int64_t aTo) const
+{
+  const std::lock_guard lock(m_mutex);
+  nlohmann::json operations = nlohmann::json::array();
+  int64_t reached = aFrom;
+  for (const wire::ConfigurationUpdate& update : m_history.Updates()) {
+    if (update.fromVersion != reached || reached >= aTo) {
+      continue;
+    }
+    MIMOSARUN_TRY(const std::string patch, Decompress(update.payload, kPatchLimitBytes));
+    for (auto& operation : nlohmann::json::parse(patch)) {
+      operations.push_back(std::move(operation));
+    }
+    reached = update.toVersion;
+  }
+  if (reached != aTo) {
+    return Fail(ErrorKind::NotFound,
+                "history doesn't hold all versions from " + std::to_string(aFrom) + " to " +
+                  std::to_string(aTo) + "; choose versions that 'show versions' lists, the older first");
+  }
+  return operations.dump(2);
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/configurationstate.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "common/clock.h"
+#include "configuration/snapshot.h"
+#include "control/resultcache.h"
+#include "wire/gen-cpp/mesh_types.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** One accepted version as operators see it. */
+struct VersionSummary
+{
+  int64_t version = 0;
+  std::string author;
+  std::string summary;
+  WallTime acceptedAt;
+  std::string hash;
+};
+
+/**
+ * The replicated state of the configuration: the version in force, its history, open proposals and the
+ * results of recent requests. Thread-safe.
+ */
+class ConfigurationState
+{
+public:
+  ConfigurationState();
+
+  wire::CommandResult Apply(const wire::LogEntry& aEntry);
+  std::string Image() const;
+  Result<void> Restore(const std::string& aImage);
+
+  /** The version accepted last. */
+  SnapshotPointer Current() const;
+
+  /** Waits until a version newer than a held one is accepted; gives the current one in any case. */
+  SnapshotPointer WaitForNewer(int64_t aHeldVersion, Deadline aDeadline) const;
+
+  /** The update that takes a holder of a version to the current one. */
+  wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
+
+  std::vector<wire::Proposal> Proposals() const;
+  std::vector<VersionSummary> Versions() const;
+
+  /** The JSON patch between two versions, if history still holds all steps. */
+  Result<std::string> Difference(int64_t aFrom, int64_t aTo) const;
+
+private:
+  wire::CommandResult ApplyLocked(const wire::Command& aCommand);
+  wire::CommandResult Propose(const wire::Command& aCommand);
+  wire::CommandResult Accept(const wire::Command& aCommand);
+  wire::CommandResult SetTargetState(const wire::Command& aCommand);
+  wire::CommandResult CheckBase(int64_t aBase) const;
+  wire::CommandResult Install(const wire::Command& aCommand,
+                              const std::string& aText,
+                              const std::string& aSummary);
+
+  mutable std::mutex m_mutex;
+  mutable std::condition_variable m_changed;
+  SnapshotPointer m_current;
+  UpdateHistory m_history;
+  std::vector<VersionSummary> m_versions;
+  std::map<int64_t, wire::Proposal> m_proposals;
+  int64_t m_nextProposal = 1;
+  ResultCache m_results;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "common/error.h"
+#include "control/claimstate.h"
+#include "control/configurationstate.h"
+#include "control/group.h"
+#include "control/groupclient.h"
+#include "control/groupplan.h"
+#include "control/reportboard.h"
+#include "control/transport.h"
+#include "settings/processsettings.h"
+#include "wire/rpcserver.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosarun {
+
+/** The control role of a process: its replicas of all groups and the service that others call. */
+class Controller
+{
+public:
+  explicit Controller(ProcessSettings aSettings);
+  ~Controller();
+
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+  /** Opens the data folder, starts the groups and listens. */
+  Result<void> Start();
+
+  const ProcessSettings& Settings() const { return m_settings; }
+  const ConfigurationState& Configuration() const { return m_configuration; }
+  ReportBoard& Board() { return m_board; }
+  GroupClient& Client() { return m_client; }
+
+  /** Keys held for a region, or zero if this replica holds none. */
+  size_t ClaimCount() const;
+
+  void Deliver(const wire::RaftBatch& aBatch);
+  wire::CommandResult Submit(const std::string& aGroup, wire::Command aCommand, Deadline aDeadline);
+  wire::CommandResult Join(const std::string& aGroup, const wire::Replica& aReplica, Deadline aDeadline);
+  wire::GroupStatus Status(const std::string& aGroup) const;
+  std::vector<std::string> GroupNames() const;
+
+  /** The status of a group at another replica, or an error. */
+  Result<wire::GroupStatus> StatusAt(const std::string& aReplica,
+                                     const std::string& aGroup,
+                                     Deadline aDeadline);
+
+  /** Runs a membership command on the leaders of all groups that plan for the replica. */
+  wire::CommandResult RemoveReplica(const std::string& aName, Deadline aDeadline);
+  wire::CommandResult AddReplica(const std::string& aName, Deadline aDeadline);
+
+private:
+  using PeerClient = RpcClient<wire::ControlPeerClient>;
+
+  void MakeGroups();
+  void WatchGroups();
+  void Form(const std::string& aGroup, const std::vector<wire::Replica>& aMembers);
+  void FormOrJoin(const GroupPlan& aPlan);
+  void TryToJoin(const GroupPlan& aPlan, const wire::Replica& aSelf);
+  void ExpireClaims();
+  void CollectReports();
+  void NoteSilence();
+  wire::Replica Self() const;
+  const ReplicaSettings* FindReplica(const std::string& aName) const;
+
+  ProcessSettings m_settings;
+  int64_t m_incarnation = 0;
+  std::vector<GroupPlan> m_plans;
+  ConfigurationState m_configuration;
+  std::map<std::string, std::unique_ptr<ClaimState>> m_claims;
+  ReportBoard m_board;
+  PeerTransport m_transport;
+  GroupClient m_client;
+  std::map<std::string, std::unique_ptr<PeerClient>> m_peers;
+  std::map<std::string, bool> m_silent;
+  std::unique_ptr<Group<ConfigurationState>> m_configurationGroup;
+  std::map<std::string, std::unique_ptr<Group<ClaimState>>> m_claimGroups;
+  std::unique_ptr<RpcServer> m_server;
+  std::atomic<bool> m_stop{ false };
+  std::thread m_watcher;
+  std::thread m_collector;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/controlservice.cpp
@@ -0,0 +1,90 @@
+#include "control/controlservice.h"
+
+#include "control/controller.h"
+#include "wire/codec.h"
+#include "wire/gen-cpp/ControlPeer.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kLongestWait{ 10000 };
+static constexpr std::chrono::milliseconds kJoinWait{ 1200 };
+
+static Deadline
+DeadlineAfter(int32_t aMilliseconds)
+{
+  return SteadyClock::now() +
+         std::clamp(std::chrono::milliseconds(aMilliseconds), std::chrono::milliseconds(0), kLongestWait);
+}
+
+/** Translates Thrift calls into calls of the Controller. */
+class ControlService : public wire::ControlPeerIf
+{
+public:
+  explicit ControlService(Controller& aController)
+    : m_controller(aController)
+  {
+  }
+
+  void deliver(wire::Stamp& aReturn, const wire::RaftBatch& aBatch) override
+  {
+    Observe(aBatch.sentAt);
+    m_controller.Deliver(aBatch);
+    aReturn = StampNow();
+  }
+
+  void status(wire::GroupStatus& aReturn, const std::string& aGroup) override
+  {
+    aReturn = m_controller.Status(aGroup);
+  }
+
+  void join(wire::CommandResult& aReturn, const std::string& aGroup, const wire::Replica& aReplica) override
+  {
+    aReturn = m_controller.Join(aGroup, aReplica, SteadyClock::now() + kJoinWait);
+  }
+
+  void submit(wire::CommandResult& aReturn,
+              const std::string& aGroup,
+              const wire::Command& aCommand,
+              const int32_t aWaitMillis) override
+  {
+    aReturn = m_controller.Submit(aGroup, aCommand, DeadlineAfter(aWaitMillis));
+  }
+
+  void watch(wire::WatchReply& aReturn, const wire::WatchRequest& aRequest) override
+  {
+    Observe(aRequest.sentAt);
+    if (!aRequest.report.failureDomain.empty()) {
+      m_controller.Board().Take(aRequest.report, std::chrono::milliseconds(0));
+    }
+    const ConfigurationState& configuration = m_controller.Configuration();
+    const SnapshotPointer current =
+      configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis));
+    if (aRequest.heldVersion >= 0 && current->version > aRequest.heldVersion) {
+      aReturn.update = configuration.UpdateFrom(aRequest.heldVersion);
+      aReturn.unchanged = false;
+    }
+    aReturn.sample = m_controller.Board().Sample(
+      aRequest.report.failureDomain.empty() ? aRequest.failureDomain : aRequest.report.failureDomain);
+    aReturn.sentAt = StampNow();
+  }
+
+  void reports(std::vector<wire::DomainReport>& aReturn) override
+  {
+    aReturn = m_controller.Board().Reports();
+  }
+
+private:
+  Controller& m_controller;
+};
+
+Result<std::unique_ptr<RpcServer>>
+StartControlService(Controller& aController)
+{
+  return RpcServer::Start({ .address = aController.Settings().peerAddress,
+                            .processor = std::make_shared<wire::ControlPeerProcessor>(
+                              std::make_shared<ControlService>(aController)) });
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/group.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "control/journal.h"
+#include "control/membership.h"
+#include "control/raftcore.h"
+#include "control/transport.h"
+
+#include <concepts>
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosarun {
+
+/** State built from the committed commands of a group. Apply() must give the same result on every replica. */
+template<typename Machine>
+concept StateMachine = requires(Machine aMachine, const wire::LogEntry& aEntry, const std::string& aImage)
+{
+  {
+    aMachine.Apply(aEntry)
+    } -> std::same_as<wire::CommandResult>;
+  {
+    aMachine.Image()
+    } -> std::same_as<std::string>;
+  {
+    aMachine.Restore(aImage)
+    } -> std::same_as<Result<void>>;
+};
+
+/** What a group needs to run. */
+struct GroupOptions
+{
+  std::string name;
+  std::string replica;
+  int64_t incarnation = 0;
+  std::string folder;
+  std::chrono::milliseconds heartbeat{ 150 };
+  std::chrono::milliseconds electionTimeout{ 900 };
+  /** Added before this replica stands for election. */
+  std::chrono::milliseconds electionDelay{ 0 };
+  uint64_t seed = 0;
+};
+
+/**
+ * Runs this process's replica of one replicated log: a thread that owns the core, stores its output before
+ * it sends, and applies what is committed to the state machine.
+ */
+template<StateMachine Machine>
+class Group
+{
+public:
+  Group(GroupOptions aOptions, Machine& aMachine, Transport& aTransport);
+  ~Group();
+
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  const std::string& Name() const { return m_options.name; }
+
+  /** Opens the journal and starts the thread. */
+  Result<void> Start();
+
+  /** Gives an empty replica its first members; does nothing on a formed one. */
+  void Form(std::vector<wire::Replica> aMembers);
+
+  /** Takes in messages of other replicas. */
+  void Deliver(std::vector<wire::RaftMessage> aMessages);
+
+  /** Commits a command if this replica leads; Unknown when the deadline passes before it is decided. */
+  wire::CommandResult Submit(wire::Command aCommand, Deadline aDeadline);
+
+  /** Takes a replica in as a learner in the place of one of the same name; leader only. */
+  wire::CommandResult Join(const wire::Replica& aReplica, Deadline aDeadline);
+
+  wire::GroupStatus Status() const;
+
+private:
+  /** A command on its way to its result. */
+  struct Pending
+  {
+    wire::Command command;
+    std::promise<wire::CommandResult> promise;
+  };
+
+  /** A result awaited at an index of the log. */
+  struct Waiter
+  {
+    int64_t term = 0;
+    std::promise<wire::CommandResult> promise;
+  };
+
+  void Run();
+  Result<void> OpenCore();
+  Result<void> Step(std::vector<wire::RaftMessage> aMessages, std::vector<Pending> aCommands);
+  void ProposeAll(std::vector<Pending> aCommands);
+  std::vector<wire::Replica> ChangedMembers(const wire::Command& aCommand) const;
+  Result<void> StoreAndSend();
+  void ApplyCommitted();
+  Result<void> CompactIfLong();
+  void FailWaiters(const std::string& aMessage);
+  void NoteRole();
+  void MaintainMembers();
+  void Publish();
+  void Halt(const Error& aError);
+
+  GroupOptions m_options;
+  Machine& m_machine;
+  Transport& m_transport;
+  Journal m_journal;
+  std::unique_ptr<RaftCore> m_core;
+  std::map<int64_t, Waiter> m_waiters;
+  RaftRole m_lastRole = RaftRole::Follower;
+  Deadline m_maintainAt{};
+  Deadline m_reopenAt{};
+  bool m_failed = false;
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_wake;
+  bool m_stop = false;
+  std::vector<wire::RaftMessage> m_inbox;
+  std::vector<Pending> m_commands;
+  std::vector<wire::Replica> m_firstMembers;
+  wire::GroupStatus m_status;
+  std::thread m_thread;
+};
+
+/** A failed result with its reason. */
+wire::CommandResult
+Refusal(wire::ResultCode::type aCode, const std::string& aMessage);
+
+} // namespace mimosarun
+
+#include "control/groupimpl.h"
--- /dev/null
+++ b/src/control/groupclient.cpp
@@ -0,0 +1,98 @@
+#include "control/groupclient.h"
+
+#include "common/random.h"
+#include "control/group.h"
+#include "control/membership.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace mimosarun {
+
+static constexpr size_t kConnectionsForPeer = 4;
+static constexpr std::chrono::milliseconds kRoundPause{ 60 };
+static constexpr std::chrono::milliseconds kTryTimeout{ 1500 };
+/** Long enough for an election; after that, no leader means no quorum. */
+static constexpr std::chrono::milliseconds kPatienceWithoutLeader{ 4000 };
+
+GroupClient::GroupClient(const std::vector<ReplicaSettings>& aReplicas)
+{
+  for (const ReplicaSettings& replica : aReplicas) {
+    Peer peer;
+    peer.name = replica.name;
+    for (size_t i = 0; i < kConnectionsForPeer; ++i) {
+      peer.connections.push_back(std::make_unique<Client>(replica.address));
+    }
+    m_peers.push_back(std::move(peer));
+  }
+}
+
+GroupClient::Client&
+GroupClient::PickConnection(size_t aPeer)
+{
+  const std::lock_guard lock(m_mutex);
+  Peer& peer = m_peers[aPeer];
+  peer.next = (peer.next + 1) % peer.connections.size();
+  return *peer.connections[peer.next];
+}
+
+size_t
+GroupClient::FirstPeer(const std::string& aGroup)
+{
+  const std::lock_guard lock(m_mutex);
+  const auto known = m_leaders.find(aGroup);
+  return known == m_leaders.end() ? 0 : known->second;
+}
+
+void
+GroupClient::NoteLeader(const std::string& aGroup, const std::string& aLeader)
+{
+  const std::lock_guard lock(m_mutex);
+  for (size_t i = 0; i < m_peers.size(); ++i) {
+    if (m_peers[i].name == aLeader) {
+      m_leaders[aGroup] = i;
+    }
+  }
+}
+
+wire::CommandResult
+GroupClient::Submit(const std::string& aGroup, const wire::Command& aCommand, Deadline aDeadline)
+{
+  const Deadline giveUp = std::min(aDeadline, SteadyClock::now() + kPatienceWithoutLeader);
+  bool mayHaveRun = false;
+  size_t peer = FirstPeer(aGroup);
+  size_t tried = 0;
+  while (SteadyClock::now() < (mayHaveRun ? aDeadline : giveUp)) {
+    wire::CommandResult result;
+    const Deadline tryBy = std::min(aDeadline, SteadyClock::now() + kTryTimeout);
+    const auto wait = TimeLeft(tryBy);
+    const Result<void> called = PickConnection(peer).Call(tryBy, [&](wire::ControlPeerClient& aClient) {
+      aClient.submit(result, aGroup, aCommand, static_cast<int32_t>(wait.count() * 9 / 10));
+    });
+    ++tried;
+    if (called && result.code != wire::ResultCode::NotLeader && result.code != wire::ResultCode::Unknown) {
+      NoteLeader(aGroup, m_peers[peer].name);
+      return result;
+    }
+    // A peer that gave no answer may have passed the command on before the connection broke.
+    mayHaveRun = mayHaveRun || !called || result.code == wire::ResultCode::Unknown;
+    const auto hinted = std::find_if(m_peers.begin(), m_peers.end(), [&](const Peer& aPeer) {
+      return called && aPeer.name == result.leader;
+    });
+    const bool follow = hinted != m_peers.end() && tried % (m_peers.size() + 1) != 0;
+    peer = follow ? static_cast<size_t>(hinted - m_peers.begin()) : (peer + 1) % m_peers.size();
+    if (tried % m_peers.size() == 0) {
+      std::this_thread::sleep_for(std::min(kRoundPause, TimeLeft(aDeadline)));
+    }
+  }
+  if (mayHaveRun) {
+    return Refusal(
+      wire::ResultCode::Unknown,
+      "no decision before the deadline; send the command again with the same request identifier");
+  }
+  return Refusal(
+    wire::ResultCode::Unavailable,
+    "not run: no quorum of control replicas is reachable; restore the link or replicas and try again");
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/groupimpl.h
@@ -0,0 +1,373 @@
+#pragma once
+
+// Bodies of the Group template; included by control/group.h only.
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kGroupTick{ 20 };
+static constexpr std::chrono::milliseconds kMaintenanceInterval{ 500 };
+static constexpr std::chrono::milliseconds kReopenInterval{ 1000 };
+static constexpr size_t kEntriesBeforeSnapshot = 4096;
+static constexpr size_t kCommandQueueLimit = 10000;
+
+template<StateMachine Machine>
+Group<Machine>::Group(GroupOptions aOptions, Machine& aMachine, Transport& aTransport)
+  : m_options(std::move(aOptions))
+  , m_machine(aMachine)
+  , m_transport(aTransport)
+  , m_journal(m_options.folder)
+{
+}
+
+template<StateMachine Machine>
+Group<Machine>::~Group()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+template<StateMachine Machine>
+Result<void>
+Group<Machine>::Start()
+{
+  BOOST_OUTCOME_TRYV(OpenCore());
+  Publish();
+  m_thread = std::thread([this] { Run(); });
+  return boost::outcome_v2::success();
+}
+
+template<StateMachine Machine>
+Result<void>
+Group<Machine>::OpenCore()
+{
+  MIMOSARUN_TRY(JournalContent content, m_journal.Open());
+  if (content.cutBytes > 0) {
+    Log(Event::JournalTailCut, { { "group", m_options.name }, { "bytes", content.cutBytes } });
+  }
+  BOOST_OUTCOME_TRYV(m_machine.Restore(content.snapshot.state));
+  RaftCore::Options options{ .group = m_options.name,
+                             .name = m_options.replica,
+                             .incarnation = m_options.incarnation,
+                             .heartbeat = m_options.heartbeat,
+                             .electionTimeout = m_options.electionTimeout,
+                             .electionDelay = m_options.electionDelay,
+                             .seed = m_options.seed };
+  RaftState state{ .ballot = std::move(content.ballot),
+                   .snapshot = std::move(content.snapshot),
+                   .entries = std::move(content.entries) };
+  m_core = std::make_unique<RaftCore>(std::move(options), std::move(state), SteadyClock::now());
+  m_failed = false;
+  return boost::outcome_v2::success();
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::Form(std::vector<wire::Replica> aMembers)
+{
+  const std::lock_guard lock(m_mutex);
+  m_firstMembers = std::move(aMembers);
+  m_wake.notify_all();
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::Deliver(std::vector<wire::RaftMessage> aMessages)
+{
+  const std::lock_guard lock(m_mutex);
+  m_inbox.insert(
+    m_inbox.end(), std::make_move_iterator(aMessages.begin()), std::make_move_iterator(aMessages.end()));
+  m_wake.notify_all();
+}
+
+template<StateMachine Machine>
+wire::CommandResult
+Group<Machine>::Submit(wire::Command aCommand, Deadline aDeadline)
+{
+  std::future<wire::CommandResult> future;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_commands.size() >= kCommandQueueLimit) {
+      return Refusal(wire::ResultCode::Unavailable, "too many commands wait; send it again later");
+    }
+    Pending pending{ .command = std::move(aCommand), .promise = {} };
+    future = pending.promise.get_future();
+    m_commands.push_back(std::move(pending));
+  }
+  m_wake.notify_all();
+  if (future.wait_until(aDeadline) != std::future_status::ready) {
+    return Refusal(
+      wire::ResultCode::Unknown,
+      "no decision before the deadline; send the command again with the same request identifier");
+  }
+  return future.get();
+}
+
+template<StateMachine Machine>
+wire::CommandResult
+Group<Machine>::Join(const wire::Replica& aReplica, Deadline aDeadline)
+{
+  wire::Command command;
+  command.kind = wire::CommandKind::ChangeMembers;
+  command.members = { aReplica };
+  return Submit(std::move(command), aDeadline);
+}
+
+template<StateMachine Machine>
+wire::GroupStatus
+Group<Machine>::Status() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_status;
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::Run()
+{
+  std::unique_lock lock(m_mutex);
+  while (!m_stop) {
+    if (m_inbox.empty() && m_commands.empty()) {
+      m_wake.wait_until(lock, SteadyClock::now() + kGroupTick);
+    }
+    std::vector<wire::RaftMessage> messages = std::exchange(m_inbox, {});
+    std::vector<Pending> commands = std::exchange(m_commands, {});
+    lock.unlock();
+    const Result<void> stepped = Step(std::move(messages), std::move(commands));
+    if (!stepped && !m_failed) {
+      Halt(stepped.error());
+    }
+    Publish();
+    lock.lock();
+  }
+  lock.unlock();
+  FailWaiters("the replica stops; send the command again with the same request identifier");
+}
+
+template<StateMachine Machine>
+Result<void>
+Group<Machine>::Step(std::vector<wire::RaftMessage> aMessages, std::vector<Pending> aCommands)
+{
+  const Deadline now = SteadyClock::now();
+  if (m_failed) {
+    for (Pending& pending : aCommands) {
+      pending.promise.set_value(Refusal(wire::ResultCode::Unavailable,
+                                        "storage failed on this replica; free space or replace its disk"));
+    }
+    if (!m_journal.SyncFailed() && now >= m_reopenAt) {
+      m_reopenAt = now + kReopenInterval;
+      return OpenCore();
+    }
+    return boost::outcome_v2::success();
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!m_firstMembers.empty() && m_core->Members().empty()) {
+      wire::SnapshotFile first;
+      first.members = std::exchange(m_firstMembers, {});
+      BOOST_OUTCOME_TRYV(m_journal.SaveSnapshot(first, {}));
+      BOOST_OUTCOME_TRYV(OpenCore());
+      Log(Event::GroupFormed, { { "group", m_options.name }, { "members", first.members.size() } });
+    }
+  }
+  for (const wire::RaftMessage& message : aMessages) {
+    m_core->Receive(message, now);
+  }
+  m_core->Tick(now);
+  ProposeAll(std::move(aCommands));
+  MaintainMembers();
+  BOOST_OUTCOME_TRYV(StoreAndSend());
+  ApplyCommitted();
+  NoteRole();
+  return CompactIfLong();
+}
+
+template<StateMachine Machine>
+std::vector<wire::Replica>
+Group<Machine>::ChangedMembers(const wire::Command& aCommand) const
+{
+  // A command names either a replica to remove or one to take in; the leader works out the list.
+  if (!aCommand.target.empty()) {
+    return MembersWithout(m_core->Members(), aCommand.target);
+  }
+  std::vector<wire::Replica> members = m_core->Members();
+  for (const wire::Replica& replica : aCommand.members) {
+    if (!Contains(members, replica.name, replica.incarnation)) {
+      members = MembersWithLearner(std::move(members), replica);
+    }
+  }
+  return members;
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::ProposeAll(std::vector<Pending> aCommands)
+{
+  const Deadline now = SteadyClock::now();
+  for (Pending& pending : aCommands) {
+    const bool members = pending.command.kind == wire::CommandKind::ChangeMembers;
+    const std::optional<int64_t> index = members
+                                           ? m_core->ProposeMembers(ChangedMembers(pending.command), now)
+                                           : m_core->Propose(std::move(pending.command), now);
+    if (index) {
+      m_waiters[*index] = { .term = m_core->Term(), .promise = std::move(pending.promise) };
+    } else if (m_core->Role() == RaftRole::Leader) {
+      pending.promise.set_value(
+        Refusal(wire::ResultCode::Unavailable, "another membership change is under way; try again shortly"));
+    } else {
+      wire::CommandResult refusal =
+        Refusal(wire::ResultCode::NotLeader, "this replica doesn't lead; ask the leader");
+      refusal.leader = m_core->Leader();
+      pending.promise.set_value(std::move(refusal));
+    }
+  }
+}
+
+template<StateMachine Machine>
+Result<void>
+Group<Machine>::StoreAndSend()
+{
+  RaftOutput output = m_core->TakeOutput();
+  if (output.ballotChanged) {
+    BOOST_OUTCOME_TRYV(m_journal.SaveBallot(m_core->CurrentBallot()));
+  }
+  if (output.installedSnapshot) {
+    BOOST_OUTCOME_TRYV(m_journal.SaveSnapshot(*output.installedSnapshot, {}));
+    BOOST_OUTCOME_TRYV(m_machine.Restore(output.installedSnapshot->state));
+    Log(Event::SnapshotInstalled,
+        { { "group", m_options.name }, { "index", output.installedSnapshot->index } });
+  }
+  if (output.truncateFrom) {
+    BOOST_OUTCOME_TRYV(m_journal.TruncateFrom(*output.truncateFrom));
+  }
+  if (!output.append.empty()) {
+    BOOST_OUTCOME_TRYV(m_journal.Append(output.append));
+    m_core->Persisted(output.append.back().index);
+  }
+  m_transport.Send(std::move(output.messages));
+  return boost::outcome_v2::success();
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::ApplyCommitted()
+{
+  for (const wire::LogEntry& entry : m_core->TakeCommitted()) {
+    wire::CommandResult result = m_machine.Apply(entry);
+    if (entry.command.kind == wire::CommandKind::ChangeMembers) {
+      Log(Event::MembersChanged,
+          { { "group", m_options.name }, { "members", Describe(entry.command.members) } });
+    }
+    const auto waiter = m_waiters.find(entry.index);
+    if (waiter == m_waiters.end()) {
+      continue;
+    }
+    const bool own = waiter->second.term == entry.term;
+    waiter->second.promise.set_value(
+      own ? std::move(result)
+          : Refusal(wire::ResultCode::Unknown,
+                    "leadership changed; send the command again with the same request identifier"));
+    m_waiters.erase(waiter);
+  }
+}
+
+template<StateMachine Machine>
+Result<void>
+Group<Machine>::CompactIfLong()
+{
+  if (m_core->AppliedIndex() - m_core->SnapshotIndex() < static_cast<int64_t>(kEntriesBeforeSnapshot)) {
+    return boost::outcome_v2::success();
+  }
+  const wire::SnapshotFile snapshot = m_core->Compact(m_machine.Image());
+  Log(Event::SnapshotTaken, { { "group", m_options.name }, { "index", snapshot.index } });
+  return m_journal.SaveSnapshot(snapshot, m_core->Entries());
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::FailWaiters(const std::string& aMessage)
+{
+  for (auto& [index, waiter] : m_waiters) {
+    waiter.promise.set_value(Refusal(wire::ResultCode::Unknown, aMessage));
+  }
+  m_waiters.clear();
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::NoteRole()
+{
+  const RaftRole role = m_core->Role();
+  if (role == m_lastRole) {
+    return;
+  }
+  if (role == RaftRole::Leader) {
+    Log(Event::LeaderElected, { { "group", m_options.name }, { "term", m_core->Term() } });
+  } else if (m_lastRole == RaftRole::Leader) {
+    Log(Event::LeaderSteppedDown, { { "group", m_options.name }, { "term", m_core->Term() } });
+    FailWaiters("leadership was lost; send the command again with the same request identifier");
+  }
+  m_lastRole = role;
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::MaintainMembers()
+{
+  const Deadline now = SteadyClock::now();
+  if (m_core->Role() != RaftRole::Leader || now < m_maintainAt) {
+    return;
+  }
+  m_maintainAt = now + kMaintenanceInterval;
+  for (const wire::Replica& member : m_core->Members()) {
+    if (!member.voter && m_core->CaughtUp(member.name)) {
+      m_core->ProposeMembers(MembersWithVoter(m_core->Members(), member.name), now);
+      return;
+    }
+  }
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::Publish()
+{
+  wire::GroupStatus status;
+  status.group = m_options.name;
+  status.replica = m_options.replica;
+  status.incarnation = m_options.incarnation;
+  status.formed = !m_core->Members().empty();
+  status.leader = m_failed ? "" : m_core->Leader();
+  status.term = m_core->Term();
+  status.commit = m_core->CommitIndex();
+  status.applied = m_core->AppliedIndex();
+  status.lastIndex = m_core->LastIndex();
+  status.members = m_core->Members();
+  status.failed = m_failed;
+  const Deadline now = SteadyClock::now();
+  for (const wire::Replica& member : m_core->Members()) {
+    const std::optional<Deadline> heard = m_core->LastHeard(member.name);
+    if (heard) {
+      status.silentMillis[member.name] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *heard).count();
+    }
+  }
+  const std::lock_guard lock(m_mutex);
+  m_status = std::move(status);
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::Halt(const Error& aError)
+{
+  m_failed = true;
+  m_reopenAt = SteadyClock::now() + kReopenInterval;
+  Log(Event::StorageFailed, { { "group", m_options.name }, { "reason", aError.message } });
+  FailWaiters("storage failed on the leader; send the command again with the same request identifier");
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/journal.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "common/error.h"
+#include "wire/gen-cpp/mesh_types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** What a journal held when it was opened. */
+struct JournalContent
+{
+  wire::Ballot ballot;
+  wire::SnapshotFile snapshot;
+  std::vector<wire::LogEntry> entries;
+  /** Bytes of an unfinished last record that were cut off. */
+  int64_t cutBytes = 0;
+};
+
+/**
+ * Durable state of one replicated log in a folder: ballot, snapshot and entries. Everything is checksummed,
+ * and a call that changes something returns only after a sync. An unfinished record at the end is cut; damage
+ * before a valid record is an error, since acknowledged entries may be lost.
+ */
+class Journal
+{
+public:
+  explicit Journal(std::string aFolder);
+  ~Journal();
+
+  Journal(const Journal&) = delete;
+  Journal& operator=(const Journal&) = delete;
+
+  /** Opens or creates the folder's files. */
+  Result<JournalContent> Open();
+
+  /** Stores term and vote. */
+  Result<void> SaveBallot(const wire::Ballot& aBallot);
+
+  /** Appends entries; their indices follow the last one. */
+  Result<void> Append(const std::vector<wire::LogEntry>& aEntries);
+
+  /** Drops all entries from an index on. */
+  Result<void> TruncateFrom(int64_t aIndex);
+
+  /** Stores a snapshot and rewrites the log with only the entries after it. */
+  Result<void> SaveSnapshot(const wire::SnapshotFile& aSnapshot,
+                            const std::vector<wire::LogEntry>& aRemaining);
+
+  /** Whether a sync failed; what the disk holds is unknown from then on. */
+  bool SyncFailed() const;
+
+private:
+  /** Where a record starts in the log file. */
+  struct Position
+  {
+    int64_t index = 0;
+    int64_t offset = 0;
+  };
+
+  std::string PathOf(const char* aName) const;
+  Result<void> OpenLogFile();
+  Result<void> Sync();
+  Result<JournalContent> ReadLog(JournalContent aContent);
+
+  std::string m_folder;
+  int m_descriptor = -1;
+  int64_t m_length = 0;
+  bool m_syncFailed = false;
+  std::vector<Position> m_positions;
+};
+
+/** Identity of a data folder: created once and kept until the folder is lost. */
+Result<int64_t>
+LoadOrCreateIncarnation(const std::string& aFolder);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/raftcore.cpp
@@ -0,0 +1,699 @@
+#include "control/raftcore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosarun {
+
+static constexpr size_t kEntriesInMessage = 512;
+static constexpr size_t kBytesInMessage = 1024UL * 1024;
+static constexpr int64_t kCaughtUpDistance = 16;
+static constexpr std::chrono::milliseconds kSnapshotResend{ 2000 };
+
+using wire::RaftKind;
+
+RaftCore::RaftCore(Options aOptions, RaftState aState, Deadline aNow)
+  : m_options(std::move(aOptions))
+  , m_random(m_options.seed)
+  , m_ballot(std::move(aState.ballot))
+  , m_snapshot(std::move(aState.snapshot))
+  , m_entries(std::move(aState.entries))
+  , m_commit(m_snapshot.index)
+  , m_applied(m_snapshot.index)
+{
+  m_persisted = LastIndex();
+  RecomputeMembers();
+  ResetElection(aNow);
+  if (m_ballot.term > 0) {
+    // A leader heard just before the restart may still count on this replica.
+    m_leaderHeard = aNow;
+  }
+}
+
+// --- state -----------------------------------------------------------------------------------------------
+
+RaftRole
+RaftCore::Role() const
+{
+  return m_role;
+}
+
+const std::string&
+RaftCore::Leader() const
+{
+  return m_leader;
+}
+
+int64_t
+RaftCore::Term() const
+{
+  return m_ballot.term;
+}
+
+const wire::Ballot&
+RaftCore::CurrentBallot() const
+{
+  return m_ballot;
+}
+
+int64_t
+RaftCore::LastIndex() const
+{
+  return m_snapshot.index + static_cast<int64_t>(m_entries.size());
+}
+
+int64_t
+RaftCore::CommitIndex() const
+{
+  return m_commit;
+}
+
+int64_t
+RaftCore::AppliedIndex() const
+{
+  return m_applied;
+}
+
+int64_t
+RaftCore::SnapshotIndex() const
+{
+  return m_snapshot.index;
+}
+
+const std::vector<wire::Replica>&
+RaftCore::Members() const
+{
+  return m_members;
+}
+
+const std::vector<wire::LogEntry>&
+RaftCore::Entries() const
+{
+  return m_entries;
+}
+
+bool
+RaftCore::MembersSettled() const
+{
+  return m_membersIndex <= m_commit;
+}
+
+std::optional<Deadline>
+RaftCore::LastHeard(const std::string& aName) const
+{
+  const auto progress = m_progress.find(aName);
+  return progress == m_progress.end() ? std::nullopt : progress->second.lastHeard;
+}
+
+bool
+RaftCore::CaughtUp(const std::string& aName) const
+{
+  const auto progress = m_progress.find(aName);
+  return m_role == RaftRole::Leader && progress != m_progress.end() && progress->second.lastHeard &&
+         progress->second.match + kCaughtUpDistance >= LastIndex();
+}
+
+const wire::Replica*
+RaftCore::FindMember(const std::string& aName) const
+{
+  const auto member = std::find_if(
+    m_members.begin(), m_members.end(), [&](const auto& aMember) { return aMember.name == aName; });
+  return member == m_members.end() ? nullptr : &*member;
+}
+
+bool
+RaftCore::IsVoter() const
+{
+  const wire::Replica* self = FindMember(m_options.name);
+  return self != nullptr && self->voter && self->incarnation == m_options.incarnation;
+}
+
+int
+RaftCore::QuorumSize() const
+{
+  const auto voters =
+    std::count_if(m_members.begin(), m_members.end(), [](const auto& aMember) { return aMember.voter; });
+  return static_cast<int>(voters / 2 + 1);
+}
+
+const wire::LogEntry&
+RaftCore::EntryAt(int64_t aIndex) const
+{
+  return m_entries[static_cast<size_t>(aIndex - m_snapshot.index - 1)];
+}
+
+int64_t
+RaftCore::TermAt(int64_t aIndex) const
+{
+  if (aIndex == m_snapshot.index) {
+    return m_snapshot.term;
+  }
+  if (aIndex < m_snapshot.index || aIndex > LastIndex()) {
+    return -1;
+  }
+  return EntryAt(aIndex).term;
+}
+
+int64_t
+RaftCore::LastTerm() const
+{
+  return TermAt(LastIndex());
+}
+
+void
+RaftCore::RecomputeMembers()
+{
+  const auto change = std::find_if(m_entries.rbegin(), m_entries.rend(), [](const wire::LogEntry& aEntry) {
+    return aEntry.command.kind == wire::CommandKind::ChangeMembers;
+  });
+  if (change == m_entries.rend()) {
+    m_members = m_snapshot.members;
+    m_membersIndex = m_snapshot.index;
+  } else {
+    m_members = change->command.members;
+    m_membersIndex = change->index;
+  }
+}
+
+// --- elections -------------------------------------------------------------------------------------------
+
+void
+RaftCore::ResetElection(Deadline aNow)
+{
+  const auto shortest = m_options.electionTimeout.count();
+  const std::chrono::milliseconds wait(
+    std::uniform_int_distribution<int64_t>(shortest, 2 * shortest)(m_random));
+  m_electionDeadline = aNow + wait + m_options.electionDelay;
+}
+
+void
+RaftCore::SetBallot(int64_t aTerm, const std::string& aVotedFor)
+{
+  m_ballot.term = aTerm;
+  m_ballot.votedFor = aVotedFor;
+  m_output.ballotChanged = true;
+}
+
+bool
+RaftCore::HeardLeaderLately(Deadline aNow) const
+{
+  if (m_role == RaftRole::Leader) {
+    return true;
+  }
+  return m_leaderHeard && aNow < *m_leaderHeard + m_options.electionTimeout;
+}
+
+void
+RaftCore::BecomeFollower(int64_t aTerm, const std::string& aLeader, Deadline aNow)
+{
+  if (aTerm > m_ballot.term) {
+    SetBallot(aTerm, "");
+  }
+  m_role = RaftRole::Follower;
+  m_leader = aLeader;
+  m_votes.clear();
+  m_progress.clear();
+  ResetElection(aNow);
+}
+
+void
+RaftCore::AskForVotes(RaftKind::type aKind, int64_t aTerm)
+{
+  for (const wire::Replica& member : m_members) {
+    if (!member.voter || member.name == m_options.name) {
+      continue;
+    }
+    wire::RaftMessage message = Message(aKind, member);
+    message.term = aTerm;
+    message.logIndex = LastIndex();
+    message.logTerm = LastTerm();
+    m_output.messages.push_back(std::move(message));
+  }
+}
+
+void
+RaftCore::StartPreVote(Deadline aNow)
+{
+  m_role = RaftRole::PreCandidate;
+  m_leader.clear();
+  m_votes = { { m_options.name, true } };
+  ResetElection(aNow);
+  AskForVotes(RaftKind::PreVote, m_ballot.term + 1);
+  if (QuorumSize() == 1) {
+    StartVote(aNow);
+  }
+}
+
+void
+RaftCore::StartVote(Deadline aNow)
+{
+  m_role = RaftRole::Candidate;
+  SetBallot(m_ballot.term + 1, m_options.name);
+  m_votes = { { m_options.name, true } };
+  ResetElection(aNow);
+  AskForVotes(RaftKind::Vote, m_ballot.term);
+  if (QuorumSize() == 1) {
+    BecomeLeader(aNow);
+  }
+}
+
+void
+RaftCore::BecomeLeader(Deadline aNow)
+{
+  m_role = RaftRole::Leader;
+  m_leader = m_options.name;
+  m_progress.clear();
+  for (const wire::Replica& member : m_members) {
+    m_progress[member.name] = { .next = LastIndex() + 1, .answeredRound = aNow };
+  }
+  // An entry of the own term lets entries of former terms commit.
+  AppendOwn(wire::Command{});
+  Broadcast(aNow);
+}
+
+bool
+RaftCore::IsUpToDate(const wire::RaftMessage& aMessage) const
+{
+  if (aMessage.logTerm != LastTerm()) {
+    return aMessage.logTerm > LastTerm();
+  }
+  return aMessage.logIndex >= LastIndex();
+}
+
+void
+RaftCore::OnVoteRequest(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  if (!IsVoter() || HeardLeaderLately(aNow)) {
+    return;
+  }
+  const bool preVote = aMessage.kind == RaftKind::PreVote;
+  if (!preVote && aMessage.term > m_ballot.term) {
+    BecomeFollower(aMessage.term, "", aNow);
+  }
+  wire::RaftMessage reply = Reply(preVote ? RaftKind::PreVoteReply : RaftKind::VoteReply, aMessage);
+  if (preVote) {
+    reply.granted = aMessage.term > m_ballot.term && IsUpToDate(aMessage);
+    reply.term = reply.granted ? aMessage.term : m_ballot.term;
+  } else {
+    const bool free = m_ballot.votedFor.empty() || m_ballot.votedFor == aMessage.sender;
+    reply.granted = aMessage.term == m_ballot.term && free && IsUpToDate(aMessage);
+    reply.term = m_ballot.term;
+    if (reply.granted) {
+      SetBallot(m_ballot.term, aMessage.sender);
+      ResetElection(aNow);
+    }
+  }
+  m_output.messages.push_back(std::move(reply));
+}
+
+void
+RaftCore::OnVoteReply(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  const bool preVote = aMessage.kind == RaftKind::PreVoteReply;
+  const RaftRole awaited = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
+  const int64_t asked = preVote ? m_ballot.term + 1 : m_ballot.term;
+  if (!aMessage.granted && aMessage.term > m_ballot.term) {
+    BecomeFollower(aMessage.term, "", aNow);
+    return;
+  }
+  if (m_role != awaited || !aMessage.granted || aMessage.term != asked) {
+    return;
+  }
+  m_votes[aMessage.sender] = true;
+  if (static_cast<int>(m_votes.size()) < QuorumSize()) {
+    return;
+  }
+  if (preVote) {
+    StartVote(aNow);
+  } else {
+    BecomeLeader(aNow);
+  }
+}
+
+// --- replication -----------------------------------------------------------------------------------------
+
+void
+RaftCore::AppendOwn(wire::Command aCommand)
+{
+  wire::LogEntry entry;
+  entry.index = LastIndex() + 1;
+  entry.term = m_ballot.term;
+  entry.command = std::move(aCommand);
+  m_entries.push_back(entry);
+  m_output.append.push_back(entry);
+  if (entry.command.kind == wire::CommandKind::ChangeMembers) {
+    RecomputeMembers();
+    for (const wire::Replica& member : m_members) {
+      m_progress.try_emplace(member.name, Progress{ .next = entry.index });
+    }
+  }
+}
+
+std::optional<int64_t>
+RaftCore::Propose(wire::Command aCommand, Deadline aNow)
+{
+  if (m_role != RaftRole::Leader) {
+    return std::nullopt;
+  }
+  AppendOwn(std::move(aCommand));
+  const int64_t index = LastIndex();
+  Broadcast(aNow);
+  return index;
+}
+
+std::optional<int64_t>
+RaftCore::ProposeMembers(std::vector<wire::Replica> aMembers, Deadline aNow)
+{
+  if (m_role != RaftRole::Leader || !MembersSettled() || TermAt(m_commit) != m_ballot.term) {
+    return std::nullopt;
+  }
+  wire::Command command;
+  command.kind = wire::CommandKind::ChangeMembers;
+  command.members = std::move(aMembers);
+  return Propose(std::move(command), aNow);
+}
+
+void
+RaftCore::SendSnapshot(const wire::Replica& aMember, Progress& aProgress, Deadline aNow)
+{
+  if (aNow < aProgress.snapshotAgain) {
+    return;
+  }
+  aProgress.snapshotAgain = aNow + kSnapshotResend;
+  wire::RaftMessage message = Message(RaftKind::Snapshot, aMember);
+  message.logIndex = m_snapshot.index;
+  message.logTerm = m_snapshot.term;
+  message.members = m_snapshot.members;
+  message.snapshot = m_snapshot.state;
+  message.round = std::chrono::duration_cast<std::chrono::microseconds>(aNow.time_since_epoch()).count();
+  m_output.messages.push_back(std::move(message));
+}
+
+void
+RaftCore::SendAppend(const wire::Replica& aMember, Deadline aNow)
+{
+  Progress& progress = m_progress[aMember.name];
+  if (progress.next <= m_snapshot.index) {
+    SendSnapshot(aMember, progress, aNow);
+    return;
+  }
+  wire::RaftMessage message = Message(RaftKind::Append, aMember);
+  message.logIndex = progress.next - 1;
+  message.logTerm = TermAt(message.logIndex);
+  message.commit = m_commit;
+  message.round = std::chrono::duration_cast<std::chrono::microseconds>(aNow.time_since_epoch()).count();
+  size_t bytes = 0;
+  while (progress.next <= LastIndex() && message.entries.size() < kEntriesInMessage &&
+         bytes < kBytesInMessage) {
+    message.entries.push_back(EntryAt(progress.next));
+    bytes += message.entries.back().command.body.size();
+    ++progress.next;
+  }
+  m_output.messages.push_back(std::move(message));
+}
+
+void
+RaftCore::Broadcast(Deadline aNow)
+{
+  m_heartbeatDeadline = aNow + m_options.heartbeat;
+  for (const wire::Replica& member : m_members) {
+    if (member.name != m_options.name) {
+      SendAppend(member, aNow);
+    }
+  }
+}
+
+void
+RaftCore::AppendFollowed(const std::vector<wire::LogEntry>& aEntries)
+{
+  bool membersTouched = false;
+  for (const wire::LogEntry& entry : aEntries) {
+    if (entry.index <= m_snapshot.index || TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (entry.index <= LastIndex()) {
+      m_entries.resize(static_cast<size_t>(entry.index - m_snapshot.index - 1));
+      std::erase_if(m_output.append,
+                    [&](const wire::LogEntry& aPending) { return aPending.index >= entry.index; });
+      m_output.truncateFrom = std::min(m_output.truncateFrom.value_or(entry.index), entry.index);
+      m_persisted = std::min(m_persisted, entry.index - 1);
+      membersTouched = true;
+    }
+    m_entries.push_back(entry);
+    m_output.append.push_back(entry);
+    membersTouched = membersTouched || entry.command.kind == wire::CommandKind::ChangeMembers;
+  }
+  if (membersTouched) {
+    RecomputeMembers();
+  }
+}
+
+void
+RaftCore::OnAppend(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  wire::RaftMessage reply = Reply(RaftKind::AppendReply, aMessage);
+  if (aMessage.term < m_ballot.term) {
+    reply.logIndex = LastIndex();
+    m_output.messages.push_back(std::move(reply));
+    return;
+  }
+  BecomeFollower(aMessage.term, aMessage.sender, aNow);
+  m_leaderHeard = aNow;
+  reply.term = m_ballot.term;
+  const int64_t previous = aMessage.logIndex;
+  const bool matches = previous < m_snapshot.index || TermAt(previous) == aMessage.logTerm;
+  if (!matches) {
+    reply.logIndex = std::min(LastIndex(), previous - 1);
+    m_output.messages.push_back(std::move(reply));
+    return;
+  }
+  AppendFollowed(aMessage.entries);
+  const int64_t match = previous + static_cast<int64_t>(aMessage.entries.size());
+  m_commit = std::max(m_commit, std::min(aMessage.commit, match));
+  reply.granted = true;
+  reply.logIndex = match;
+  m_output.messages.push_back(std::move(reply));
+}
+
+void
+RaftCore::OnAppendReply(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  if (aMessage.term > m_ballot.term) {
+    BecomeFollower(aMessage.term, "", aNow);
+    return;
+  }
+  const wire::Replica* member = FindMember(aMessage.sender);
+  if (m_role != RaftRole::Leader || aMessage.term != m_ballot.term || member == nullptr) {
+    return;
+  }
+  Progress& progress = m_progress[aMessage.sender];
+  progress.lastHeard = aNow;
+  const Deadline round{ std::chrono::duration_cast<Deadline::duration>(
+    std::chrono::microseconds(aMessage.round)) };
+  progress.answeredRound = std::max(progress.answeredRound, round);
+  if (!aMessage.granted) {
+    progress.next = std::max<int64_t>(1, std::min(aMessage.logIndex + 1, LastIndex() + 1));
+    SendAppend(*member, aNow);
+    return;
+  }
+  progress.match = std::max(progress.match, aMessage.logIndex);
+  progress.next = std::max(progress.next, progress.match + 1);
+  AdvanceCommit();
+  if (progress.next <= LastIndex()) {
+    SendAppend(*member, aNow);
+  }
+}
+
+void
+RaftCore::OnSnapshot(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  wire::RaftMessage reply = Reply(RaftKind::AppendReply, aMessage);
+  if (aMessage.term < m_ballot.term) {
+    m_output.messages.push_back(std::move(reply));
+    return;
+  }
+  BecomeFollower(aMessage.term, aMessage.sender, aNow);
+  m_leaderHeard = aNow;
+  reply.term = m_ballot.term;
+  reply.granted = true;
+  if (aMessage.logIndex > m_commit) {
+    m_snapshot.index = aMessage.logIndex;
+    m_snapshot.term = aMessage.logTerm;
+    m_snapshot.members = aMessage.members;
+    m_snapshot.state = aMessage.snapshot;
+    m_entries.clear();
+    m_commit = m_snapshot.index;
+    m_applied = m_snapshot.index;
+    m_persisted = m_snapshot.index;
+    m_output.append.clear();
+    m_output.truncateFrom.reset();
+    m_output.installedSnapshot = m_snapshot;
+    RecomputeMembers();
+  }
+  reply.logIndex = aMessage.logIndex;
+  m_output.messages.push_back(std::move(reply));
+}
+
+void
+RaftCore::AdvanceCommit()
+{
+  std::vector<int64_t> matches;
+  for (const wire::Replica& member : m_members) {
+    if (member.voter) {
+      matches.push_back(member.name == m_options.name ? m_persisted : m_progress[member.name].match);
+    }
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const int64_t agreed = matches[static_cast<size_t>(QuorumSize() - 1)];
+  if (agreed > m_commit && TermAt(agreed) == m_ballot.term) {
+    m_commit = agreed;
+  }
+}
+
+bool
+RaftCore::HasQuorumOfAnswers(Deadline aNow) const
+{
+  int answered = 0;
+  for (const wire::Replica& member : m_members) {
+    const auto progress = m_progress.find(member.name);
+    const bool self = member.name == m_options.name;
+    const bool recent =
+      progress != m_progress.end() && aNow < progress->second.answeredRound + m_options.electionTimeout;
+    if (member.voter && (self || recent)) {
+      ++answered;
+    }
+  }
+  return answered >= QuorumSize();
+}
+
+// --- steps -----------------------------------------------------------------------------------------------
+
+wire::RaftMessage
+RaftCore::Message(RaftKind::type aKind, const wire::Replica& aMember) const
+{
+  wire::RaftMessage message;
+  message.group = m_options.group;
+  message.kind = aKind;
+  message.sender = m_options.name;
+  message.senderIncarnation = m_options.incarnation;
+  message.receiver = aMember.name;
+  message.receiverIncarnation = aMember.incarnation;
+  message.term = m_ballot.term;
+  return message;
+}
+
+wire::RaftMessage
+RaftCore::Reply(RaftKind::type aKind, const wire::RaftMessage& aTo) const
+{
+  wire::Replica receiver;
+  receiver.name = aTo.sender;
+  receiver.incarnation = aTo.senderIncarnation;
+  wire::RaftMessage reply = Message(aKind, receiver);
+  reply.round = aTo.round;
+  return reply;
+}
+
+void
+RaftCore::Tick(Deadline aNow)
+{
+  if (m_role == RaftRole::Leader) {
+    if (!HasQuorumOfAnswers(aNow)) {
+      BecomeFollower(m_ballot.term, "", aNow);
+      return;
+    }
+    if (MembersSettled() && !IsVoter()) {
+      BecomeFollower(m_ballot.term, "", aNow);
+      return;
+    }
+    if (aNow >= m_heartbeatDeadline) {
+      Broadcast(aNow);
+    }
+    return;
+  }
+  if (aNow >= m_electionDeadline) {
+    if (IsVoter()) {
+      StartPreVote(aNow);
+    } else {
+      m_leader.clear();
+      ResetElection(aNow);
+    }
+  }
+}
+
+void
+RaftCore::Receive(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  if (aMessage.receiver != m_options.name || aMessage.receiverIncarnation != m_options.incarnation) {
+    return;
+  }
+  const wire::Replica* sender = FindMember(aMessage.sender);
+  const bool fromLeader = aMessage.kind == RaftKind::Append || aMessage.kind == RaftKind::Snapshot;
+  const bool known = sender != nullptr && sender->incarnation == aMessage.senderIncarnation;
+  if (!known && !fromLeader) {
+    return;
+  }
+  switch (aMessage.kind) {
+    case RaftKind::PreVote:
+    case RaftKind::Vote:
+      OnVoteRequest(aMessage, aNow);
+      break;
+    case RaftKind::PreVoteReply:
+    case RaftKind::VoteReply:
+      OnVoteReply(aMessage, aNow);
+      break;
+    case RaftKind::Append:
+      OnAppend(aMessage, aNow);
+      break;
+    case RaftKind::AppendReply:
+      OnAppendReply(aMessage, aNow);
+      break;
+    case RaftKind::Snapshot:
+      OnSnapshot(aMessage, aNow);
+      break;
+  }
+}
+
+RaftOutput
+RaftCore::TakeOutput()
+{
+  return std::exchange(m_output, RaftOutput{});
+}
+
+void
+RaftCore::Persisted(int64_t aIndex)
+{
+  m_persisted = std::max(m_persisted, std::min(aIndex, LastIndex()));
+  if (m_role == RaftRole::Leader) {
+    AdvanceCommit();
+  }
+}
+
+std::vector<wire::LogEntry>
+RaftCore::TakeCommitted()
+{
+  const int64_t upTo = std::min(m_commit, m_persisted);
+  std::vector<wire::LogEntry> committed;
+  while (m_applied < upTo) {
+    ++m_applied;
+    committed.push_back(EntryAt(m_applied));
+  }
+  return committed;
+}
+
+wire::SnapshotFile
+RaftCore::Compact(std::string aState)
+{
+  const auto applied = static_cast<size_t>(m_applied - m_snapshot.index);
+  for (size_t i = 0; i < applied; ++i) {
+    if (m_entries[i].command.kind == wire::CommandKind::ChangeMembers) {
+      m_snapshot.members = m_entries[i].command.members;
+    }
+  }
+  m_snapshot.term = TermAt(m_applied);
+  m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(applied));
+  m_snapshot.index = m_applied;
+  m_snapshot.state = std::move(aState);
+  return m_snapshot;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/reportboard.cpp
@@ -0,0 +1,74 @@
+#include "control/reportboard.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr std::chrono::minutes kForgetAfter{ 10 };
+static constexpr std::chrono::milliseconds kSampleFreshness{ 10000 };
+static constexpr size_t kSampleOfOtherDomain = 3;
+
+void
+ReportBoard::Take(const wire::DomainReport& aReport, std::chrono::milliseconds aAge)
+{
+  const std::lock_guard lock(m_mutex);
+  const Deadline takenAt = SteadyClock::now() - aAge;
+  Held& held = m_reports[aReport.relay];
+  if (takenAt >= held.takenAt) {
+    held = { .report = aReport, .takenAt = takenAt };
+  }
+  std::erase_if(m_reports,
+                [](const auto& aEntry) { return SteadyClock::now() - aEntry.second.takenAt > kForgetAfter; });
+}
+
+std::vector<wire::DomainReport>
+ReportBoard::Reports() const
+{
+  const std::lock_guard lock(m_mutex);
+  std::vector<wire::DomainReport> reports;
+  for (const auto& [relay, held] : m_reports) {
+    reports.push_back(held.report);
+    reports.back().ageMillis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - held.takenAt).count();
+  }
+  return reports;
+}
+
+std::vector<wire::DomainReport>
+ReportBoard::NewestOfEachDomain() const
+{
+  std::map<std::string, wire::DomainReport> newest;
+  for (wire::DomainReport& report : Reports()) {
+    const auto held = newest.find(report.failureDomain);
+    if (held == newest.end() || report.ageMillis < held->second.ageMillis) {
+      newest[report.failureDomain] = std::move(report);
+    }
+  }
+  std::vector<wire::DomainReport> reports;
+  for (auto& [domain, report] : newest) {
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+std::vector<wire::Member>
+ReportBoard::Sample(const std::string& aFailureDomain) const
+{
+  std::vector<wire::Member> sample;
+  std::map<std::string, size_t> taken;
+  for (const wire::DomainReport& report : Reports()) {
+    if (report.ageMillis > kSampleFreshness.count()) {
+      continue;
+    }
+    size_t& count = taken[report.failureDomain];
+    for (const wire::Member& member : report.sample) {
+      if (report.failureDomain == aFailureDomain || count < kSampleOfOtherDomain) {
+        sample.push_back(member);
+        ++count;
+      }
+    }
+  }
+  return sample;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/transport.cpp
@@ -0,0 +1,101 @@
+#include "control/transport.h"
+
+#include "wire/codec.h"
+
+namespace mimosarun {
+
+static constexpr size_t kQueueLimit = 4096;
+static constexpr size_t kBatchLimit = 64;
+static constexpr std::chrono::milliseconds kDeliveryTimeout{ 500 };
+static constexpr std::chrono::milliseconds kSnapshotDeliveryTimeout{ 10000 };
+
+PeerLink::PeerLink(const Address& aAddress)
+  : m_client(aAddress)
+  , m_thread([this] { Run(); })
+{
+}
+
+PeerLink::~PeerLink()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
+  m_thread.join();
+}
+
+void
+PeerLink::Enqueue(wire::RaftMessage aMessage)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_queue.size() >= kQueueLimit) {
+      m_queue.pop_front();
+    }
+    m_queue.push_back(std::move(aMessage));
+  }
+  m_wake.notify_all();
+}
+
+void
+PeerLink::Run()
+{
+  std::unique_lock lock(m_mutex);
+  while (!m_stop) {
+    if (m_queue.empty()) {
+      m_wake.wait(lock);
+      continue;
+    }
+    std::vector<wire::RaftMessage> messages;
+    while (!m_queue.empty() && messages.size() < kBatchLimit) {
+      messages.push_back(std::move(m_queue.front()));
+      m_queue.pop_front();
+    }
+    lock.unlock();
+    SendBatch(std::move(messages));
+    lock.lock();
+  }
+}
+
+void
+PeerLink::SendBatch(std::vector<wire::RaftMessage> aMessages)
+{
+  bool large = false;
+  for (const wire::RaftMessage& message : aMessages) {
+    large = large || message.kind == wire::RaftKind::Snapshot;
+  }
+  wire::RaftBatch batch;
+  batch.sentAt = StampNow();
+  batch.messages = std::move(aMessages);
+  const Deadline deadline = SteadyClock::now() + (large ? kSnapshotDeliveryTimeout : kDeliveryTimeout);
+  const Result<void> sent = m_client.Call(deadline, [&](wire::ControlPeerClient& aClient) {
+    wire::Stamp answered;
+    aClient.deliver(answered, batch);
+    Observe(answered);
+  });
+  if (!sent) {
+    // Replicated logs resend what matters; old messages would only add to the load after an outage.
+    const std::lock_guard lock(m_mutex);
+    m_queue.clear();
+  }
+}
+
+void
+PeerTransport::AddPeer(const std::string& aName, const Address& aAddress)
+{
+  m_links[aName] = std::make_unique<PeerLink>(aAddress);
+}
+
+void
+PeerTransport::Send(std::vector<wire::RaftMessage> aMessages)
+{
+  for (wire::RaftMessage& message : aMessages) {
+    const auto link = m_links.find(message.receiver);
+    if (link != m_links.end()) {
+      link->second->Enqueue(std::move(message));
+    }
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/control/transport.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "common/address.h"
+#include "common/clock.h"
+#include "wire/gen-cpp/ControlPeer.h"
+#include "wire/rpcclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosarun {
+
+/** Sends messages of replicated logs; may lose them. */
+class Transport
+{
+public:
+  virtual ~Transport() = default;
+
+  virtual void Send(std::vector<wire::RaftMessage> aMessages) = 0;
+};
+
+/** Queue, connection and thread for the messages to one other control replica. */
+class PeerLink
+{
+public:
+  explicit PeerLink(const Address& aAddress);
+  ~PeerLink();
+
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  /** Queues a message; the oldest are dropped when the peer doesn't keep up. */
+  void Enqueue(wire::RaftMessage aMessage);
+
+private:
+  void Run();
+  void SendBatch(std::vector<wire::RaftMessage> aMessages);
+
+  RpcClient<wire::ControlPeerClient> m_client;
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::deque<wire::RaftMessage> m_queue;
+  bool m_stop = false;
+  std::thread m_thread;
+};
+
+/** Transport over one PeerLink for each other replica. */
+class PeerTransport : public Transport
+{
+public:
+  /** Adds a replica; called before Send(). */
+  void AddPeer(const std::string& aName, const Address& aAddress);
+
+  void Send(std::vector<wire::RaftMessage> aMessages) override;
+
+private:
+  std::map<std::string, std::unique_ptr<PeerLink>> m_links;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/http/refusal.cpp
@@ -0,0 +1,29 @@
+#include "http/refusal.h"
+
+#include "http/meshheaders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mimosarun {
+
+HttpResponse
+MakeRefusal(const Refused& aRefused)
+{
+  const char* outcome = aRefused.outcome == CallOutcome::NotRun ? kOutcomeNotRun : kOutcomeUnknown;
+  nlohmann::ordered_json body;
+  body["outcome"] = outcome;
+  body["reason"] = aRefused.reason;
+  body["call"] = aRefused.call;
+  HttpResponse response{ .status = aRefused.status,
+                         .headers = { { .name = "Content-Type", .value = "application/json" },
+                                      { .name = kOutcomeHeader, .value = outcome },
+                                      { .name = kCallHeader, .value = aRefused.call } },
+                         .body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" };
+  if (aRefused.retryAfter) {
+    response.headers.push_back(
+      { .name = kRetryAfterHeader, .value = std::to_string(aRefused.retryAfter->count()) });
+  }
+  return response;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/load/generator.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "http/forwarder.h"
+#include "load/latencies.h"
+#include "load/workload.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+namespace mimosarun {
+
+/** What became of the calls of one kind in one phase. */
+struct LoadTally
+{
+  uint64_t offered = 0;
+  uint64_t complete = 0;
+  uint64_t notRun = 0;
+  uint64_t unknown = 0;
+  /** No answer, or one that was cut. */
+  uint64_t broken = 0;
+  /** Answers that weren't this caller's own, or not whole; must be zero. */
+  uint64_t wrong = 0;
+  /** Complete answers only, from the moment the call should have started. */
+  Latencies latencies;
+};
+
+/** Names a row of a load report. */
+struct TallyKey
+{
+  std::string phase;
+  std::string kind;
+
+  auto operator<=>(const TallyKey&) const = default;
+};
+
+using LoadReport = std::map<TallyKey, LoadTally>;
+
+/**
+ * Offers the calls of a workload in an open loop: calls start on schedule whether or not earlier ones have
+ * ended, and a late start counts against the call. Checks that each answer carries its call's own token.
+ */
+class Generator
+{
+public:
+  Generator(Workload aWorkload, unsigned int aThreads);
+
+  /** Runs all phases and waits for the last answers. */
+  LoadReport Run();
+
+private:
+  friend class LoadCall;
+
+  void RunPhase(const LoadPhase& aPhase, Deadline aStart);
+  void StartCall(const LoadPhase& aPhase, Deadline aDue);
+  void Count(const TallyKey& aKey, const std::function<void(LoadTally&)>& aChange);
+
+  Workload m_workload;
+  std::mt19937_64 m_random;
+  std::discrete_distribution<size_t> m_chooseKind;
+  std::string m_runName;
+  uint64_t m_calls = 0;
+  std::atomic<uint64_t> m_open{ 0 };
+  std::mutex m_mutex;
+  LoadReport m_report;
+  std::unique_ptr<Forwarder> m_forwarder;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/mimosarun/main.cpp
@@ -0,0 +1,157 @@
+#include "common/file.h"
+#include "common/random.h"
+#include "configuration/configuration.h"
+#include "load/loadcommand.h"
+#include "operators/command.h"
+#include "operators/operatorclient.h"
+#include "timeline/timelinecommand.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+#include <sstream>
+
+using namespace mimosarun;
+
+static constexpr int kExitInvalid = 2;
+static constexpr size_t kDocumentLimitBytes = 4UL * 1024 * 1024;
+static constexpr const char* kVersion = "mimosarun 0.1.0";
+
+static void
+PrintHelp()
+{
+  std::cout
+    << "mimosarun [--server IP:PORT[,IP:PORT...]] [--json] [--request-id ID] [--author NAME] COMMAND\n\n"
+    << CommandHelp() << "  check FILE                      validate a configuration file offline\n"
+    << "  timeline FOLDER OUTPUT          merge the logs of a folder into a page and a trace\n"
+    << "  load PLAN                       offer calls by a plan and report on them\n"
+    << "  version | help\n\n"
+    << "Exit status: 0 done, 1 refused, 2 wrong input, 3 not run, 4 unknown.\n";
+}
+
+static std::vector<std::string>
+Split(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::istringstream stream(aText);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+static int
+Complain(const Error& aError)
+{
+  std::cerr << aError.message << "\n";
+  return kExitInvalid;
+}
+
+static int
+Check(const std::vector<std::string>& aWords)
+{
+  if (aWords.size() != 2) {
+    return Complain({ .message = "use: mimosarun check FILE" });
+  }
+  const Result<std::string> text = ReadFile(aWords[1], kDocumentLimitBytes);
+  if (!text) {
+    return Complain(text.error());
+  }
+  const Result<Configuration> configuration =
+    ParseConfiguration(text.value(), aWords[1], DocumentOrigin::Operator);
+  if (!configuration) {
+    return Complain(configuration.error());
+  }
+  std::cout << aWords[1] << ": valid, " << configuration.value().services.size() << " services, "
+            << configuration.value().routes.size() << " routes\n";
+  return 0;
+}
+
+/** Takes the file out of 'propose FILE based on N' and reads it. */
+static Result<void>
+TakeDocument(std::vector<std::string>& aWords, OperatorRequest& aRequest)
+{
+  if (aWords.size() < 2 || aWords[0] != "propose") {
+    return boost::outcome_v2::success();
+  }
+  MIMOSARUN_TRY(aRequest.document, ReadFile(aWords[1], kDocumentLimitBytes));
+  MIMOSARUN_TRY(const Configuration checked,
+                ParseConfiguration(aRequest.document, aWords[1], DocumentOrigin::Operator));
+  static_cast<void>(checked);
+  aWords.erase(aWords.begin() + 1);
+  return boost::outcome_v2::success();
+}
+
+static int
+SendCommand(const cxxopts::ParseResult& aParsed, std::vector<std::string> aWords)
+{
+  OperatorRequest request;
+  if (const Result<void> taken = TakeDocument(aWords, request); !taken) {
+    return Complain(taken.error());
+  }
+  for (const std::string& word : aWords) {
+    request.command += (request.command.empty() ? "" : " ") + word;
+  }
+  if (const Result<OperatorCommand> parsed = ParseCommand(request.command); !parsed) {
+    return Complain(parsed.error());
+  }
+  request.requestId = aParsed["request-id"].as<std::string>();
+  if (request.requestId.empty()) {
+    request.requestId = RandomIdentifier();
+  }
+  request.author = aParsed["author"].as<std::string>();
+  const auto timeout = std::chrono::seconds(aParsed["timeout"].as<int>());
+  const OperatorClient client(Split(aParsed["server"].as<std::string>()));
+  const Answer answer = client.Send(request, SteadyClock::now() + timeout);
+  std::cout << (aParsed.count("json") > 0 ? ToJson(answer) : ToTable(answer));
+  return static_cast<int>(answer.code);
+}
+
+static int
+Run(const cxxopts::ParseResult& aParsed)
+{
+  std::vector<std::string> words;
+  if (aParsed.count("words") > 0) {
+    words = aParsed["words"].as<std::vector<std::string>>();
+  }
+  if (words.empty() || words[0] == "help" || aParsed.count("help") > 0) {
+    PrintHelp();
+    return words.empty() && aParsed.count("help") == 0 ? kExitInvalid : 0;
+  }
+  if (words[0] == "version") {
+    std::cout << kVersion << "\n";
+    return 0;
+  }
+  if (words[0] == "check") {
+    return Check(words);
+  }
+  if (words[0] == "load") {
+    return RunLoadCommand(words);
+  }
+  if (words[0] == "timeline") {
+    return RunTimelineCommand(words);
+  }
+  return SendCommand(aParsed, words);
+}
+
+int
+main(int aCount, char** aValues)
+{
+  cxxopts::Options options("mimosarun", "Command and query language of the service mesh");
+  options.add_options()("server",
+                        "Operator addresses, tried in order",
+                        cxxopts::value<std::string>()->default_value("127.0.0.1:7003"))("json", "Print JSON")(
+    "request-id",
+    "Identifier of a command that is sent again",
+    cxxopts::value<std::string>()->default_value(""))(
+    "author", "Name in the history", cxxopts::value<std::string>()->default_value("operator"))(
+    "timeout", "Seconds to wait", cxxopts::value<int>()->default_value("10"))("help", "Print help")(
+    "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({ "words" });
+  try {
+    return Run(options.parse(aCount, aValues));
+  } catch (const cxxopts::exceptions::exception& fault) {
+    std::cerr << fault.what() << "; see 'mimosarun help'\n";
+    return kExitInvalid;
+  }
+}
--- /dev/null
+++ b/src/mimosarund/main.cpp
@@ -0,0 +1,158 @@
+#include "common/file.h"
+#include "common/log.h"
+#include "control/controller.h"
+#include "node/node.h"
+#include "operators/controloperator.h"
+#include "operators/operatorserver.h"
+#include "platform/metrics.h"
+#include "platform/shutdownsignal.h"
+#include "settings/processsettings.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace mimosarun;
+
+static constexpr int kExitFailure = 1;
+static constexpr int kExitInvalid = 2;
+static constexpr const char* kVersion = "mimosarund 0.1.0";
+
+/** What the command line asks for. */
+struct Arguments
+{
+  std::string settings;
+  bool check = false;
+  BalancePolicy policy = BalancePolicy::ExpectedTime;
+};
+
+static int
+FailToStart(const Error& aError)
+{
+  Log(Event::PortRefused, { { "reason", aError.message } });
+  std::cerr << "mimosarund: " << aError.message << "\n";
+  return kExitFailure;
+}
+
+static int
+RunControl(const ProcessSettings& aSettings, ShutdownSignal& aSignal)
+{
+  Metrics metrics;
+  Controller controller(aSettings);
+  if (const Result<void> started = controller.Start(); !started) {
+    return FailToStart(started.error());
+  }
+  ControlOperator commands(controller);
+  const auto refresh = [&] {
+    metrics.Gauge("mimosarun_configuration_version", "Version accepted as this replica knows", {})
+      .Set(static_cast<double>(controller.Configuration().Current()->version));
+    metrics.Gauge("mimosarun_claims", "Idempotency keys held", {})
+      .Set(static_cast<double>(controller.ClaimCount()));
+  };
+  const auto run = [&](const OperatorRequest& aRequest, Deadline aDeadline) {
+    return commands.Run(aRequest, aDeadline);
+  };
+  const auto server = OperatorServer::Start(
+    { .address = aSettings.operatorAddress, .run = run, .metrics = &metrics, .refresh = refresh });
+  if (!server) {
+    return FailToStart(server.error());
+  }
+  Log(Event::ProcessStarted, { { "role", "control" } });
+  aSignal.Wait();
+  Log(Event::ProcessStopping);
+  return 0;
+}
+
+static int
+RunNode(const ProcessSettings& aSettings, BalancePolicy aPolicy, ShutdownSignal& aSignal)
+{
+  Metrics metrics;
+  Node node(aSettings, metrics, aPolicy);
+  if (const Result<void> started = node.Start(); !started) {
+    return FailToStart(started.error());
+  }
+  const auto run = [&](const OperatorRequest& aRequest, Deadline /*aDeadline*/) {
+    return node.RunCommand(aRequest);
+  };
+  const auto server = OperatorServer::Start(
+    { .address = aSettings.operatorAddress, .run = run, .metrics = &metrics, .refresh = [&] {
+       node.RefreshMetrics();
+     } });
+  if (!server) {
+    return FailToStart(server.error());
+  }
+  Log(Event::ProcessStarted, { { "role", "node" } });
+  aSignal.Wait();
+  Log(Event::ProcessStopping);
+  node.Shutdown();
+  return 0;
+}
+
+static Result<BalancePolicy>
+ParsePolicy(const std::string& aText)
+{
+  if (aText == "expected-time") {
+    return BalancePolicy::ExpectedTime;
+  }
+  if (aText == "random") {
+    return BalancePolicy::Random;
+  }
+  if (aText == "least-in-flight") {
+    return BalancePolicy::LeastInFlight;
+  }
+  return Fail(ErrorKind::InvalidInput, "--balance: use expected-time, random or least-in-flight");
+}
+
+static Result<Arguments>
+ParseArguments(int aCount, char** aValues)
+{
+  cxxopts::Options options("mimosarund", "One process of the service mesh: a node or a control replica");
+  options.add_options()("settings",
+                        "File with the settings, JSON with comments",
+                        cxxopts::value<std::string>())("check", "Check the settings and exit")(
+    "balance", "How gates are chosen", cxxopts::value<std::string>()->default_value("expected-time"))(
+    "version", "Print the version")("help", "Print this help");
+  try {
+    const auto parsed = options.parse(aCount, aValues);
+    if (parsed.count("help") > 0 || parsed.count("version") > 0) {
+      std::cout << (parsed.count("help") > 0 ? options.help() : std::string(kVersion)) << "\n";
+      std::exit(0);
+    }
+    if (parsed.count("settings") == 0) {
+      return Fail(ErrorKind::InvalidInput, "--settings FILE is missing; see --help");
+    }
+    Arguments arguments{ .settings = parsed["settings"].as<std::string>(),
+                         .check = parsed.count("check") > 0 };
+    MIMOSARUN_TRY(arguments.policy, ParsePolicy(parsed["balance"].as<std::string>()));
+    return arguments;
+  } catch (const std::exception& fault) {
+    return Fail(ErrorKind::InvalidInput, std::string(fault.what()) + "; see --help");
+  }
+}
+
+int
+main(int aCount, char** aValues)
+{
+  const Result<Arguments> arguments = ParseArguments(aCount, aValues);
+  if (!arguments) {
+    std::cerr << "mimosarund: " << arguments.error().message << "\n";
+    return kExitInvalid;
+  }
+  const Result<ProcessSettings> settings = LoadSettings(arguments.value().settings);
+  if (!settings) {
+    std::cerr << settings.error().message << "\n";
+    return kExitInvalid;
+  }
+  if (arguments.value().check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  const bool control = settings.value().role == ProcessRole::Control;
+  ShutdownSignal signal;
+  OpenLog({ .file = settings.value().logFile,
+            .process = settings.value().name,
+            .role = control ? "control" : "node",
+            .failureDomain = settings.value().failureDomain });
+  return control ? RunControl(settings.value(), signal)
+                 : RunNode(settings.value(), arguments.value().policy, signal);
+}
--- /dev/null
+++ b/src/node/controllink.cpp
@@ -0,0 +1,220 @@
+#include "node/controllink.h"
+
+#include "common/backoff.h"
+#include "common/log.h"
+#include "common/random.h"
+#include "node/relays.h"
+#include "wire/codec.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kStartJitter{ 150 };
+static constexpr std::chrono::milliseconds kPollTime{ 800 };
+static constexpr std::chrono::milliseconds kAnswerTime{ 700 };
+static constexpr std::chrono::milliseconds kIdleInterval{ 200 };
+static constexpr std::chrono::seconds kBestAgainInterval{ 10 };
+static constexpr size_t kSampleLimit = 32;
+static constexpr size_t kStragglerLimit = 8;
+/** A held version that asks for members only. */
+static constexpr int64_t kMembersOnly = -1;
+
+ControlLink::ControlLink(const ProcessSettings& aSettings, ConfigurationHolder& aHolder, MemberTable& aTable)
+  : m_settings(aSettings)
+  , m_holder(aHolder)
+  , m_table(aTable)
+{
+  std::vector<ReplicaSettings> replicas = m_settings.replicas;
+  std::shuffle(replicas.begin(), replicas.end(), RandomEngine());
+  std::stable_partition(replicas.begin(), replicas.end(), [&](const auto& aReplica) {
+    return aReplica.region == m_settings.region;
+  });
+  for (const ReplicaSettings& replica : replicas) {
+    m_clients.push_back(std::make_unique<Client>(replica.address));
+  }
+}
+
+ControlLink::~ControlLink()
+{
+  Stop();
+}
+
+void
+ControlLink::Start()
+{
+  m_thread = std::thread([this] { Run(); });
+}
+
+void
+ControlLink::Stop()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+bool
+ControlLink::Wait(std::chrono::milliseconds aTime)
+{
+  std::unique_lock lock(m_mutex);
+  const Deadline until = SteadyClock::now() + aTime;
+  m_wake.wait_until(lock, until, [this] { return m_stop; });
+  return !m_stop;
+}
+
+void
+ControlLink::Run()
+{
+  Backoff backoff({});
+  bool introduced = false;
+  bool going = Wait(std::chrono::milliseconds(RandomBetween(0, kStartJitter.count())));
+  while (going) {
+    bool reached = true;
+    if (!introduced) {
+      introduced = AskForMembers();
+      reached = introduced;
+    } else if (IsRelay(m_table, m_settings.failureDomain)) {
+      if (!m_relay) {
+        m_relay = true;
+        Log(Event::RelayChanged, { { "relay", "yes" } });
+      }
+      reached = Watch();
+    } else {
+      if (m_relay) {
+        m_relay = false;
+        Log(Event::RelayChanged, { { "relay", "no" } });
+      }
+      going = Wait(kIdleInterval);
+      continue;
+    }
+    if (reached) {
+      backoff.Reset();
+      going = Wait(std::chrono::milliseconds(1));
+    } else {
+      going = Wait(backoff.Next());
+    }
+  }
+}
+
+void
+ControlLink::NextReplica()
+{
+  m_current = (m_current + 1) % m_clients.size();
+}
+
+void
+ControlLink::NoteReachable(bool aReachable)
+{
+  m_failures = aReachable ? 0 : m_failures + 1;
+  const bool reachable = aReachable || m_failures < m_clients.size();
+  if (reachable != m_reachable) {
+    m_reachable = reachable;
+    Log(reachable ? Event::ControlReached : Event::ControlUnreachable);
+  }
+}
+
+Result<wire::WatchReply>
+ControlLink::Call(const wire::WatchRequest& aRequest)
+{
+  const Deadline now = SteadyClock::now();
+  if (m_current != 0 && now >= m_tryBestAgain) {
+    m_tryBestAgain = now + kBestAgainInterval;
+    m_current = 0;
+  }
+  wire::WatchReply reply;
+  const Deadline deadline = now + std::chrono::milliseconds(aRequest.waitMillis) + kAnswerTime;
+  const Result<void> called = m_clients[m_current]->Call(
+    deadline, [&](wire::ControlPeerClient& aClient) { aClient.watch(reply, aRequest); });
+  NoteReachable(called.has_value());
+  if (!called) {
+    if (m_current == 0) {
+      m_tryBestAgain = now + kBestAgainInterval;
+    }
+    NextReplica();
+    return boost::outcome_v2::failure(called.error());
+  }
+  Observe(reply.sentAt);
+  m_table.Merge(reply.sample, SteadyClock::now());
+  return reply;
+}
+
+bool
+ControlLink::AskForMembers()
+{
+  wire::WatchRequest request;
+  request.heldVersion = kMembersOnly;
+  request.failureDomain = m_settings.failureDomain;
+  request.sentAt = StampNow();
+  return Call(request).has_value();
+}
+
+bool
+ControlLink::Watch()
+{
+  wire::WatchRequest request;
+  request.heldVersion = m_holder.Current()->version;
+  request.waitMillis = static_cast<int32_t>(kPollTime.count());
+  request.report = MakeReport();
+  request.failureDomain = m_settings.failureDomain;
+  request.sentAt = StampNow();
+  const Result<wire::WatchReply> reply = Call(request);
+  if (!reply) {
+    return false;
+  }
+  TakeUpdate(reply.value());
+  return true;
+}
+
+void
+ControlLink::TakeUpdate(const wire::WatchReply& aReply)
+{
+  if (aReply.unchanged) {
+    return;
+  }
+  const Result<void> applied = m_holder.Apply(aReply.update);
+  if (applied || applied.error().kind == ErrorKind::Conflict) {
+    return;
+  }
+  wire::WatchRequest request;
+  request.heldVersion = 0;
+  request.failureDomain = m_settings.failureDomain;
+  request.sentAt = StampNow();
+  const Result<wire::WatchReply> whole = Call(request);
+  if (whole && !whole.value().unchanged) {
+    static_cast<void>(m_holder.Apply(whole.value().update).has_value());
+  }
+}
+
+wire::DomainReport
+ControlLink::MakeReport()
+{
+  wire::DomainReport report;
+  report.failureDomain = m_settings.failureDomain;
+  report.region = m_settings.region;
+  report.relay = m_settings.name;
+  std::vector<wire::Member> members = m_table.Reachable(m_settings.failureDomain);
+  members.push_back(m_table.Self());
+  report.alive = static_cast<int32_t>(members.size());
+  int64_t newest = 0;
+  for (const wire::Member& member : members) {
+    ++report.nodesAtVersion[member.version];
+    newest = std::max(newest, member.version);
+  }
+  for (const wire::Member& member : members) {
+    if (member.version < newest && report.stragglers.size() < kStragglerLimit) {
+      report.stragglers.push_back(member.name);
+    }
+  }
+  std::shuffle(members.begin(), members.end(), RandomEngine());
+  members.resize(std::min(members.size(), kSampleLimit));
+  report.sample = std::move(members);
+  return report;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/controllink.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "node/holder.h"
+#include "node/membertable.h"
+#include "settings/processsettings.h"
+#include "wire/gen-cpp/ControlPeer.h"
+#include "wire/rpcclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosarun {
+
+/**
+ * The link of a node to control. A relay keeps a long poll on one replica, the own region's first, which
+ * brings new configurations and takes the report of the failure domain. Other nodes ask once, at the start,
+ * for members to talk to.
+ */
+class ControlLink
+{
+public:
+  ControlLink(const ProcessSettings& aSettings, ConfigurationHolder& aHolder, MemberTable& aTable);
+  ~ControlLink();
+
+  ControlLink(const ControlLink&) = delete;
+  ControlLink& operator=(const ControlLink&) = delete;
+
+  void Start();
+  void Stop();
+
+private:
+  using Client = RpcClient<wire::ControlPeerClient>;
+
+  void Run();
+  bool Wait(std::chrono::milliseconds aTime);
+  bool AskForMembers();
+  bool Watch();
+  Result<wire::WatchReply> Call(const wire::WatchRequest& aRequest);
+  void NextReplica();
+  void TakeUpdate(const wire::WatchReply& aReply);
+  wire::DomainReport MakeReport();
+  void NoteReachable(bool aReachable);
+
+  const ProcessSettings& m_settings;
+  ConfigurationHolder& m_holder;
+  MemberTable& m_table;
+  /** Replicas in the order of preference: own region first. */
+  std::vector<std::unique_ptr<Client>> m_clients;
+  size_t m_current = 0;
+  size_t m_failures = 0;
+  bool m_reachable = true;
+  bool m_relay = false;
+  Deadline m_tryBestAgain{};
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  bool m_stop = false;
+  std::thread m_thread;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/directory.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "common/address.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** How far a gate is from this node. */
+enum class Locality
+{
+  FailureDomain,
+  Region,
+  OtherRegion,
+};
+
+/** A gate that takes calls for a service. */
+struct GateInfo
+{
+  std::string node;
+  std::string target;
+  Address address;
+  Locality locality = Locality::FailureDomain;
+  int slots = 1;
+};
+
+/** The gates of each service at one moment; shared, never changed. */
+struct Directory
+{
+  std::map<std::string, std::vector<GateInfo>> gates;
+};
+
+using DirectoryPointer = std::shared_ptr<const Directory>;
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/fetcher.cpp
@@ -0,0 +1,94 @@
+#include "node/fetcher.h"
+
+#include <utility>
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kFetchTimeout{ 1500 };
+/** A held version that no update starts from, so that the whole is sent. */
+static constexpr int64_t kNoVersion = -1;
+
+Fetcher::Fetcher(ConfigurationHolder& aHolder, MemberTable& aTable, Peers& aPeers)
+  : m_holder(aHolder)
+  , m_table(aTable)
+  , m_peers(aPeers)
+  , m_thread([this] { Run(); })
+{
+}
+
+Fetcher::~Fetcher()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
+  m_thread.join();
+}
+
+int64_t
+Fetcher::HeldVersion() const
+{
+  return m_holder.Current()->version;
+}
+
+void
+Fetcher::Notice(const std::string& aMember, int64_t aVersion)
+{
+  if (aVersion <= HeldVersion()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    if (aVersion < m_wanted && !m_source.empty()) {
+      return;
+    }
+    m_source = aMember;
+    m_wanted = aVersion;
+  }
+  m_wake.notify_all();
+}
+
+void
+Fetcher::Run()
+{
+  std::unique_lock lock(m_mutex);
+  while (!m_stop) {
+    if (m_source.empty()) {
+      m_wake.wait(lock);
+      continue;
+    }
+    const std::string source = std::exchange(m_source, "");
+    lock.unlock();
+    FetchFrom(source);
+    lock.lock();
+  }
+}
+
+bool
+Fetcher::FetchFrom(const std::string& aMember)
+{
+  const std::optional<wire::Member> member = m_table.Find(aMember);
+  if (!member) {
+    return false;
+  }
+  const Result<std::shared_ptr<NodeClient>> client = m_peers.ToNode(member->name, member->peerAddress);
+  if (!client) {
+    return false;
+  }
+  for (const int64_t held : { HeldVersion(), kNoVersion }) {
+    wire::ConfigurationUpdate update;
+    const Result<void> fetched =
+      client.value()->Call(SteadyClock::now() + kFetchTimeout,
+                           [&](wire::NodePeerClient& aClient) { aClient.fetch(update, held); });
+    if (!fetched || update.toVersion <= HeldVersion()) {
+      return false;
+    }
+    if (m_holder.Apply(update)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/fetcher.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "node/holder.h"
+#include "node/membertable.h"
+#include "node/peers.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace mimosarun {
+
+/** Fetches newer configurations from other nodes that are known to hold them. */
+class Fetcher
+{
+public:
+  Fetcher(ConfigurationHolder& aHolder, MemberTable& aTable, Peers& aPeers);
+  ~Fetcher();
+
+  Fetcher(const Fetcher&) = delete;
+  Fetcher& operator=(const Fetcher&) = delete;
+
+  /** Notes that a member holds a version; fetches it if it is newer. Doesn't wait. */
+  void Notice(const std::string& aMember, int64_t aVersion);
+
+  /** The version held now. */
+  int64_t HeldVersion() const;
+
+private:
+  void Run();
+  bool FetchFrom(const std::string& aMember);
+
+  ConfigurationHolder& m_holder;
+  MemberTable& m_table;
+  Peers& m_peers;
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::string m_source;
+  int64_t m_wanted = 0;
+  bool m_stop = false;
+  std::thread m_thread;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/gossiper.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "node/fetcher.h"
+#include "node/membertable.h"
+#include "node/peers.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mimosarun {
+
+/**
+ * Spreads member records and versions and finds dead members. Each round exchanges records with one member
+ * of the own failure domain; relays also exchange with one member of each other domain.
+ */
+class Gossiper
+{
+public:
+  Gossiper(const ProcessSettings& aSettings, MemberTable& aTable, Peers& aPeers, Fetcher& aFetcher);
+  ~Gossiper();
+
+  Gossiper(const Gossiper&) = delete;
+  Gossiper& operator=(const Gossiper&) = delete;
+
+  void Start();
+
+  /** Stops the rounds. */
+  void Stop();
+
+  /** Tells a few members at once, without waiting for the next rounds. */
+  void SpreadNow();
+
+  /** Answers an exchange of another node. */
+  wire::GossipReply Answer(const wire::Gossip& aGossip);
+
+  /** Answers a probe on behalf of another node. */
+  bool Probe(const std::string& aName, const std::string& aAddress);
+
+private:
+  void RunDomain();
+  void RunMesh();
+  void RunUrgent();
+  bool Wait(std::chrono::milliseconds aTime);
+  std::optional<wire::Member> NextPartner();
+  void ProbeMember(const wire::Member& aMember);
+  bool ProbeThroughOthers(const wire::Member& aMember);
+  bool Exchange(const wire::Member& aMember, GossipScope aScope, std::chrono::milliseconds aTimeout);
+  bool ExchangeWithSeed(const Address& aSeed);
+  wire::Gossip MakeGossip(GossipScope aScope, bool aFull) const;
+  void NoteReply(const wire::Member& aMember, const wire::GossipReply& aReply);
+  bool TakeFullSync(const std::string& aName);
+
+  const ProcessSettings& m_settings;
+  MemberTable& m_table;
+  Peers& m_peers;
+  Fetcher& m_fetcher;
+  std::mutex m_mutex;
+  std::condition_variable m_wake;
+  bool m_stop = false;
+  bool m_urgent = false;
+  std::vector<std::string> m_order;
+  std::map<std::string, Deadline> m_fullSyncAgain;
+  std::map<std::string, bool> m_wantsFullSync;
+  std::vector<std::thread> m_threads;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/membertable.cpp
@@ -0,0 +1,284 @@
+#include "node/membertable.h"
+
+#include "common/log.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+/** Position of a state on the way to the end of a life. */
+static int
+Rank(wire::MemberState::type aState)
+{
+  switch (aState) {
+    case wire::MemberState::Alive:
+      return 0;
+    case wire::MemberState::Suspect:
+      return 1;
+    case wire::MemberState::Leaving:
+      return 2;
+    case wire::MemberState::Dead:
+      return 3;
+  }
+  return 3;
+}
+
+bool
+Supersedes(const wire::Member& aNew, const wire::Member& aOld)
+{
+  if (aNew.incarnation != aOld.incarnation) {
+    return aNew.incarnation > aOld.incarnation;
+  }
+  if (aNew.state != aOld.state) {
+    return Rank(aNew.state) > Rank(aOld.state);
+  }
+  return aNew.revision > aOld.revision;
+}
+
+static bool
+IsReachable(const wire::Member& aMember)
+{
+  return aMember.state == wire::MemberState::Alive || aMember.state == wire::MemberState::Suspect;
+}
+
+static void
+LogTransition(const wire::Member& aMember)
+{
+  switch (aMember.state) {
+    case wire::MemberState::Alive:
+      break;
+    case wire::MemberState::Suspect:
+      Log(Event::MemberSuspected, { { "member", aMember.name } });
+      break;
+    case wire::MemberState::Dead:
+      Log(Event::MemberDead, { { "member", aMember.name } });
+      break;
+    case wire::MemberState::Leaving:
+      Log(Event::MemberLeft, { { "member", aMember.name } });
+      break;
+  }
+}
+
+MemberTable::MemberTable(wire::Member aSelf, Options aOptions)
+  : m_options(aOptions)
+  , m_self(aSelf.name)
+{
+  const Deadline now = SteadyClock::now();
+  m_entries[m_self] = {
+    .member = std::move(aSelf), .changedAt = now, .versionChangedAt = now, .suspectUntil = {}
+  };
+}
+
+void
+MemberTable::Touch(Entry& aEntry, Deadline aNow)
+{
+  aEntry.changedAt = aNow;
+  ++m_generation;
+}
+
+bool
+MemberTable::RefuteLocked(const wire::Member& aMember, Deadline aNow)
+{
+  Entry& self = m_entries[m_self];
+  const bool wrong =
+    aMember.incarnation > self.member.incarnation ||
+    (aMember.incarnation == self.member.incarnation && Rank(aMember.state) > Rank(self.member.state));
+  if (!wrong) {
+    return false;
+  }
+  self.member.incarnation = aMember.incarnation + 1;
+  Touch(self, aNow);
+  return true;
+}
+
+bool
+MemberTable::MergeOne(const wire::Member& aMember, Deadline aNow)
+{
+  if (aMember.name == m_self) {
+    return RefuteLocked(aMember, aNow);
+  }
+  const auto found = m_entries.find(aMember.name);
+  if (found == m_entries.end()) {
+    if (aMember.state == wire::MemberState::Dead) {
+      return false;
+    }
+    Entry& entry = m_entries[aMember.name];
+    entry.member = aMember;
+    entry.versionChangedAt = aNow;
+    entry.suspectUntil = aNow + m_options.suspicion;
+    Touch(entry, aNow);
+    Log(Event::MemberJoined, { { "member", aMember.name }, { "domain-of", aMember.failureDomain } });
+    return true;
+  }
+  Entry& entry = found->second;
+  const bool sameLife = aMember.incarnation >= entry.member.incarnation;
+  const int64_t version = sameLife ? std::max(entry.member.version, aMember.version) : entry.member.version;
+  if (!Supersedes(aMember, entry.member)) {
+    if (version != entry.member.version) {
+      entry.member.version = version;
+      entry.versionChangedAt = aNow;
+    }
+    return false;
+  }
+  const bool stateChanged = aMember.state != entry.member.state;
+  // A new life may start with an older version than the former one held.
+  const int64_t newVersion = aMember.incarnation > entry.member.incarnation ? aMember.version : version;
+  entry.member = aMember;
+  entry.member.version = newVersion;
+  entry.suspectUntil = aNow + m_options.suspicion;
+  Touch(entry, aNow);
+  if (stateChanged) {
+    LogTransition(aMember);
+  }
+  return true;
+}
+
+bool
+MemberTable::Merge(const std::vector<wire::Member>& aMembers, Deadline aNow)
+{
+  const std::lock_guard lock(m_mutex);
+  bool changed = false;
+  for (const wire::Member& member : aMembers) {
+    changed = MergeOne(member, aNow) || changed;
+  }
+  return changed;
+}
+
+void
+MemberTable::UpdateSelf(Deadline aNow, const std::function<void(wire::Member&)>& aChange)
+{
+  const std::lock_guard lock(m_mutex);
+  Entry& self = m_entries[m_self];
+  aChange(self.member);
+  ++self.member.revision;
+  Touch(self, aNow);
+}
+
+void
+MemberTable::SetOwnVersion(int64_t aVersion, Deadline aNow)
+{
+  const std::lock_guard lock(m_mutex);
+  Entry& self = m_entries[m_self];
+  self.member.version = aVersion;
+  self.versionChangedAt = aNow;
+}
+
+void
+MemberTable::Suspect(const std::string& aName, Deadline aNow)
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_entries.find(aName);
+  if (found == m_entries.end() || found->second.member.state != wire::MemberState::Alive) {
+    return;
+  }
+  found->second.member.state = wire::MemberState::Suspect;
+  found->second.suspectUntil = aNow + m_options.suspicion;
+  Touch(found->second, aNow);
+  LogTransition(found->second.member);
+}
+
+bool
+MemberTable::Expire(Deadline aNow)
+{
+  const std::lock_guard lock(m_mutex);
+  const uint64_t before = m_generation;
+  for (auto& [name, entry] : m_entries) {
+    if (entry.member.state == wire::MemberState::Suspect && aNow >= entry.suspectUntil) {
+      entry.member.state = wire::MemberState::Dead;
+      Touch(entry, aNow);
+      LogTransition(entry.member);
+    }
+  }
+  const size_t forgotten = std::erase_if(m_entries, [&](const auto& aItem) {
+    const Entry& entry = aItem.second;
+    const bool ended =
+      entry.member.state == wire::MemberState::Dead || entry.member.state == wire::MemberState::Leaving;
+    return aItem.first != m_self && ended && aNow >= entry.changedAt + m_options.tombstone;
+  });
+  m_generation += forgotten;
+  return m_generation != before;
+}
+
+wire::Member
+MemberTable::Self() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_entries.at(m_self).member;
+}
+
+std::optional<wire::Member>
+MemberTable::Find(const std::string& aName) const
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_entries.find(aName);
+  return found == m_entries.end() ? std::nullopt : std::optional(found->second.member);
+}
+
+std::vector<wire::Member>
+MemberTable::All() const
+{
+  const std::lock_guard lock(m_mutex);
+  std::vector<wire::Member> members;
+  members.reserve(m_entries.size());
+  for (const auto& [name, entry] : m_entries) {
+    members.push_back(entry.member);
+  }
+  return members;
+}
+
+std::vector<wire::Member>
+MemberTable::Reachable(const std::string& aFailureDomain) const
+{
+  std::vector<wire::Member> members = All();
+  std::erase_if(members, [&](const wire::Member& aMember) {
+    const bool elsewhere = !aFailureDomain.empty() && aMember.failureDomain != aFailureDomain;
+    return aMember.name == m_self || elsewhere || !IsReachable(aMember);
+  });
+  return members;
+}
+
+std::vector<wire::Member>
+MemberTable::Recent(GossipScope aScope, size_t aLimit, Deadline aNow) const
+{
+  const std::lock_guard lock(m_mutex);
+  std::multimap<Deadline, const wire::Member*, std::greater<>> byAge;
+  for (const auto& [name, entry] : m_entries) {
+    const Deadline at =
+      aScope == GossipScope::Domain ? std::max(entry.changedAt, entry.versionChangedAt) : entry.changedAt;
+    if (aNow < at + m_options.freshness) {
+      byAge.emplace(at, &entry.member);
+    }
+  }
+  std::vector<wire::Member> members;
+  for (const auto& [at, member] : byAge) {
+    if (members.size() < aLimit) {
+      members.push_back(*member);
+    }
+  }
+  return members;
+}
+
+int64_t
+MemberTable::Digest() const
+{
+  const std::lock_guard lock(m_mutex);
+  uint64_t digest = 0;
+  for (const auto& [name, entry] : m_entries) {
+    const wire::Member& member = entry.member;
+    if (IsReachable(member)) {
+      const std::string text = name + "|" + std::to_string(member.incarnation) + "|" +
+                               std::to_string(member.state) + "|" + std::to_string(member.revision);
+      digest ^= std::hash<std::string>{}(text);
+    }
+  }
+  return static_cast<int64_t>(digest);
+}
+
+uint64_t
+MemberTable::Generation() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_generation;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/membertable.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "common/clock.h"
+#include "wire/gen-cpp/mesh_types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** Whether records travel within a failure domain or between domains. */
+enum class GossipScope
+{
+  /** Everything, with the versions that members hold. */
+  Domain,
+  /** Only what callers need: joins, ends and targets. */
+  Mesh,
+};
+
+/**
+ * What a node knows of all nodes. Records merge in any order to the same result: the higher incarnation
+ * wins, then the state nearer to the end of life, then the higher revision (after Das, Gupta and Motivala,
+ * "SWIM", 2002). Only a member itself raises its incarnation or revision. Thread-safe.
+ */
+class MemberTable
+{
+public:
+  struct Options
+  {
+    /** A suspect that doesn't object for this long is dead. */
+    std::chrono::milliseconds suspicion{ 1500 };
+    /** Records younger than this travel with every exchange. */
+    std::chrono::milliseconds freshness{ 6000 };
+    /** Dead members are kept this long, so that old records don't bring them back. */
+    std::chrono::milliseconds tombstone{ 60000 };
+  };
+
+  MemberTable(wire::Member aSelf, Options aOptions);
+
+  /** Merges records; gives whether anything changed that callers notice. */
+  bool Merge(const std::vector<wire::Member>& aMembers, Deadline aNow);
+
+  /** Changes the own record and raises its revision. */
+  void UpdateSelf(Deadline aNow, const std::function<void(wire::Member&)>& aChange);
+
+  /** Notes the version that this node holds. */
+  void SetOwnVersion(int64_t aVersion, Deadline aNow);
+
+  /** Marks a member as suspect after failed probes. */
+  void Suspect(const std::string& aName, Deadline aNow);
+
+  /** Turns old suspects into dead members and forgets old tombstones; true if anything changed. */
+  bool Expire(Deadline aNow);
+
+  wire::Member Self() const;
+  std::optional<wire::Member> Find(const std::string& aName) const;
+  std::vector<wire::Member> All() const;
+
+  /** Members other than this node that are alive or suspect, of one failure domain or of all. */
+  std::vector<wire::Member> Reachable(const std::string& aFailureDomain) const;
+
+  /** Records that changed lately, the newest first. */
+  std::vector<wire::Member> Recent(GossipScope aScope, size_t aLimit, Deadline aNow) const;
+
+  /** A hash over all records but their versions; equal tables have equal digests. */
+  int64_t Digest() const;
+
+  /** Rises with every change that callers notice. */
+  uint64_t Generation() const;
+
+private:
+  /** A record with what only this node knows of it. */
+  struct Entry
+  {
+    wire::Member member;
+    Deadline changedAt;
+    Deadline versionChangedAt;
+    Deadline suspectUntil;
+  };
+
+  bool MergeOne(const wire::Member& aMember, Deadline aNow);
+  bool RefuteLocked(const wire::Member& aMember, Deadline aNow);
+  void Touch(Entry& aEntry, Deadline aNow);
+
+  Options m_options;
+  std::string m_self;
+  mutable std::mutex m_mutex;
+  std::map<std::string, Entry> m_entries;
+  uint64_t m_generation = 1;
+};
+
+/** Whether the first record takes the place of the second. */
+bool
+Supersedes(const wire::Member& aNew, const wire::Member& aOld);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,283 @@
+#include "node/node.h"
+
+#include "common/log.h"
+#include "node/nodeservice.h"
+#include "operators/command.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr unsigned int kForwarderThreads = 2;
+static constexpr std::chrono::milliseconds kDirectoryInterval{ 20 };
+static constexpr std::chrono::milliseconds kLeaveTime{ 1200 };
+static constexpr std::chrono::milliseconds kDrainPoll{ 10 };
+
+static wire::Member
+FirstRecord(const ProcessSettings& aSettings)
+{
+  wire::Member self;
+  self.name = aSettings.name;
+  self.incarnation = WallNow().time_since_epoch().count();
+  self.region = aSettings.region;
+  self.failureDomain = aSettings.failureDomain;
+  self.peerAddress = aSettings.peerAddress.Text();
+  self.gateAddress = aSettings.gateAddress.Text();
+  return self;
+}
+
+Node::Node(ProcessSettings aSettings, Metrics& aMetrics, BalancePolicy aPolicy)
+  : m_settings(std::move(aSettings))
+  , m_metrics(aMetrics)
+  , m_policy(aPolicy)
+  , m_table(FirstRecord(m_settings), {})
+  , m_peers(m_settings)
+  , m_fetcher(m_holder, m_table, m_peers)
+  , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
+  , m_control(m_settings, m_holder, m_table)
+  , m_groups(m_settings.replicas)
+  , m_claims(m_groups)
+  , m_forwarder(std::make_unique<Forwarder>(kForwarderThreads))
+{
+}
+
+Node::~Node()
+{
+  m_stop = true;
+  if (m_directoryThread.joinable()) {
+    m_directoryThread.join();
+  }
+  m_control.Stop();
+  m_gossiper.Stop();
+  m_server.reset();
+  m_target.reset();
+  if (m_entry) {
+    m_entry->Stop();
+  }
+  if (m_gate) {
+    m_gate->Stop();
+  }
+  // Ends all transfers; their listeners still use entry and gate.
+  m_forwarder.reset();
+}
+
+Result<void>
+Node::StartServers()
+{
+  MIMOSARUN_TRY(m_entry,
+                Entry::Start({ .address = m_settings.callerAddress,
+                               .node = m_settings.name,
+                               .forwarder = m_forwarder.get(),
+                               .metrics = &m_metrics,
+                               .policy = m_policy }));
+  MIMOSARUN_TRY(m_gate,
+                Gate::Start({ .address = m_settings.gateAddress,
+                              .node = m_settings.name,
+                              .forwarder = m_forwarder.get(),
+                              .claims = &m_claims,
+                              .metrics = &m_metrics }));
+  MIMOSARUN_TRY(m_target,
+                TargetAgent::Start({ .address = m_settings.targetAddress,
+                                     .listener = [this](const TargetState& aState) { OnTarget(aState); } }));
+  MIMOSARUN_TRY(m_server, StartNodeService(m_settings.peerAddress, m_gossiper, m_holder));
+  return boost::outcome_v2::success();
+}
+
+Result<void>
+Node::Start()
+{
+  m_holder.SetListener([this](const SnapshotPointer& aSnapshot) { OnSnapshot(aSnapshot); });
+  BOOST_OUTCOME_TRYV(StartServers());
+  m_directoryThread = std::thread([this] { MaintainDirectory(); });
+  m_gossiper.Start();
+  m_control.Start();
+  return boost::outcome_v2::success();
+}
+
+void
+Node::OnSnapshot(const SnapshotPointer& aSnapshot)
+{
+  m_entry->SetSnapshot(aSnapshot);
+  ApplyIntent(aSnapshot);
+  m_table.SetOwnVersion(aSnapshot->version, SteadyClock::now());
+  m_gossiper.SpreadNow();
+}
+
+void
+Node::ApplyIntent(const SnapshotPointer& aSnapshot)
+{
+  const auto& targets = aSnapshot->configuration.targets;
+  const auto found = targets.find(m_target->State().name);
+  const TargetIntent intent = found == targets.end() ? TargetIntent::Serving : found->second;
+  m_gate->SetIntent(intent);
+  // The target is told to stop only once its last call has ended.
+  const bool busy = intent == TargetIntent::Stopped && m_gate->CallsInHand() > 0;
+  m_target->SetIntent(busy ? TargetIntent::Draining : intent);
+}
+
+void
+Node::OnTarget(const TargetState& aState)
+{
+  m_gate->SetTarget(aState);
+  m_table.UpdateSelf(SteadyClock::now(), [&](wire::Member& aSelf) {
+    aSelf.targetName = aState.name;
+    aSelf.serviceName = aState.service;
+    aSelf.phase = aState.phase;
+    aSelf.slots = aState.slots;
+  });
+  m_gossiper.SpreadNow();
+}
+
+// --- directory -------------------------------------------------------------------------------------------
+
+static Locality
+LocalityOf(const wire::Member& aMember, const ProcessSettings& aSettings)
+{
+  if (aMember.failureDomain == aSettings.failureDomain) {
+    return Locality::FailureDomain;
+  }
+  return aMember.region == aSettings.region ? Locality::Region : Locality::OtherRegion;
+}
+
+DirectoryPointer
+Node::MakeDirectory(const SnapshotPointer& aSnapshot) const
+{
+  const auto& intents = aSnapshot->configuration.targets;
+  auto directory = std::make_shared<Directory>();
+  std::vector<wire::Member> members = m_table.Reachable("");
+  members.push_back(m_table.Self());
+  for (const wire::Member& member : members) {
+    const bool usable =
+      member.phase == wire::TargetPhase::Ready && member.state != wire::MemberState::Leaving;
+    if (!usable || intents.contains(member.targetName)) {
+      continue;
+    }
+    const Result<Address> address = m_peers.GateAddress(member.name, member.gateAddress);
+    if (address) {
+      directory->gates[member.serviceName].push_back({ .node = member.name,
+                                                       .target = member.targetName,
+                                                       .address = address.value(),
+                                                       .locality = LocalityOf(member, m_settings),
+                                                       .slots = member.slots });
+    }
+  }
+  return directory;
+}
+
+void
+Node::MaintainDirectory()
+{
+  uint64_t generation = 0;
+  int64_t version = -1;
+  while (!m_stop) {
+    const SnapshotPointer snapshot = m_holder.Current();
+    const uint64_t newest = m_table.Generation();
+    if (newest != generation || snapshot->version != version) {
+      generation = newest;
+      version = snapshot->version;
+      m_entry->SetDirectory(MakeDirectory(snapshot));
+    }
+    ApplyIntent(snapshot);
+    std::this_thread::sleep_for(kDirectoryInterval);
+  }
+}
+
+// --- end -------------------------------------------------------------------------------------------------
+
+void
+Node::LeaveMesh()
+{
+  m_table.UpdateSelf(SteadyClock::now(),
+                     [](wire::Member& aSelf) { aSelf.state = wire::MemberState::Leaving; });
+  m_gossiper.SpreadNow();
+}
+
+bool
+Node::WaitForCalls(Deadline aDeadline) const
+{
+  while (SteadyClock::now() < aDeadline) {
+    if (m_gate->CallsInHand() == 0 && m_entry->CallsInHand() == 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  return false;
+}
+
+void
+Node::Shutdown()
+{
+  LeaveMesh();
+  // Entries elsewhere need a moment to learn of it; until then their calls are still taken.
+  std::this_thread::sleep_for(kLeaveTime);
+  m_gate->BeginDrain();
+  m_entry->BeginDrain();
+  const bool finished = WaitForCalls(SteadyClock::now() + m_settings.drainTime);
+  Log(Event::GateDrained, { { "finished", finished ? "yes" : "no" } });
+}
+
+// --- operators -------------------------------------------------------------------------------------------
+
+void
+Node::RefreshMetrics()
+{
+  m_metrics.Gauge("mimosarun_configuration_version", "Version in force on this node", {})
+    .Set(static_cast<double>(m_holder.Current()->version));
+  m_metrics.Gauge("mimosarun_members", "Members this node can reach", {})
+    .Set(static_cast<double>(m_table.Reachable("").size()));
+}
+
+Answer
+Node::RunCommand(const OperatorRequest& aRequest) const
+{
+  const Result<OperatorCommand> command = ParseCommand(aRequest.command);
+  if (!command) {
+    return { .code = AnswerCode::Invalid, .message = command.error().message };
+  }
+  if (command.value().verb == CommandVerb::Explain && command.value().subject == "call") {
+    return ExplainCall(command.value().conditions.front().value);
+  }
+  if (command.value().verb == CommandVerb::Show && command.value().subject == "in-force") {
+    return Filter(ShowInForce(), command.value().conditions);
+  }
+  return { .code = AnswerCode::Invalid,
+           .message =
+             "a node answers 'show in-force' and 'explain call ID'; ask a control replica for the rest" };
+}
+
+Answer
+Node::ShowInForce() const
+{
+  const SnapshotPointer snapshot = m_holder.Current();
+  return { .columns = { "node", "failure-domain", "region", "version", "hash" },
+           .rows = { { m_settings.name,
+                       m_settings.failureDomain,
+                       m_settings.region,
+                       std::to_string(snapshot->version),
+                       snapshot->hash } } };
+}
+
+Answer
+Node::ExplainCall(const std::string& aCall) const
+{
+  const std::optional<CallRecord> record = m_entry->History().Find(aCall);
+  if (!record) {
+    return { .code = AnswerCode::Refused,
+             .message =
+               "this entry holds no call " + aCall + "; ask the node whose name the identifier starts with" };
+  }
+  Answer answer{ .columns = { "attempt", "node", "end", "micros" } };
+  answer.message = "route " + record->route + ", version " + std::to_string(record->version) + ", status " +
+                   std::to_string(record->status) + ", " + record->outcome + ", " +
+                   std::to_string(record->time.count()) + " us" +
+                   (record->reason.empty() ? "" : ": " + record->reason);
+  for (const AttemptRecord& attempt : record->attempts) {
+    answer.rows.push_back({ std::to_string(answer.rows.size() + 1),
+                            attempt.node,
+                            attempt.end,
+                            std::to_string(attempt.time.count()) });
+  }
+  return answer;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "caller/entry.h"
+#include "control/groupclient.h"
+#include "http/forwarder.h"
+#include "node/controllink.h"
+#include "node/fetcher.h"
+#include "node/gossiper.h"
+#include "node/holder.h"
+#include "node/membertable.h"
+#include "node/peers.h"
+#include "operators/answer.h"
+#include "operators/request.h"
+#include "platform/metrics.h"
+#include "settings/processsettings.h"
+#include "target/claimclient.h"
+#include "target/gate.h"
+#include "target/targetagent.h"
+#include "wire/rpcserver.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace mimosarun {
+
+/** The node role of a process: entry and gate, membership, and the configuration in force here. */
+class Node
+{
+public:
+  Node(ProcessSettings aSettings, Metrics& aMetrics, BalancePolicy aPolicy);
+  ~Node();
+
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  Result<void> Start();
+
+  /** Leaves the mesh, finishes the calls in flight, and stops. */
+  void Shutdown();
+
+  /** Carries out an operator's command as far as this node knows. */
+  Answer RunCommand(const OperatorRequest& aRequest) const;
+
+  /** Brings the values of gauges up to date. */
+  void RefreshMetrics();
+
+private:
+  Result<void> StartServers();
+  void OnSnapshot(const SnapshotPointer& aSnapshot);
+  void OnTarget(const TargetState& aState);
+  void ApplyIntent(const SnapshotPointer& aSnapshot);
+  void MaintainDirectory();
+  DirectoryPointer MakeDirectory(const SnapshotPointer& aSnapshot) const;
+  void LeaveMesh();
+  bool WaitForCalls(Deadline aDeadline) const;
+  Answer ShowInForce() const;
+  Answer ExplainCall(const std::string& aCall) const;
+
+  ProcessSettings m_settings;
+  Metrics& m_metrics;
+  BalancePolicy m_policy;
+  MemberTable m_table;
+  Peers m_peers;
+  ConfigurationHolder m_holder;
+  Fetcher m_fetcher;
+  Gossiper m_gossiper;
+  ControlLink m_control;
+  GroupClient m_groups;
+  ClaimClient m_claims;
+  std::unique_ptr<Forwarder> m_forwarder;
+  std::unique_ptr<Entry> m_entry;
+  std::unique_ptr<Gate> m_gate;
+  std::unique_ptr<TargetAgent> m_target;
+  std::unique_ptr<RpcServer> m_server;
+  std::atomic<bool> m_stop{ false };
+  std::thread m_directoryThread;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/nodeservice.cpp
@@ -0,0 +1,45 @@
+#include "node/nodeservice.h"
+
+#include "wire/gen-cpp/NodePeer.h"
+
+namespace mimosarun {
+
+/** Translates Thrift calls into calls of the node's parts. */
+class NodeService : public wire::NodePeerIf
+{
+public:
+  NodeService(Gossiper& aGossiper, ConfigurationHolder& aHolder)
+    : m_gossiper(aGossiper)
+    , m_holder(aHolder)
+  {
+  }
+
+  void exchange(wire::GossipReply& aReturn, const wire::Gossip& aGossip) override
+  {
+    aReturn = m_gossiper.Answer(aGossip);
+  }
+
+  bool probe(const std::string& aName, const std::string& aAddress) override
+  {
+    return m_gossiper.Probe(aName, aAddress);
+  }
+
+  void fetch(wire::ConfigurationUpdate& aReturn, const int64_t aHeldVersion) override
+  {
+    aReturn = m_holder.UpdateFrom(aHeldVersion);
+  }
+
+private:
+  Gossiper& m_gossiper;
+  ConfigurationHolder& m_holder;
+};
+
+Result<std::unique_ptr<RpcServer>>
+StartNodeService(const Address& aAddress, Gossiper& aGossiper, ConfigurationHolder& aHolder)
+{
+  return RpcServer::Start({ .address = aAddress,
+                            .processor = std::make_shared<wire::NodePeerProcessor>(
+                              std::make_shared<NodeService>(aGossiper, aHolder)) });
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/node/peers.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "settings/processsettings.h"
+#include "wire/gen-cpp/NodePeer.h"
+#include "wire/rpcclient.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace mimosarun {
+
+using NodeClient = RpcClient<wire::NodePeerClient>;
+
+/** Kept connections to other nodes, a bounded number of them, with the address overrides applied. */
+class Peers
+{
+public:
+  explicit Peers(const ProcessSettings& aSettings);
+
+  /** The connection to a node's peer address. */
+  Result<std::shared_ptr<NodeClient>> ToNode(const std::string& aName, const std::string& aAddress);
+
+  /** The address of a node's gate as this process reaches it. */
+  Result<Address> GateAddress(const std::string& aName, const std::string& aAddress) const;
+
+private:
+  /** A connection and its place in the order of use. */
+  struct Kept
+  {
+    std::shared_ptr<NodeClient> client;
+    std::list<std::string>::iterator use;
+  };
+
+  std::map<std::string, Address> m_overrides;
+  std::mutex m_mutex;
+  std::map<std::string, Kept> m_kept;
+  std::list<std::string> m_uses;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/operators/controloperator.cpp
@@ -0,0 +1,380 @@
+#include "operators/controloperator.h"
+
+#include <map>
+#include <set>
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kStatusTimeout{ 400 };
+static constexpr int64_t kSilentReportMillis = 5000;
+
+ControlOperator::ControlOperator(Controller& aController)
+  : m_controller(aController)
+{
+}
+
+Answer
+ToAnswer(const wire::CommandResult& aResult, const std::string& aDone)
+{
+  switch (aResult.code) {
+    case wire::ResultCode::Done:
+      return { .code = AnswerCode::Done, .message = aDone };
+    case wire::ResultCode::StaleBase:
+    case wire::ResultCode::NoSuchProposal:
+    case wire::ResultCode::Taken:
+      return { .code = AnswerCode::Refused, .message = "not run: " + aResult.message };
+    case wire::ResultCode::Invalid:
+      return { .code = AnswerCode::Invalid, .message = aResult.message };
+    case wire::ResultCode::Unknown:
+      return { .code = AnswerCode::Unknown, .message = "unknown: " + aResult.message };
+    case wire::ResultCode::NotLeader:
+    case wire::ResultCode::Unavailable:
+      return { .code = AnswerCode::NotRun, .message = aResult.message };
+  }
+  return { .code = AnswerCode::Unknown, .message = aResult.message };
+}
+
+Answer
+ControlOperator::Run(const OperatorRequest& aRequest, Deadline aDeadline)
+{
+  const Result<OperatorCommand> parsed = ParseCommand(aRequest.command);
+  if (!parsed) {
+    return { .code = AnswerCode::Invalid, .message = parsed.error().message };
+  }
+  const OperatorCommand& command = parsed.value();
+  switch (command.verb) {
+    case CommandVerb::Show:
+      return Filter(Show(command), command.conditions);
+    case CommandVerb::Diff:
+      return Difference(command.first, command.second);
+    case CommandVerb::Explain:
+      if (command.subject == "version") {
+        return ExplainVersion(command.first);
+      }
+      return { .code = AnswerCode::Invalid,
+               .message = "control sees no calls; ask the operator address of the call's entry node" };
+    case CommandVerb::AddReplica:
+      return ToAnswer(m_controller.AddReplica(command.subject, aDeadline), command.subject + " is taken in");
+    case CommandVerb::RemoveReplica:
+      return ToAnswer(m_controller.RemoveReplica(command.subject, aDeadline), command.subject + " is out");
+    default:
+      return Commit(command, aRequest, aDeadline);
+  }
+}
+
+Answer
+ControlOperator::Commit(const OperatorCommand& aCommand, const OperatorRequest& aRequest, Deadline aDeadline)
+{
+  wire::Command command;
+  command.requestId = aRequest.requestId;
+  command.author = aRequest.author;
+  command.atMicros = WallNow().time_since_epoch().count();
+  switch (aCommand.verb) {
+    case CommandVerb::Propose:
+      command.kind = wire::CommandKind::Propose;
+      command.basedOn = aCommand.first;
+      command.body = aRequest.document;
+      break;
+    case CommandVerb::Accept:
+      command.kind = wire::CommandKind::Accept;
+      command.proposal = aCommand.first;
+      break;
+    default:
+      command.kind = wire::CommandKind::SetTargetState;
+      command.target = aCommand.subject;
+      command.intent = aCommand.verb == CommandVerb::Drain  ? wire::TargetIntent::Draining
+                       : aCommand.verb == CommandVerb::Stop ? wire::TargetIntent::Stopped
+                                                            : wire::TargetIntent::Serving;
+      break;
+  }
+  const wire::CommandResult result = m_controller.Client().Submit(kConfigurationGroup, command, aDeadline);
+  if (aCommand.verb == CommandVerb::Propose) {
+    return ToAnswer(result, "proposal " + std::to_string(result.proposal));
+  }
+  return ToAnswer(result, "version " + std::to_string(result.version));
+}
+
+Answer
+ControlOperator::Show(const OperatorCommand& aCommand)
+{
+  const std::string& subject = aCommand.subject;
+  if (subject == "in-force") {
+    return ShowInForce();
+  }
+  if (subject == "services") {
+    return ShowServices();
+  }
+  if (subject == "routes") {
+    return ShowRoutes();
+  }
+  if (subject == "targets") {
+    return ShowTargets();
+  }
+  if (subject == "nodes") {
+    return ShowNodes();
+  }
+  if (subject == "control") {
+    return ShowControl();
+  }
+  return subject == "versions" ? ShowVersions() : ShowProposals();
+}
+
+static std::string
+Join(const std::vector<std::string>& aWords)
+{
+  std::string text;
+  for (const std::string& word : aWords) {
+    text += (text.empty() ? "" : " ") + word;
+  }
+  return text;
+}
+
+Answer
+ControlOperator::ShowInForce() const
+{
+  const int64_t current = m_controller.Configuration().Current()->version;
+  Answer answer{ .columns = {
+                   "failure-domain", "region", "version", "nodes", "state", "age-ms", "stragglers" } };
+  answer.message = "accepted here: version " + std::to_string(current);
+  for (const wire::DomainReport& report : m_controller.Board().NewestOfEachDomain()) {
+    const bool silent = report.ageMillis > kSilentReportMillis;
+    for (const auto& [version, count] : report.nodesAtVersion) {
+      const char* state = silent ? "silent" : version == current ? "in-force" : "behind";
+      answer.rows.push_back({ report.failureDomain,
+                              report.region,
+                              std::to_string(version),
+                              std::to_string(count),
+                              state,
+                              std::to_string(report.ageMillis),
+                              version == current ? "" : Join(report.stragglers) });
+    }
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowServices() const
+{
+  Answer answer{ .columns = { "service", "home-region" } };
+  for (const auto& [name, service] : m_controller.Configuration().Current()->configuration.services) {
+    answer.rows.push_back({ name, service.homeRegion });
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowRoutes() const
+{
+  Answer answer{
+    .columns = { "route", "host", "path", "methods", "service", "timeout-ms", "idempotent", "class", "limit" }
+  };
+  for (const Route& route : m_controller.Configuration().Current()->configuration.routes) {
+    answer.rows.push_back({ route.name,
+                            route.host,
+                            route.pathPrefix,
+                            Join(route.methods),
+                            route.service,
+                            std::to_string(route.timeout.count()),
+                            route.idempotent ? "yes" : "no",
+                            Name(route.callClass),
+                            route.limit });
+  }
+  return answer;
+}
+
+static const char*
+PhaseName(wire::TargetPhase::type aPhase)
+{
+  switch (aPhase) {
+    case wire::TargetPhase::Absent:
+      return "absent";
+    case wire::TargetPhase::Starting:
+      return "starting";
+    case wire::TargetPhase::Ready:
+      return "ready";
+    case wire::TargetPhase::Draining:
+      return "draining";
+  }
+  return "absent";
+}
+
+static const char*
+StateName(wire::MemberState::type aState)
+{
+  switch (aState) {
+    case wire::MemberState::Alive:
+      return "alive";
+    case wire::MemberState::Suspect:
+      return "suspect";
+    case wire::MemberState::Dead:
+      return "dead";
+    case wire::MemberState::Leaving:
+      return "leaving";
+  }
+  return "dead";
+}
+
+/** One newest record for each member that any relay reported. */
+static std::map<std::string, wire::Member>
+ReportedMembers(const std::vector<wire::DomainReport>& aReports)
+{
+  std::map<std::string, wire::Member> members;
+  for (const wire::DomainReport& report : aReports) {
+    for (const wire::Member& member : report.sample) {
+      members[member.name] = member;
+    }
+  }
+  return members;
+}
+
+Answer
+ControlOperator::ShowTargets() const
+{
+  const SnapshotPointer current = m_controller.Configuration().Current();
+  const auto& intents = current->configuration.targets;
+  Answer answer{ .columns = {
+                   "target", "service", "failure-domain", "region", "node", "state", "intent", "slots" } };
+  std::set<std::string> seen;
+  for (const auto& [name, member] : ReportedMembers(m_controller.Board().NewestOfEachDomain())) {
+    if (member.targetName.empty()) {
+      continue;
+    }
+    seen.insert(member.targetName);
+    const auto intent = intents.find(member.targetName);
+    answer.rows.push_back({ member.targetName,
+                            member.serviceName,
+                            member.failureDomain,
+                            member.region,
+                            member.name,
+                            PhaseName(member.phase),
+                            intent == intents.end() ? "serving" : Name(intent->second),
+                            std::to_string(member.slots) });
+  }
+  for (const auto& [name, intent] : intents) {
+    if (!seen.contains(name)) {
+      answer.rows.push_back({ name, "", "", "", "", "absent", Name(intent), "" });
+    }
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowNodes() const
+{
+  Answer answer{ .columns = { "node", "failure-domain", "region", "state", "version", "target" } };
+  for (const auto& [name, member] : ReportedMembers(m_controller.Board().NewestOfEachDomain())) {
+    answer.rows.push_back({ name,
+                            member.failureDomain,
+                            member.region,
+                            StateName(member.state),
+                            std::to_string(member.version),
+                            member.targetName });
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowControl()
+{
+  Answer answer{ .columns = { "group",
+                              "replica",
+                              "region",
+                              "failure-domain",
+                              "member",
+                              "state",
+                              "term",
+                              "applied",
+                              "silent-ms" } };
+  for (const std::string& group : m_controller.GroupNames()) {
+    wire::GroupStatus view;
+    std::map<std::string, Result<wire::GroupStatus>> statuses;
+    for (const ReplicaSettings& replica : m_controller.Settings().replicas) {
+      Result<wire::GroupStatus> status =
+        m_controller.StatusAt(replica.name, group, SteadyClock::now() + kStatusTimeout);
+      if (status && status.value().formed && status.value().term >= view.term) {
+        const bool leads = status.value().leader == status.value().replica;
+        if (leads || view.group.empty()) {
+          view = status.value();
+        }
+      }
+      statuses.emplace(replica.name, std::move(status));
+    }
+    for (const wire::Replica& member : view.members) {
+      const auto status = statuses.find(member.name);
+      const bool answered = status != statuses.end() && status->second.has_value();
+      const wire::GroupStatus held = answered ? status->second.value() : wire::GroupStatus{};
+      const auto silence = view.silentMillis.find(member.name);
+      answer.rows.push_back({ group,
+                              member.name,
+                              member.region,
+                              member.failureDomain,
+                              member.voter ? "voter" : "learner",
+                              !answered                    ? "unreachable"
+                              : held.failed                ? "storage-failed"
+                              : held.leader == member.name ? "leader"
+                              : held.leader.empty()        ? "no-leader"
+                                                           : "follower",
+                              answered ? std::to_string(held.term) : "",
+                              answered ? std::to_string(held.applied) : "",
+                              silence == view.silentMillis.end() ? "" : std::to_string(silence->second) });
+    }
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowVersions() const
+{
+  Answer answer{ .columns = { "version", "author", "change", "accepted-at-us", "hash" } };
+  for (const VersionSummary& version : m_controller.Configuration().Versions()) {
+    answer.rows.push_back({ std::to_string(version.version),
+                            version.author,
+                            version.summary,
+                            std::to_string(version.acceptedAt.time_since_epoch().count()),
+                            version.hash.substr(0, 12) });
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ShowProposals() const
+{
+  Answer answer{ .columns = { "proposal", "based-on", "author", "bytes" } };
+  for (const wire::Proposal& proposal : m_controller.Configuration().Proposals()) {
+    answer.rows.push_back({ std::to_string(proposal.number),
+                            std::to_string(proposal.basedOn),
+                            proposal.author,
+                            std::to_string(proposal.body.size()) });
+  }
+  return answer;
+}
+
+Answer
+ControlOperator::ExplainVersion(int64_t aVersion) const
+{
+  for (const VersionSummary& version : m_controller.Configuration().Versions()) {
+    if (version.version != aVersion) {
+      continue;
+    }
+    Answer answer = ShowInForce();
+    answer.message =
+      "version " + std::to_string(aVersion) + ": " + version.summary + ", by " + version.author;
+    const Result<std::string> patch = m_controller.Configuration().Difference(aVersion - 1, aVersion);
+    answer.message += patch ? "\n" + patch.value() : "";
+    return answer;
+  }
+  return { .code = AnswerCode::Refused,
+           .message = "version " + std::to_string(aVersion) + " isn't in the history; see 'show versions'" };
+}
+
+Answer
+ControlOperator::Difference(int64_t aFrom, int64_t aTo) const
+{
+  const Result<std::string> patch = m_controller.Configuration().Difference(aFrom, aTo);
+  if (!patch) {
+    return { .code = AnswerCode::Refused, .message = patch.error().message };
+  }
+  return { .message = patch.value() };
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/operators/controloperator.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "common/clock.h"
+#include "control/controller.h"
+#include "operators/answer.h"
+#include "operators/command.h"
+#include "operators/request.h"
+
+#include <string>
+
+namespace mimosarun {
+
+/** Carries out operators' commands at a control replica. */
+class ControlOperator
+{
+public:
+  explicit ControlOperator(Controller& aController);
+
+  Answer Run(const OperatorRequest& aRequest, Deadline aDeadline);
+
+private:
+  Answer Show(const OperatorCommand& aCommand);
+  Answer ShowInForce() const;
+  Answer ShowServices() const;
+  Answer ShowRoutes() const;
+  Answer ShowTargets() const;
+  Answer ShowNodes() const;
+  Answer ShowControl();
+  Answer ShowVersions() const;
+  Answer ShowProposals() const;
+  Answer ExplainVersion(int64_t aVersion) const;
+  Answer Difference(int64_t aFrom, int64_t aTo) const;
+  Answer Commit(const OperatorCommand& aCommand, const OperatorRequest& aRequest, Deadline aDeadline);
+
+  Controller& m_controller;
+};
+
+/** Translates the result of a replicated command. */
+Answer
+ToAnswer(const wire::CommandResult& aResult, const std::string& aDone);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/operators/operatorclient.cpp
@@ -0,0 +1,97 @@
+#include "operators/operatorclient.h"
+
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <thread>
+
+namespace mimosarun {
+
+static constexpr long kConnectTimeoutMilliseconds = 1000;
+static constexpr std::chrono::milliseconds kPause{ 100 };
+
+static size_t
+Collect(char* aBytes, size_t aSize, size_t aCount, void* aText)
+{
+  static_cast<std::string*>(aText)->append(aBytes, aSize * aCount);
+  return aSize * aCount;
+}
+
+/** One try at one server: an answer, or whether the request may have reached it. */
+struct Try
+{
+  std::optional<Answer> answer;
+  bool mayHaveArrived = false;
+};
+
+static Try
+Post(const std::string& aServer, const std::string& aBody, Deadline aDeadline)
+{
+  CURL* handle = curl_easy_init();
+  std::string text;
+  curl_slist* headers = curl_slist_append(nullptr, "Content-Type: application/json");
+  headers = curl_slist_append(headers, "Expect:");
+  curl_easy_setopt(handle, CURLOPT_URL, ("http://" + aServer + "/v1/command").c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, aBody.data());
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(aBody.size()));
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMilliseconds);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(TimeLeft(aDeadline).count() + 1));
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Collect);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &text);
+  const CURLcode code = curl_easy_perform(handle);
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(handle);
+  if (code == CURLE_OK) {
+    return { .answer = AnswerFromJson(text), .mayHaveArrived = true };
+  }
+  return { .answer = std::nullopt, .mayHaveArrived = code != CURLE_COULDNT_CONNECT };
+}
+
+OperatorClient::OperatorClient(std::vector<std::string> aServers)
+  : m_servers(std::move(aServers))
+{
+}
+
+Answer
+OperatorClient::Send(const OperatorRequest& aRequest, Deadline aDeadline) const
+{
+  nlohmann::json body;
+  body["command"] = aRequest.command;
+  if (!aRequest.requestId.empty()) {
+    body["requestId"] = aRequest.requestId;
+  }
+  if (!aRequest.author.empty()) {
+    body["author"] = aRequest.author;
+  }
+  if (!aRequest.document.empty()) {
+    body["document"] = aRequest.document;
+  }
+  const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  bool mayHaveRun = false;
+  while (true) {
+    for (const std::string& server : m_servers) {
+      const Try attempt = Post(server, text, aDeadline);
+      if (attempt.answer && attempt.answer->code != AnswerCode::Unknown) {
+        return *attempt.answer;
+      }
+      mayHaveRun = mayHaveRun || attempt.mayHaveArrived;
+      if (SteadyClock::now() >= aDeadline) {
+        return mayHaveRun
+                 ? Answer{ .code = AnswerCode::Unknown,
+                           .message = "no answer in time; send it again with the request identifier " +
+                                      aRequest.requestId }
+                 : Answer{ .code = AnswerCode::NotRun, .message = "no server answered; check --server" };
+      }
+    }
+    if (!mayHaveRun) {
+      return { .code = AnswerCode::NotRun, .message = "no server answered; check --server" };
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/operators/operatorserver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common/clock.h"
+#include "common/workers.h"
+#include "http/server.h"
+#include "operators/answer.h"
+#include "operators/request.h"
+#include "platform/metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace mimosarun {
+
+/** Serves operators (POST /v1/command) and the platform (GET /metrics, GET /health) on one address. */
+class OperatorServer
+{
+public:
+  using Runner = std::function<Answer(const OperatorRequest& aRequest, Deadline aDeadline)>;
+
+  struct Options
+  {
+    Address address;
+    Runner run;
+    Metrics* metrics = nullptr;
+    /** Called before the series are written, to refresh values that are only read then. */
+    std::function<void()> refresh;
+  };
+
+  static Result<std::unique_ptr<OperatorServer>> Start(Options aOptions);
+
+private:
+  explicit OperatorServer(Options aOptions);
+
+  void Handle(const ExchangePointer& aExchange);
+  void RunCommand(const ExchangePointer& aExchange);
+
+  Options m_options;
+  Workers m_workers;
+  std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/settings/jsonreader.cpp
@@ -0,0 +1,258 @@
+#include "settings/jsonreader.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+/** Finds keys that stand twice in one object while a text is parsed. */
+class DuplicateFinder
+{
+public:
+  bool operator()(int /*aDepth*/, nlohmann::json::parse_event_t aEvent, nlohmann::json& aParsed)
+  {
+    using Event = nlohmann::json::parse_event_t;
+    if (aEvent == Event::object_start) {
+      m_open.emplace_back();
+    } else if (aEvent == Event::object_end) {
+      m_open.pop_back();
+    } else if (aEvent == Event::key && !m_open.back().insert(aParsed.get<std::string>()).second) {
+      m_duplicate = aParsed.get<std::string>();
+    }
+    return true;
+  }
+
+  const std::string& Duplicate() const { return m_duplicate; }
+
+private:
+  std::vector<std::set<std::string>> m_open;
+  std::string m_duplicate;
+};
+
+Result<nlohmann::json>
+ParseJson(const std::string& aText, const std::string& aSource)
+{
+  DuplicateFinder finder;
+  try {
+    nlohmann::json document = nlohmann::json::parse(aText, std::ref(finder), true, true);
+    if (!finder.Duplicate().empty()) {
+      return Fail(ErrorKind::InvalidInput,
+                  aSource + ": the name '" + finder.Duplicate() +
+                    "' stands twice in one object; rename or remove one");
+    }
+    return document;
+  } catch (const nlohmann::json::parse_error& fault) {
+    std::string what = fault.what();
+    what.erase(0, what.find("parse error"));
+    return Fail(ErrorKind::InvalidInput, aSource + ": " + what + "; correct the text there");
+  } catch (const nlohmann::json::exception& fault) {
+    return Fail(ErrorKind::InvalidInput, aSource + ": " + fault.what() + "; correct the text");
+  }
+}
+
+void
+Problems::Add(const std::string& aPath, const std::string& aWhat)
+{
+  m_lines.push_back(aPath + ": " + aWhat);
+}
+
+bool
+Problems::Empty() const
+{
+  return m_lines.empty();
+}
+
+std::string
+Problems::Text() const
+{
+  std::string text;
+  for (const std::string& line : m_lines) {
+    text += (text.empty() ? "" : "\n") + line;
+  }
+  return text;
+}
+
+JsonReader::JsonReader(const nlohmann::json& aObject, std::string aPath, Problems& aProblems)
+  : m_object(aObject)
+  , m_path(std::move(aPath))
+  , m_problems(aProblems)
+{
+  if (!m_object.is_object()) {
+    m_problems.Add(m_path, "must be an object; write it in braces");
+  }
+}
+
+std::string
+JsonReader::PathOf(const std::string& aKey) const
+{
+  return m_path + "." + aKey;
+}
+
+const nlohmann::json*
+JsonReader::Find(const std::string& aKey)
+{
+  m_known.insert(aKey);
+  if (!m_object.is_object()) {
+    return nullptr;
+  }
+  const auto member = m_object.find(aKey);
+  return member == m_object.end() ? nullptr : &*member;
+}
+
+bool
+JsonReader::Has(const std::string& aKey) const
+{
+  return m_object.is_object() && m_object.contains(aKey);
+}
+
+std::string
+JsonReader::Text(const std::string& aKey)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    m_problems.Add(PathOf(aKey), "is missing; add a text");
+    return {};
+  }
+  if (!member->is_string() || member->get<std::string>().empty()) {
+    m_problems.Add(PathOf(aKey), "must be a text that isn't empty");
+    return {};
+  }
+  return member->get<std::string>();
+}
+
+std::string
+JsonReader::Text(const std::string& aKey, const std::string& aDefault)
+{
+  return Has(aKey) ? Text(aKey) : (m_known.insert(aKey), aDefault);
+}
+
+std::string
+JsonReader::OneOf(const std::string& aKey,
+                  const std::vector<std::string>& aAllowed,
+                  const std::string& aDefault)
+{
+  std::string text = aDefault.empty() ? Text(aKey) : Text(aKey, aDefault);
+  if (!text.empty() && std::find(aAllowed.begin(), aAllowed.end(), text) == aAllowed.end()) {
+    std::string choices;
+    for (const std::string& allowed : aAllowed) {
+      choices += (choices.empty() ? "" : ", ") + allowed;
+    }
+    m_problems.Add(PathOf(aKey), "'" + text + "' is unknown; use one of: " + choices);
+  }
+  return text;
+}
+
+bool
+JsonReader::Flag(const std::string& aKey, bool aDefault)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    return aDefault;
+  }
+  if (!member->is_boolean()) {
+    m_problems.Add(PathOf(aKey), "must be true or false");
+    return aDefault;
+  }
+  return member->get<bool>();
+}
+
+int64_t
+JsonReader::Integer(const std::string& aKey, int64_t aLow, int64_t aHigh, int64_t aDefault)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    return aDefault;
+  }
+  const bool valid =
+    member->is_number_integer() && member->get<int64_t>() >= aLow && member->get<int64_t>() <= aHigh;
+  if (!valid) {
+    m_problems.Add(PathOf(aKey),
+                   "must be a whole number from " + std::to_string(aLow) + " to " + std::to_string(aHigh));
+    return aDefault;
+  }
+  return member->get<int64_t>();
+}
+
+std::chrono::milliseconds
+JsonReader::Milliseconds(const std::string& aKey,
+                         std::chrono::milliseconds aLow,
+                         std::chrono::milliseconds aHigh,
+                         std::chrono::milliseconds aDefault)
+{
+  return std::chrono::milliseconds(Integer(aKey, aLow.count(), aHigh.count(), aDefault.count()));
+}
+
+std::vector<std::string>
+JsonReader::Texts(const std::string& aKey)
+{
+  const nlohmann::json* member = Find(aKey);
+  std::vector<std::string> texts;
+  if (member == nullptr) {
+    return texts;
+  }
+  if (!member->is_array()) {
+    m_problems.Add(PathOf(aKey), "must be a list of texts");
+    return texts;
+  }
+  for (const nlohmann::json& element : *member) {
+    if (!element.is_string()) {
+      m_problems.Add(PathOf(aKey), "must hold texts only");
+      return texts;
+    }
+    texts.push_back(element.get<std::string>());
+  }
+  return texts;
+}
+
+void
+JsonReader::ForEach(const std::string& aKey,
+                    const std::function<void(const std::string& aName, JsonReader& aReader)>& aVisit)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    return;
+  }
+  if (!member->is_object()) {
+    m_problems.Add(PathOf(aKey), "must be an object of named entries");
+    return;
+  }
+  for (const auto& [name, value] : member->items()) {
+    JsonReader reader(value, PathOf(aKey) + "." + name, m_problems);
+    aVisit(name, reader);
+    reader.Finish();
+  }
+}
+
+void
+JsonReader::ForEachElement(const std::string& aKey, const std::function<void(JsonReader& aReader)>& aVisit)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    return;
+  }
+  if (!member->is_array()) {
+    m_problems.Add(PathOf(aKey), "must be a list");
+    return;
+  }
+  size_t position = 0;
+  for (const nlohmann::json& element : *member) {
+    JsonReader reader(element, PathOf(aKey) + "[" + std::to_string(position) + "]", m_problems);
+    aVisit(reader);
+    reader.Finish();
+    ++position;
+  }
+}
+
+void
+JsonReader::Finish()
+{
+  if (!m_object.is_object()) {
+    return;
+  }
+  for (const auto& [name, value] : m_object.items()) {
+    if (!m_known.contains(name)) {
+      m_problems.Add(PathOf(name), "is an unknown key; remove it or correct its spelling");
+    }
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/settings/processsettings.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "common/address.h"
+#include "common/error.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+enum class ProcessRole
+{
+  Node,
+  Control,
+};
+
+/** A control replica as the settings name it. */
+struct ReplicaSettings
+{
+  std::string name;
+  std::string region;
+  std::string failureDomain;
+  Address address;
+};
+
+/** Another address for a peer, where the announced one can't be reached from here. */
+struct AddressOverride
+{
+  std::string peer;
+  Address address;
+};
+
+/** All settings of one process, checked. */
+struct ProcessSettings
+{
+  ProcessRole role = ProcessRole::Node;
+  std::string name;
+  std::string region;
+  std::string failureDomain;
+  std::string logFile;
+
+  /** Where other processes of the system reach this one. */
+  Address peerAddress;
+  /** Operators and metrics. */
+  Address operatorAddress;
+
+  /** All control replicas. */
+  std::vector<ReplicaSettings> replicas;
+  std::vector<AddressOverride> overrides;
+
+  /** Node only: calls from callers, calls from other nodes, announcements of the target. */
+  Address callerAddress;
+  Address gateAddress;
+  Address targetAddress;
+  /** Node only: peers asked for members while no control replica answers. */
+  std::vector<Address> seeds;
+  /** Node only: longest wait for calls in flight when the process is told to stop. */
+  std::chrono::milliseconds drainTime{ 30000 };
+
+  /** Control only. */
+  std::string dataFolder;
+  std::chrono::milliseconds heartbeat{ 150 };
+  std::chrono::milliseconds electionTimeout{ 900 };
+};
+
+/** Reads and checks settings; all faults are reported at once. */
+Result<ProcessSettings>
+ParseSettings(const std::string& aText, const std::string& aSource);
+
+/** ParseSettings() of a file. */
+Result<ProcessSettings>
+LoadSettings(const std::string& aPath);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/target/admission.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "common/clock.h"
+#include "configuration/configuration.h"
+
+#include <cstdint>
+#include <list>
+#include <vector>
+
+namespace mimosarun {
+
+/** A call that asks for a slot of the target. */
+struct AdmissionRequest
+{
+  uint64_t call = 0;
+  CallClass callClass = CallClass::Short;
+  Deadline deadline;
+  std::chrono::milliseconds expectedCost{ 0 };
+};
+
+enum class AdmissionVerdict
+{
+  Admitted,
+  Queued,
+  Refused,
+};
+
+/**
+ * Decides which calls occupy the slots of one target. Long calls never take the slots reserved for short
+ * ones. Waiting calls are served by deadline; a call whose deadline can't be met is refused at once, and one
+ * that has become hopeless is dropped from the queue. Not thread-safe.
+ */
+class Admission
+{
+public:
+  struct Options
+  {
+    int slots = 1;
+    /** Waiting calls for each slot. */
+    int queueFactor = 4;
+  };
+
+  explicit Admission(Options aOptions);
+
+  /** Asks for a slot. */
+  AdmissionVerdict Offer(const AdmissionRequest& aRequest, Deadline aNow);
+
+  /** Gives a slot back; the time it was held corrects the estimates. */
+  void Release(CallClass aClass, std::chrono::microseconds aHeldFor);
+
+  /** Takes a waiting call out; false if it doesn't wait. */
+  bool Withdraw(uint64_t aCall);
+
+  /** Calls that get a slot now, in order. */
+  std::vector<uint64_t> TakeAdmitted(Deadline aNow);
+
+  /** Waiting calls whose deadline can no longer be met. */
+  std::vector<uint64_t> TakeHopeless(Deadline aNow);
+
+  /** The wait that a call of a class would see now. */
+  std::chrono::microseconds ExpectedWait(CallClass aClass) const;
+
+  void SetSlots(int aSlots);
+  int Slots() const;
+  int InUse() const;
+  int Waiting() const;
+
+private:
+  int LongLimit() const;
+  bool HasSlot(CallClass aClass) const;
+  void Occupy(CallClass aClass);
+  std::chrono::microseconds Cost(const AdmissionRequest& aRequest) const;
+
+  Options m_options;
+  int m_inUseShort = 0;
+  int m_inUseLong = 0;
+  /** Smoothed time that a call holds a slot. */
+  std::chrono::microseconds m_meanShort{ 0 };
+  std::chrono::microseconds m_meanLong{ 0 };
+  /** Ordered by deadline. */
+  std::list<AdmissionRequest> m_queue;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/timeline/timeline.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "common/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** One line of a process's log. */
+struct TimelineEvent
+{
+  int64_t timeMicros = 0;
+  int64_t logical = 0;
+  std::string process;
+  std::string role;
+  std::string failureDomain;
+  std::string severity;
+  std::string name;
+  int number = 0;
+  /** The event's own values as text. */
+  std::string details;
+};
+
+/** Reads all .log files of a folder and merges them by the hybrid clock. Lines that are no events are
+ * skipped. */
+Result<std::vector<TimelineEvent>>
+ReadTimeline(const std::string& aFolder);
+
+/** A self-contained HTML page with a lane for each process. */
+std::string
+ToPage(const std::vector<TimelineEvent>& aEvents);
+
+/** Trace-event JSON, as trace viewers read it. */
+std::string
+ToTrace(const std::vector<TimelineEvent>& aEvents);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,22 @@
+#include "wire/codec.h"
+
+namespace mimosarun {
+
+wire::Stamp
+StampNow()
+{
+  const HybridTime now = HybridClock::Process().Now();
+  wire::Stamp stamp;
+  stamp.physicalMicros = now.physical.time_since_epoch().count();
+  stamp.logical = now.logical;
+  return stamp;
+}
+
+void
+Observe(const wire::Stamp& aStamp)
+{
+  HybridClock::Process().Observe(
+    { .physical = WallTime(std::chrono::microseconds(aStamp.physicalMicros)), .logical = aStamp.logical });
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/wire/rpcserver.cpp
@@ -0,0 +1,98 @@
+#include "wire/rpcserver.h"
+
+#include "wire/limits.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/TOutput.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <future>
+
+namespace mimosarun {
+
+using apache::thrift::protocol::TCompactProtocolFactory;
+using apache::thrift::server::TServerEventHandler;
+using apache::thrift::server::TThreadedServer;
+using apache::thrift::transport::TFramedTransportFactory;
+using apache::thrift::transport::TServerSocket;
+
+/** A connection with no complete request for this long is closed; peers send heartbeats far more often. */
+static constexpr std::chrono::milliseconds kIdleTimeout{ 30000 };
+static constexpr std::chrono::seconds kStartTimeout{ 5 };
+
+/** Framed transports that keep to the message limits. */
+class LimitedTransportFactory : public TFramedTransportFactory
+{
+public:
+  std::shared_ptr<apache::thrift::transport::TTransport> getTransport(
+    std::shared_ptr<apache::thrift::transport::TTransport> aTransport) override
+  {
+    return std::make_shared<apache::thrift::transport::TFramedTransport>(aTransport, MessageLimits());
+  }
+};
+
+/** Tells the starter that the server listens. */
+class StartNotice : public TServerEventHandler
+{
+public:
+  void preServe() override { m_started.set_value(); }
+  std::future<void> Started() { return m_started.get_future(); }
+
+private:
+  std::promise<void> m_started;
+};
+
+static void
+IgnoreThriftOutput(const char* /*aMessage*/)
+{
+}
+
+Result<std::unique_ptr<RpcServer>>
+RpcServer::Start(const Options& aOptions)
+{
+  apache::thrift::GlobalOutput.setOutputFunction(&IgnoreThriftOutput);
+  const auto socket = std::make_shared<TServerSocket>(aOptions.address.host, aOptions.address.port);
+  socket->setRecvTimeout(static_cast<int>(kIdleTimeout.count()));
+  socket->setSendTimeout(static_cast<int>(kIdleTimeout.count()));
+  const auto threaded = std::make_shared<TThreadedServer>(aOptions.processor,
+                                                          socket,
+                                                          std::make_shared<LimitedTransportFactory>(),
+                                                          std::make_shared<TCompactProtocolFactory>());
+  threaded->setConcurrentClientLimit(aOptions.maximumConnections);
+  const auto notice = std::make_shared<StartNotice>();
+  threaded->setServerEventHandler(notice);
+  auto started = notice->Started();
+  std::unique_ptr<RpcServer> server(new RpcServer());
+  server->m_server = threaded;
+  std::promise<void> ended;
+  auto endedEarly = ended.get_future();
+  server->m_thread = std::thread([threaded, ended = std::move(ended)]() mutable {
+    try {
+      threaded->serve();
+    } catch (const std::exception&) {
+      // A port that can't be bound shows as a start that never happens.
+    }
+    ended.set_value();
+  });
+  const auto limit = std::chrono::steady_clock::now() + kStartTimeout;
+  while (started.wait_for(std::chrono::milliseconds(1)) != std::future_status::ready) {
+    const bool failed = endedEarly.wait_for(std::chrono::milliseconds(0)) == std::future_status::ready;
+    if (failed || std::chrono::steady_clock::now() > limit) {
+      return Fail(ErrorKind::Unreachable,
+                  aOptions.address.Text() + ": can't listen; free the port or change the settings");
+    }
+  }
+  return server;
+}
+
+RpcServer::~RpcServer()
+{
+  m_server->stop();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/tests/harness/mesh.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include "common/address.h"
+#include "harness/process.h"
+#include "operators/answer.h"
+#include "standin/faultproxy.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/** One process of the system in a test deployment. */
+struct MeshProcess
+{
+  std::string name;
+  std::string role;
+  std::string region;
+  std::string failureDomain;
+  Address peer;
+  Address operators;
+  /** Nodes only. */
+  Address caller;
+  Address gate;
+  Address announce;
+  std::string settingsFile;
+  std::string logFile;
+  std::string dataFolder;
+  Process process;
+};
+
+/** One stand-in target of a test deployment. */
+struct MeshTarget
+{
+  std::string name;
+  std::string service;
+  std::string node;
+  Address address;
+  std::string ledger;
+  Process process;
+};
+
+/** Shape of a test deployment. */
+struct MeshOptions
+{
+  /** Regions with their failure domains. */
+  std::map<std::string, std::vector<std::string>> regions;
+  std::vector<std::string> services;
+  /** Targets of each service in each failure domain. */
+  int targetsPerDomain = 1;
+  /** Failure domain of each control replica. */
+  std::vector<std::string> replicaDomains;
+  int slots = 6;
+  /** Slots that targets announce; zero means the truth. */
+  int announcedSlots = 0;
+  std::chrono::milliseconds cost{ 10 };
+  std::chrono::microseconds domainDelay{ 0 };
+  std::chrono::microseconds regionDelay{ 0 };
+  int64_t regionBytesPerSecond = 0;
+  /** Further options of the nodes' command line. */
+  std::vector<std::string> nodeOptions;
+  /** Environment of control replicas, by name. */
+  std::map<std::string, std::vector<std::string>> environment;
+  std::string folder;
+};
+
+/** The deployments of the brief. */
+MeshOptions
+PettigrewMesh();
+MeshOptions
+BrianzaMesh();
+
+/** A small deployment for tests of single faults: two regions of one failure domain each. */
+MeshOptions
+SmallMesh(const std::string& aName);
+
+/**
+ * A deployment of real processes on loopback addresses. All traffic between failure domains passes the fault
+ * proxy, whose labels are the failure domains.
+ */
+class Mesh
+{
+public:
+  explicit Mesh(MeshOptions aOptions);
+  ~Mesh();
+
+  Mesh(const Mesh&) = delete;
+  Mesh& operator=(const Mesh&) = delete;
+
+  /** Starts everything; false if a port is taken. */
+  bool Start();
+
+  void StartProcess(const std::string& aName);
+  void StartTarget(const std::string& aName);
+  void StopAll();
+
+  MeshProcess& ProcessOf(const std::string& aName);
+  MeshTarget& TargetOf(const std::string& aName);
+  std::vector<std::string> Nodes(const std::string& aFailureDomain = "") const;
+  std::vector<std::string> Replicas() const;
+  std::vector<std::string> Targets() const;
+  FaultProxy& Faults() { return m_proxy; }
+  const MeshOptions& Options() const { return m_options; }
+
+  /** Runs an operator's command at a process, or at all replicas in turn. */
+  Answer Command(const std::string& aCommand,
+                 const std::string& aAt = "",
+                 const std::string& aDocument = "",
+                 const std::string& aRequestId = "",
+                 std::chrono::milliseconds aTimeout = std::chrono::seconds(10)) const;
+
+  /** Proposes and accepts a document based on the current version; gives the new version or 0. */
+  int64_t Install(const std::string& aDocument);
+
+  /** The version that a node says it holds, or -1. */
+  int64_t VersionOf(const std::string& aNode) const;
+
+  /** Waits until all running nodes, or those named, hold a version. */
+  bool WaitInForce(int64_t aVersion,
+                   std::chrono::milliseconds aTime,
+                   const std::vector<std::string>& aNodes = {});
+
+  /** Waits until every service answers at every node's entry. */
+  bool WaitServing(std::chrono::milliseconds aTime);
+
+  /** All lines of all ledgers. */
+  std::vector<std::string> LedgerLines() const;
+
+  /** Cuts or heals all paths between two failure domains, both ways. */
+  void SetFault(const std::string& aLeft, const std::string& aRight, PathFault aFault);
+
+  /** Cuts or heals all paths between two regions. */
+  void SetRegionFault(const std::string& aLeft, const std::string& aRight, PathFault aFault);
+
+  /** Name of the leader of a group as the replicas see it, or empty. */
+  std::string LeaderOf(const std::string& aGroup, const std::string& aAt = "") const;
+
+  /** A configuration with a short idempotent, a long and a keyed route for each service. */
+  std::string Document(const std::string& aMarker = "") const;
+
+  /** The description of all processes as JSON. */
+  std::string Description(const std::string& aProxyControl) const;
+
+private:
+  void Plan();
+  void PlanReplica(const std::string& aDomain);
+  void PlanNode(const std::string& aDomain, const std::string& aService, int aNumber);
+  Address NextAddress();
+  std::string RegionOf(const std::string& aDomain) const;
+  Address Reach(const std::string& aFromDomain,
+                const MeshProcess& aTo,
+                const Address& aAddress,
+                const std::string& aKind);
+  std::string SettingsOf(const MeshProcess& aProcess);
+  void WriteSettings();
+
+  MeshOptions m_options;
+  uint16_t m_nextPort = 0;
+  std::map<std::string, MeshProcess> m_processes;
+  std::map<std::string, MeshTarget> m_targets;
+  std::map<std::string, Address> m_proxied;
+  FaultProxy m_proxy;
+  bool m_portsFree = true;
+};
+
+/** Answer of an HTTP request in a test. */
+struct TestAnswer
+{
+  /** The transfer ended as HTTP says a whole message ends. */
+  bool whole = false;
+  int status = 0;
+  std::string outcome;
+  std::string call;
+  std::string token;
+  std::string target;
+  std::string body;
+};
+
+/** A request in a test. */
+struct TestRequest
+{
+  std::string method = "GET";
+  std::string path;
+  std::string token = "token";
+  std::string key;
+  std::string body;
+  std::chrono::milliseconds timeout{ 3000 };
+};
+
+/** Sends a request and waits for the answer. */
+TestAnswer
+Send(const Address& aTo, const TestRequest& aRequest);
+
+/** Folder of the built programs. */
+std::string
+BuildFolder();
+
+} // namespace mimosarun
--- /dev/null
+++ b/tests/harness/process.cpp
@@ -0,0 +1,111 @@
+#include "harness/process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <utility>
+
+extern char** environ;
+
+namespace mimosarun {
+
+static constexpr int kPauseMilliseconds = 5;
+
+Process::~Process()
+{
+  Kill();
+}
+
+Process::Process(Process&& aOther) noexcept
+  : m_pid(std::exchange(aOther.m_pid, -1))
+{
+}
+
+Process&
+Process::operator=(Process&& aOther) noexcept
+{
+  std::swap(m_pid, aOther.m_pid);
+  return *this;
+}
+
+Process
+Process::Start(const std::vector<std::string>& aCommand,
+               const std::string& aOutput,
+               const std::vector<std::string>& aEnvironment)
+{
+  std::vector<char*> arguments;
+  for (const std::string& word : aCommand) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  std::vector<char*> environment;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    environment.push_back(*variable);
+  }
+  for (const std::string& variable : aEnvironment) {
+    environment.push_back(const_cast<char*>(variable.c_str()));
+  }
+  environment.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen(&actions, 1, aOutput.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  Process process;
+  ::posix_spawn(&process.m_pid, arguments[0], &actions, nullptr, arguments.data(), environment.data());
+  posix_spawn_file_actions_destroy(&actions);
+  return process;
+}
+
+bool
+Process::Running()
+{
+  int status = 0;
+  if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+    m_pid = -1;
+  }
+  return m_pid > 0;
+}
+
+void
+Process::Signal(int aSignal) const
+{
+  if (m_pid > 0) {
+    ::kill(m_pid, aSignal);
+  }
+}
+
+void
+Process::Kill()
+{
+  if (m_pid > 0) {
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+    m_pid = -1;
+  }
+}
+
+bool
+Process::WaitForEnd(std::chrono::milliseconds aTime, int& aStatus)
+{
+  return WaitUntil(aTime, [&] {
+    int status = 0;
+    if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+      m_pid = -1;
+      aStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    return m_pid < 0;
+  });
+}
+
+void
+PauseBetweenLooks()
+{
+  ::poll(nullptr, 0, kPauseMilliseconds);
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/tests/harness/quickstartrun.cpp
@@ -0,0 +1,204 @@
+#include "harness/quickstartrun.h"
+
+#include "load/generator.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace mimosarun {
+
+using Milliseconds = std::chrono::milliseconds;
+
+static constexpr Milliseconds kStartLimit{ 30000 };
+static constexpr Milliseconds kInForceLimit{ 4000 };
+static constexpr Milliseconds kLeavingLimit{ 3000 };
+static constexpr unsigned int kLoadThreads = 1;
+static constexpr int64_t kLoadRate = 200;
+
+/** The steps, each with its result. */
+class Steps
+{
+public:
+  bool Note(const std::string& aStep, bool aOk, const std::string& aResult)
+  {
+    m_ok = m_ok && aOk;
+    std::cout << (aOk ? "ok    " : "FAIL  ") << aStep
+              << std::string(aStep.size() < 44 ? 44 - aStep.size() : 1, ' ') << aResult << std::endl;
+    return aOk;
+  }
+
+  bool Ok() const { return m_ok; }
+
+private:
+  bool m_ok = true;
+};
+
+static Milliseconds
+Since(Deadline aStart)
+{
+  return std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - aStart);
+}
+
+static std::string
+Text(Milliseconds aTime)
+{
+  return std::to_string(aTime.count()) + " ms";
+}
+
+static Workload
+MakeWorkload(Mesh& aMesh, Milliseconds aLength)
+{
+  Workload workload;
+  for (const std::string& node : aMesh.Nodes()) {
+    workload.entries.push_back(aMesh.ProcessOf(node).caller);
+  }
+  for (const std::string& service : aMesh.Options().services) {
+    workload.kinds.push_back(
+      { .name = service, .method = "GET", .path = "/" + service + "/item", .weight = 5 });
+  }
+  workload.kinds.push_back({ .name = "book",
+                             .method = "POST",
+                             .path = "/" + aMesh.Options().services[1] + "/book",
+                             .weight = 1,
+                             .body = "{}",
+                             .keyed = true });
+  workload.phases.push_back({ .name = "quickstart", .length = aLength, .rate = kLoadRate });
+  return workload;
+}
+
+static void
+ShowChange(Mesh& aMesh, Steps& aSteps)
+{
+  const auto began = SteadyClock::now();
+  const int64_t version = aMesh.Install(aMesh.Document("history-reports"));
+  const bool inForce = version > 0 && aMesh.WaitInForce(version, kInForceLimit);
+  aSteps.Note("a change is in force on every node",
+              inForce,
+              Text(Since(began)) + ", version " + std::to_string(version));
+}
+
+static void
+ShowDrain(Mesh& aMesh, Steps& aSteps)
+{
+  const std::string target = aMesh.Targets().front();
+  const auto began = SteadyClock::now();
+  const Answer answer = aMesh.Command("drain " + target);
+  const MeshTarget& drained = aMesh.TargetOf(target);
+  const bool refused =
+    answer.code == AnswerCode::Done && WaitUntil(kLeavingLimit, [&] {
+      for (const std::string& node : aMesh.Nodes()) {
+        if (Send(aMesh.ProcessOf(node).caller, { .path = "/" + drained.service + "/item" }).target ==
+            target) {
+          return false;
+        }
+      }
+      return true;
+    });
+  aSteps.Note("a drained target gets no new work", refused, Text(Since(began)));
+  aMesh.Command("undrain " + target);
+}
+
+static void
+ShowKills(Mesh& aMesh, Steps& aSteps)
+{
+  const std::string node = aMesh.Nodes().back();
+  aMesh.ProcessOf(node).process.Kill();
+  const std::string leader = aMesh.LeaderOf("configuration");
+  const auto began = SteadyClock::now();
+  if (!leader.empty()) {
+    aMesh.ProcessOf(leader).process.Kill();
+  }
+  const int64_t version = aMesh.Install(aMesh.Document("after-the-kill"));
+  const bool inForce = version > 0 && aMesh.WaitInForce(version, kInForceLimit);
+  aSteps.Note("leader " + leader + " killed, change still accepted", inForce, Text(Since(began)));
+  aMesh.StartProcess(node);
+  aMesh.StartProcess(leader);
+  aSteps.Note("killed processes restarted, same version",
+              aMesh.WaitInForce(version, kStartLimit),
+              "version " + std::to_string(version));
+}
+
+static void
+CountLoad(const LoadReport& aReport, Steps& aSteps, Mesh& aMesh)
+{
+  LoadTally sum;
+  for (const auto& [key, tally] : aReport) {
+    sum.offered += tally.offered;
+    sum.complete += tally.complete;
+    sum.notRun += tally.notRun;
+    sum.unknown += tally.unknown;
+    sum.broken += tally.broken;
+    sum.wrong += tally.wrong;
+    sum.latencies.Merge(tally.latencies);
+  }
+  std::map<std::string, int> runs;
+  int twice = 0;
+  for (const std::string& line : aMesh.LedgerLines()) {
+    if (line.find("/book ") != std::string::npos && ++runs[line.substr(0, line.rfind(' '))] > 1) {
+      ++twice;
+    }
+  }
+  aSteps.Note("calls meanwhile",
+              sum.wrong == 0,
+              std::to_string(sum.offered) + " offered, " + std::to_string(sum.complete) + " complete, " +
+                std::to_string(sum.notRun) + " not run, " + std::to_string(sum.unknown) + " unknown, " +
+                std::to_string(sum.broken) + " broken, " + std::to_string(sum.wrong) + " wrong");
+  aSteps.Note("bookings run twice", twice == 0, std::to_string(twice) + " of " + std::to_string(runs.size()));
+  aSteps.Note("latency of complete calls",
+              true,
+              "p50 " + std::to_string(sum.latencies.Quantile(0.5).count()) + " us, p99 " +
+                std::to_string(sum.latencies.Quantile(0.99).count()) + " us");
+}
+
+static bool
+BringUp(Mesh& aMesh, Steps& aSteps)
+{
+  const auto began = SteadyClock::now();
+  if (!aSteps.Note("processes started",
+                   aMesh.Start(),
+                   std::to_string(aMesh.Nodes().size()) + " nodes, " +
+                     std::to_string(aMesh.Replicas().size()) + " control replicas")) {
+    return false;
+  }
+  int64_t version = 0;
+  WaitUntil(kStartLimit, [&] {
+    version = aMesh.Install(aMesh.Document());
+    return version > 0;
+  });
+  aSteps.Note("first configuration accepted", version > 0, Text(Since(began)));
+  aSteps.Note("in force on every node", aMesh.WaitInForce(version, kStartLimit), Text(Since(began)));
+  return aSteps.Note(
+    "every service answers at every node", aMesh.WaitServing(kStartLimit), Text(Since(began)));
+}
+
+int
+RunQuickstart(Mesh& aMesh, ShutdownSignal* aHoldUntil)
+{
+  Steps steps;
+  if (!BringUp(aMesh, steps)) {
+    return 1;
+  }
+  if (aHoldUntil != nullptr) {
+    const std::string path = aMesh.Options().folder + "/mesh.json";
+    std::ofstream(path) << aMesh.Description("");
+    std::cout << "holding; processes are listed in " << path << std::endl;
+    aHoldUntil->Wait();
+    aMesh.StopAll();
+    return 0;
+  }
+  LoadReport report;
+  std::thread load([&] { report = Generator(MakeWorkload(aMesh, Milliseconds(8000)), kLoadThreads).Run(); });
+  ShowChange(aMesh, steps);
+  ShowDrain(aMesh, steps);
+  ShowKills(aMesh, steps);
+  load.join();
+  CountLoad(report, steps, aMesh);
+  aMesh.StopAll();
+  std::cout << (steps.Ok() ? "all steps passed" : "some steps failed") << "; logs are in "
+            << aMesh.Options().folder << "\n";
+  return steps.Ok() ? 0 : 1;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/tests/standin/targetmain.cpp
@@ -0,0 +1,56 @@
+#include "standin/target.h"
+
+#include "platform/shutdownsignal.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace mimosarun;
+
+static Address
+AddressOf(const cxxopts::ParseResult& aParsed, const char* aName)
+{
+  const Result<Address> address = ParseAddress(aParsed[aName].as<std::string>());
+  if (!address) {
+    std::cerr << aName << ": " << address.error().message << "\n";
+    std::exit(2);
+  }
+  return address.value();
+}
+
+int
+main(int aCount, char** aValues)
+{
+  cxxopts::Options options("standin-target", "Stand-in for a target");
+  options.add_options()("name", "", cxxopts::value<std::string>())(
+    "service", "", cxxopts::value<std::string>())("address", "", cxxopts::value<std::string>())(
+    "announce", "", cxxopts::value<std::string>())(
+    "ledger", "", cxxopts::value<std::string>()->default_value(""))(
+    "slots", "", cxxopts::value<int>()->default_value("6"))(
+    "announced-slots", "", cxxopts::value<int>()->default_value("0"))(
+    "cost-ms", "", cxxopts::value<int>()->default_value("10"))(
+    "cold-ms", "", cxxopts::value<int>()->default_value("0"));
+  const auto parsed = options.parse(aCount, aValues);
+  ShutdownSignal signal;
+  StandinTarget target({ .name = parsed["name"].as<std::string>(),
+                         .service = parsed["service"].as<std::string>(),
+                         .address = AddressOf(parsed, "address"),
+                         .announce = AddressOf(parsed, "announce"),
+                         .ledger = parsed["ledger"].as<std::string>(),
+                         .slots = parsed["slots"].as<int>(),
+                         .announcedSlots = parsed["announced-slots"].as<int>(),
+                         .cost = std::chrono::milliseconds(parsed["cost-ms"].as<int>()),
+                         .coldTime = std::chrono::milliseconds(parsed["cold-ms"].as<int>()) });
+  if (!target.Start()) {
+    std::cerr << "standin-target: can't listen\n";
+    return 1;
+  }
+  std::thread stopper([&] {
+    signal.Wait();
+    target.Drain();
+  });
+  stopper.detach();
+  target.WaitUntilStopped();
+  return 0;
+}
