Answer idempotent calls whose kept connection has gone silent

Cause: a kept connection between entry and gate that goes silent gave 504 at the deadline for each call that used it. Change: an attempt without a head after five times the gate's mean, or ten times the expected cost, at least 250 ms, makes the entry leave all kept connections to that gate behind and try again within the retry budget.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -17,6 +17,8 @@
 static constexpr std::chrono::milliseconds kFirstLeaveOut{ 500 };
 static constexpr std::chrono::milliseconds kLongestLeaveOut{ 8000 };
 static constexpr int kSmoothing = 8;
+static constexpr std::chrono::milliseconds kLeastPatience{ 250 };
+static constexpr int kPatienceFactor = 5;
 
 Balancer::Balancer(BalancePolicy aPolicy)
   : m_policy(aPolicy)
@@ -167,6 +169,12 @@
   stats.loadAt = SteadyClock::now();
 }
 
+std::chrono::microseconds
+Balancer::Patience(const std::string& aNode)
+{
+  return std::max<std::chrono::microseconds>(kLeastPatience, kPatienceFactor * Read(aNode).mean);
+}
+
 void
 Balancer::DistrustConnections(const std::string& aNode)
 {
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -66,6 +66,9 @@
   /** Notes a load that a gate's answer carried. */
   void NoteLoad(const std::string& aNode, const GateLoad& aLoad);
 
+  /** A time after which a gate that is well would have begun to answer nearly always. */
+  std::chrono::microseconds Patience(const std::string& aNode);
+
   /** Leaves all kept connections to a gate behind. */
   void DistrustConnections(const std::string& aNode);
 
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -12,6 +12,8 @@
 /** Time beyond a call's deadline in which a gate's own refusal may still arrive. */
 static constexpr std::chrono::milliseconds kGrace{ 30 };
 static constexpr size_t kRefusalLimitBytes = 4096;
+/** Expected costs that a short call may take before its connection is doubted. */
+static constexpr int kSilenceFactor = 10;
 
 static GateLoad
 ParseLoad(const std::string& aText)
@@ -153,9 +155,43 @@
       .freshConnection = !m_options.route->idempotent,
       .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(gate->node) },
     attempt);
+  WatchForSilence(attempt);
   return true;
 }
 
+void
+EntryCall::WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt)
+{
+  const Route& route = *m_options.route;
+  // Only idempotent calls use kept connections, and only short ones are expected to answer soon.
+  if (!route.idempotent || route.callClass == CallClass::Long) {
+    return;
+  }
+  const auto expected = std::chrono::microseconds(route.expectedCost) * kSilenceFactor;
+  const auto patience = std::max(m_entry.m_balancer.Patience(aAttempt->m_gate.node), expected);
+  const std::weak_ptr<EntryCall> weak = weak_from_this();
+  const std::weak_ptr<EntryAttempt> attempt = aAttempt;
+  m_entry.m_timers->At(SteadyClock::now() + patience, [weak, attempt] {
+    if (const auto self = weak.lock()) {
+      self->OnSilence(attempt);
+    }
+  });
+}
+
+void
+EntryCall::OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt)
+{
+  const auto attempt = aAttempt.lock();
+  const std::lock_guard lock(m_mutex);
+  if (attempt == nullptr || m_decided || attempt->m_answering) {
+    return;
+  }
+  // The kept connection may have gone silent. Calls use new ones from now on, and this one tries again; the
+  // same gate may be chosen, as it may be the only one.
+  m_entry.m_balancer.DistrustConnections(attempt->m_gate.node);
+  TryAgainLocked();
+}
+
 void
 EntryCall::LaunchHedge()
 {
@@ -207,6 +243,7 @@
 {
   const std::lock_guard lock(m_mutex);
   aAttempt.m_head = aHead;
+  aAttempt.m_answering = true;
   const std::string load = FindHeader(aHead.headers, kLoadHeader);
   if (!load.empty()) {
     m_entry.m_balancer.NoteLoad(aAttempt.m_gate.node, ParseLoad(load));
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -45,6 +45,8 @@
 
   bool LaunchLocked();
   void LaunchHedge();
+  void WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt);
+  void OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt);
   void OnDeadline();
   HttpRequest GateRequest(Deadline aNow) const;
 
@@ -92,7 +94,7 @@
   const GateInfo m_gate;
   const Deadline m_sentAt;
   ForwardTicket m_ticket;
-  bool m_ended = false;
+  bool m_answering = false;
   /** The gate refused the call as not run. */
   bool m_notRun = false;
   /** The gate can't tell whether the call ran. */
--- a/tests/mesh/distribution.cpp
+++ b/tests/mesh/distribution.cpp
@@ -71,6 +71,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(calls_over_kept_connections_that_go_silent_are_answered)
+{
+  MeshOptions options = SmallMesh("silentcalls");
+  options.regions = { { "east", { "east-1", "east-2" } } };
+  options.targetsPerDomain = 1;
+  options.replicaDomains = { "east-1", "east-1", "east-2" };
+  RunningMesh mesh(options);
+  // With its own target drained, east-1 has to call east-2 through the proxy.
+  const Answer drained = mesh.Command("drain target-east-1-books-1");
+  BOOST_REQUIRE((drained.code == AnswerCode::Done));
+  BOOST_REQUIRE(
+    mesh.WaitInForce(std::atoll(drained.message.substr(drained.message.find(' ')).c_str()), kInForceLimit));
+  const auto callAll = [&] {
+    int complete = 0;
+    for (int call = 0; call < 40; ++call) {
+      for (const std::string& node : mesh.Nodes()) {
+        complete += Send(mesh.ProcessOf(node).caller, { .path = "/books/item" }).status == 200 ? 1 : 0;
+      }
+    }
+    return complete;
+  };
+  const int calls = 40 * static_cast<int>(mesh.Nodes().size());
+  BOOST_TEST(callAll() == calls);
+  mesh.Faults().SilenceOpenConnections("east-1", "east-2");
+  mesh.Faults().SilenceOpenConnections("east-2", "east-1");
+  BOOST_TEST(callAll() == calls);
+}
+
 BOOST_AUTO_TEST_CASE(a_region_that_was_cut_off_for_long_converges)
 {
   RunningMesh mesh(SmallMesh("longcut"));
