Hedge short idempotent calls, judge open attempts by age, and spare the link

Cause: with 1 of 4 targets slowed tenfold, p99 was 12.9 times its quiet value (229 ms against 17.8), worse than least-in-flight (105 ms): an entry learned of the slowness only when calls ended, after it had queued more. The link carried 5,790 KB an idle minute, most of it failure-domain reports with all members, fetched every 3 s by each replica from each far one, and whole proposals. Change: an attempt that is open longer than usual counts as slow at once; a short idempotent call that isn't answered by twice the usual p95 is sent to a second gate of its region within a budget of 5%; reports cross the link on demand and every 30 s; proposals are compressed; heartbeats every 300 ms.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -58,17 +58,21 @@
 {
   const Stats stats = Read(aGate.node);
   if (m_policy == BalancePolicy::LeastInFlight) {
-    return std::chrono::microseconds(stats.inFlight);
+    return std::chrono::microseconds(stats.open.size());
   }
-  const auto mean = stats.mean.count() > 0 ? stats.mean : kUnknownMean;
+  const int inFlight = static_cast<int>(stats.open.size());
+  // An attempt that is open longer than usual tells of trouble before it ends.
+  const auto oldest = stats.open.empty() ? Deadline::duration(0) : aNow - *stats.open.begin();
+  const auto known = stats.mean.count() > 0 ? stats.mean : kUnknownMean;
+  const auto mean = std::max(known, std::chrono::duration_cast<std::chrono::microseconds>(oldest));
   const bool fresh = aNow < stats.loadAt + kLoadFreshness;
   const int slots = std::max(1, fresh ? stats.load.slots : aGate.slots);
   const int reported = fresh ? stats.load.inUse + stats.load.waiting : 0;
-  const int load = std::max(stats.inFlight, reported);
+  const int load = std::max(inFlight, reported);
   const auto wait = mean * std::max(0, load + 1 - slots) / slots;
   auto cost = mean + wait + DistanceCost(aGate.locality);
   const bool cold = stats.firstUsed == Deadline{} || aNow < stats.firstUsed + kSlowStart;
-  if (cold && stats.inFlight > 0) {
+  if (cold && inFlight > 0) {
     cost *= kSlowStartFactor;
   }
   return cost;
@@ -130,32 +134,41 @@
 }
 
 void
-Balancer::Sent(const std::string& aNode)
+Balancer::Sent(const std::string& aNode, CallClass aClass, Deadline aNow)
 {
   Shard& shard = ShardOf(aNode);
   const std::lock_guard lock(shard.mutex);
   Stats& stats = shard.stats[aNode];
-  ++stats.inFlight;
+  if (aClass == CallClass::Short) {
+    stats.open.insert(aNow);
+  }
   if (stats.firstUsed == Deadline{}) {
-    stats.firstUsed = SteadyClock::now();
+    stats.firstUsed = aNow;
   }
 }
 
 void
-Balancer::Ended(const std::string& aNode, AttemptEnd aEnd, std::chrono::microseconds aTime)
+Balancer::Ended(const std::string& aNode, CallClass aClass, AttemptEnd aEnd, Deadline aSentAt, Deadline aNow)
 {
   Shard& shard = ShardOf(aNode);
   const std::lock_guard lock(shard.mutex);
   Stats& stats = shard.stats[aNode];
-  --stats.inFlight;
+  if (const auto open = stats.open.find(aSentAt); aClass == CallClass::Short && open != stats.open.end()) {
+    stats.open.erase(open);
+  }
+  const auto time = std::chrono::duration_cast<std::chrono::microseconds>(aNow - aSentAt);
+  // An abandoned attempt took at least as long as it was waited for.
+  const bool slow = aEnd == AttemptEnd::Abandoned && time > stats.mean;
+  if (aClass == CallClass::Short && (aEnd == AttemptEnd::Answered || slow)) {
+    stats.mean = stats.mean.count() == 0 ? time : stats.mean + (time - stats.mean) / kSmoothing;
+  }
   if (aEnd == AttemptEnd::Answered) {
-    stats.mean = stats.mean.count() == 0 ? aTime : stats.mean + (aTime - stats.mean) / kSmoothing;
     stats.failures = 0;
     return;
   }
   if (aEnd == AttemptEnd::Failed && ++stats.failures >= kFailuresToLeaveOut) {
     const int doublings = std::min(stats.failures - kFailuresToLeaveOut, 4);
-    stats.leftOutUntil = SteadyClock::now() + std::min(kFirstLeaveOut * (1 << doublings), kLongestLeaveOut);
+    stats.leftOutUntil = aNow + std::min(kFirstLeaveOut * (1 << doublings), kLongestLeaveOut);
   }
 }
 
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "configuration/configuration.h"
 #include "node/directory.h"
 
 #include <array>
@@ -58,10 +59,10 @@
   std::optional<GateInfo> Choose(const std::vector<GateInfo>& aGates, const std::set<std::string>& aExcluded);
 
   /** Notes that an attempt was sent to a gate. */
-  void Sent(const std::string& aNode);
+  void Sent(const std::string& aNode, CallClass aClass, Deadline aNow);
 
   /** Notes how an attempt ended and how long it took. */
-  void Ended(const std::string& aNode, AttemptEnd aEnd, std::chrono::microseconds aTime);
+  void Ended(const std::string& aNode, CallClass aClass, AttemptEnd aEnd, Deadline aSentAt, Deadline aNow);
 
   /** Notes a load that a gate's answer carried. */
   void NoteLoad(const std::string& aNode, const GateLoad& aLoad);
@@ -79,7 +80,9 @@
   /** What is known of one gate. */
   struct Stats
   {
-    int inFlight = 0;
+    /** When each open attempt of a short call was sent. */
+    std::multiset<Deadline> open;
+    /** Mean time of short calls. */
     std::chrono::microseconds mean{ 0 };
     GateLoad load;
     Deadline loadAt{};
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -10,12 +10,17 @@
 namespace mimosarun {
 
 static constexpr size_t kCallSuffixLength = 16;
+static constexpr double kHedgeShare = 0.05;
+static constexpr double kHedgeLimit = 3;
+static constexpr double kUsualQuantile = 0.95;
+static constexpr int kHedgeFactor = 2;
 static constexpr int kLoggedRefusalsPerSecond = 10;
 
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
   , m_balancer(m_options.policy)
   , m_budget({})
+  , m_hedgeBudget({ .share = kHedgeShare, .limit = kHedgeLimit })
   , m_refusalLog(kLoggedRefusalsPerSecond)
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const Directory>())
@@ -92,6 +97,30 @@
   return found == m_directory->gates.end() ? std::vector<GateInfo>() : found->second;
 }
 
+std::chrono::microseconds
+Entry::HedgeDelay(const Route& aRoute) const
+{
+  if (!aRoute.idempotent || aRoute.callClass == CallClass::Long) {
+    return std::chrono::microseconds(0);
+  }
+  if (aRoute.hedgeAfter.count() > 0) {
+    return aRoute.hedgeAfter;
+  }
+  const std::lock_guard lock(m_timesMutex);
+  const auto usual = m_usualTimes.find(aRoute.service);
+  return usual == m_usualTimes.end() ? kHedgeFactor * std::chrono::microseconds(aRoute.expectedCost)
+                                     : kHedgeFactor * usual->second.Value();
+}
+
+void
+Entry::NoteTime(const Route& aRoute, std::chrono::microseconds aTime)
+{
+  if (aRoute.callClass == CallClass::Short) {
+    const std::lock_guard lock(m_timesMutex);
+    m_usualTimes.try_emplace(aRoute.service, kUsualQuantile).first->second.Add(aTime);
+  }
+}
+
 bool
 Entry::TakeLimit(const Configuration& aConfiguration, const std::string& aLimit)
 {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -3,6 +3,7 @@
 #include "caller/balancer.h"
 #include "caller/callhistory.h"
 #include "caller/retrybudget.h"
+#include "common/quantileestimate.h"
 #include "common/ratelimit.h"
 #include "common/timerqueue.h"
 #include "configuration/snapshot.h"
@@ -65,6 +66,9 @@
                     const std::string& aCall,
                     int aStatus,
                     const std::string& aReason);
+  /** When a second attempt of a short idempotent call is worth its cost; zero means never. */
+  std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
+  void NoteTime(const Route& aRoute, std::chrono::microseconds aTime);
   bool TakeLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void GiveLimitBack(const std::string& aLimit);
   std::vector<GateInfo> GatesOf(const std::string& aService) const;
@@ -72,6 +76,7 @@
   Options m_options;
   Balancer m_balancer;
   RetryBudget m_budget;
+  RetryBudget m_hedgeBudget;
   CallHistory m_history;
   /** Bounds the log records of refused calls, which come in floods under overload. */
   RateLimit m_refusalLog;
@@ -79,6 +84,9 @@
   SnapshotPointer m_snapshot;
   DirectoryPointer m_directory;
   bool m_draining = false;
+  mutable std::mutex m_timesMutex;
+  /** Slow but usual times of short calls, by service. */
+  std::map<std::string, QuantileEstimate> m_usualTimes;
   std::mutex m_limitMutex;
   std::map<std::string, int64_t> m_limitInUse;
   std::atomic<int> m_calls{ 0 };
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -104,15 +104,16 @@
       self->OnDeadline();
     }
   });
-  const Route& route = *m_options.route;
-  if (route.idempotent && route.hedgeAfter.count() > 0) {
-    m_entry.m_timers->At(m_began + route.hedgeAfter, [weak] {
+  const std::chrono::microseconds hedgeDelay = m_entry.HedgeDelay(*m_options.route);
+  if (hedgeDelay.count() > 0) {
+    m_entry.m_timers->At(m_began + hedgeDelay, [weak] {
       if (const auto self = weak.lock()) {
         self->LaunchHedge();
       }
     });
   }
   m_entry.m_budget.Earn();
+  m_entry.m_hedgeBudget.Earn();
   const std::lock_guard lock(m_mutex);
   if (!LaunchLocked()) {
     RefuseLocked(503, "no target of the service is ready");
@@ -137,17 +138,20 @@
 }
 
 bool
-EntryCall::LaunchLocked()
+EntryCall::LaunchLocked(Reach aReach)
 {
   const Deadline now = SteadyClock::now();
-  const std::vector<GateInfo> gates = m_entry.GatesOf(m_options.route->service);
+  std::vector<GateInfo> gates = m_entry.GatesOf(m_options.route->service);
+  if (aReach == Reach::Region) {
+    std::erase_if(gates, [](const GateInfo& aGate) { return aGate.locality == Locality::OtherRegion; });
+  }
   std::optional<GateInfo> gate = m_entry.m_balancer.Choose(gates, m_excluded);
   if (!gate || now >= m_options.deadline) {
     return false;
   }
   const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), *gate);
   m_attempts.push_back(attempt);
-  m_entry.m_balancer.Sent(gate->node);
+  m_entry.m_balancer.Sent(gate->node, m_options.route->callClass, attempt->m_sentAt);
   attempt->m_ticket = m_entry.m_options.forwarder->Start(
     { .to = gate->address,
       .request = GateRequest(now),
@@ -196,11 +200,11 @@
 EntryCall::LaunchHedge()
 {
   const std::lock_guard lock(m_mutex);
-  if (m_decided || m_attempts.size() != 1 || !m_entry.m_budget.TrySpend()) {
+  if (m_decided || m_attempts.size() != 1 || !m_entry.m_hedgeBudget.TrySpend()) {
     return;
   }
   m_excluded.insert(m_attempts.front()->m_gate.node);
-  if (LaunchLocked()) {
+  if (LaunchLocked(Reach::Region)) {
     m_entry.m_retries->Increment();
   }
 }
@@ -288,7 +292,8 @@
                          : aEnd == ForwardEnd::Cancelled ? AttemptEnd::Abandoned
                          : aEnd == ForwardEnd::Complete  ? AttemptEnd::Shed
                                                          : AttemptEnd::Failed;
-  m_entry.m_balancer.Ended(aAttempt.m_gate.node, end, time);
+  m_entry.m_balancer.Ended(
+    aAttempt.m_gate.node, m_options.route->callClass, end, aAttempt.m_sentAt, SteadyClock::now());
   m_record.attempts.push_back({ .node = aAttempt.m_gate.node,
                                 .end = aAttempt.m_notRun    ? "not-run"
                                        : aAttempt.m_unknown ? "unknown"
@@ -433,6 +438,7 @@
   m_entry.m_time->Observe(std::chrono::duration<double>(m_record.time).count());
   if (aOutcome == kOutcomeComplete) {
     m_entry.m_complete->Increment();
+    m_entry.NoteTime(*m_options.route, m_record.time);
   } else if (aOutcome == kOutcomeNotRun) {
     m_entry.m_notRun->Increment();
     if (m_entry.m_refusalLog.Allow()) {
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -43,7 +43,14 @@
 private:
   friend class EntryAttempt;
 
-  bool LaunchLocked();
+  /** How far a further attempt may go. */
+  enum class Reach
+  {
+    Region,
+    Anywhere,
+  };
+
+  bool LaunchLocked(Reach aReach = Reach::Anywhere);
   void LaunchHedge();
   void WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt);
   void OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt);
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -14,6 +14,7 @@
 
 static constexpr size_t kVersionSummaryLimit = 1024;
 static constexpr size_t kProposalLimit = 64;
+static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
 static constexpr size_t kPatchLimitBytes = 16UL * 1024 * 1024;
 
 ConfigurationState::ConfigurationState()
@@ -73,8 +74,12 @@
   if (wire::CommandResult base = CheckBase(aCommand.basedOn); base.code != wire::ResultCode::Done) {
     return base;
   }
+  const Result<std::string> document = Decompress(aCommand.body, kDocumentLimitBytes);
+  if (!document) {
+    return Refusal(wire::ResultCode::Invalid, document.error().message);
+  }
   const Result<Configuration> parsed =
-    ParseConfiguration(aCommand.body, "proposal", DocumentOrigin::Operator);
+    ParseConfiguration(document.value(), "proposal", DocumentOrigin::Operator);
   if (!parsed) {
     return Refusal(wire::ResultCode::Invalid, parsed.error().message);
   }
@@ -107,7 +112,8 @@
   if (wire::CommandResult base = CheckBase(proposal->second.basedOn); base.code != wire::ResultCode::Done) {
     return base;
   }
-  nlohmann::json document = nlohmann::json::parse(proposal->second.body, nullptr, true, true);
+  const std::string body = Decompress(proposal->second.body, kDocumentLimitBytes).value();
+  nlohmann::json document = nlohmann::json::parse(body, nullptr, true, true);
   const nlohmann::json held = nlohmann::json::parse(m_current->text);
   if (held.contains("targets")) {
     document["targets"] = held["targets"];
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -5,6 +5,7 @@
 #include "control/controlservice.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosarun {
 
@@ -13,7 +14,8 @@
 static constexpr std::chrono::milliseconds kCatchUpPoll{ 2 };
 static constexpr std::chrono::milliseconds kJoinTimeout{ 1500 };
 static constexpr std::chrono::milliseconds kNearReportInterval{ 500 };
-static constexpr int kFarReportRounds = 6;
+static constexpr std::chrono::milliseconds kFirstFarReportInterval{ 1000 };
+static constexpr std::chrono::milliseconds kFarReportInterval{ 30000 };
 static constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
 static constexpr int kExpireRounds = 240;
@@ -399,28 +401,50 @@
   }
 }
 
+bool
+Controller::CollectReportsOf(const ReplicaSettings& aReplica)
+{
+  std::vector<wire::DomainReport> reports;
+  const Result<void> called = m_peers.at(aReplica.name)
+                                ->Call(SteadyClock::now() + kStatusTimeout,
+                                       [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
+  if (!called) {
+    return false;
+  }
+  for (const wire::DomainReport& report : reports) {
+    m_board.Take(report, std::chrono::milliseconds(report.ageMillis));
+  }
+  return true;
+}
+
+void
+Controller::CollectFarReports()
+{
+  std::set<std::string> reached{ m_settings.region };
+  for (const ReplicaSettings& replica : m_settings.replicas) {
+    if (!reached.contains(replica.region) && CollectReportsOf(replica)) {
+      reached.insert(replica.region);
+    }
+  }
+}
+
 void
 Controller::CollectReports()
 {
-  int round = 0;
+  Deadline farAt = SteadyClock::now();
   while (!m_stop) {
     for (const ReplicaSettings& replica : m_settings.replicas) {
-      const bool far = replica.region != m_settings.region;
-      if (replica.name == m_settings.name || (far && round % kFarReportRounds != 0)) {
-        continue;
-      }
-      std::vector<wire::DomainReport> reports;
-      const Result<void> called =
-        m_peers.at(replica.name)
-          ->Call(SteadyClock::now() + kStatusTimeout,
-                 [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
-      for (const wire::DomainReport& report : reports) {
-        if (called) {
-          m_board.Take(report, std::chrono::milliseconds(report.ageMillis));
-        }
+      if (replica.name != m_settings.name && replica.region == m_settings.region) {
+        CollectReportsOf(replica);
       }
     }
-    ++round;
+    const Deadline now = SteadyClock::now();
+    if (now >= farAt) {
+      // Until the first report is there, nodes that start have nobody to meet in the other region.
+      farAt =
+        now + (m_board.KnowsOtherRegion(m_settings.region) ? kFarReportInterval : kFirstFarReportInterval);
+      CollectFarReports();
+    }
     std::this_thread::sleep_for(kNearReportInterval);
   }
 }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -58,6 +58,9 @@
    */
   bool CatchUp(Deadline aDeadline);
 
+  /** Fetches the reports that the other regions hold; they cross the link only on demand and now and then. */
+  void CollectFarReports();
+
   /** Runs a membership command on the leaders of all groups that plan for the replica. */
   wire::CommandResult RemoveReplica(const std::string& aName, Deadline aDeadline);
   wire::CommandResult AddReplica(const std::string& aName, Deadline aDeadline);
@@ -72,6 +75,7 @@
   void TryToJoin(const GroupPlan& aPlan, const wire::Replica& aSelf);
   void ExpireClaims();
   void CollectReports();
+  bool CollectReportsOf(const ReplicaSettings& aReplica);
   void NoteSilence();
   wire::Replica Self() const;
   const ReplicaSettings* FindReplica(const std::string& aName) const;
--- a/src/control/reportboard.cpp
+++ b/src/control/reportboard.cpp
@@ -5,7 +5,7 @@
 namespace mimosarun {
 
 static constexpr std::chrono::minutes kForgetAfter{ 10 };
-static constexpr std::chrono::milliseconds kSampleFreshness{ 10000 };
+static constexpr std::chrono::milliseconds kSampleFreshness{ 60000 };
 static constexpr size_t kSampleOfOtherDomain = 3;
 
 void
@@ -51,6 +51,15 @@
   return reports;
 }
 
+bool
+ReportBoard::KnowsOtherRegion(const std::string& aRegion) const
+{
+  const std::vector<wire::DomainReport> reports = Reports();
+  return std::any_of(reports.begin(), reports.end(), [&](const wire::DomainReport& aReport) {
+    return aReport.region != aRegion && aReport.ageMillis <= kSampleFreshness.count();
+  });
+}
+
 std::vector<wire::Member>
 ReportBoard::Sample(const std::string& aFailureDomain) const
 {
--- a/src/control/reportboard.h
+++ b/src/control/reportboard.h
@@ -23,6 +23,9 @@
   /** The newest report of each failure domain. */
   std::vector<wire::DomainReport> NewestOfEachDomain() const;
 
+  /** Whether a report of another region is fresh enough to meet its members. */
+  bool KnowsOtherRegion(const std::string& aRegion) const;
+
   /** A sample of live members: all known of one failure domain, a few of each other one. */
   std::vector<wire::Member> Sample(const std::string& aFailureDomain) const;
 
--- a/src/operators/controloperator.cpp
+++ b/src/operators/controloperator.cpp
@@ -1,5 +1,6 @@
 #include "operators/controloperator.h"
 
+#include "common/compression.h"
 #include "operators/memberanswer.h"
 
 #include <algorithm>
@@ -77,7 +78,7 @@
     case CommandVerb::Propose:
       command.kind = wire::CommandKind::Propose;
       command.basedOn = aCommand.first;
-      command.body = aRequest.document;
+      command.body = Compress(aRequest.document);
       break;
     case CommandVerb::Accept:
       command.kind = wire::CommandKind::Accept;
@@ -103,6 +104,10 @@
 ControlOperator::ShowFresh(const OperatorCommand& aCommand, Deadline aDeadline)
 {
   const bool fresh = m_controller.CatchUp(std::min(aDeadline, SteadyClock::now() + kCatchUpTime));
+  const std::string& subject = aCommand.subject;
+  if (subject == "in-force" || subject == "targets" || subject == "nodes") {
+    m_controller.CollectFarReports();
+  }
   Answer answer = Show(aCommand);
   if (!fresh) {
     answer.message += (answer.message.empty() ? "" : "\n") +
--- a/src/settings/processsettings.h
+++ b/src/settings/processsettings.h
@@ -61,8 +61,8 @@
 
   /** Control only. */
   std::string dataFolder;
-  std::chrono::milliseconds heartbeat{ 150 };
-  std::chrono::milliseconds electionTimeout{ 900 };
+  std::chrono::milliseconds heartbeat{ 300 };
+  std::chrono::milliseconds electionTimeout{ 1200 };
 };
 
 /** Reads and checks settings; all faults are reported at once. */
--- a/src/target/admission.cpp
+++ b/src/target/admission.cpp
@@ -6,9 +6,6 @@
 
 /** One part in this many of the slots is kept for short calls, and at least one slot. */
 static constexpr int kShortReserve = 3;
-/** Part of an estimate by which one call moves it. */
-static constexpr int kEstimateStep = 16;
-static constexpr std::chrono::microseconds kSmallestStep{ 20 };
 
 Admission::Admission(Options aOptions)
   : m_options(aOptions)
@@ -42,7 +39,7 @@
 std::chrono::microseconds
 Admission::Cost(const AdmissionRequest& aRequest) const
 {
-  const auto typical = aRequest.callClass == CallClass::Long ? m_typicalLong : m_typicalShort;
+  const auto typical = (aRequest.callClass == CallClass::Long ? m_typicalLong : m_typicalShort).Value();
   return typical.count() > 0 ? typical : std::chrono::microseconds(aRequest.expectedCost);
 }
 
@@ -58,7 +55,7 @@
       work += Cost(waiting);
     }
   }
-  const auto typical = aClass == CallClass::Long ? m_typicalLong : m_typicalShort;
+  const auto typical = (aClass == CallClass::Long ? m_typicalLong : m_typicalShort).Value();
   const int servers = aClass == CallClass::Long ? LongLimit() : std::max(1, m_options.slots - m_inUseLong);
   // A slot in use is on average half done.
   const auto current = HasSlot(aClass) ? std::chrono::microseconds(0) : typical / 2;
@@ -90,23 +87,11 @@
   return AdmissionVerdict::Queued;
 }
 
-/** Moves an estimate of the median towards a value, by the same step however far that is. */
-static void
-MoveTowards(std::chrono::microseconds& aEstimate, std::chrono::microseconds aValue)
-{
-  if (aEstimate.count() == 0) {
-    aEstimate = aValue;
-    return;
-  }
-  const auto step = std::max(aEstimate / kEstimateStep, kSmallestStep);
-  aEstimate += std::clamp(aValue - aEstimate, -step, step);
-}
-
 void
 Admission::Release(CallClass aClass, std::chrono::microseconds aHeldFor)
 {
   --(aClass == CallClass::Long ? m_inUseLong : m_inUseShort);
-  MoveTowards(aClass == CallClass::Long ? m_typicalLong : m_typicalShort, aHeldFor);
+  (aClass == CallClass::Long ? m_typicalLong : m_typicalShort).Add(aHeldFor);
 }
 
 bool
--- a/src/target/admission.h
+++ b/src/target/admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/quantileestimate.h"
 #include "configuration/configuration.h"
 
 #include <cstdint>
@@ -77,8 +78,8 @@
   int m_inUseShort = 0;
   int m_inUseLong = 0;
   /** Median time that a call holds a slot; a few very long calls don't move it much. */
-  std::chrono::microseconds m_typicalShort{ 0 };
-  std::chrono::microseconds m_typicalLong{ 0 };
+  QuantileEstimate m_typicalShort{ 0.5 };
+  QuantileEstimate m_typicalLong{ 0.5 };
   /** Ordered by deadline. */
   std::list<AdmissionRequest> m_queue;
 };
--- a/tests/control/statetest.cpp
+++ b/tests/control/statetest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE states
+#include "common/compression.h"
 #include "control/claimstate.h"
 #include "control/configurationstate.h"
 #include "control/groupplan.h"
@@ -27,7 +28,7 @@
 {
   wire::LogEntry entry = Entry(wire::CommandKind::Propose);
   entry.command.basedOn = aBase;
-  entry.command.body = kDocument;
+  entry.command.body = Compress(kDocument);
   entry.command.requestId = aRequest;
   return aState.Apply(entry);
 }
@@ -71,7 +72,7 @@
 {
   ConfigurationState state;
   wire::LogEntry entry = Entry(wire::CommandKind::Propose);
-  entry.command.body = R"({"services":{},"routes":{"r":{"pathPrefix":"/x","service":"none"}}})";
+  entry.command.body = Compress(R"({"services":{},"routes":{"r":{"pathPrefix":"/x","service":"none"}}})");
   const wire::CommandResult refused = state.Apply(entry);
   BOOST_TEST(refused.code == wire::ResultCode::Invalid);
   BOOST_TEST(refused.message.find("proposal.routes.r.service") != std::string::npos);
--- a/tests/harness/mesh.cpp
+++ b/tests/harness/mesh.cpp
@@ -206,7 +206,8 @@
                                     .connect = aAddress,
                                     .from = aFromDomain,
                                     .to = aTo.failureDomain,
-                                    .link = sameRegion ? "domains" : "regions" }) &&
+                                    .link = sameRegion ? "domains" : "regions",
+                                    .kind = aTo.role + " " + aKind }) &&
                   m_portsFree;
   }
   return proxied;
@@ -393,11 +394,9 @@
 }
 
 int64_t
-Mesh::Install(const std::string& aDocument)
+Mesh::InstallOn(int64_t aBase, const std::string& aDocument)
 {
-  const Answer inForce = Command("show in-force");
-  const int64_t base = LastNumber(inForce.message.substr(0, inForce.message.find('\n')));
-  const Answer proposed = Command("propose based on " + std::to_string(base), "", aDocument);
+  const Answer proposed = Command("propose based on " + std::to_string(aBase), "", aDocument);
   if (proposed.code != AnswerCode::Done) {
     return 0;
   }
@@ -405,6 +404,14 @@
   return accepted.code == AnswerCode::Done ? LastNumber(accepted.message) : 0;
 }
 
+int64_t
+Mesh::Install(const std::string& aDocument)
+{
+  const Answer inForce = Command("show in-force");
+  const int64_t base = LastNumber(inForce.message.substr(0, inForce.message.find('\n')));
+  return InstallOn(base, aDocument);
+}
+
 int64_t
 Mesh::VersionOf(const std::string& aNode) const
 {
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -115,6 +115,9 @@
   /** Proposes and accepts a document based on the current version; gives the new version or 0. */
   int64_t Install(const std::string& aDocument);
 
+  /** Install() based on a known version. */
+  int64_t InstallOn(int64_t aBase, const std::string& aDocument);
+
   /** The version that a node says it holds, or -1. */
   int64_t VersionOf(const std::string& aNode) const;
 
--- a/tests/harness/running.h
+++ b/tests/harness/running.h
@@ -23,15 +23,23 @@
     : Mesh(std::move(aOptions))
   {
     BOOST_REQUIRE(Start());
+    int64_t version = 0;
+    version = InstallInTime(Document());
+    BOOST_REQUIRE(WaitInForce(version, kRecoveryLimit));
+    BOOST_REQUIRE(WaitServing(kRecoveryLimit));
+    BOOST_REQUIRE(WaitAcquainted(kRecoveryLimit));
+  }
+
+  /** Install() as an operator would: again, based on the newest version, while there is no leader. */
+  int64_t InstallInTime(const std::string& aDocument)
+  {
     int64_t version = 0;
     const bool installed = WaitUntil(kRecoveryLimit, [&] {
-      version = Install(Document());
+      version = Install(aDocument);
       return version > 0;
     });
     BOOST_REQUIRE(installed);
-    BOOST_REQUIRE(WaitInForce(version, kRecoveryLimit));
-    BOOST_REQUIRE(WaitServing(kRecoveryLimit));
-    BOOST_REQUIRE(WaitAcquainted(kRecoveryLimit));
+    return version;
   }
 };
 
--- a/tests/mesh/distribution.cpp
+++ b/tests/mesh/distribution.cpp
@@ -122,8 +122,7 @@
   RunningMesh mesh(SmallMesh("monotone"));
   std::map<std::string, int64_t> held;
   for (int round = 0; round < 8; ++round) {
-    const int64_t version = mesh.Install(mesh.Document("round-" + std::to_string(round)));
-    BOOST_REQUIRE(version > 0);
+    mesh.InstallInTime(mesh.Document("round-" + std::to_string(round)));
     if (round == 3) {
       const std::string leader = mesh.LeaderOf("configuration");
       mesh.ProcessOf(leader).process.Kill();
--- a/tests/standin/faultproxy.cpp
+++ b/tests/standin/faultproxy.cpp
@@ -31,6 +31,7 @@
   PathOptions options;
   Link* link = nullptr;
   PathFault fault;
+  uint64_t bytes = 0;
   int socket = -1;
 };
 
@@ -184,6 +185,17 @@
   return m_links.at(aName)->bytes;
 }
 
+uint64_t
+FaultProxy::LinkBytes(const std::string& aName, const std::string& aKind) const
+{
+  const std::lock_guard lock(m_mutex);
+  uint64_t bytes = 0;
+  for (const auto& path : m_paths) {
+    bytes += path->options.link == aName && path->options.kind == aKind ? path->bytes : 0;
+  }
+  return bytes;
+}
+
 void
 FaultProxy::Watch(Connection& aConnection)
 {
@@ -291,6 +303,7 @@
     }
     release = freeAt + link->options.delay;
     link->bytes += static_cast<uint64_t>(count);
+    aConnection.path->bytes += static_cast<uint64_t>(count);
   }
   direction.queued += buffer.size();
   direction.chunks.push_back({ .releaseAt = release, .bytes = std::move(buffer) });
--- a/tests/standin/faultproxy.h
+++ b/tests/standin/faultproxy.h
@@ -51,6 +51,8 @@
     std::string to;
     /** Link that the path uses; empty for none. */
     std::string link;
+    /** What the path carries, for the count of bytes. */
+    std::string kind;
   };
 
   FaultProxy();
@@ -75,6 +77,9 @@
   /** Bytes that crossed a link, both ways. */
   uint64_t LinkBytes(const std::string& aName) const;
 
+  /** Bytes that crossed a link for one kind of path, both ways. */
+  uint64_t LinkBytes(const std::string& aName, const std::string& aKind) const;
+
 private:
   struct Path;
   struct Link;
