Let idle threads of a node sleep, and measure added time over more calls

Cause: an idle node woke 450 times a second: four watchers of hung-up connections every 10 ms and the directory every 20 ms (wakeups by thread 99, 99, 98, 98, 50). With 16 nodes on 8 cores this is noise in every tail. Ruled out: calls that leave their failure domain (admissions are even, 579 to 610 of 2,321) and hedges (47) as the cause of the added tail. Change: the watcher sleeps while no call is open; the directory is rebuilt when the member table or the configuration changes.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "common/clock.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <poll.h>
@@ -85,7 +87,11 @@
 
 HttpServer::~HttpServer()
 {
-  m_stop = true;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
   if (m_watcher.joinable()) {
     m_watcher.join();
   }
@@ -93,16 +99,7 @@
     return;
   }
   // The library wants no suspended connections when it stops.
-  std::vector<ExchangePointer> open;
-  {
-    const std::lock_guard lock(m_mutex);
-    for (const std::weak_ptr<Exchange>& exchange : m_exchanges) {
-      if (ExchangePointer pointer = exchange.lock()) {
-        open.push_back(std::move(pointer));
-      }
-    }
-  }
-  for (const ExchangePointer& exchange : open) {
+  for (const ExchangePointer& exchange : OpenExchanges()) {
     exchange->Cancel();
   }
   MHD_stop_daemon(m_daemon);
@@ -234,37 +231,60 @@
 HttpServer::Track(const ExchangePointer& aExchange)
 {
   const std::lock_guard lock(m_mutex);
+  if (m_exchanges.empty()) {
+    m_wake.notify_all();
+  }
   m_exchanges.push_back(aExchange);
 }
 
+std::vector<ExchangePointer>
+HttpServer::OpenExchanges()
+{
+  const std::lock_guard lock(m_mutex);
+  std::erase_if(m_exchanges, [](const auto& aExchange) { return aExchange.expired(); });
+  std::vector<ExchangePointer> open;
+  for (const std::weak_ptr<Exchange>& weak : m_exchanges) {
+    if (ExchangePointer exchange = weak.lock()) {
+      open.push_back(std::move(exchange));
+    }
+  }
+  return open;
+}
+
+bool
+HttpServer::WaitForExchanges()
+{
+  std::unique_lock lock(m_mutex);
+  m_wake.wait(lock, [this] { return m_stop || !m_exchanges.empty(); });
+  const Deadline until = SteadyClock::now() + kWatchInterval;
+  m_wake.wait_until(lock, until, [this] { return m_stop; });
+  return !m_stop;
+}
+
 void
 HttpServer::WatchForHangUps()
 {
   std::vector<pollfd> sockets;
   std::vector<ExchangePointer> watched;
-  while (!m_stop) {
+  while (WaitForExchanges()) {
     sockets.clear();
     watched.clear();
-    {
-      const std::lock_guard lock(m_mutex);
-      std::erase_if(m_exchanges, [](const auto& aExchange) { return aExchange.expired(); });
-      for (const std::weak_ptr<Exchange>& weak : m_exchanges) {
-        ExchangePointer exchange = weak.lock();
-        const int socket = exchange == nullptr ? -1 : exchange->WatchedSocket();
-        if (socket >= 0) {
-          sockets.push_back({ .fd = socket, .events = POLLRDHUP, .revents = 0 });
-          watched.push_back(std::move(exchange));
-        }
+    for (ExchangePointer& exchange : OpenExchanges()) {
+      const int socket = exchange->WatchedSocket();
+      if (socket >= 0) {
+        sockets.push_back({ .fd = socket, .events = POLLRDHUP, .revents = 0 });
+        watched.push_back(std::move(exchange));
       }
     }
+    if (sockets.empty()) {
+      continue;
+    }
     ::poll(sockets.data(), sockets.size(), 0);
     for (size_t i = 0; i < sockets.size(); ++i) {
       if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
         watched[i]->Cancel();
       }
     }
-    watched.clear();
-    std::this_thread::sleep_for(kWatchInterval);
   }
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,12 +4,13 @@
 #include "common/error.h"
 #include "http/exchange.h"
 
-#include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 struct MHD_Daemon;
 
@@ -58,13 +59,16 @@
   friend struct ServerCallbacks;
 
   void WatchForHangUps();
+  bool WaitForExchanges();
+  std::vector<ExchangePointer> OpenExchanges();
   void Track(const ExchangePointer& aExchange);
 
   Options m_options;
   MHD_Daemon* m_daemon = nullptr;
   std::mutex m_mutex;
+  std::condition_variable m_wake;
   std::list<std::weak_ptr<Exchange>> m_exchanges;
-  std::atomic<bool> m_stop{ false };
+  bool m_stop = false;
   std::thread m_watcher;
 };
 
--- a/src/node/membertable.cpp
+++ b/src/node/membertable.cpp
@@ -74,6 +74,7 @@
 {
   aEntry.changedAt = aNow;
   ++m_generation;
+  m_changed.notify_all();
 }
 
 bool
@@ -275,9 +276,10 @@
 }
 
 uint64_t
-MemberTable::Generation() const
+MemberTable::WaitForChange(uint64_t aGeneration, Deadline aDeadline) const
 {
-  const std::lock_guard lock(m_mutex);
+  std::unique_lock lock(m_mutex);
+  m_changed.wait_until(lock, aDeadline, [&] { return m_generation != aGeneration; });
   return m_generation;
 }
 
--- a/src/node/membertable.h
+++ b/src/node/membertable.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "wire/gen-cpp/mesh_types.h"
 
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,8 +71,8 @@
   /** A hash over all records but their versions; equal tables have equal digests. */
   int64_t Digest() const;
 
-  /** Rises with every change that callers notice. */
-  uint64_t Generation() const;
+  /** Waits until callers would notice a change since a generation; gives the current generation. */
+  uint64_t WaitForChange(uint64_t aGeneration, Deadline aDeadline) const;
 
 private:
   /** A record with what only this node knows of it. */
@@ -90,6 +91,7 @@
   Options m_options;
   std::string m_self;
   mutable std::mutex m_mutex;
+  mutable std::condition_variable m_changed;
   std::map<std::string, Entry> m_entries;
   uint64_t m_generation = 1;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,7 +10,7 @@
 namespace mimosarun {
 
 static constexpr unsigned int kForwarderThreads = 2;
-static constexpr std::chrono::milliseconds kDirectoryInterval{ 20 };
+static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
 static constexpr std::chrono::milliseconds kLeaveTime{ 1200 };
 static constexpr std::chrono::milliseconds kDrainPoll{ 10 };
 
@@ -99,6 +99,7 @@
 Node::OnSnapshot(const SnapshotPointer& aSnapshot)
 {
   m_entry->SetSnapshot(aSnapshot);
+  m_entry->SetDirectory(MakeDirectory(aSnapshot));
   ApplyIntent(aSnapshot);
   m_table.SetOwnVersion(aSnapshot->version, SteadyClock::now());
   m_gossiper.SpreadNow();
@@ -169,17 +170,13 @@
 Node::MaintainDirectory()
 {
   uint64_t generation = 0;
-  int64_t version = -1;
   while (!m_stop) {
-    const SnapshotPointer snapshot = m_holder.Current();
-    const uint64_t newest = m_table.Generation();
-    if (newest != generation || snapshot->version != version) {
+    const uint64_t newest = m_table.WaitForChange(generation, SteadyClock::now() + kDirectoryInterval);
+    if (newest != generation) {
       generation = newest;
-      version = snapshot->version;
-      m_entry->SetDirectory(MakeDirectory(snapshot));
+      m_entry->SetDirectory(MakeDirectory(m_holder.Current()));
     }
-    ApplyIntent(snapshot);
-    std::this_thread::sleep_for(kDirectoryInterval);
+    ApplyIntent(m_holder.Current());
   }
 }
 
--- a/tests/harness/measurerun.cpp
+++ b/tests/harness/measurerun.cpp
@@ -24,6 +24,9 @@
 static constexpr double kGoodputBar = 0.9;
 static constexpr int kSwingFactor = 5;
 static constexpr int kChanges = 20;
+/** Enough calls that some dozens lie beyond the 99th percentile. */
+static constexpr int kAddedTimeFactor = 4;
+static constexpr int64_t kAddedTimeRate = 300;
 static constexpr int kSlowFactor = 10;
 
 static const char* const kPolicies[] = { "expected-time", "least-in-flight", "random" };
@@ -162,7 +165,7 @@
     RequestKind kind{ .name = "call", .method = "GET", .path = "/" + service + "/item?ms=5&bytes=1000" };
     Workload through = NewWorkload();
     through.kinds = { kind };
-    through.phases = { { .name = "all", .length = m_length, .rate = 200 } };
+    through.phases = { { .name = "all", .length = kAddedTimeFactor * m_length, .rate = kAddedTimeRate } };
     Workload direct = through;
     direct.entries.clear();
     for (const std::string& target : m_mesh.Targets()) {
