--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -276,6 +276,8 @@
   2: list<Member> sample,
   3: Stamp sentAt,
   4: bool unchanged = true,
+  // Whether this replica hears a leader; otherwise its configuration may be old.
+  5: bool current = true,
 }
 
 service ControlPeer {
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -67,6 +67,7 @@
     }
     aReturn.sample = m_controller.Board().Sample(
       aRequest.report.failureDomain.empty() ? aRequest.failureDomain : aRequest.report.failureDomain);
+    aReturn.current = !m_controller.Status(kConfigurationGroup).leader.empty();
     aReturn.sentAt = StampNow();
   }
 
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -156,7 +156,7 @@
   const Deadline now = SteadyClock::now();
   if (m_failed) {
     for (Pending& pending : aCommands) {
-      pending.promise.set_value(Refusal(wire::ResultCode::Unavailable,
+      pending.promise.set_value(Refusal(wire::ResultCode::NotLeader,
                                         "storage failed on this replica; free space or replace its disk"));
     }
     if (!m_journal.SyncFailed() && now >= m_reopenAt) {
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -168,6 +168,11 @@
     return false;
   }
   TakeUpdate(reply.value());
+  if (!reply.value().current) {
+    // Another replica may hear a leader and know newer versions.
+    NextReplica();
+    return false;
+  }
   return true;
 }
 
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -5495,6 +5495,10 @@
 void WatchReply::__set_unchanged(const bool val) {
   this->unchanged = val;
 }
+
+void WatchReply::__set_current(const bool val) {
+  this->current = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -5567,6 +5571,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->current);
+          this->__isset.current = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5608,6 +5620,10 @@
   xfer += oprot->writeBool(this->unchanged);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("current", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->current);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5619,6 +5635,7 @@
   swap(a.sample, b.sample);
   swap(a.sentAt, b.sentAt);
   swap(a.unchanged, b.unchanged);
+  swap(a.current, b.current);
   swap(a.__isset, b.__isset);
 }
 
@@ -5627,6 +5644,7 @@
   sample = other212.sample;
   sentAt = other212.sentAt;
   unchanged = other212.unchanged;
+  current = other212.current;
   __isset = other212.__isset;
 }
 WatchReply::WatchReply(WatchReply&& other213) noexcept {
@@ -5634,6 +5652,7 @@
   sample = std::move(other213.sample);
   sentAt = std::move(other213.sentAt);
   unchanged = other213.unchanged;
+  current = other213.current;
   __isset = other213.__isset;
 }
 WatchReply& WatchReply::operator=(const WatchReply& other214) {
@@ -5641,6 +5660,7 @@
   sample = other214.sample;
   sentAt = other214.sentAt;
   unchanged = other214.unchanged;
+  current = other214.current;
   __isset = other214.__isset;
   return *this;
 }
@@ -5649,6 +5669,7 @@
   sample = std::move(other215.sample);
   sentAt = std::move(other215.sentAt);
   unchanged = other215.unchanged;
+  current = other215.current;
   __isset = other215.__isset;
   return *this;
 }
@@ -5659,6 +5680,7 @@
   out << ", " << "sample=" << to_string(sample);
   out << ", " << "sentAt=" << to_string(sentAt);
   out << ", " << "unchanged=" << to_string(unchanged);
+  out << ", " << "current=" << to_string(current);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -1998,11 +1998,12 @@
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true) {}
+  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true) {}
   bool update :1;
   bool sample :1;
   bool sentAt :1;
   bool unchanged :1;
+  bool current :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -2013,7 +2014,8 @@
   WatchReply& operator=(const WatchReply&);
   WatchReply& operator=(WatchReply&&) noexcept;
   WatchReply() noexcept
-             : unchanged(true) {
+             : unchanged(true),
+               current(true) {
   }
 
   virtual ~WatchReply() noexcept;
@@ -2021,6 +2023,7 @@
   std::vector<Member>  sample;
   Stamp sentAt;
   bool unchanged;
+  bool current;
 
   _WatchReply__isset __isset;
 
@@ -2032,6 +2035,8 @@
 
   void __set_unchanged(const bool val);
 
+  void __set_current(const bool val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(update == rhs.update))
@@ -2042,6 +2047,8 @@
       return false;
     if (!(unchanged == rhs.unchanged))
       return false;
+    if (!(current == rhs.current))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
--- a/tests/harness/mesh.cpp
+++ b/tests/harness/mesh.cpp
@@ -386,11 +386,14 @@
   return OperatorClient(servers).Send(request, SteadyClock::now() + aTimeout);
 }
 
+/** The number at the end of an answer's first line; only an answer that was done has one. */
 static int64_t
-LastNumber(const std::string& aText)
+NumberOf(const Answer& aAnswer)
 {
-  const size_t start = aText.find_last_of(' ');
-  return start == std::string::npos ? 0 : std::atoll(aText.c_str() + start);
+  const std::string line = aAnswer.message.substr(0, aAnswer.message.find('\n'));
+  const size_t start = line.find_last_of(' ');
+  return aAnswer.code != AnswerCode::Done || start == std::string::npos ? 0
+                                                                        : std::atoll(line.c_str() + start);
 }
 
 int64_t
@@ -400,15 +403,15 @@
   if (proposed.code != AnswerCode::Done) {
     return 0;
   }
-  const Answer accepted = Command("accept " + std::to_string(LastNumber(proposed.message)));
-  return accepted.code == AnswerCode::Done ? LastNumber(accepted.message) : 0;
+  const Answer accepted = Command("accept " + std::to_string(NumberOf(proposed)));
+  return NumberOf(accepted);
 }
 
 int64_t
 Mesh::Install(const std::string& aDocument)
 {
   const Answer inForce = Command("show in-force");
-  const int64_t base = LastNumber(inForce.message.substr(0, inForce.message.find('\n')));
+  const int64_t base = NumberOf(inForce);
   return InstallOn(base, aDocument);
 }
 
