--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -269,6 +269,8 @@
   3: DomainReport report,
   4: Stamp sentAt,
   5: string failureDomain,
+  // Whether the answer should carry members to meet.
+  6: bool wantsMembers = true,
 }
 
 struct WatchReply {
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -104,6 +104,13 @@
       self->OnDeadline();
     }
   });
+  if (m_options.route->idempotent) {
+    m_entry.m_timers->At(m_began + (m_options.deadline - m_began) / 2, [weak] {
+      if (const auto self = weak.lock()) {
+        self->OnHalfTime();
+      }
+    });
+  }
   const std::chrono::microseconds hedgeDelay = m_entry.HedgeDelay(*m_options.route);
   if (hedgeDelay.count() > 0) {
     m_entry.m_timers->At(m_began + hedgeDelay, [weak] {
@@ -190,10 +197,20 @@
   if (attempt == nullptr || m_decided || attempt->m_answering) {
     return;
   }
-  // The kept connection may have gone silent. Calls use new ones from now on, and this one tries again; the
-  // same gate may be chosen, as it may be the only one.
+  // The kept connection may have gone silent, so calls use new ones from now on. It may as well be a slow
+  // call, so this one is sent again only when half of its time has passed.
   m_entry.m_balancer.DistrustConnections(attempt->m_gate.node);
-  TryAgainLocked();
+}
+
+void
+EntryCall::OnHalfTime()
+{
+  const std::lock_guard lock(m_mutex);
+  const bool answering =
+    std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& aHeld) { return aHeld->m_answering; });
+  if (!m_decided && !answering && m_options.route->idempotent) {
+    TryAgainLocked();
+  }
 }
 
 void
@@ -203,9 +220,13 @@
   if (m_decided || m_attempts.size() != 1 || !m_entry.m_hedgeBudget.TrySpend()) {
     return;
   }
-  m_excluded.insert(m_attempts.front()->m_gate.node);
+  const std::string first = m_attempts.front()->m_gate.node;
+  m_excluded.insert(first);
   if (LaunchLocked(Reach::Region)) {
     m_entry.m_retries->Increment();
+  } else {
+    // Where there is no other gate, a later attempt may still use this one.
+    m_excluded.erase(first);
   }
 }
 
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -53,6 +53,7 @@
   bool LaunchLocked(Reach aReach = Reach::Anywhere);
   void LaunchHedge();
   void WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt);
+  void OnHalfTime();
   void OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt);
   void OnDeadline();
   HttpRequest GateRequest(Deadline aNow) const;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -13,7 +13,7 @@
 static constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
 static constexpr std::chrono::milliseconds kCatchUpPoll{ 2 };
 static constexpr std::chrono::milliseconds kJoinTimeout{ 1500 };
-static constexpr std::chrono::milliseconds kNearReportInterval{ 500 };
+static constexpr std::chrono::milliseconds kNearReportInterval{ 2000 };
 static constexpr std::chrono::milliseconds kFirstFarReportInterval{ 1000 };
 static constexpr std::chrono::milliseconds kFarReportInterval{ 30000 };
 static constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -65,8 +65,10 @@
       aReturn.update = configuration.UpdateFrom(aRequest.heldVersion);
       aReturn.unchanged = false;
     }
-    aReturn.sample = m_controller.Board().Sample(
-      aRequest.report.failureDomain.empty() ? aRequest.failureDomain : aRequest.report.failureDomain);
+    if (aRequest.wantsMembers) {
+      aReturn.sample = m_controller.Board().Sample(
+        aRequest.report.failureDomain.empty() ? aRequest.failureDomain : aRequest.report.failureDomain);
+    }
     aReturn.current = !m_controller.Status(kConfigurationGroup).leader.empty();
     aReturn.sentAt = StampNow();
   }
--- a/src/control/reportboard.cpp
+++ b/src/control/reportboard.cpp
@@ -15,7 +15,12 @@
   const Deadline takenAt = SteadyClock::now() - aAge;
   Held& held = m_reports[aReport.relay];
   if (takenAt >= held.takenAt) {
+    std::vector<wire::Member> sample = std::move(held.report.sample);
     held = { .report = aReport, .takenAt = takenAt };
+    // A relay sends its members only when something changed.
+    if (held.report.sample.empty()) {
+      held.report.sample = std::move(sample);
+    }
   }
   std::erase_if(m_reports,
                 [](const auto& aEntry) { return SteadyClock::now() - aEntry.second.takenAt > kForgetAfter; });
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -7,6 +7,7 @@
 #include "wire/codec.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosarun {
 
@@ -15,6 +16,7 @@
 static constexpr std::chrono::milliseconds kAnswerTime{ 700 };
 static constexpr std::chrono::milliseconds kIdleInterval{ 200 };
 static constexpr std::chrono::seconds kBestAgainInterval{ 10 };
+static constexpr std::chrono::seconds kMembersInterval{ 10 };
 static constexpr size_t kSampleLimit = 32;
 static constexpr size_t kStragglerLimit = 8;
 /** A held version that asks for members only. */
@@ -106,6 +108,8 @@
 ControlLink::NextReplica()
 {
   m_current = (m_current + 1) % m_clients.size();
+  // The next replica may not know this domain's members yet.
+  m_membersDue = Deadline{};
 }
 
 void
@@ -160,7 +164,8 @@
   wire::WatchRequest request;
   request.heldVersion = m_holder.Current()->version;
   request.waitMillis = static_cast<int32_t>(kPollTime.count());
-  request.report = MakeReport();
+  request.wantsMembers = MembersAreDue(SteadyClock::now());
+  request.report = MakeReport(request.wantsMembers);
   request.failureDomain = m_settings.failureDomain;
   request.sentAt = StampNow();
   const Result<wire::WatchReply> reply = Call(request);
@@ -196,8 +201,32 @@
   }
 }
 
+bool
+ControlLink::KnowsAllRegions() const
+{
+  std::set<std::string> known{ m_settings.region };
+  for (const wire::Member& member : m_table.Reachable("")) {
+    known.insert(member.region);
+  }
+  return std::all_of(m_settings.replicas.begin(), m_settings.replicas.end(), [&](const auto& aReplica) {
+    return known.contains(aReplica.region);
+  });
+}
+
+bool
+ControlLink::MembersAreDue(Deadline aNow)
+{
+  const uint64_t generation = m_table.Generation();
+  if (generation == m_reportedGeneration && aNow < m_membersDue && KnowsAllRegions()) {
+    return false;
+  }
+  m_reportedGeneration = generation;
+  m_membersDue = aNow + kMembersInterval;
+  return true;
+}
+
 wire::DomainReport
-ControlLink::MakeReport()
+ControlLink::MakeReport(bool aWithMembers)
 {
   wire::DomainReport report;
   report.failureDomain = m_settings.failureDomain;
@@ -216,9 +245,11 @@
       report.stragglers.push_back(member.name);
     }
   }
-  std::shuffle(members.begin(), members.end(), RandomEngine());
-  members.resize(std::min(members.size(), kSampleLimit));
-  report.sample = std::move(members);
+  if (aWithMembers) {
+    std::shuffle(members.begin(), members.end(), RandomEngine());
+    members.resize(std::min(members.size(), kSampleLimit));
+    report.sample = std::move(members);
+  }
   return report;
 }
 
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -43,7 +43,9 @@
   Result<wire::WatchReply> Call(const wire::WatchRequest& aRequest);
   void NextReplica();
   void TakeUpdate(const wire::WatchReply& aReply);
-  wire::DomainReport MakeReport();
+  wire::DomainReport MakeReport(bool aWithMembers);
+  bool MembersAreDue(Deadline aNow);
+  bool KnowsAllRegions() const;
   void NoteReachable(bool aReachable);
 
   const ProcessSettings& m_settings;
@@ -56,6 +58,8 @@
   bool m_reachable = true;
   bool m_relay = false;
   Deadline m_tryBestAgain{};
+  uint64_t m_reportedGeneration = 0;
+  Deadline m_membersDue{};
   std::mutex m_mutex;
   std::condition_variable m_wake;
   bool m_stop = false;
--- a/src/node/membertable.cpp
+++ b/src/node/membertable.cpp
@@ -275,6 +275,13 @@
   return static_cast<int64_t>(digest);
 }
 
+uint64_t
+MemberTable::Generation() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_generation;
+}
+
 uint64_t
 MemberTable::WaitForChange(uint64_t aGeneration, Deadline aDeadline) const
 {
--- a/src/node/membertable.h
+++ b/src/node/membertable.h
@@ -71,6 +71,9 @@
   /** A hash over all records but their versions; equal tables have equal digests. */
   int64_t Digest() const;
 
+  /** Rises with every change that callers notice. */
+  uint64_t Generation() const;
+
   /** Waits until callers would notice a change since a generation; gives the current generation. */
   uint64_t WaitForChange(uint64_t aGeneration, Deadline aDeadline) const;
 
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -5310,6 +5310,10 @@
 void WatchRequest::__set_failureDomain(const std::string& val) {
   this->failureDomain = val;
 }
+
+void WatchRequest::__set_wantsMembers(const bool val) {
+  this->wantsMembers = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -5378,6 +5382,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsMembers);
+          this->__isset.wantsMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5415,6 +5427,10 @@
   xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wantsMembers", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->wantsMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5427,6 +5443,7 @@
   swap(a.report, b.report);
   swap(a.sentAt, b.sentAt);
   swap(a.failureDomain, b.failureDomain);
+  swap(a.wantsMembers, b.wantsMembers);
   swap(a.__isset, b.__isset);
 }
 
@@ -5436,6 +5453,7 @@
   report = other202.report;
   sentAt = other202.sentAt;
   failureDomain = other202.failureDomain;
+  wantsMembers = other202.wantsMembers;
   __isset = other202.__isset;
 }
 WatchRequest::WatchRequest(WatchRequest&& other203) noexcept {
@@ -5444,6 +5462,7 @@
   report = std::move(other203.report);
   sentAt = std::move(other203.sentAt);
   failureDomain = std::move(other203.failureDomain);
+  wantsMembers = other203.wantsMembers;
   __isset = other203.__isset;
 }
 WatchRequest& WatchRequest::operator=(const WatchRequest& other204) {
@@ -5452,6 +5471,7 @@
   report = other204.report;
   sentAt = other204.sentAt;
   failureDomain = other204.failureDomain;
+  wantsMembers = other204.wantsMembers;
   __isset = other204.__isset;
   return *this;
 }
@@ -5461,6 +5481,7 @@
   report = std::move(other205.report);
   sentAt = std::move(other205.sentAt);
   failureDomain = std::move(other205.failureDomain);
+  wantsMembers = other205.wantsMembers;
   __isset = other205.__isset;
   return *this;
 }
@@ -5472,6 +5493,7 @@
   out << ", " << "report=" << to_string(report);
   out << ", " << "sentAt=" << to_string(sentAt);
   out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "wantsMembers=" << to_string(wantsMembers);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -1927,12 +1927,13 @@
 std::ostream& operator<<(std::ostream& out, const DomainReport& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false) {}
+  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true) {}
   bool heldVersion :1;
   bool waitMillis :1;
   bool report :1;
   bool sentAt :1;
   bool failureDomain :1;
+  bool wantsMembers :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -1945,7 +1946,8 @@
   WatchRequest() noexcept
                : heldVersion(0LL),
                  waitMillis(0),
-                 failureDomain() {
+                 failureDomain(),
+                 wantsMembers(true) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -1954,6 +1956,7 @@
   DomainReport report;
   Stamp sentAt;
   std::string failureDomain;
+  bool wantsMembers;
 
   _WatchRequest__isset __isset;
 
@@ -1967,6 +1970,8 @@
 
   void __set_failureDomain(const std::string& val);
 
+  void __set_wantsMembers(const bool val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(heldVersion == rhs.heldVersion))
@@ -1979,6 +1984,8 @@
       return false;
     if (!(failureDomain == rhs.failureDomain))
       return false;
+    if (!(wantsMembers == rhs.wantsMembers))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
--- /dev/null
+++ b/tests/harness/bookings.cpp
@@ -0,0 +1,116 @@
+#include "harness/bookings.h"
+
+#include <thread>
+
+namespace mimosarun {
+
+static constexpr int kCallers = 8;
+
+TestAnswer
+Book(Mesh& aMesh, const std::string& aNode, const std::string& aKey)
+{
+  return Send(aMesh.ProcessOf(aNode).caller,
+              { .method = "POST",
+                .path = "/" + aMesh.Options().services.front() + "/book?ms=5",
+                .token = aKey,
+                .key = aKey,
+                .body = "{}",
+                .timeout = std::chrono::milliseconds(1500) });
+}
+
+Booking
+BookUntilKnown(Mesh& aMesh, const std::string& aKey, std::mt19937_64& aRandom)
+{
+  Booking booking{ .key = aKey };
+  const std::vector<std::string> nodes = aMesh.Nodes();
+  for (int attempt = 0; attempt < 4 && !booking.complete; ++attempt) {
+    const TestAnswer answer = Book(aMesh, nodes[aRandom() % nodes.size()], aKey);
+    booking.complete = answer.whole && answer.status == 200 && answer.outcome == "complete";
+    booking.onlyNotRun = booking.onlyNotRun && answer.whole && answer.outcome == "not-run";
+  }
+  return booking;
+}
+
+std::map<std::string, int>
+RunsByKey(const Mesh& aMesh)
+{
+  std::map<std::string, int> runs;
+  for (const std::string& line : aMesh.LedgerLines()) {
+    if (line.find("/book ") == std::string::npos) {
+      continue;
+    }
+    const size_t start = line.find(' ', line.find("/book")) + 1;
+    ++runs[line.substr(start, line.find(' ', start) - start)];
+  }
+  return runs;
+}
+
+std::vector<Booking>
+BookMany(Mesh& aMesh, const std::string& aPrefix, int aCount, uint64_t aSeed)
+{
+  std::vector<Booking> bookings(static_cast<size_t>(aCount));
+  std::atomic<int> next{ 0 };
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      std::mt19937_64 random(aSeed + static_cast<uint64_t>(caller) + 1);
+      for (int number = next++; number < aCount; number = next++) {
+        bookings[static_cast<size_t>(number)] =
+          BookUntilKnown(aMesh, aPrefix + std::to_string(number), random);
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return bookings;
+}
+
+BookingVerdict
+JudgeBookings(const Mesh& aMesh, const std::vector<Booking>& aBookings)
+{
+  std::map<std::string, int> runs = RunsByKey(aMesh);
+  BookingVerdict verdict;
+  for (const Booking& booking : aBookings) {
+    const int count = runs[booking.key];
+    ++verdict.bookings;
+    verdict.complete += booking.complete ? 1 : 0;
+    verdict.twice += count > 1 ? 1 : 0;
+    verdict.falseNotRun += booking.onlyNotRun && count > 0 ? 1 : 0;
+    verdict.lost += booking.complete && count == 0 ? 1 : 0;
+  }
+  return verdict;
+}
+
+void
+FaultAtRandom(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  while (!aStop) {
+    const uint64_t choice = random() % 10;
+    if (choice < 5) {
+      const std::vector<std::string> nodes = aMesh.Nodes();
+      const std::string node = nodes[random() % nodes.size()];
+      aMesh.ProcessOf(node).process.Kill();
+      aMesh.StartProcess(node);
+    } else if (choice < 8) {
+      const std::vector<std::string> targets = aMesh.Targets();
+      const std::string target = targets[random() % targets.size()];
+      aMesh.TargetOf(target).process.Kill();
+      aMesh.StartTarget(target);
+    } else if (choice < 9) {
+      const std::vector<std::string> replicas = aMesh.Replicas();
+      const std::string replica = replicas[random() % replicas.size()];
+      aMesh.ProcessOf(replica).process.Kill();
+      aMesh.StartProcess(replica);
+    } else {
+      const std::vector<std::string>& left = aMesh.Options().regions.begin()->second;
+      const std::vector<std::string>& right = aMesh.Options().regions.rbegin()->second;
+      aMesh.Faults().ResetOpenConnections(left.front(), right.front());
+      aMesh.Faults().SilenceOpenConnections(right.front(), left.front());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 300));
+  }
+}
+
+} // namespace mimosarun
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -60,6 +60,8 @@
   std::chrono::microseconds domainDelay{ 0 };
   std::chrono::microseconds regionDelay{ 0 };
   int64_t regionBytesPerSecond = 0;
+  /** Let traffic inside a failure domain pass the proxy too, so that its bytes are counted. */
+  bool countDomainTraffic = false;
   /** Further options of the nodes' command line. */
   std::vector<std::string> nodeOptions;
   /** Environment of control replicas, by name. */
--- /dev/null
+++ b/tests/harness/slopes.cpp
@@ -0,0 +1,145 @@
+#include "harness/mesh.h"
+
+#include <cxxopts.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+using namespace mimosarun;
+
+static constexpr std::chrono::milliseconds kStartLimit{ 60000 };
+static constexpr std::chrono::milliseconds kSettleTime{ 8000 };
+static constexpr std::chrono::milliseconds kLookTime{ 10000 };
+static constexpr int kChanges = 10;
+
+/** Processor time and memory of a process at one moment. */
+struct Usage
+{
+  double cpuSeconds = 0;
+  double residentMegabytes = 0;
+};
+
+static Usage
+UsageOf(pid_t aPid)
+{
+  std::ifstream stream("/proc/" + std::to_string(aPid) + "/stat");
+  std::string line;
+  std::getline(stream, line);
+  std::istringstream fields(line.substr(line.rfind(')') + 2));
+  std::vector<std::string> values;
+  for (std::string value; fields >> value;) {
+    values.push_back(value);
+  }
+  const double ticks = std::stod(values[11]) + std::stod(values[12]);
+  return { .cpuSeconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK)),
+           .residentMegabytes = std::stod(values[21]) * 4096 / 1e6 };
+}
+
+/** Mean and greatest share of a core, and mean memory, of some processes over a time. */
+struct Load
+{
+  double meanPercent = 0;
+  double mostPercent = 0;
+  double megabytes = 0;
+};
+
+static Load
+LoadOf(Mesh& aMesh, const std::vector<std::string>& aNames, std::chrono::milliseconds aTime)
+{
+  std::vector<Usage> before;
+  for (const std::string& name : aNames) {
+    before.push_back(UsageOf(aMesh.ProcessOf(name).process.Id()));
+  }
+  std::this_thread::sleep_for(aTime);
+  Load load;
+  for (size_t i = 0; i < aNames.size(); ++i) {
+    const Usage after = UsageOf(aMesh.ProcessOf(aNames[i]).process.Id());
+    const double percent =
+      (after.cpuSeconds - before[i].cpuSeconds) / std::chrono::duration<double>(aTime).count() * 100;
+    load.meanPercent += percent / static_cast<double>(aNames.size());
+    load.mostPercent = std::max(load.mostPercent, percent);
+    load.megabytes += after.residentMegabytes / static_cast<double>(aNames.size());
+  }
+  return load;
+}
+
+static void
+PrintRow(const std::string& aWhat, double aValue, const std::string& aUnit)
+{
+  std::cout << "  " << aWhat << std::string(aWhat.size() < 52 ? 52 - aWhat.size() : 1, ' ') << aValue << " "
+            << aUnit << std::endl;
+}
+
+static bool
+MeasureSize(int aTargetsPerDomain)
+{
+  MeshOptions options = PettigrewMesh();
+  options.targetsPerDomain = aTargetsPerDomain;
+  options.countDomainTraffic = true;
+  options.folder = "run/slopes";
+  Mesh mesh(options);
+  int64_t version = 0;
+  const bool running = mesh.Start() &&
+                       WaitUntil(kStartLimit,
+                                 [&] {
+                                   version = mesh.Install(mesh.Document());
+                                   return version > 0;
+                                 }) &&
+                       mesh.WaitInForce(version, kStartLimit) && mesh.WaitAcquainted(kStartLimit);
+  const auto nodes = static_cast<double>(mesh.Nodes().size());
+  std::cout << nodes << " nodes" << (running ? "" : " did not start") << std::endl;
+  if (!running) {
+    return false;
+  }
+  std::this_thread::sleep_for(kSettleTime);
+  const uint64_t domainBytes = mesh.Faults().LinkBytes("domains");
+  const uint64_t linkBytes = mesh.Faults().LinkBytes("regions");
+  const Load node = LoadOf(mesh, mesh.Nodes(), kLookTime);
+  const double seconds = std::chrono::duration<double>(kLookTime).count();
+  const auto inside = static_cast<double>(mesh.Faults().LinkBytes("domains") - domainBytes);
+  const auto across = static_cast<double>(mesh.Faults().LinkBytes("regions") - linkBytes);
+  const Load control = LoadOf(mesh, mesh.Replicas(), kLookTime);
+  PrintRow("idle node, mean share of a core", node.meanPercent, "%");
+  PrintRow("idle node, greatest share of a core", node.mostPercent, "%");
+  PrintRow("idle node, memory", node.megabytes, "MB");
+  PrintRow("idle control replica, mean share of a core", control.meanPercent, "%");
+  PrintRow("idle control replica, memory", control.megabytes, "MB");
+  PrintRow("idle bytes between all processes of a region, a node", inside / seconds / nodes / 1000, "KB/s");
+  PrintRow("idle bytes over the link", across / seconds / 1000, "KB/s");
+  std::vector<double> times;
+  for (int change = 0; change < kChanges; ++change) {
+    const auto began = SteadyClock::now();
+    version = mesh.InstallOn(version, mesh.Document("change-" + std::to_string(change)));
+    if (!mesh.WaitInForce(version, std::chrono::seconds(10))) {
+      std::cout << "  a change was not in force in 10 s" << std::endl;
+    }
+    times.push_back(std::chrono::duration<double, std::milli>(SteadyClock::now() - began).count());
+  }
+  std::sort(times.begin(), times.end());
+  PrintRow("change in force everywhere, median (with asking all)", times[times.size() / 2], "ms");
+  PrintRow("change in force everywhere, longest", times.back(), "ms");
+  return true;
+}
+
+int
+main(int aCount, char** aValues)
+{
+  cxxopts::Options options("slopes", "Measures what a node and a control replica cost as the mesh grows");
+  options.add_options()("targets",
+                        "Targets of each service in each failure domain; nodes are sixteen times that",
+                        cxxopts::value<std::vector<int>>()->default_value("1,2,4"))("help", "Print help");
+  const auto parsed = options.parse(aCount, aValues);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  bool ok = true;
+  for (const int targets : parsed["targets"].as<std::vector<int>>()) {
+    ok = MeasureSize(targets) && ok;
+  }
+  return ok ? 0 : 1;
+}
