--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -8,7 +8,6 @@
 static constexpr std::array kCatalogue{
   EventDescription{ Event::ProcessStarted, Severity::Info, "process-started" },
   EventDescription{ Event::ProcessStopping, Severity::Info, "process-stopping" },
-  EventDescription{ Event::SettingsRefused, Severity::Warning, "settings-refused" },
   EventDescription{ Event::PortRefused, Severity::Error, "port-refused" },
   EventDescription{ Event::GroupFormed, Severity::Info, "group-formed" },
   EventDescription{ Event::LeaderElected, Severity::Info, "leader-elected" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -10,7 +10,6 @@
 {
   ProcessStarted = 100,
   ProcessStopping = 101,
-  SettingsRefused = 102,
   PortRefused = 103,
 
   GroupFormed = 200,
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -16,13 +16,11 @@
   : m_options(std::move(aOptions))
   , m_random(m_options.seed)
   , m_ballot(std::move(aState.ballot))
-  , m_snapshot(std::move(aState.snapshot))
-  , m_entries(std::move(aState.entries))
-  , m_commit(m_snapshot.index)
-  , m_applied(m_snapshot.index)
+  , m_log(std::move(aState.snapshot), std::move(aState.entries))
+  , m_commit(m_log.SnapshotIndex())
+  , m_applied(m_log.SnapshotIndex())
 {
   m_persisted = LastIndex();
-  RecomputeMembers();
   ResetElection(aNow);
   if (m_ballot.term > 0) {
     // A leader heard just before the restart may still count on this replica.
@@ -59,7 +57,7 @@
 int64_t
 RaftCore::LastIndex() const
 {
-  return m_snapshot.index + static_cast<int64_t>(m_entries.size());
+  return m_log.LastIndex();
 }
 
 int64_t
@@ -77,25 +75,25 @@
 int64_t
 RaftCore::SnapshotIndex() const
 {
-  return m_snapshot.index;
+  return m_log.SnapshotIndex();
 }
 
 const std::vector<wire::Replica>&
 RaftCore::Members() const
 {
-  return m_members;
+  return m_log.Members();
 }
 
 const std::vector<wire::LogEntry>&
 RaftCore::Entries() const
 {
-  return m_entries;
+  return m_log.Entries();
 }
 
 bool
 RaftCore::MembersSettled() const
 {
-  return m_membersIndex <= m_commit;
+  return m_log.MembersIndex() <= m_commit;
 }
 
 std::optional<Deadline>
@@ -116,9 +114,10 @@
 const wire::Replica*
 RaftCore::FindMember(const std::string& aName) const
 {
-  const auto member = std::find_if(
-    m_members.begin(), m_members.end(), [&](const auto& aMember) { return aMember.name == aName; });
-  return member == m_members.end() ? nullptr : &*member;
+  const auto member = std::find_if(m_log.Members().begin(), m_log.Members().end(), [&](const auto& aMember) {
+    return aMember.name == aName;
+  });
+  return member == m_log.Members().end() ? nullptr : &*member;
 }
 
 bool
@@ -131,50 +130,11 @@
 int
 RaftCore::QuorumSize() const
 {
-  const auto voters =
-    std::count_if(m_members.begin(), m_members.end(), [](const auto& aMember) { return aMember.voter; });
+  const auto voters = std::count_if(
+    m_log.Members().begin(), m_log.Members().end(), [](const auto& aMember) { return aMember.voter; });
   return static_cast<int>(voters / 2 + 1);
 }
 
-const wire::LogEntry&
-RaftCore::EntryAt(int64_t aIndex) const
-{
-  return m_entries[static_cast<size_t>(aIndex - m_snapshot.index - 1)];
-}
-
-int64_t
-RaftCore::TermAt(int64_t aIndex) const
-{
-  if (aIndex == m_snapshot.index) {
-    return m_snapshot.term;
-  }
-  if (aIndex < m_snapshot.index || aIndex > LastIndex()) {
-    return -1;
-  }
-  return EntryAt(aIndex).term;
-}
-
-int64_t
-RaftCore::LastTerm() const
-{
-  return TermAt(LastIndex());
-}
-
-void
-RaftCore::RecomputeMembers()
-{
-  const auto change = std::find_if(m_entries.rbegin(), m_entries.rend(), [](const wire::LogEntry& aEntry) {
-    return aEntry.command.kind == wire::CommandKind::ChangeMembers;
-  });
-  if (change == m_entries.rend()) {
-    m_members = m_snapshot.members;
-    m_membersIndex = m_snapshot.index;
-  } else {
-    m_members = change->command.members;
-    m_membersIndex = change->index;
-  }
-}
-
 // --- elections -------------------------------------------------------------------------------------------
 
 void
@@ -219,14 +179,14 @@
 void
 RaftCore::AskForVotes(RaftKind::type aKind, int64_t aTerm)
 {
-  for (const wire::Replica& member : m_members) {
+  for (const wire::Replica& member : m_log.Members()) {
     if (!member.voter || member.name == m_options.name) {
       continue;
     }
     wire::RaftMessage message = Message(aKind, member);
     message.term = aTerm;
     message.logIndex = LastIndex();
-    message.logTerm = LastTerm();
+    message.logTerm = m_log.LastTerm();
     m_output.messages.push_back(std::move(message));
   }
 }
@@ -263,7 +223,7 @@
   m_role = RaftRole::Leader;
   m_leader = m_options.name;
   m_progress.clear();
-  for (const wire::Replica& member : m_members) {
+  for (const wire::Replica& member : m_log.Members()) {
     m_progress[member.name] = { .next = LastIndex() + 1, .answeredRound = aNow };
   }
   // An entry of the own term lets entries of former terms commit.
@@ -274,8 +234,8 @@
 bool
 RaftCore::IsUpToDate(const wire::RaftMessage& aMessage) const
 {
-  if (aMessage.logTerm != LastTerm()) {
-    return aMessage.logTerm > LastTerm();
+  if (aMessage.logTerm != m_log.LastTerm()) {
+    return aMessage.logTerm > m_log.LastTerm();
   }
   return aMessage.logIndex >= LastIndex();
 }
@@ -339,11 +299,10 @@
   entry.index = LastIndex() + 1;
   entry.term = m_ballot.term;
   entry.command = std::move(aCommand);
-  m_entries.push_back(entry);
+  m_log.Append(entry);
   m_output.append.push_back(entry);
   if (entry.command.kind == wire::CommandKind::ChangeMembers) {
-    RecomputeMembers();
-    for (const wire::Replica& member : m_members) {
+    for (const wire::Replica& member : m_log.Members()) {
       m_progress.try_emplace(member.name, Progress{ .next = entry.index });
     }
   }
@@ -364,7 +323,7 @@
 std::optional<int64_t>
 RaftCore::ProposeMembers(std::vector<wire::Replica> aMembers, Deadline aNow)
 {
-  if (m_role != RaftRole::Leader || !MembersSettled() || TermAt(m_commit) != m_ballot.term) {
+  if (m_role != RaftRole::Leader || !MembersSettled() || m_log.TermAt(m_commit) != m_ballot.term) {
     return std::nullopt;
   }
   wire::Command command;
@@ -381,10 +340,10 @@
   }
   aProgress.snapshotAgain = aNow + kSnapshotResend;
   wire::RaftMessage message = Message(RaftKind::Snapshot, aMember);
-  message.logIndex = m_snapshot.index;
-  message.logTerm = m_snapshot.term;
-  message.members = m_snapshot.members;
-  message.snapshot = m_snapshot.state;
+  message.logIndex = m_log.SnapshotIndex();
+  message.logTerm = m_log.Snapshot().term;
+  message.members = m_log.Snapshot().members;
+  message.snapshot = m_log.Snapshot().state;
   message.round = std::chrono::duration_cast<std::chrono::microseconds>(aNow.time_since_epoch()).count();
   m_output.messages.push_back(std::move(message));
 }
@@ -393,19 +352,19 @@
 RaftCore::SendAppend(const wire::Replica& aMember, Deadline aNow)
 {
   Progress& progress = m_progress[aMember.name];
-  if (progress.next <= m_snapshot.index) {
+  if (progress.next <= m_log.SnapshotIndex()) {
     SendSnapshot(aMember, progress, aNow);
     return;
   }
   wire::RaftMessage message = Message(RaftKind::Append, aMember);
   message.logIndex = progress.next - 1;
-  message.logTerm = TermAt(message.logIndex);
+  message.logTerm = m_log.TermAt(message.logIndex);
   message.commit = m_commit;
   message.round = std::chrono::duration_cast<std::chrono::microseconds>(aNow.time_since_epoch()).count();
   size_t bytes = 0;
   while (progress.next <= LastIndex() && message.entries.size() < kEntriesInMessage &&
          bytes < kBytesInMessage) {
-    message.entries.push_back(EntryAt(progress.next));
+    message.entries.push_back(m_log.EntryAt(progress.next));
     bytes += message.entries.back().command.body.size();
     ++progress.next;
   }
@@ -416,7 +375,7 @@
 RaftCore::Broadcast(Deadline aNow)
 {
   m_heartbeatDeadline = aNow + m_options.heartbeat;
-  for (const wire::Replica& member : m_members) {
+  for (const wire::Replica& member : m_log.Members()) {
     if (member.name != m_options.name) {
       SendAppend(member, aNow);
     }
@@ -426,25 +385,19 @@
 void
 RaftCore::AppendFollowed(const std::vector<wire::LogEntry>& aEntries)
 {
-  bool membersTouched = false;
   for (const wire::LogEntry& entry : aEntries) {
-    if (entry.index <= m_snapshot.index || TermAt(entry.index) == entry.term) {
+    if (entry.index <= m_log.SnapshotIndex() || m_log.TermAt(entry.index) == entry.term) {
       continue;
     }
     if (entry.index <= LastIndex()) {
-      m_entries.resize(static_cast<size_t>(entry.index - m_snapshot.index - 1));
+      m_log.TruncateFrom(entry.index);
       std::erase_if(m_output.append,
                     [&](const wire::LogEntry& aPending) { return aPending.index >= entry.index; });
       m_output.truncateFrom = std::min(m_output.truncateFrom.value_or(entry.index), entry.index);
       m_persisted = std::min(m_persisted, entry.index - 1);
-      membersTouched = true;
     }
-    m_entries.push_back(entry);
+    m_log.Append(entry);
     m_output.append.push_back(entry);
-    membersTouched = membersTouched || entry.command.kind == wire::CommandKind::ChangeMembers;
-  }
-  if (membersTouched) {
-    RecomputeMembers();
   }
 }
 
@@ -461,7 +414,7 @@
   m_leaderHeard = aNow;
   reply.term = m_ballot.term;
   const int64_t previous = aMessage.logIndex;
-  const bool matches = previous < m_snapshot.index || TermAt(previous) == aMessage.logTerm;
+  const bool matches = previous < m_log.SnapshotIndex() || m_log.TermAt(previous) == aMessage.logTerm;
   if (!matches) {
     reply.logIndex = std::min(LastIndex(), previous - 1);
     m_output.messages.push_back(std::move(reply));
@@ -517,18 +470,18 @@
   reply.term = m_ballot.term;
   reply.granted = true;
   if (aMessage.logIndex > m_commit) {
-    m_snapshot.index = aMessage.logIndex;
-    m_snapshot.term = aMessage.logTerm;
-    m_snapshot.members = aMessage.members;
-    m_snapshot.state = aMessage.snapshot;
-    m_entries.clear();
-    m_commit = m_snapshot.index;
-    m_applied = m_snapshot.index;
-    m_persisted = m_snapshot.index;
+    wire::SnapshotFile snapshot;
+    snapshot.index = aMessage.logIndex;
+    snapshot.term = aMessage.logTerm;
+    snapshot.members = aMessage.members;
+    snapshot.state = aMessage.snapshot;
+    m_output.installedSnapshot = snapshot;
     m_output.append.clear();
     m_output.truncateFrom.reset();
-    m_output.installedSnapshot = m_snapshot;
-    RecomputeMembers();
+    m_log.Install(std::move(snapshot));
+    m_commit = m_log.SnapshotIndex();
+    m_applied = m_commit;
+    m_persisted = m_commit;
   }
   reply.logIndex = aMessage.logIndex;
   m_output.messages.push_back(std::move(reply));
@@ -538,14 +491,14 @@
 RaftCore::AdvanceCommit()
 {
   std::vector<int64_t> matches;
-  for (const wire::Replica& member : m_members) {
+  for (const wire::Replica& member : m_log.Members()) {
     if (member.voter) {
       matches.push_back(member.name == m_options.name ? m_persisted : m_progress[member.name].match);
     }
   }
   std::sort(matches.begin(), matches.end(), std::greater<>());
   const int64_t agreed = matches[static_cast<size_t>(QuorumSize() - 1)];
-  if (agreed > m_commit && TermAt(agreed) == m_ballot.term) {
+  if (agreed > m_commit && m_log.TermAt(agreed) == m_ballot.term) {
     m_commit = agreed;
     // Followers apply, and tell nodes, as soon as they know; the next tick sends it.
     m_heartbeatDeadline = Deadline{};
@@ -556,7 +509,7 @@
 RaftCore::HasQuorumOfAnswers(Deadline aNow) const
 {
   int answered = 0;
-  for (const wire::Replica& member : m_members) {
+  for (const wire::Replica& member : m_log.Members()) {
     const auto progress = m_progress.find(member.name);
     const bool self = member.name == m_options.name;
     const bool recent =
@@ -677,7 +630,7 @@
   std::vector<wire::LogEntry> committed;
   while (m_applied < upTo) {
     ++m_applied;
-    committed.push_back(EntryAt(m_applied));
+    committed.push_back(m_log.EntryAt(m_applied));
   }
   return committed;
 }
@@ -685,17 +638,8 @@
 wire::SnapshotFile
 RaftCore::Compact(std::string aState)
 {
-  const auto applied = static_cast<size_t>(m_applied - m_snapshot.index);
-  for (size_t i = 0; i < applied; ++i) {
-    if (m_entries[i].command.kind == wire::CommandKind::ChangeMembers) {
-      m_snapshot.members = m_entries[i].command.members;
-    }
-  }
-  m_snapshot.term = TermAt(m_applied);
-  m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(applied));
-  m_snapshot.index = m_applied;
-  m_snapshot.state = std::move(aState);
-  return m_snapshot;
+  m_log.Compact(m_applied, std::move(aState));
+  return m_log.Snapshot();
 }
 
 } // namespace mimosarun
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/clock.h"
+#include "control/raftlog.h"
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <cstdint>
@@ -127,10 +128,6 @@
   const wire::Replica* FindMember(const std::string& aName) const;
   bool IsVoter() const;
   int QuorumSize() const;
-  int64_t TermAt(int64_t aIndex) const;
-  int64_t LastTerm() const;
-  const wire::LogEntry& EntryAt(int64_t aIndex) const;
-  void RecomputeMembers();
 
   void BecomeFollower(int64_t aTerm, const std::string& aLeader, Deadline aNow);
   void StartPreVote(Deadline aNow);
@@ -161,10 +158,7 @@
   Options m_options;
   std::mt19937_64 m_random;
   wire::Ballot m_ballot;
-  wire::SnapshotFile m_snapshot;
-  std::vector<wire::LogEntry> m_entries;
-  std::vector<wire::Replica> m_members;
-  int64_t m_membersIndex = 0;
+  RaftLog m_log;
 
   RaftRole m_role = RaftRole::Follower;
   std::string m_leader;
--- a/src/mimosarund/main.cpp
+++ b/src/mimosarund/main.cpp
@@ -29,7 +29,8 @@
 static int
 FailToStart(const Error& aError)
 {
-  Log(Event::PortRefused, { { "reason", aError.message } });
+  const bool corrupt = aError.kind == ErrorKind::CorruptData;
+  Log(corrupt ? Event::JournalCorrupt : Event::PortRefused, { { "reason", aError.message } });
   std::cerr << "mimosarund: " << aError.message << "\n";
   return kExitFailure;
 }
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -61,6 +61,9 @@
 Gate::SetIntent(TargetIntent aIntent)
 {
   const std::lock_guard lock(m_mutex);
+  if (aIntent != m_intent) {
+    Log(Event::TargetIntentChanged, { { "target", m_target.name }, { "intent", Name(aIntent) } });
+  }
   m_intent = aIntent;
 }
 
