--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -15,6 +15,8 @@
   3: string region,
   4: string failureDomain,
   5: bool voter = true,
+  // Where other replicas reach this one; empty where the settings of each process say it.
+  6: string address,
 }
 
 enum CommandKind {
@@ -27,6 +29,8 @@
   Complete = 6,
   Release = 7,
   Expire = 8,
+  // Puts a whole document under a version number that the operator chose.
+  Replace = 9,
 }
 
 enum TargetIntent {
@@ -52,6 +56,11 @@
   13: string contentType,
   14: i64 atMicros = 0,
   15: string fingerprint,
+  // Replace: the version that the operator chose, and the hash of the document's text.
+  16: i64 version = 0,
+  17: string hash,
+  // Replace: the body is compressed against the text of version basedOn.
+  18: bool delta = false,
 }
 
 struct LogEntry {
@@ -86,6 +95,8 @@
   13: string snapshot,
   14: list<Replica> members,
   15: i64 round = 0,
+  // Where the sender can be reached; empty where settings say it.
+  16: string senderAddress,
 }
 
 struct RaftBatch {
@@ -145,7 +156,7 @@
   9: string body,
 }
 
-// A change of the configuration between two versions: a compressed JSON patch and the hash it leads to.
+// A change of the configuration between two versions: the new text, compressed against the old one, and its hash.
 struct ConfigurationUpdate {
   1: i64 fromVersion = 0,
   2: i64 toVersion = 0,
@@ -154,6 +165,13 @@
   5: binary payload,
 }
 
+// Whether a replica leads for certain, and up to where its log is committed.
+struct ReadIndex {
+  1: bool confirmed = false,
+  2: i64 index = 0,
+  3: string leader,
+}
+
 struct ClaimRecord {
   1: string key,
   2: string token,
@@ -193,11 +211,11 @@
 
 struct ConfigurationImage {
   1: i64 version = 0,
-  2: string body,
   3: list<VersionRecord> history,
   4: list<Proposal> proposals,
   5: i64 nextProposal = 1,
   6: list<StoredResult> results,
+  // Texts of recent versions, the current one last: the oldest whole, each other as a difference.
   7: list<ConfigurationUpdate> updates,
 }
 
@@ -230,6 +248,8 @@
   11: TargetPhase phase = TargetPhase.Absent,
   12: i32 slots = 0,
   13: i64 version = 0,
+  // How long the target stays slow after its start, as it said last.
+  14: i32 warmUpMillis = 0,
 }
 
 struct Gossip {
@@ -280,6 +300,8 @@
   4: bool unchanged = true,
   // Whether this replica hears a leader; otherwise its configuration may be old.
   5: bool current = true,
+  // The replicas of the configuration's log with their addresses.
+  6: list<Replica> replicas,
 }
 
 service ControlPeer {
@@ -289,6 +311,8 @@
   GroupStatus status(1: string group),
   // Asks to be taken into a group as a learner under a new incarnation.
   CommandResult join(1: string group, 2: Replica replica),
+  // Confirms by a round of answers that this replica leads, and gives its commit index.
+  ReadIndex readIndex(1: string group, 2: i32 waitMillis),
   // Runs a command on this replica if it leads the group.
   CommandResult submit(1: string group, 2: Command command, 3: i32 waitMillis),
   // Long poll of a relay for a newer configuration; carries its report.
--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -4,24 +4,24 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace mimosarun {
 
-static constexpr std::chrono::microseconds kUnknownMean{ 2000 };
-static constexpr std::chrono::microseconds kRegionCost{ 1500 };
-static constexpr std::chrono::microseconds kOtherRegionCost{ 40000 };
 static constexpr std::chrono::milliseconds kLoadFreshness{ 300 };
-static constexpr std::chrono::milliseconds kSlowStart{ 5000 };
-static constexpr int kSlowStartFactor = 3;
 static constexpr int kFailuresToLeaveOut = 3;
 static constexpr std::chrono::milliseconds kFirstLeaveOut{ 500 };
 static constexpr std::chrono::milliseconds kLongestLeaveOut{ 8000 };
 static constexpr int kSmoothing = 8;
 static constexpr std::chrono::milliseconds kLeastPatience{ 250 };
 static constexpr int kPatienceFactor = 5;
+/** Open attempts from which their age is taken as a sign. */
+static constexpr size_t kTellingAttempts = 3;
+/** Gates that cost the same are used in turn rather than by name. */
+static constexpr int64_t kJitterMicros = 500;
 
-Balancer::Balancer(BalancePolicy aPolicy)
-  : m_policy(aPolicy)
+Balancer::Balancer(Options aOptions)
+  : m_options(aOptions)
 {
 }
 
@@ -39,43 +39,50 @@
   return shard.stats[aNode];
 }
 
-static std::chrono::microseconds
-DistanceCost(Locality aLocality)
+std::chrono::microseconds
+Balancer::DistanceCost(Locality aLocality) const
 {
   switch (aLocality) {
     case Locality::FailureDomain:
       return std::chrono::microseconds(0);
     case Locality::Region:
-      return kRegionCost;
+      return m_options.distance.region;
     case Locality::OtherRegion:
-      return kOtherRegionCost;
+      return m_options.distance.otherRegion;
   }
-  return kOtherRegionCost;
+  return m_options.distance.otherRegion;
 }
 
-std::chrono::microseconds
-Balancer::Cost(const GateInfo& aGate, Deadline aNow)
+/** The age that half of the open attempts have reached, or zero where there are too few to tell. */
+static std::chrono::microseconds
+TypicalAge(const std::multiset<Deadline>& aOpen, Deadline aNow)
 {
-  const Stats stats = Read(aGate.node);
-  if (m_policy == BalancePolicy::LeastInFlight) {
-    return std::chrono::microseconds(stats.open.size());
+  if (aOpen.size() < kTellingAttempts) {
+    return std::chrono::microseconds(0);
   }
-  const int inFlight = static_cast<int>(stats.open.size());
-  // An attempt that is open longer than usual tells of trouble before it ends.
-  const auto oldest = stats.open.empty() ? Deadline::duration(0) : aNow - *stats.open.begin();
-  const auto known = stats.mean.count() > 0 ? stats.mean : kUnknownMean;
-  const auto mean = std::max(known, std::chrono::duration_cast<std::chrono::microseconds>(oldest));
+  const Deadline middle = *std::next(aOpen.begin(), static_cast<std::ptrdiff_t>(aOpen.size() / 2));
+  return std::chrono::duration_cast<std::chrono::microseconds>(aNow - middle);
+}
+
+Balancer::Candidate
+Balancer::Weigh(const GateInfo& aGate, const CallExperience& aExperience, Deadline aNow)
+{
+  const Stats stats = Read(aGate.node);
+  const auto mean = std::max(stats.mean, TypicalAge(stats.open, aNow));
   const bool fresh = aNow < stats.loadAt + kLoadFreshness;
   const int slots = std::max(1, fresh ? stats.load.slots : aGate.slots);
-  const int reported = fresh ? stats.load.inUse + stats.load.waiting : 0;
-  const int load = std::max(inFlight, reported);
-  const auto wait = mean * std::max(0, load + 1 - slots) / slots;
-  auto cost = mean + wait + DistanceCost(aGate.locality);
-  const bool cold = stats.firstUsed == Deadline{} || aNow < stats.firstUsed + kSlowStart;
-  if (cold && inFlight > 0) {
-    cost *= kSlowStartFactor;
+  const auto own = static_cast<int>(stats.open.size());
+  Candidate candidate{ .gate = &aGate };
+  candidate.wait = mean * std::max(0, own + 1 - slots) / slots;
+  if (fresh) {
+    candidate.wait = std::max(candidate.wait, stats.load.wait);
+  }
+  if (const auto named = aExperience.turnedBack.find(aGate.node); named != aExperience.turnedBack.end()) {
+    candidate.wait = std::max(candidate.wait, named->second);
   }
-  return cost;
+  candidate.rest = mean + DistanceCost(aGate.locality) + mean * own / (slots * kSmoothing) +
+                   std::chrono::microseconds(RandomBetween(0, kJitterMicros));
+  return candidate;
 }
 
 std::vector<const GateInfo*>
@@ -96,41 +103,50 @@
   return trusted.size() * 2 >= all.size() && !trusted.empty() ? trusted : all;
 }
 
-const GateInfo*
-Balancer::Pick(const std::vector<const GateInfo*>& aGates, Deadline aNow)
+GateChoice
+Balancer::Cheapest(const std::vector<const GateInfo*>& aGates,
+                   const CallExperience& aExperience,
+                   Deadline aNow)
 {
-  const auto last = static_cast<int64_t>(aGates.size()) - 1;
-  const GateInfo* first = aGates[static_cast<size_t>(RandomBetween(0, last))];
-  if (m_policy == BalancePolicy::Random || aGates.size() == 1) {
-    return first;
+  std::vector<Candidate> candidates;
+  for (const GateInfo* gate : aGates) {
+    candidates.push_back(Weigh(*gate, aExperience, aNow));
   }
-  if (m_policy == BalancePolicy::LeastInFlight) {
-    return *std::min_element(
-      aGates.begin(), aGates.end(), [&](const GateInfo* aLeft, const GateInfo* aRight) {
-        return Cost(*aLeft, aNow) < Cost(*aRight, aNow);
-      });
-  }
-  const GateInfo* second = first;
-  while (second == first) {
-    second = aGates[static_cast<size_t>(RandomBetween(0, last))];
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate& aLeft, const Candidate& aRight) {
+    return aLeft.Cost() < aRight.Cost();
+  });
+  const Candidate& best = candidates.front();
+  GateChoice choice{ .gate = *best.gate, .longestWait = std::chrono::microseconds::max() };
+  if (candidates.size() > 1) {
+    choice.longestWait = std::max(std::chrono::microseconds(0), candidates[1].Cost() - best.rest);
   }
-  return Cost(*second, aNow) < Cost(*first, aNow) ? second : first;
+  return choice;
 }
 
-std::optional<GateInfo>
-Balancer::Choose(const std::vector<GateInfo>& aGates, const std::set<std::string>& aExcluded)
+std::optional<GateChoice>
+Balancer::Choose(const std::vector<GateInfo>& aGates, const CallExperience& aExperience)
 {
   const Deadline now = SteadyClock::now();
-  const std::vector<const GateInfo*> usable = Usable(aGates, aExcluded, now);
-  std::vector<const GateInfo*> near;
-  std::copy_if(usable.begin(), usable.end(), std::back_inserter(near), [](const GateInfo* aGate) {
-    return aGate->locality != Locality::OtherRegion;
-  });
-  const std::vector<const GateInfo*>& choice = near.empty() ? usable : near;
-  if (choice.empty()) {
+  const std::vector<const GateInfo*> usable = Usable(aGates, aExperience.excluded, now);
+  if (usable.empty()) {
     return std::nullopt;
   }
-  return *Pick(choice, now);
+  const auto fewest = [this](const GateInfo* aLeft, const GateInfo* aRight) {
+    return Read(aLeft->node).open.size() < Read(aRight->node).open.size();
+  };
+  switch (m_options.policy) {
+    case BalancePolicy::Random: {
+      const auto last = static_cast<int64_t>(usable.size()) - 1;
+      return GateChoice{ .gate = *usable[static_cast<size_t>(RandomBetween(0, last))],
+                         .longestWait = std::chrono::microseconds::max() };
+    }
+    case BalancePolicy::LeastInFlight:
+      return GateChoice{ .gate = **std::min_element(usable.begin(), usable.end(), fewest),
+                         .longestWait = std::chrono::microseconds::max() };
+    case BalancePolicy::ExpectedTime:
+      return Cheapest(usable, aExperience, now);
+  }
+  return std::nullopt;
 }
 
 void
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -21,6 +21,8 @@
   int inUse = 0;
   int slots = 1;
   int waiting = 0;
+  /** Wait for a slot that a call would see. */
+  std::chrono::microseconds wait{ 0 };
 };
 
 /** How an attempt ended, as far as it says something of the gate. */
@@ -38,13 +40,36 @@
 /** The way a gate is chosen; the simple ones are baselines to measure against. */
 enum class BalancePolicy
 {
-  /** Two random gates, the one with the lower expected time. */
+  /** The gate with the lowest expected time and distance. */
   ExpectedTime,
   Random,
   /** In turn, but the one with the fewest calls in flight first. */
   LeastInFlight,
 };
 
+/** What choosing a gate further away costs, as time that a call may rather wait nearer by. */
+struct DistanceCosts
+{
+  std::chrono::microseconds region{ 1500 };
+  std::chrono::microseconds otherRegion{ 40000 };
+};
+
+/** A gate and how long the call may wait for a slot there before the next best gate is the better choice. */
+struct GateChoice
+{
+  GateInfo gate;
+  std::chrono::microseconds longestWait{ 0 };
+};
+
+/** Gates that a call can't or shouldn't use. */
+struct CallExperience
+{
+  /** Gates that failed the call. */
+  std::set<std::string> excluded;
+  /** Gates that turned the call back, with the wait that they named. */
+  std::map<std::string, std::chrono::microseconds> turnedBack;
+};
+
 /**
  * Chooses gates from what their answers showed: time, load and failures, and from how far they are. A gate
  * that fails again and again is left out for a while, but never more than half of the gates of a service.
@@ -53,10 +78,16 @@
 class Balancer
 {
 public:
-  explicit Balancer(BalancePolicy aPolicy);
+  struct Options
+  {
+    BalancePolicy policy = BalancePolicy::ExpectedTime;
+    DistanceCosts distance;
+  };
+
+  explicit Balancer(Options aOptions);
 
-  /** Chooses a gate that isn't excluded. */
-  std::optional<GateInfo> Choose(const std::vector<GateInfo>& aGates, const std::set<std::string>& aExcluded);
+  /** Chooses a gate for a call that isn't excluded; one that turned it back counts with the wait it named. */
+  std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates, const CallExperience& aExperience);
 
   /** Notes that an attempt was sent to a gate. */
   void Sent(const std::string& aNode, CallClass aClass, Deadline aNow);
@@ -100,13 +131,27 @@
 
   Shard& ShardOf(const std::string& aNode);
   Stats Read(const std::string& aNode);
-  std::chrono::microseconds Cost(const GateInfo& aGate, Deadline aNow);
+  /** A gate with the parts of its cost. */
+  struct Candidate
+  {
+    const GateInfo* gate = nullptr;
+    std::chrono::microseconds wait{ 0 };
+    /** Everything but the wait. */
+    std::chrono::microseconds rest{ 0 };
+
+    std::chrono::microseconds Cost() const { return wait + rest; }
+  };
+
+  std::chrono::microseconds DistanceCost(Locality aLocality) const;
+  Candidate Weigh(const GateInfo& aGate, const CallExperience& aExperience, Deadline aNow);
   std::vector<const GateInfo*> Usable(const std::vector<GateInfo>& aGates,
                                       const std::set<std::string>& aExcluded,
                                       Deadline aNow);
-  const GateInfo* Pick(const std::vector<const GateInfo*>& aGates, Deadline aNow);
+  GateChoice Cheapest(const std::vector<const GateInfo*>& aGates,
+                      const CallExperience& aExperience,
+                      Deadline aNow);
 
-  BalancePolicy m_policy;
+  const Options m_options;
   std::array<Shard, 16> m_shards;
 };
 
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -2,7 +2,6 @@
 
 #include "caller/entrycall.h"
 #include "common/random.h"
-#include "http/meshheaders.h"
 #include "http/refusal.h"
 
 #include <algorithm>
@@ -10,21 +9,18 @@
 namespace mimosarun {
 
 static constexpr size_t kCallSuffixLength = 16;
-static constexpr double kHedgeShare = 0.05;
-static constexpr double kHedgeLimit = 3;
-static constexpr double kUsualQuantile = 0.95;
 static constexpr int kHedgeFactor = 2;
 static constexpr int kLoggedRefusalsPerSecond = 10;
+static constexpr std::chrono::milliseconds kLongestPatience{ 3600000 };
 
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
-  , m_balancer(m_options.policy)
-  , m_budget({})
-  , m_hedgeBudget({ .share = kHedgeShare, .limit = kHedgeLimit })
+  , m_balancer(m_options.balancer)
+  , m_budget(m_options.retries)
+  , m_hedgeBudget({ .share = m_options.hedges, .extra = 0 })
   , m_refusalLog(kLoggedRefusalsPerSecond)
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const Directory>())
-  , m_timers(std::make_unique<TimerQueue>())
 {
   Metrics& metrics = *m_options.metrics;
   const std::string help = "Calls of this entry by outcome";
@@ -39,11 +35,17 @@
 Entry::Start(Options aOptions)
 {
   std::unique_ptr<Entry> entry(new Entry(std::move(aOptions)));
-  MIMOSARUN_TRY(entry->m_server,
-                HttpServer::Start({ .address = entry->m_options.address,
-                                    .handler = [raw = entry.get()](const ExchangePointer& aExchange) {
-                                      raw->Handle(aExchange);
-                                    } }));
+  const auto refuse = [codec = entry->m_options.codec](const UnreadableRequest& aRequest) {
+    return codec.refuse(
+      { .status = aRequest.status, .outcome = CallOutcome::NotRun, .reason = aRequest.reason });
+  };
+  MIMOSARUN_TRY(
+    entry->m_server,
+    HttpServer::Start(
+      { .address = entry->m_options.address,
+        .handler = [raw = entry.get()](const ExchangePointer& aExchange) { raw->Handle(aExchange); },
+        .refuser = refuse,
+        .loops = entry->m_options.loops }));
   return entry;
 }
 
@@ -56,16 +58,33 @@
 Entry::Stop()
 {
   m_server.reset();
-  m_timers.reset();
 }
 
 void
 Entry::SetSnapshot(SnapshotPointer aSnapshot)
 {
+  const CallerLimits& limits = aSnapshot->configuration.callerLimits;
+  m_server->SetLimits({ .headerBytes = static_cast<size_t>(limits.maxHeaderBytes),
+                        .bodyBytes = static_cast<size_t>(limits.maxBodyBytes),
+                        .headerTimeout = limits.headerTimeout,
+                        .idleTimeout = limits.idleTimeout });
   const std::lock_guard lock(m_mutex);
   m_snapshot = std::move(aSnapshot);
 }
 
+void
+Entry::SetOwnService(const std::string& aService)
+{
+  const std::lock_guard lock(m_mutex);
+  m_ownService = aService;
+}
+
+void
+Entry::SetNodes(size_t aNodes)
+{
+  m_budget.SetNodes(aNodes);
+}
+
 void
 Entry::SetDirectory(DirectoryPointer aDirectory)
 {
@@ -83,6 +102,12 @@
   m_server->StopListening();
 }
 
+void
+Entry::CloseAfterAnswers()
+{
+  m_server->CloseAfterAnswers();
+}
+
 int
 Entry::CallsInHand() const
 {
@@ -100,25 +125,44 @@
 std::chrono::microseconds
 Entry::HedgeDelay(const Route& aRoute) const
 {
-  if (!aRoute.idempotent || aRoute.callClass == CallClass::Long) {
+  if (!aRoute.Idempotent() || aRoute.callClass == CallClass::Long || m_options.hedges == 0) {
     return std::chrono::microseconds(0);
   }
   if (aRoute.hedgeAfter.count() > 0) {
     return aRoute.hedgeAfter;
   }
   const std::lock_guard lock(m_timesMutex);
-  const auto usual = m_usualTimes.find(aRoute.service);
-  return usual == m_usualTimes.end() ? kHedgeFactor * std::chrono::microseconds(aRoute.expectedCost)
-                                     : kHedgeFactor * usual->second.Value();
+  const auto times = m_times.find(aRoute.name);
+  const bool known = times != m_times.end() && times->second.slow.Value().count() > 0;
+  return kHedgeFactor *
+         (known ? times->second.slow.Value() : std::chrono::microseconds(aRoute.expectedCost));
 }
 
 void
 Entry::NoteTime(const Route& aRoute, std::chrono::microseconds aTime)
 {
-  if (aRoute.callClass == CallClass::Short) {
-    const std::lock_guard lock(m_timesMutex);
-    m_usualTimes.try_emplace(aRoute.service, kUsualQuantile).first->second.Add(aTime);
-  }
+  const std::lock_guard lock(m_timesMutex);
+  RouteTimes& times = m_times[aRoute.name];
+  times.usual.Add(aTime);
+  times.slow.Add(aTime);
+}
+
+std::chrono::microseconds
+Entry::UsualTime(const Route& aRoute) const
+{
+  const std::lock_guard lock(m_timesMutex);
+  const auto times = m_times.find(aRoute.name);
+  const bool known = times != m_times.end() && times->second.usual.Value().count() > 0;
+  return known ? times->second.usual.Value() : std::chrono::microseconds(aRoute.expectedCost);
+}
+
+std::chrono::milliseconds
+Entry::TimeSpent(const Route& aRoute, std::chrono::milliseconds aPatience)
+{
+  const std::lock_guard lock(m_timesMutex);
+  RouteTimes& times = m_times[aRoute.name];
+  times.longestPatience = std::max(times.longestPatience, aPatience);
+  return times.longestPatience - aPatience;
 }
 
 bool
@@ -152,8 +196,8 @@
                     const std::string& aReason)
 {
   m_notRun->Increment();
-  aExchange->Respond(
-    MakeRefusal({ .status = aStatus, .outcome = CallOutcome::NotRun, .reason = aReason, .call = aCall }));
+  aExchange->Respond(m_options.codec.refuse(
+    { .status = aStatus, .outcome = CallOutcome::NotRun, .reason = aReason, .call = aCall }));
 }
 
 static std::string
@@ -163,23 +207,14 @@
   return host.substr(0, host.find(':'));
 }
 
-static Deadline
-CallDeadline(const HttpRequest& aRequest, const Route& aRoute, Deadline aNow)
-{
-  const std::string wish = FindHeader(aRequest.headers, kTimeoutHeader);
-  std::chrono::milliseconds time = aRoute.timeout;
-  if (!wish.empty()) {
-    const std::chrono::milliseconds wished(std::strtoll(wish.c_str(), nullptr, 10));
-    time = std::clamp(wished, std::chrono::milliseconds(0), aRoute.timeout);
-  }
-  return aNow + time;
-}
-
 void
 Entry::Handle(const ExchangePointer& aExchange)
 {
   const HttpRequest& request = aExchange->Request();
-  const std::string call = m_options.node + "-" + RandomIdentifier().substr(0, kCallSuffixLength);
+  CallerWishes wishes = m_options.codec.readWishes(request);
+  if (wishes.call.empty()) {
+    wishes.call = m_options.node + "-" + RandomIdentifier().substr(0, kCallSuffixLength);
+  }
   SnapshotPointer snapshot;
   bool draining = false;
   {
@@ -188,31 +223,36 @@
     draining = m_draining;
   }
   if (draining) {
-    RefuseAtOnce(aExchange, call, 503, "the entry is shutting down; use another");
+    RefuseAtOnce(aExchange, wishes.call, 503, "the entry is shutting down; use another");
+    return;
+  }
+  if (snapshot->version == 0) {
+    RefuseAtOnce(aExchange, wishes.call, 503, "the entry has no configuration yet; try again shortly");
     return;
   }
   const Configuration& configuration = snapshot->configuration;
   const Route* route = FindRoute(configuration, HostWithoutPort(request), request.path, request.method);
   if (route == nullptr) {
-    RefuseAtOnce(aExchange, call, 404, "no route matches the request");
+    RefuseAtOnce(aExchange, wishes.call, 404, "no route matches the request");
     return;
   }
   if (!TakeLimit(configuration, route->limit)) {
-    RefuseAtOnce(aExchange, call, 429, "the limit '" + route->limit + "' is reached");
+    RefuseAtOnce(aExchange, wishes.call, 429, "the limit '" + route->limit + "' is reached");
     return;
   }
-  const Deadline deadline = CallDeadline(request, *route, SteadyClock::now());
-  const auto entryCall = std::make_shared<EntryCall>(
+  const std::chrono::milliseconds patience =
+    std::clamp(wishes.patience.value_or(route->timeout), std::chrono::milliseconds(0), kLongestPatience);
+  const auto objective = route->latencyObjective.count() > 0 ? route->latencyObjective : route->timeout;
+  const Deadline now = aExchange->ReceivedAt();
+  const auto call = std::make_shared<EntryCall>(
     *this,
     aExchange,
-    EntryCall::Options{ .call = call, .snapshot = snapshot, .route = route, .deadline = deadline });
-  const std::weak_ptr<EntryCall> weak = entryCall;
-  aExchange->OnCancel([weak] {
-    if (const auto held = weak.lock()) {
-      held->Cancelled();
-    }
-  });
-  entryCall->Begin();
+    EntryCall::Options{ .call = wishes.call,
+                        .snapshot = snapshot,
+                        .route = route,
+                        .deadline = now + std::min(patience, route->timeout),
+                        .objective = now + objective - TimeSpent(*route, patience) });
+  call->Begin();
 }
 
 } // namespace mimosarun
--- /dev/null
+++ b/src/caller/entryattempt.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/clock.h"
+#include "hop/hopheaders.h"
+#include "http/forwarder.h"
+#include "node/directory.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace mimosarun {
+
+class EntryCall;
+
+/** One attempt of a call at one gate. */
+class EntryAttempt : public ForwardListener
+{
+public:
+  EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate);
+
+  HeadVerdict OnHead(const HttpHead& aHead) override;
+  bool OnBody(std::string_view aBytes) override;
+  void OnEnd(ForwardEnd aEnd) override;
+
+private:
+  friend class EntryCall;
+
+  std::shared_ptr<EntryCall> m_call;
+  const GateInfo m_gate;
+  const Deadline m_sentAt;
+  ForwardTicket m_ticket;
+  /** What the gate says of the call; nothing before an answer has begun. */
+  std::optional<HopAnswer> m_hop;
+  HttpHead m_head;
+  std::string m_body;
+  /** Whether the attempt took a repeated send from the budget. */
+  bool m_paid = false;
+};
+
+} // namespace mimosarun
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -2,37 +2,38 @@
 
 #include "caller/entry.h"
 #include "common/log.h"
-#include "http/meshheaders.h"
+#include "common/random.h"
 
 #include <algorithm>
-#include <cstdio>
+#include <utility>
 
 namespace mimosarun {
 
 /** Time beyond a call's deadline in which a gate's own refusal may still arrive. */
 static constexpr std::chrono::milliseconds kGrace{ 30 };
-static constexpr size_t kRefusalLimitBytes = 4096;
-/** Expected costs that a short call may take before its connection is doubted. */
+/** Usual times that a short call may take before its connection is doubted. */
 static constexpr int kSilenceFactor = 10;
-
-static GateLoad
-ParseLoad(const std::string& aText)
-{
-  GateLoad load;
-  if (std::sscanf(aText.c_str(), "%d %d %d", &load.inUse, &load.slots, &load.waiting) != 3) {
-    return {};
-  }
-  return load;
-}
+/** Gates that one call may ask. */
+static constexpr int kHopLimit = 12;
+/** Part of the time left until the objective that a call may wait for a slot. */
+static constexpr double kWaitShare = 0.75;
+/** A call that misses its objective anyway waits for at most one part in this many of its time. */
+static constexpr int kLateWaitPart = 8;
+static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
+/** Lets a gate notice that a connection broke before it is asked again. */
+static constexpr std::chrono::milliseconds kAskAgainPause{ 30 };
+static constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
+static constexpr std::chrono::milliseconds kRetryAfterSpread{ 200 };
 
 static const char*
 EndName(ForwardEnd aEnd)
 {
   switch (aEnd) {
     case ForwardEnd::Complete:
-      return "complete";
+      return "unknown";
     case ForwardEnd::NotSent:
       return "not-sent";
+    case ForwardEnd::KeptConnectionClosed:
     case ForwardEnd::Broken:
       return "broken";
     case ForwardEnd::TimedOut:
@@ -49,37 +50,16 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - aStart);
 }
 
-EntryAttempt::EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate)
-  : m_call(std::move(aCall))
-  , m_gate(std::move(aGate))
-  , m_sentAt(SteadyClock::now())
-{
-}
-
-void
-EntryAttempt::OnHead(const HttpHead& aHead)
-{
-  m_call->OnAttemptHead(*this, aHead);
-}
-
-bool
-EntryAttempt::OnBody(std::string_view aBytes)
-{
-  return m_call->OnAttemptBody(*this, aBytes);
-}
-
-void
-EntryAttempt::OnEnd(ForwardEnd aEnd)
-{
-  m_call->OnAttemptEnd(*this, aEnd);
-}
-
 EntryCall::EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions)
   : m_entry(aEntry)
   , m_exchange(std::move(aExchange))
+  , m_loop(m_exchange->Loop())
   , m_options(std::move(aOptions))
-  , m_began(SteadyClock::now())
-  , m_retriesLeft(m_options.route->retries)
+  , m_began(m_exchange->ReceivedAt())
+  , m_service(m_entry.m_splitter.Next(*m_options.route))
+  , m_deadlineTimer(m_loop.Context())
+  , m_hedgeTimer(m_loop.Context())
+  , m_halfTimer(m_loop.Context())
 {
   m_record.call = m_options.call;
   m_record.route = m_options.route->name;
@@ -98,91 +78,212 @@
 void
 EntryCall::Begin()
 {
-  const std::weak_ptr<EntryCall> weak = weak_from_this();
-  m_entry.m_timers->At(m_options.deadline + kGrace, [weak] {
-    if (const auto self = weak.lock()) {
-      self->OnDeadline();
+  const auto self = shared_from_this();
+  m_exchange->OnCancel([self] { self->OnCallerGone(); });
+  m_entry.m_budget.Earn(m_service, m_began);
+  m_entry.m_hedgeBudget.Earn(m_service, m_began);
+  StartTimers();
+  if (m_options.route->Idempotent()) {
+    SendFirst();
+    return;
+  }
+  // An answer before it may close the connection, and its caller would then send this one again.
+  m_exchange->OnTurn([weak = weak_from_this()] {
+    if (const auto call = weak.lock()) {
+      call->SendFirst();
+    }
+  });
+}
+
+static void
+Arm(boost::asio::steady_timer& aTimer,
+    Deadline aAt,
+    const std::weak_ptr<EntryCall>& aCall,
+    void (EntryCall::*aFunction)())
+{
+  aTimer.expires_at(aAt);
+  aTimer.async_wait([aCall, aFunction](const boost::system::error_code& aError) {
+    const auto call = aCall.lock();
+    if (call && !aError) {
+      ((*call).*aFunction)();
     }
   });
-  if (m_options.route->idempotent) {
-    m_entry.m_timers->At(m_began + (m_options.deadline - m_began) / 2, [weak] {
-      if (const auto self = weak.lock()) {
-        self->OnHalfTime();
-      }
-    });
+}
+
+void
+EntryCall::StartTimers()
+{
+  Arm(m_deadlineTimer, m_options.deadline + kGrace, weak_from_this(), &EntryCall::OnDeadline);
+  if (!m_options.route->Idempotent()) {
+    return;
   }
+  Arm(m_halfTimer,
+      m_began + (m_options.deadline - m_began) / 2,
+      weak_from_this(),
+      &EntryCall::OnHalfTime);
   const std::chrono::microseconds hedgeDelay = m_entry.HedgeDelay(*m_options.route);
   if (hedgeDelay.count() > 0) {
-    m_entry.m_timers->At(m_began + hedgeDelay, [weak] {
-      if (const auto self = weak.lock()) {
-        self->LaunchHedge();
-      }
-    });
+    Arm(m_hedgeTimer, m_began + hedgeDelay, weak_from_this(), &EntryCall::OnHedgeTime);
   }
-  m_entry.m_budget.Earn();
-  m_entry.m_hedgeBudget.Earn();
-  const std::lock_guard lock(m_mutex);
-  if (!LaunchLocked()) {
-    RefuseLocked(503, "no target of the service is ready");
+}
+
+void
+EntryCall::SendFirst()
+{
+  if (!m_decided && !SendNext()) {
+    GiveUp(503, "no target of the service takes calls");
   }
 }
 
-HttpRequest
-EntryCall::GateRequest(Deadline aNow) const
+std::chrono::microseconds
+EntryCall::AffordableWait(Deadline aNow) const
 {
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  const microseconds usual = m_entry.UsualTime(*m_options.route);
+  const auto toObjective = duration_cast<microseconds>(m_options.objective - aNow) - usual;
+  if (toObjective.count() > 0) {
+    const auto share = static_cast<int64_t>(kWaitShare * static_cast<double>(toObjective.count()));
+    return std::min(microseconds(share), duration_cast<microseconds>(m_options.deadline - aNow));
+  }
+  const auto toDeadline = duration_cast<microseconds>(m_options.deadline - aNow);
+  return std::max(microseconds(0), std::min(toDeadline - usual, toDeadline / kLateWaitPart));
+}
+
+bool
+EntryCall::MayRunAgain()
+{
+  if (m_runs == 0) {
+    return true;
+  }
   const Route& route = *m_options.route;
-  HttpRequest request = m_exchange->Request();
-  SetHeader(request.headers, kCallHeader, m_options.call);
-  SetHeader(request.headers, kServiceHeader, route.service);
-  SetHeader(request.headers, kClassHeader, Name(route.callClass));
-  SetHeader(request.headers, kCostHeader, std::to_string(route.expectedCost.count()));
-  SetHeader(request.headers, kIdempotentHeader, route.idempotent ? "yes" : "no");
-  SetHeader(request.headers, kTimeoutHeader, std::to_string(TimeLeft(m_options.deadline, aNow).count()));
-  SetHeader(request.headers,
-            kHomeRegionHeader,
-            m_options.snapshot->configuration.services.at(route.service).homeRegion);
-  return request;
+  const Deadline now = SteadyClock::now();
+  const bool inTime = now + m_entry.UsualTime(route) / 2 < m_options.deadline;
+  return m_runs <= route.retries && inTime && m_entry.m_budget.TrySpend(m_service, now);
 }
 
 bool
-EntryCall::LaunchLocked(Reach aReach)
+EntryCall::SendNext()
 {
   const Deadline now = SteadyClock::now();
-  std::vector<GateInfo> gates = m_entry.GatesOf(m_options.route->service);
-  if (aReach == Reach::Region) {
-    std::erase_if(gates, [](const GateInfo& aGate) { return aGate.locality == Locality::OtherRegion; });
+  if (now >= m_options.deadline || m_hops >= kHopLimit) {
+    return false;
+  }
+  std::optional<GateChoice> choice =
+    m_entry.m_balancer.Choose(m_entry.GatesOf(m_service), m_experience);
+  if (!choice) {
+    return false;
+  }
+  const std::chrono::microseconds affordable = AffordableWait(now);
+  const auto named = m_experience.turnedBack.find(choice->gate.node);
+  const bool again = named != m_experience.turnedBack.end();
+  if (again && named->second > affordable) {
+    return false;
   }
-  std::optional<GateInfo> gate = m_entry.m_balancer.Choose(gates, m_excluded);
-  if (!gate || now >= m_options.deadline) {
+  if (!MayRunAgain()) {
     return false;
   }
-  const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), *gate);
+  choice->longestWait = again ? affordable : std::min(choice->longestWait, affordable);
+  Send(*choice);
+  return true;
+}
+
+HttpRequest
+EntryCall::GateRequest(Deadline aNow, const GateChoice& aChoice) const
+{
+  using std::chrono::milliseconds;
+  const Route& route = *m_options.route;
+  HttpRequest request = m_exchange->Request();
+  std::string ownService;
+  {
+    const std::lock_guard lock(m_entry.m_mutex);
+    ownService = m_entry.m_ownService;
+  }
+  m_entry.m_options.codec.prepareForTarget(request.headers, ownService);
+  HopRequest hop{ .call = m_options.call,
+                  .service = m_service,
+                  .route = route.name,
+                  .repeat = route.repeat,
+                  .callClass = route.callClass,
+                  .priority = route.priority,
+                  .expectedCost = route.expectedCost,
+                  .timeLeft = TimeLeft(m_options.deadline, aNow),
+                  .longestWait = std::chrono::ceil<milliseconds>(aChoice.longestWait),
+                  .sentToLife = m_asksAgain ? aChoice.gate.life : 0 };
+  if (route.repeat == RepeatPolicy::Keyed) {
+    hop.homeRegion = m_options.snapshot->configuration.services.at(m_service).homeRegion;
+  }
+  WriteHop(request.headers, hop);
+  return request;
+}
+
+void
+EntryCall::Send(const GateChoice& aChoice)
+{
+  const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice.gate);
+  const std::string& node = aChoice.gate.node;
+  attempt->m_paid = m_runs > 0;
   m_attempts.push_back(attempt);
-  m_entry.m_balancer.Sent(gate->node, m_options.route->callClass, attempt->m_sentAt);
+  ++m_hops;
+  m_entry.m_balancer.Sent(node, m_options.route->callClass, attempt->m_sentAt);
   attempt->m_ticket = m_entry.m_options.forwarder->Start(
-    { .to = gate->address,
-      .request = GateRequest(now),
+    m_loop,
+    { .to = aChoice.gate.address,
+      .request = GateRequest(attempt->m_sentAt, aChoice),
       .deadline = m_options.deadline + 2 * kGrace,
-      .freshConnection = !m_options.route->idempotent,
-      .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(gate->node) },
+      .connectTimeout = kConnectTimeout,
+      .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node) },
     attempt);
   WatchForSilence(attempt);
-  return true;
 }
 
 void
-EntryCall::WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt)
+EntryCall::SendAgainTo(const GateInfo& aGate)
+{
+  m_asksAgain = true;
+  m_loop.RunAt(SteadyClock::now() + kAskAgainPause, [weak = weak_from_this(), aGate] {
+    const auto self = weak.lock();
+    if (self && !self->m_decided) {
+      // The gate recognises the call, so it joins this attempt to what the first one began.
+      self->Send({ .gate = aGate, .longestWait = self->AffordableWait(SteadyClock::now()) });
+    }
+  });
+}
+
+bool
+EntryCall::SendBeside()
+{
+  const std::set<std::string> excluded = m_experience.excluded;
+  for (const AttemptPointer& attempt : m_attempts) {
+    m_experience.excluded.insert(attempt->m_gate.node);
+  }
+  m_runs = std::max<int64_t>(m_runs, 1);
+  const bool sent = SendNext();
+  // Where there is no other gate, a later attempt may still use the same one.
+  m_experience.excluded = excluded;
+  if (sent) {
+    m_entry.m_retries->Increment();
+  }
+  return sent;
+}
+
+// --- doubts ----------------------------------------------------------------------------------------------
+
+void
+EntryCall::WatchForSilence(const AttemptPointer& aAttempt)
 {
   const Route& route = *m_options.route;
-  // Only idempotent calls use kept connections, and only short ones are expected to answer soon.
-  if (!route.idempotent || route.callClass == CallClass::Long) {
+  // Only short calls are expected to answer soon.
+  if (!route.Idempotent() || route.callClass == CallClass::Long) {
     return;
   }
-  const auto expected = std::chrono::microseconds(route.expectedCost) * kSilenceFactor;
+  const auto expected = m_entry.UsualTime(route) * kSilenceFactor;
   const auto patience = std::max(m_entry.m_balancer.Patience(aAttempt->m_gate.node), expected);
-  const std::weak_ptr<EntryCall> weak = weak_from_this();
-  const std::weak_ptr<EntryAttempt> attempt = aAttempt;
-  m_entry.m_timers->At(SteadyClock::now() + patience, [weak, attempt] {
+  const Deadline at = SteadyClock::now() + patience;
+  if (at >= m_options.deadline) {
+    return;
+  }
+  m_loop.RunAt(at, [weak = weak_from_this(), attempt = std::weak_ptr(aAttempt)] {
     if (const auto self = weak.lock()) {
       self->OnSilence(attempt);
     }
@@ -193,8 +294,7 @@
 EntryCall::OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt)
 {
   const auto attempt = aAttempt.lock();
-  const std::lock_guard lock(m_mutex);
-  if (attempt == nullptr || m_decided || attempt->m_answering) {
+  if (attempt == nullptr || m_decided || attempt->m_hop) {
     return;
   }
   // The kept connection may have gone silent, so calls use new ones from now on. It may as well be a slow
@@ -205,237 +305,268 @@
 void
 EntryCall::OnHalfTime()
 {
-  const std::lock_guard lock(m_mutex);
   const bool answering =
-    std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& aHeld) { return aHeld->m_answering; });
-  if (!m_decided && !answering && m_options.route->idempotent) {
-    TryAgainLocked();
+    std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& aHeld) { return aHeld->m_hop; });
+  if (!m_decided && !answering && !m_attempts.empty()) {
+    SendBeside();
   }
 }
 
 void
-EntryCall::LaunchHedge()
+EntryCall::OnHedgeTime()
 {
-  const std::lock_guard lock(m_mutex);
-  if (m_decided || m_attempts.size() != 1 || !m_entry.m_hedgeBudget.TrySpend()) {
-    return;
-  }
-  const std::string first = m_attempts.front()->m_gate.node;
-  m_excluded.insert(first);
-  if (LaunchLocked(Reach::Region)) {
-    m_entry.m_retries->Increment();
-  } else {
-    // Where there is no other gate, a later attempt may still use this one.
-    m_excluded.erase(first);
+  const bool alone = m_attempts.size() == 1 && !m_attempts.front()->m_hop;
+  if (!m_decided && alone && m_entry.m_hedgeBudget.TrySpend(m_service, SteadyClock::now())) {
+    SendBeside();
   }
 }
 
-bool
-EntryCall::TryAgainLocked()
+void
+EntryCall::OnDeadline()
 {
-  const bool inTime = SteadyClock::now() + m_options.route->expectedCost < m_options.deadline;
-  if (m_retriesLeft <= 0 || !inTime || !m_entry.m_budget.TrySpend()) {
-    return false;
-  }
-  if (!LaunchLocked()) {
-    return false;
+  if (m_decided) {
+    return;
   }
-  --m_retriesLeft;
-  m_entry.m_retries->Increment();
-  Log(Event::CallRetried, { { "call", m_options.call } });
-  return true;
+  m_mayHaveRun = m_mayHaveRun || !m_attempts.empty();
+  Refuse(504, "no answer before the deadline");
+  CancelOthers(nullptr);
 }
 
-// --- answers ---------------------------------------------------------------------------------------------
-
 void
-EntryCall::AnswerLocked(EntryAttempt& aAttempt, const HttpHead& aHead)
+EntryCall::OnCallerGone()
 {
-  m_decided = true;
-  m_winner = &aAttempt;
-  DropOthersLocked(&aAttempt);
-  HttpHead head = aHead;
-  std::erase_if(head.headers,
-                [](const HttpHeader& aHeader) { return SameHeaderName(aHeader.name, kLoadHeader); });
-  m_exchange->OnDrain(
-    [forwarder = m_entry.m_options.forwarder, ticket = aAttempt.m_ticket] { forwarder->Resume(ticket); });
-  m_record.status = head.status;
-  m_exchange->Start(std::move(head));
+  if (!m_decided) {
+    Record(0, m_mayHaveRun || !m_attempts.empty() ? "unknown" : "not-run", "the caller has gone");
+  }
+  Decide();
+  CancelOthers(nullptr);
 }
 
+// --- answers ---------------------------------------------------------------------------------------------
+
 void
-EntryCall::OnAttemptHead(EntryAttempt& aAttempt, const HttpHead& aHead)
+EntryCall::Remove(EntryAttempt& aAttempt, AttemptEnd aEnd, const std::string& aName)
 {
-  const std::lock_guard lock(m_mutex);
-  aAttempt.m_head = aHead;
-  aAttempt.m_answering = true;
-  const std::string load = FindHeader(aHead.headers, kLoadHeader);
-  if (!load.empty()) {
-    m_entry.m_balancer.NoteLoad(aAttempt.m_gate.node, ParseLoad(load));
-  }
-  const std::string outcome = FindHeader(aHead.headers, kOutcomeHeader);
-  const bool foreign = FindHeader(aHead.headers, kCallHeader) != m_options.call;
-  aAttempt.m_notRun = outcome == kOutcomeNotRun && !foreign;
-  aAttempt.m_unknown = outcome == kOutcomeUnknown || foreign;
-  if (!aAttempt.m_notRun && !aAttempt.m_unknown && !m_decided) {
-    AnswerLocked(aAttempt, aHead);
-  }
+  std::erase_if(m_attempts, [&](const AttemptPointer& aHeld) { return aHeld.get() == &aAttempt; });
+  m_entry.m_balancer.Ended(
+    aAttempt.m_gate.node, m_options.route->callClass, aEnd, aAttempt.m_sentAt, SteadyClock::now());
+  m_record.attempts.push_back(
+    { .node = aAttempt.m_gate.node, .end = aName, .time = Since(aAttempt.m_sentAt) });
 }
 
 bool
-EntryCall::OnAttemptBody(EntryAttempt& aAttempt, std::string_view aBytes)
+EntryCall::BeginStreaming(EntryAttempt& aAttempt)
 {
-  const std::lock_guard lock(m_mutex);
-  if (m_winner == &aAttempt) {
-    return m_exchange->Write(aBytes);
+  if (m_decided) {
+    return false;
   }
-  if (aAttempt.m_refusalBody.size() < kRefusalLimitBytes) {
-    aAttempt.m_refusalBody.append(aBytes);
+  Decide();
+  m_winner = &aAttempt;
+  CancelOthers(&aAttempt);
+  HttpHead head = aAttempt.m_head;
+  m_entry.m_options.codec.finishAnswer(head, m_options.call);
+  m_exchange->OnDrain([ticket = aAttempt.m_ticket] { ticket.Resume(); });
+  m_record.status = head.status;
+  m_exchange->Start(std::move(head));
+  if (!aAttempt.m_body.empty()) {
+    m_exchange->Write(std::exchange(aAttempt.m_body, {}));
   }
   return true;
 }
 
 void
-EntryCall::OnAttemptEnd(EntryAttempt& aAttempt, ForwardEnd aEnd)
+EntryCall::OnAttemptAnswered(EntryAttempt& aAttempt)
 {
-  const auto self = shared_from_this();
-  std::shared_ptr<EntryAttempt> ended;
-  const std::lock_guard lock(m_mutex);
-  const auto place = std::find_if(
-    m_attempts.begin(), m_attempts.end(), [&](const auto& aHeld) { return aHeld.get() == &aAttempt; });
-  if (place != m_attempts.end()) {
-    ended = std::move(*place);
-    m_attempts.erase(place);
-  }
-  const auto time = Since(aAttempt.m_sentAt);
-  const bool answered = aEnd == ForwardEnd::Complete && !aAttempt.m_notRun && !aAttempt.m_unknown;
-  const AttemptEnd end = answered                        ? AttemptEnd::Answered
-                         : aEnd == ForwardEnd::Cancelled ? AttemptEnd::Abandoned
-                         : aEnd == ForwardEnd::Complete  ? AttemptEnd::Shed
-                                                         : AttemptEnd::Failed;
-  m_entry.m_balancer.Ended(
-    aAttempt.m_gate.node, m_options.route->callClass, end, aAttempt.m_sentAt, SteadyClock::now());
-  m_record.attempts.push_back({ .node = aAttempt.m_gate.node,
-                                .end = aAttempt.m_notRun    ? "not-run"
-                                       : aAttempt.m_unknown ? "unknown"
-                                                            : EndName(aEnd),
-                                .time = time });
+  const int status = aAttempt.m_head.status;
+  const bool failed = status >= 500;
+  Remove(aAttempt, failed ? AttemptEnd::Failed : AttemptEnd::Answered, "complete");
+  ++m_runs;
   if (m_winner == &aAttempt) {
-    m_exchange->Finish(aEnd == ForwardEnd::Complete);
-    Record(m_record.status, aEnd == ForwardEnd::Complete ? kOutcomeComplete : "cut", "");
+    m_exchange->Finish(true);
+    Record(status, "complete", "");
     return;
   }
   if (m_decided) {
     return;
   }
-  if (aEnd == ForwardEnd::Complete && aAttempt.m_notRun) {
-    OnRefusal(aAttempt);
-  } else {
-    OnFailure(aAttempt, aEnd);
+  if (failed && m_options.route->Idempotent()) {
+    m_experience.excluded.insert(aAttempt.m_gate.node);
+    m_failure = HttpResponse{ .status = status,
+                              .headers = std::move(aAttempt.m_head.headers),
+                              .body = std::move(aAttempt.m_body) };
+    if (!m_attempts.empty() || SendNext()) {
+      return;
+    }
+    GiveUp(502, "the target failed");
+    return;
   }
+  Answer(std::move(aAttempt.m_head), std::move(aAttempt.m_body));
 }
 
-static std::string
-ReasonIn(const std::string& aBody)
+void
+EntryCall::OnTurnedBack(EntryAttempt& aAttempt)
 {
-  static const std::string kStart = "\"reason\":\"";
-  const size_t start = aBody.find(kStart);
-  if (start == std::string::npos) {
-    return "the gate refused the call";
+  Remove(aAttempt, AttemptEnd::Shed, "not-run");
+  if (aAttempt.m_paid) {
+    m_entry.m_budget.GiveBack(m_service, SteadyClock::now());
+  }
+  if (m_decided) {
+    return;
+  }
+  const std::string& node = aAttempt.m_gate.node;
+  if (m_experience.turnedBack.contains(node) || aAttempt.m_hop->wait.count() == 0) {
+    // It isn't a matter of waiting, or the call waited there in vain.
+    m_experience.excluded.insert(node);
+  }
+  m_experience.turnedBack[node] = aAttempt.m_hop->wait;
+  // The gate that was asked again says that the call never came, so it may go elsewhere.
+  m_mayHaveRun = m_mayHaveRun && !m_asksAgain;
+  m_asksAgain = false;
+  const bool everywhere = aAttempt.m_hop->outcome == HopOutcome::Refused;
+  if (!everywhere && SendNext()) {
+    return;
+  }
+  if (m_attempts.empty()) {
+    GiveUp(aAttempt.m_head.status, aAttempt.m_body);
   }
-  const size_t from = start + kStart.size();
-  return aBody.substr(from, aBody.find('"', from) - from);
 }
 
 void
-EntryCall::OnRefusal(EntryAttempt& aAttempt)
+EntryCall::OnNotRun(EntryAttempt& aAttempt)
 {
-  m_excluded.insert(aAttempt.m_gate.node);
-  const bool retriable = FindHeader(aAttempt.m_head.headers, kRetryHeader) != "no";
-  if (retriable && TryAgainLocked()) {
+  Remove(aAttempt, AttemptEnd::Shed, "not-run");
+  ++m_runs;
+  if (m_decided) {
     return;
   }
-  if (m_attempts.empty() && !m_decided) {
-    RefuseLocked(aAttempt.m_head.status, ReasonIn(aAttempt.m_refusalBody));
+  m_experience.excluded.insert(aAttempt.m_gate.node);
+  if (SendNext()) {
+    m_entry.m_retries->Increment();
+    Log(Event::CallRetried, { { "call", m_options.call }, { "reason", aAttempt.m_body } });
+    return;
   }
-}
-
-static int
-FailureStatus(ForwardEnd aEnd)
-{
-  switch (aEnd) {
-    case ForwardEnd::NotSent:
-      return 503;
-    case ForwardEnd::TimedOut:
-      return 504;
-    default:
-      return 502;
+  if (m_attempts.empty()) {
+    GiveUp(503, aAttempt.m_body);
   }
 }
 
 void
-EntryCall::OnFailure(EntryAttempt& aAttempt, ForwardEnd aEnd)
+EntryCall::OnLost(EntryAttempt& aAttempt, ForwardEnd aEnd)
 {
-  m_excluded.insert(aAttempt.m_gate.node);
-  // Nothing ran and no load was caused by a try that wasn't sent, so the next one costs no budget.
-  const bool sent = aEnd != ForwardEnd::NotSent;
-  if (!sent && LaunchLocked()) {
+  Remove(aAttempt, AttemptEnd::Failed, EndName(aEnd));
+  if (m_winner == &aAttempt) {
+    m_exchange->Finish(false);
+    Record(m_record.status, "cut", "the answer broke off");
+    return;
+  }
+  if (m_decided) {
     return;
   }
+  const bool sent = aEnd != ForwardEnd::NotSent;
+  const bool saidByGate = aEnd == ForwardEnd::Complete;
+  if (!sent && aAttempt.m_paid) {
+    m_entry.m_budget.GiveBack(m_service, SteadyClock::now());
+  }
+  const bool idempotent = m_options.route->Idempotent();
+  if (!idempotent && ((sent && !saidByGate) || m_mayHaveRun)) {
+    // The gate may hold the call; only the same gate can tell.
+    m_mayHaveRun = true;
+    if (aEnd != ForwardEnd::TimedOut && m_hops < kHopLimit && SteadyClock::now() < m_options.deadline) {
+      SendAgainTo(aAttempt.m_gate);
+      return;
+    }
+  }
+  m_experience.excluded.insert(aAttempt.m_gate.node);
   m_mayHaveRun = m_mayHaveRun || sent;
-  if (sent && m_options.route->idempotent && TryAgainLocked()) {
+  m_runs += sent ? 1 : 0;
+  if ((!sent || idempotent) && SendNext()) {
+    if (sent) {
+      m_entry.m_retries->Increment();
+      Log(Event::CallRetried, { { "call", m_options.call }, { "reason", EndName(aEnd) } });
+    }
     return;
   }
-  if (m_attempts.empty() && !m_decided) {
-    const bool late = aEnd == ForwardEnd::TimedOut;
-    RefuseLocked(aAttempt.m_unknown ? aAttempt.m_head.status
-                 : late             ? 504
-                                    : 502,
-                 aAttempt.m_unknown ? ReasonIn(aAttempt.m_refusalBody) : "the connection to the gate broke");
+  if (!m_attempts.empty()) {
+    return;
   }
+  const bool late = aEnd == ForwardEnd::TimedOut || aAttempt.m_head.status == 504;
+  GiveUp(!m_mayHaveRun ? 503 : late ? 504 : 502,
+         saidByGate ? aAttempt.m_body : "the connection to the gate broke");
 }
 
 void
-EntryCall::OnDeadline()
+EntryCall::GiveUp(int aStatus, const std::string& aReason)
 {
-  const std::lock_guard lock(m_mutex);
-  if (m_decided) {
+  if (m_failure) {
+    HttpHead head{ .status = m_failure->status, .headers = std::move(m_failure->headers) };
+    Answer(std::move(head), std::move(m_failure->body));
     return;
   }
-  m_mayHaveRun = m_mayHaveRun || !m_attempts.empty();
-  RefuseLocked(504, "no answer before the deadline");
-  DropOthersLocked(nullptr);
+  // A refusal may say "not run" only where no attempt may have run.
+  const bool promise = aStatus == 503 || aStatus == 429;
+  Refuse(promise && m_mayHaveRun ? 502 : aStatus, aReason);
 }
 
 void
-EntryCall::Cancelled()
+EntryCall::Answer(HttpHead aHead, std::string aBody)
 {
-  const std::lock_guard lock(m_mutex);
-  m_decided = true;
-  DropOthersLocked(nullptr);
+  Decide();
+  CancelOthers(nullptr);
+  m_entry.m_options.codec.finishAnswer(aHead, m_options.call);
+  const int status = aHead.status;
+  m_exchange->Respond({ .status = status, .headers = std::move(aHead.headers), .body = std::move(aBody) });
+  Record(status, "complete", "");
 }
 
-void
-EntryCall::DropOthersLocked(const EntryAttempt* aKept)
+std::optional<std::chrono::milliseconds>
+EntryCall::RetryAfter() const
 {
-  for (const auto& attempt : m_attempts) {
-    if (attempt.get() != aKept) {
-      m_entry.m_options.forwarder->Cancel(attempt->m_ticket);
-    }
+  std::chrono::microseconds wait = kLeastRetryAfter;
+  for (const auto& [node, named] : m_experience.turnedBack) {
+    wait = std::max(wait, named);
   }
+  // Callers that were refused together come back spread out.
+  return std::chrono::ceil<std::chrono::milliseconds>(wait) +
+         std::chrono::milliseconds(RandomBetween(0, kRetryAfterSpread.count()));
 }
 
 void
-EntryCall::RefuseLocked(int aStatus, const std::string& aReason)
+EntryCall::Refuse(int aStatus, const std::string& aReason)
 {
-  m_decided = true;
+  Decide();
   const CallOutcome outcome = m_mayHaveRun ? CallOutcome::Unknown : CallOutcome::NotRun;
-  m_exchange->Respond(MakeRefusal({ .status = aStatus,
-                                    .outcome = outcome,
-                                    .reason = aReason,
-                                    .call = m_options.call,
-                                    .retryAfter = std::chrono::seconds(1) }));
-  Record(aStatus, m_mayHaveRun ? kOutcomeUnknown : kOutcomeNotRun, aReason);
+  m_exchange->Respond(m_entry.m_options.codec.refuse({ .status = aStatus,
+                                                       .outcome = outcome,
+                                                       .reason = aReason,
+                                                       .call = m_options.call,
+                                                       .retryAfter = RetryAfter() }));
+  Record(aStatus, m_mayHaveRun ? "unknown" : "not-run", aReason);
+}
+
+void
+EntryCall::Decide()
+{
+  m_decided = true;
+  m_deadlineTimer.cancel();
+  m_hedgeTimer.cancel();
+  m_halfTimer.cancel();
+}
+
+void
+EntryCall::CancelOthers(const EntryAttempt* aKept)
+{
+  for (const AttemptPointer& attempt : std::exchange(m_attempts, {})) {
+    if (attempt.get() == aKept) {
+      m_attempts.push_back(attempt);
+      continue;
+    }
+    attempt->m_ticket.Cancel();
+    m_entry.m_balancer.Ended(attempt->m_gate.node,
+                             m_options.route->callClass,
+                             AttemptEnd::Abandoned,
+                             attempt->m_sentAt,
+                             SteadyClock::now());
+  }
 }
 
 static std::string
@@ -457,23 +588,31 @@
   m_record.reason = aReason;
   m_record.time = Since(m_began);
   m_entry.m_time->Observe(std::chrono::duration<double>(m_record.time).count());
-  if (aOutcome == kOutcomeComplete) {
+  if (aOutcome == "complete") {
     m_entry.m_complete->Increment();
     m_entry.NoteTime(*m_options.route, m_record.time);
-  } else if (aOutcome == kOutcomeNotRun) {
+  } else if (aOutcome == "not-run") {
     m_entry.m_notRun->Increment();
     if (m_entry.m_refusalLog.Allow()) {
       Log(Event::CallRefused,
           { { "call", m_options.call },
             { "route", m_record.route },
+            { "status", aStatus },
             { "reason", aReason },
+            { "version", m_record.version },
             { "attempts", AttemptsText(m_record.attempts) },
             { "micros", m_record.time.count() } });
     }
   } else {
     m_entry.m_unknown->Increment();
     Log(Event::CallUnknown,
-        { { "call", m_options.call }, { "route", m_record.route }, { "reason", aReason } });
+        { { "call", m_options.call },
+          { "route", m_record.route },
+          { "status", aStatus },
+          { "reason", aReason },
+          { "version", m_record.version },
+          { "attempts", AttemptsText(m_record.attempts) },
+          { "micros", m_record.time.count() } });
   }
   m_entry.m_history.Add(m_record);
 }
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -2,23 +2,24 @@
 
 #include "caller/balancer.h"
 #include "caller/callhistory.h"
+#include "caller/entryattempt.h"
 #include "configuration/snapshot.h"
-#include "http/forwarder.h"
+#include "hop/hopheaders.h"
 #include "http/refusal.h"
 #include "http/server.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
-#include <mutex>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace mimosarun {
 
 class Entry;
-class EntryAttempt;
 
-/** One call at its entry: its attempts at gates, one of which gives the answer. */
+/** One call at its entry: its attempts at gates, one of which gives the answer. Lives on one loop. */
 class EntryCall : public std::enable_shared_from_this<EntryCall>
 {
 public:
@@ -29,86 +30,77 @@
     /** Of the snapshot. */
     const Route* route = nullptr;
     Deadline deadline;
+    /** Until then an answer is worth most. */
+    Deadline objective;
   };
 
   EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions);
   ~EntryCall();
 
-  /** Sends the first attempt. */
+  /** Sends the first attempt, or waits until it is the call's turn on its connection. */
   void Begin();
 
-  /** The caller has gone. */
-  void Cancelled();
-
 private:
   friend class EntryAttempt;
-
-  /** How far a further attempt may go. */
-  enum class Reach
-  {
-    Region,
-    Anywhere,
-  };
-
-  bool LaunchLocked(Reach aReach = Reach::Anywhere);
-  void LaunchHedge();
-  void WatchForSilence(const std::shared_ptr<EntryAttempt>& aAttempt);
-  void OnHalfTime();
+  using AttemptPointer = std::shared_ptr<EntryAttempt>;
+
+  void SendFirst();
+  void StartTimers();
+  /** Sends the call to the best gate that is left; false if there is none that would serve it. */
+  bool SendNext();
+  bool MayRunAgain();
+  /** Sends a second attempt to a gate that has none, while the first goes on. */
+  bool SendBeside();
+  void Send(const GateChoice& aChoice);
+  void SendAgainTo(const GateInfo& aGate);
+  std::chrono::microseconds AffordableWait(Deadline aNow) const;
+  HttpRequest GateRequest(Deadline aNow, const GateChoice& aChoice) const;
+
+  void WatchForSilence(const AttemptPointer& aAttempt);
   void OnSilence(const std::weak_ptr<EntryAttempt>& aAttempt);
+  void OnHedgeTime();
+  void OnHalfTime();
   void OnDeadline();
-  HttpRequest GateRequest(Deadline aNow) const;
-
-  void OnAttemptHead(EntryAttempt& aAttempt, const HttpHead& aHead);
-  bool OnAttemptBody(EntryAttempt& aAttempt, std::string_view aBytes);
-  void OnAttemptEnd(EntryAttempt& aAttempt, ForwardEnd aEnd);
-
-  void OnRefusal(EntryAttempt& aAttempt);
-  void OnFailure(EntryAttempt& aAttempt, ForwardEnd aEnd);
-  bool TryAgainLocked();
-  void RefuseLocked(int aStatus, const std::string& aReason);
-  void AnswerLocked(EntryAttempt& aAttempt, const HttpHead& aHead);
-  void DropOthersLocked(const EntryAttempt* aKept);
+  void OnCallerGone();
+
+  void OnAttemptAnswered(EntryAttempt& aAttempt);
+  void OnTurnedBack(EntryAttempt& aAttempt);
+  void OnNotRun(EntryAttempt& aAttempt);
+  void OnLost(EntryAttempt& aAttempt, ForwardEnd aEnd);
+  void Remove(EntryAttempt& aAttempt, AttemptEnd aEnd, const std::string& aName);
+
+  bool BeginStreaming(EntryAttempt& aAttempt);
+  void GiveUp(int aStatus, const std::string& aReason);
+  void Answer(HttpHead aHead, std::string aBody);
+  void Refuse(int aStatus, const std::string& aReason);
+  std::optional<std::chrono::milliseconds> RetryAfter() const;
+  void CancelOthers(const EntryAttempt* aKept);
+  void Decide();
   void Record(int aStatus, const std::string& aOutcome, const std::string& aReason);
 
   Entry& m_entry;
   const ExchangePointer m_exchange;
+  EventLoop& m_loop;
   const Options m_options;
   const Deadline m_began;
-  std::mutex m_mutex;
-  std::vector<std::shared_ptr<EntryAttempt>> m_attempts;
-  std::set<std::string> m_excluded;
-  int64_t m_retriesLeft = 0;
+  std::string m_service;
+  boost::asio::steady_timer m_deadlineTimer;
+  boost::asio::steady_timer m_hedgeTimer;
+  boost::asio::steady_timer m_halfTimer;
+  std::vector<AttemptPointer> m_attempts;
+  CallExperience m_experience;
+  /** Attempts that a target was given. */
+  int64_t m_runs = 0;
+  int m_hops = 0;
   /** Whether an attempt that gave no answer may have run. */
   bool m_mayHaveRun = false;
+  /** Whether the call is asked for again at the gate that may hold it. */
+  bool m_asksAgain = false;
   bool m_decided = false;
   EntryAttempt* m_winner = nullptr;
+  /** A failure that a target answered, kept in case no further attempt does better. */
+  std::optional<HttpResponse> m_failure;
   CallRecord m_record;
 };
 
-/** One attempt of a call at one gate. */
-class EntryAttempt : public ForwardListener
-{
-public:
-  EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate);
-
-  void OnHead(const HttpHead& aHead) override;
-  bool OnBody(std::string_view aBytes) override;
-  void OnEnd(ForwardEnd aEnd) override;
-
-private:
-  friend class EntryCall;
-
-  std::shared_ptr<EntryCall> m_call;
-  const GateInfo m_gate;
-  const Deadline m_sentAt;
-  ForwardTicket m_ticket;
-  bool m_answering = false;
-  /** The gate refused the call as not run. */
-  bool m_notRun = false;
-  /** The gate can't tell whether the call ran. */
-  bool m_unknown = false;
-  HttpHead m_head;
-  std::string m_refusalBody;
-};
-
 } // namespace mimosarun
--- /dev/null
+++ b/src/caller/sharesplitter.cpp
@@ -0,0 +1,44 @@
+#include "caller/sharesplitter.h"
+
+#include "common/random.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+/** Nodes begin at different places of the turn, so that together they keep to the weights from the start. */
+static constexpr int64_t kStartSteps = 1000;
+
+std::string
+ShareSplitter::Next(const Route& aRoute)
+{
+  if (aRoute.shares.size() == 1) {
+    return aRoute.shares.front().service;
+  }
+  double total = 0;
+  for (const RouteShare& share : aRoute.shares) {
+    total += static_cast<double>(share.weight);
+  }
+  const std::lock_guard lock(m_mutex);
+  std::vector<double>& credits = m_credits[aRoute.name];
+  if (credits.size() != aRoute.shares.size()) {
+    credits.assign(aRoute.shares.size(), 0);
+    for (double& credit : credits) {
+      credit = static_cast<double>(RandomBetween(0, kStartSteps)) / kStartSteps;
+    }
+  }
+  for (size_t i = 0; i < credits.size(); ++i) {
+    credits[i] += static_cast<double>(aRoute.shares[i].weight) / total;
+  }
+  size_t best = 0;
+  for (size_t i = 0; i < credits.size(); ++i) {
+    const bool usable = aRoute.shares[i].weight > 0;
+    if (usable && (aRoute.shares[best].weight == 0 || credits[i] > credits[best])) {
+      best = i;
+    }
+  }
+  credits[best] -= 1;
+  return aRoute.shares[best].service;
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/caller/sharesplitter.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "configuration/configuration.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mimosarun {
+
+/**
+ * Divides the requests of each route among its services by weight. It goes in turns rather than by chance, so
+ * that a node with few requests keeps to the weights too. Thread-safe.
+ */
+class ShareSplitter
+{
+public:
+  /** The service of the next request of a route. */
+  std::string Next(const Route& aRoute);
+
+private:
+  std::mutex m_mutex;
+  /** Credit of each share of a route, in the order of the shares; the highest goes next. */
+  std::map<std::string, std::vector<double>> m_credits;
+};
+
+} // namespace mimosarun
--- a/src/common/compression.cpp
+++ b/src/common/compression.cpp
@@ -2,9 +2,21 @@
 
 #include <zstd.h>
 
+#include <algorithm>
+#include <bit>
+#include <memory>
+
 namespace mimosarun {
 
 static constexpr int kLevel = 3;
+static constexpr int kSmallestWindowLog = 12;
+static constexpr int kLargestWindowLog = 27;
+
+static auto
+Damaged()
+{
+  return Fail(ErrorKind::CorruptData, "compressed data is damaged; fetch it again");
+}
 
 std::string
 Compress(std::string_view aBytes)
@@ -25,7 +37,42 @@
   std::string output(size, '\0');
   const size_t length = ZSTD_decompress(output.data(), output.size(), aBytes.data(), aBytes.size());
   if (ZSTD_isError(length) != 0U || length != size) {
-    return Fail(ErrorKind::CorruptData, "compressed data is damaged; fetch it again");
+    return Damaged();
+  }
+  return output;
+}
+
+std::string
+CompressAgainst(std::string_view aBytes, std::string_view aHeld)
+{
+  const std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> context(ZSTD_createCCtx(), &ZSTD_freeCCtx);
+  // Both texts have to lie in the window, or matches in the held one would be missed.
+  const auto bits = static_cast<int>(std::bit_width(aBytes.size() + aHeld.size()));
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
+  ZSTD_CCtx_setParameter(
+    context.get(), ZSTD_c_windowLog, std::clamp(bits, kSmallestWindowLog, kLargestWindowLog));
+  ZSTD_CCtx_refPrefix(context.get(), aHeld.data(), aHeld.size());
+  std::string output(ZSTD_compressBound(aBytes.size()), '\0');
+  const size_t length =
+    ZSTD_compress2(context.get(), output.data(), output.size(), aBytes.data(), aBytes.size());
+  output.resize(ZSTD_isError(length) != 0U ? 0 : length);
+  return output;
+}
+
+Result<std::string>
+DecompressAgainst(std::string_view aBytes, std::string_view aHeld, size_t aLimit)
+{
+  const auto size = ZSTD_getFrameContentSize(aBytes.data(), aBytes.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > aLimit) {
+    return Fail(ErrorKind::CorruptData, "compressed data has no valid size; fetch it again");
+  }
+  const std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
+  ZSTD_DCtx_refPrefix(context.get(), aHeld.data(), aHeld.size());
+  std::string output(size, '\0');
+  const size_t length =
+    ZSTD_decompressDCtx(context.get(), output.data(), output.size(), aBytes.data(), aBytes.size());
+  if (ZSTD_isError(length) != 0U || length != size) {
+    return Damaged();
   }
   return output;
 }
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -36,7 +36,8 @@
   namespace keywords = boost::log::keywords;
   s_options = aOptions;
   if (aOptions.file.empty()) {
-    boost::log::add_console_log(std::cerr, keywords::format = "%Message%", keywords::auto_flush = true);
+    std::ostream& stream = aOptions.console == LogConsole::Output ? std::cout : std::cerr;
+    boost::log::add_console_log(stream, keywords::format = "%Message%", keywords::auto_flush = true);
   } else {
     boost::log::add_file_log(keywords::file_name = aOptions.file,
                              keywords::open_mode = std::ios_base::app,
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -32,16 +32,24 @@
   }
 };
 
+/** Stream that takes the log where no file is named. */
+enum class LogConsole
+{
+  Error,
+  Output,
+};
+
 /** Where the log of a process goes and what names it there. */
 struct LogOptions
 {
   std::string file;
+  LogConsole console = LogConsole::Error;
   std::string process;
   std::string role;
   std::string failureDomain;
 };
 
-/** Opens the log; an empty file name means standard error. Called once, before any other thread starts. */
+/** Opens the log; an empty file name means a console stream. Called once, before any other thread starts. */
 void
 OpenLog(const LogOptions& aOptions);
 
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -3,6 +3,7 @@
 #include "settings/jsonreader.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace mimosarun {
 
@@ -11,13 +12,23 @@
 static constexpr std::chrono::milliseconds kDefaultCost{ 20 };
 static constexpr int64_t kMaximumRetries = 5;
 static constexpr int64_t kMaximumInFlight = 1000000;
+static constexpr int64_t kMaximumConnections = 1000000;
+static constexpr int64_t kDefaultConnections = 1024;
+static constexpr int64_t kMaximumWeight = 1000000;
+static constexpr int64_t kLowestPriority = 1000;
+static constexpr int64_t kMaximumBodyBytes = 1024L * 1024 * 1024;
 static constexpr size_t kDocumentLimitBytes = 4UL * 1024 * 1024;
 
 static void
 ReadServices(JsonReader& aReader, Configuration& aConfiguration)
 {
   aReader.ForEach("services", [&](const std::string& aName, JsonReader& aService) {
-    aConfiguration.services[aName] = { .name = aName, .homeRegion = aService.Text("homeRegion") };
+    aConfiguration.services[aName] = {
+      .name = aName,
+      .homeRegion = aService.Text("homeRegion", ""),
+      .healthPath = aService.Text("healthPath", ""),
+      .maxConnections = aService.Integer("maxConnections", 1, kMaximumConnections, kDefaultConnections)
+    };
   });
 }
 
@@ -36,9 +47,11 @@
                 const Configuration& aConfiguration,
                 Problems& aProblems)
 {
-  if (!aRoute.service.empty() && !aConfiguration.services.contains(aRoute.service)) {
-    aProblems.Add(aReader.PathOf("service"),
-                  "'" + aRoute.service + "' is no service of this document; declare it under services");
+  for (const RouteShare& share : aRoute.shares) {
+    if (!share.service.empty() && !aConfiguration.services.contains(share.service)) {
+      aProblems.Add(aReader.PathOf(aRoute.shares.size() > 1 ? "split" : "service"),
+                    "'" + share.service + "' is no service of this document; declare it under services");
+    }
   }
   if (!aRoute.limit.empty() && !aConfiguration.limits.contains(aRoute.limit)) {
     aProblems.Add(aReader.PathOf("limit"),
@@ -47,14 +60,79 @@
   if (!aRoute.pathPrefix.starts_with('/')) {
     aProblems.Add(aReader.PathOf("pathPrefix"), "must start with '/'");
   }
-  if (!aRoute.idempotent && aRoute.hedgeAfter.count() > 0) {
+  if (!aRoute.Idempotent() && aRoute.hedgeAfter.count() > 0) {
     aProblems.Add(aReader.PathOf("hedgeAfterMs"),
                   "is for idempotent routes only; remove it or set idempotent");
   }
 }
 
+/** Whether a text may stand as a host name in a request. */
+static bool
+IsHost(const std::string& aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aLetter) {
+    return std::isalnum(aLetter) != 0 || aLetter == '.' || aLetter == '-' || aLetter == '_';
+  });
+}
+
+/** Whether a text is a token of HTTP (RFC 9110, section 5.6.2). */
+static bool
+IsToken(const std::string& aText)
+{
+  static const std::string kMarks = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](unsigned char aLetter) {
+    return std::isalnum(aLetter) != 0 || kMarks.find(static_cast<char>(aLetter)) != std::string::npos;
+  });
+}
+
+static void
+CheckMatching(const JsonReader& aReader, const Route& aRoute, Problems& aProblems)
+{
+  if (!IsHost(aRoute.host)) {
+    aProblems.Add(aReader.PathOf("host"), "'" + aRoute.host + "' is no host name; remove what isn't part of it");
+  }
+  for (const std::string& method : aRoute.methods) {
+    if (!IsToken(method)) {
+      aProblems.Add(aReader.PathOf("methods"), "'" + method + "' is no HTTP method; write one such as GET");
+    }
+  }
+}
+
+static std::vector<RouteShare>
+ReadShares(JsonReader& aReader, Problems& aProblems)
+{
+  std::vector<RouteShare> shares;
+  aReader.ForEachElement("split", [&](JsonReader& aShare) {
+    shares.push_back(
+      { .service = aShare.Text("service"), .weight = aShare.Integer("weight", 0, kMaximumWeight, 1) });
+  });
+  if (shares.empty()) {
+    return { { .service = aReader.Text("service"), .weight = 1 } };
+  }
+  if (aReader.Has("service")) {
+    aProblems.Add(aReader.PathOf("service"), "stands beside 'split'; remove one of them");
+    aReader.Text("service");
+  }
+  if (std::all_of(shares.begin(), shares.end(), [](const auto& aShare) { return aShare.weight == 0; })) {
+    aProblems.Add(aReader.PathOf("split"), "gives every service the weight 0; raise one");
+  }
+  return shares;
+}
+
+static RepeatPolicy
+ReadRepeatPolicy(JsonReader& aReader)
+{
+  if (aReader.Flag("idempotent", false)) {
+    return RepeatPolicy::Idempotent;
+  }
+  const std::string text = aReader.OneOf("repeat", { "idempotent", "keyed", "once" }, "keyed");
+  return text == "idempotent" ? RepeatPolicy::Idempotent
+         : text == "once"     ? RepeatPolicy::Once
+                              : RepeatPolicy::Keyed;
+}
+
 static Route
-ReadRoute(const std::string& aName, JsonReader& aReader)
+ReadRoute(const std::string& aName, JsonReader& aReader, Problems& aProblems)
 {
   const std::chrono::milliseconds zero{ 0 };
   const std::chrono::milliseconds one{ 1 };
@@ -63,15 +141,18 @@
   route.host = aReader.Text("host", "");
   route.pathPrefix = aReader.Text("pathPrefix");
   route.methods = aReader.Texts("methods");
-  route.service = aReader.Text("service");
+  route.shares = ReadShares(aReader, aProblems);
   route.timeout = aReader.Milliseconds("timeoutMs", one, kLongestTimeout, kDefaultTimeout);
-  route.idempotent = aReader.Flag("idempotent", false);
+  route.repeat = ReadRepeatPolicy(aReader);
   route.callClass =
     aReader.OneOf("class", { "short", "long" }, "short") == "long" ? CallClass::Long : CallClass::Short;
   route.expectedCost = aReader.Milliseconds("expectedCostMs", one, kLongestTimeout, kDefaultCost);
   route.retries = aReader.Integer("retries", 0, kMaximumRetries, 1);
   route.hedgeAfter = aReader.Milliseconds("hedgeAfterMs", zero, kLongestTimeout, zero);
   route.limit = aReader.Text("limit", "");
+  route.latencyObjective = aReader.Milliseconds("latencyObjectiveMs", zero, kLongestTimeout, zero);
+  route.priority = aReader.Integer("priority", 0, kLowestPriority, 1);
+  CheckMatching(aReader, route, aProblems);
   return route;
 }
 
@@ -86,7 +167,7 @@
 ReadRoutes(JsonReader& aReader, Configuration& aConfiguration, Problems& aProblems)
 {
   aReader.ForEach("routes", [&](const std::string& aName, JsonReader& aRoute) {
-    Route route = ReadRoute(aName, aRoute);
+    Route route = ReadRoute(aName, aRoute, aProblems);
     CheckReferences(aRoute, route, aConfiguration, aProblems);
     for (const Route& other : aConfiguration.routes) {
       if (MatchesTheSame(route, other)) {
@@ -113,6 +194,17 @@
   });
 }
 
+static void
+ReadCallerLimits(JsonReader& aReader, Configuration& aConfiguration)
+{
+  CallerLimits& limits = aConfiguration.callerLimits;
+  limits.maxHeaderBytes = aReader.Integer("maxHeaderBytes", 1024, kMaximumBodyBytes, limits.maxHeaderBytes);
+  limits.maxBodyBytes = aReader.Integer("maxBodyBytes", 0, kMaximumBodyBytes, limits.maxBodyBytes);
+  const std::chrono::milliseconds one{ 1 };
+  limits.headerTimeout = aReader.Milliseconds("headerTimeoutMs", one, kLongestTimeout, limits.headerTimeout);
+  limits.idleTimeout = aReader.Milliseconds("idleTimeoutMs", one, kLongestTimeout, limits.idleTimeout);
+}
+
 Result<Configuration>
 ParseConfiguration(const std::string& aText, const std::string& aSource, DocumentOrigin aOrigin)
 {
@@ -128,6 +220,7 @@
   ReadServices(reader, configuration);
   ReadLimits(reader, configuration);
   ReadRoutes(reader, configuration, problems);
+  ReadCallerLimits(reader, configuration);
   if (aOrigin == DocumentOrigin::Control) {
     ReadTargets(reader, configuration);
   }
@@ -138,6 +231,12 @@
   return configuration;
 }
 
+Result<Configuration>
+NativeFormat::Parse(const std::string& aText)
+{
+  return ParseConfiguration(aText, "configuration", DocumentOrigin::Control);
+}
+
 static bool
 Matches(const Route& aRoute, const std::string& aHost, const std::string& aPath, const std::string& aMethod)
 {
@@ -186,6 +285,20 @@
   return "serving";
 }
 
+const char*
+Name(RepeatPolicy aPolicy)
+{
+  switch (aPolicy) {
+    case RepeatPolicy::Idempotent:
+      return "idempotent";
+    case RepeatPolicy::Keyed:
+      return "keyed";
+    case RepeatPolicy::Once:
+      return "once";
+  }
+  return "once";
+}
+
 const char*
 Name(CallClass aClass)
 {
--- a/src/configuration/snapshot.cpp
+++ b/src/configuration/snapshot.cpp
@@ -3,14 +3,11 @@
 #include "common/compression.h"
 #include "common/digest.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace mimosarun {
 
 static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
-static constexpr size_t kHistoryLimit = 1024;
 
 SnapshotPointer
 EmptySnapshot()
@@ -21,26 +18,37 @@
 }
 
 Result<SnapshotPointer>
-MakeSnapshot(int64_t aVersion, const std::string& aCanonicalText)
+MakeSnapshot(int64_t aVersion, const std::string& aText, const DocumentParser& aParser)
 {
-  MIMOSARUN_TRY(Configuration configuration,
-                ParseConfiguration(aCanonicalText, "configuration", DocumentOrigin::Control));
+  MIMOSARUN_TRY(Configuration configuration, aParser(aText));
   return std::make_shared<const Snapshot>(Snapshot{ .version = aVersion,
-                                                    .text = aCanonicalText,
-                                                    .hash = Sha256(aCanonicalText),
+                                                    .text = aText,
+                                                    .hash = Sha256(aText),
                                                     .configuration = std::move(configuration) });
 }
 
+SnapshotPointer
+MakeValidatedSnapshot(int64_t aVersion, const std::string& aText)
+{
+  return std::make_shared<const Snapshot>(
+    Snapshot{ .version = aVersion, .text = aText, .hash = Sha256(aText), .configuration = {} });
+}
+
+static wire::ConfigurationUpdate
+DeltaBetween(int64_t aFromVersion, const std::string& aFromText, int64_t aToVersion, const std::string& aToText)
+{
+  wire::ConfigurationUpdate update;
+  update.fromVersion = aFromVersion;
+  update.toVersion = aToVersion;
+  update.payload = CompressAgainst(aToText, aFromText);
+  return update;
+}
+
 wire::ConfigurationUpdate
 MakeDelta(const Snapshot& aFrom, const Snapshot& aTo)
 {
-  const nlohmann::json patch =
-    nlohmann::json::diff(nlohmann::json::parse(aFrom.text), nlohmann::json::parse(aTo.text));
-  wire::ConfigurationUpdate update;
-  update.fromVersion = aFrom.version;
-  update.toVersion = aTo.version;
+  wire::ConfigurationUpdate update = DeltaBetween(aFrom.version, aFrom.text, aTo.version, aTo.text);
   update.hash = aTo.hash;
-  update.payload = Compress(patch.dump());
   return update;
 }
 
@@ -56,18 +64,14 @@
 }
 
 static Result<std::string>
-PatchedText(const Snapshot& aHeld, const std::string& aPatch)
+TextOfUpdate(const wire::ConfigurationUpdate& aUpdate, const std::string& aHeldText)
 {
-  try {
-    return nlohmann::json::parse(aHeld.text).patch(nlohmann::json::parse(aPatch)).dump();
-  } catch (const nlohmann::json::exception& fault) {
-    return Fail(ErrorKind::CorruptData,
-                std::string("the patch doesn't apply: ") + fault.what() + "; fetch the whole");
-  }
+  return aUpdate.whole ? Decompress(aUpdate.payload, kDocumentLimitBytes)
+                       : DecompressAgainst(aUpdate.payload, aHeldText, kDocumentLimitBytes);
 }
 
 Result<SnapshotPointer>
-ApplyUpdate(const Snapshot& aHeld, const wire::ConfigurationUpdate& aUpdate)
+ApplyUpdate(const Snapshot& aHeld, const wire::ConfigurationUpdate& aUpdate, const DocumentParser& aParser)
 {
   if (aUpdate.toVersion <= aHeld.version) {
     return Fail(ErrorKind::Conflict,
@@ -78,67 +82,80 @@
     return Fail(ErrorKind::StaleBase,
                 "the update starts from another version; fetch it for the held version");
   }
-  MIMOSARUN_TRY(std::string text, Decompress(aUpdate.payload, kDocumentLimitBytes));
-  if (!aUpdate.whole) {
-    MIMOSARUN_TRY(std::string patched, PatchedText(aHeld, text));
-    text = std::move(patched);
-  }
-  MIMOSARUN_TRY(SnapshotPointer snapshot, MakeSnapshot(aUpdate.toVersion, text));
-  if (snapshot->hash != aUpdate.hash) {
+  MIMOSARUN_TRY(const std::string text, TextOfUpdate(aUpdate, aHeld.text));
+  if (Sha256(text) != aUpdate.hash) {
     return Fail(ErrorKind::CorruptData, "the result has another hash than announced; fetch the whole");
   }
-  return snapshot;
+  return MakeSnapshot(aUpdate.toVersion, text, aParser);
 }
 
 void
-UpdateHistory::Add(wire::ConfigurationUpdate aUpdate)
+UpdateHistory::Add(const Snapshot& aSnapshot)
 {
-  m_updates.push_back(std::move(aUpdate));
-  if (m_updates.size() > kHistoryLimit) {
-    m_updates.pop_front();
+  m_versions.push_back({ .version = aSnapshot.version, .text = aSnapshot.text });
+  if (m_versions.size() > m_limit) {
+    m_versions.pop_front();
   }
 }
 
 void
 UpdateHistory::Clear()
 {
-  m_updates.clear();
+  m_versions.clear();
+}
+
+const std::string*
+UpdateHistory::TextOf(int64_t aVersion) const
+{
+  const auto found = std::find_if(m_versions.begin(), m_versions.end(), [aVersion](const VersionText& aText) {
+    return aText.version == aVersion;
+  });
+  return found == m_versions.end() ? nullptr : &found->text;
 }
 
 wire::ConfigurationUpdate
-UpdateHistory::Compose(int64_t aHeldVersion, const Snapshot& aCurrent) const
+UpdateHistory::UpdateFrom(int64_t aHeldVersion, const Snapshot& aCurrent) const
 {
   wire::ConfigurationUpdate whole = MakeWhole(aCurrent);
-  auto step = std::find_if(m_updates.begin(), m_updates.end(), [aHeldVersion](const auto& aUpdate) {
-    return !aUpdate.whole && aUpdate.fromVersion == aHeldVersion;
-  });
-  nlohmann::json operations = nlohmann::json::array();
-  int64_t reached = aHeldVersion;
-  for (; step != m_updates.end() && step->fromVersion == reached && !step->whole; ++step) {
-    const Result<std::string> patch = Decompress(step->payload, kDocumentLimitBytes);
-    if (!patch) {
-      return whole;
-    }
-    for (auto& operation : nlohmann::json::parse(patch.value())) {
-      operations.push_back(std::move(operation));
-    }
-    reached = step->toVersion;
-  }
-  if (reached != aCurrent.version) {
+  const std::string* held = aHeldVersion == 0 ? &EmptySnapshot()->text : TextOf(aHeldVersion);
+  if (held == nullptr) {
     return whole;
   }
-  wire::ConfigurationUpdate update;
-  update.fromVersion = aHeldVersion;
-  update.toVersion = aCurrent.version;
+  wire::ConfigurationUpdate update = DeltaBetween(aHeldVersion, *held, aCurrent.version, aCurrent.text);
   update.hash = aCurrent.hash;
-  update.payload = Compress(operations.dump());
   return update.payload.size() < whole.payload.size() ? update : whole;
 }
 
-const std::deque<wire::ConfigurationUpdate>&
-UpdateHistory::Updates() const
+std::vector<wire::ConfigurationUpdate>
+UpdateHistory::Image() const
 {
-  return m_updates;
+  std::vector<wire::ConfigurationUpdate> image;
+  const VersionText* previous = nullptr;
+  for (const VersionText& version : m_versions) {
+    wire::ConfigurationUpdate update;
+    if (previous == nullptr) {
+      update.toVersion = version.version;
+      update.whole = true;
+      update.payload = Compress(version.text);
+    } else {
+      update = DeltaBetween(previous->version, previous->text, version.version, version.text);
+    }
+    image.push_back(std::move(update));
+    previous = &version;
+  }
+  return image;
+}
+
+Result<void>
+UpdateHistory::Restore(const std::vector<wire::ConfigurationUpdate>& aImage)
+{
+  m_versions.clear();
+  for (const wire::ConfigurationUpdate& update : aImage) {
+    MIMOSARUN_TRY(std::string text,
+                  TextOfUpdate(update, m_versions.empty() ? std::string() : m_versions.back().text));
+    m_versions.push_back({ .version = update.toVersion, .text = std::move(text) });
+  }
+  return boost::outcome_v2::success();
 }
 
 } // namespace mimosarun
--- a/src/configuration/snapshot.h
+++ b/src/configuration/snapshot.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -28,9 +29,15 @@
 
 /** Builds a snapshot after validating the whole document. */
 Result<SnapshotPointer>
-MakeSnapshot(int64_t aVersion, const std::string& aCanonicalText);
+MakeSnapshot(int64_t aVersion,
+             const std::string& aText,
+             const DocumentParser& aParser = ParserOf<NativeFormat>());
 
-/** The change between two snapshots as a compressed JSON patch (RFC 6902). */
+/** A snapshot of a text that was validated before; its configuration stays empty. */
+SnapshotPointer
+MakeValidatedSnapshot(int64_t aVersion, const std::string& aText);
+
+/** The change between two snapshots: the new text compressed against the old one. */
 wire::ConfigurationUpdate
 MakeDelta(const Snapshot& aFrom, const Snapshot& aTo);
 
@@ -43,28 +50,52 @@
  * Nothing is applied on an error.
  */
 Result<SnapshotPointer>
-ApplyUpdate(const Snapshot& aHeld, const wire::ConfigurationUpdate& aUpdate);
+ApplyUpdate(const Snapshot& aHeld,
+            const wire::ConfigurationUpdate& aUpdate,
+            const DocumentParser& aParser = ParserOf<NativeFormat>());
 
-/** Recent updates between consecutive versions, from which one for any recent holder is composed. */
+/** The text of one version. */
+struct VersionText
+{
+  int64_t version = 0;
+  std::string text;
+};
+
+/** Texts of recent versions, from which an update for any recent holder is made. */
 class UpdateHistory
 {
 public:
-  /** Adds the update that leads to the newest version; the oldest is dropped at the limit. */
-  void Add(wire::ConfigurationUpdate aUpdate);
+  explicit UpdateHistory(size_t aLimit = kHistoryLimit)
+    : m_limit(aLimit)
+  {
+  }
+
+  /** Adds the newest version; the oldest is dropped at the limit. */
+  void Add(const Snapshot& aSnapshot);
 
-  /** Forgets everything, after a whole snapshot took the place of a chain of updates. */
+  /** Forgets everything. */
   void Clear();
 
   /**
-   * The smallest update that takes a holder of aHeldVersion to aCurrent: one patch composed of the steps
-   * between, or the whole snapshot where a step is missing or the patch is larger.
+   * The smallest update that takes a holder of aHeldVersion to aCurrent: the difference to the held text, or
+   * the whole snapshot where that text is no longer known or the difference is larger.
    */
-  wire::ConfigurationUpdate Compose(int64_t aHeldVersion, const Snapshot& aCurrent) const;
+  wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion, const Snapshot& aCurrent) const;
+
+  /** The text of a version, or nothing where it is no longer known. */
+  const std::string* TextOf(int64_t aVersion) const;
 
-  const std::deque<wire::ConfigurationUpdate>& Updates() const;
+  /** All versions as a chain: the oldest whole, each other as the difference to the one before it. */
+  std::vector<wire::ConfigurationUpdate> Image() const;
+
+  /** Undoes Image(). */
+  Result<void> Restore(const std::vector<wire::ConfigurationUpdate>& aImage);
 
 private:
-  std::deque<wire::ConfigurationUpdate> m_updates;
+  static constexpr size_t kHistoryLimit = 64;
+
+  size_t m_limit;
+  std::deque<VersionText> m_versions;
 };
 
 } // namespace mimosarun
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -15,10 +15,10 @@
 static constexpr size_t kVersionSummaryLimit = 1024;
 static constexpr size_t kProposalLimit = 64;
 static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
-static constexpr size_t kPatchLimitBytes = 16UL * 1024 * 1024;
 
-ConfigurationState::ConfigurationState()
-  : m_current(EmptySnapshot())
+ConfigurationState::ConfigurationState(DocumentParser aParser)
+  : m_parser(std::move(aParser))
+  , m_current(EmptySnapshot())
 {
 }
 
@@ -48,6 +48,8 @@
       return Accept(aCommand);
     case wire::CommandKind::SetTargetState:
       return SetTargetState(aCommand);
+    case wire::CommandKind::Replace:
+      return Replace(aCommand);
     default:
       return {};
   }
@@ -143,17 +145,70 @@
   return Install(aCommand, document.dump(), aCommand.target + " " + Name(intent));
 }
 
+bool
+ConfigurationState::WasAcceptedLocked(int64_t aVersion, const std::string& aHash) const
+{
+  return std::any_of(m_versions.begin(), m_versions.end(), [&](const VersionSummary& aSummary) {
+    return aSummary.version == aVersion && aSummary.hash == aHash;
+  });
+}
+
+bool
+ConfigurationState::WasAccepted(int64_t aVersion, const std::string& aHash) const
+{
+  const std::lock_guard lock(m_mutex);
+  return WasAcceptedLocked(aVersion, aHash);
+}
+
+wire::CommandResult
+ConfigurationState::Replace(const wire::Command& aCommand)
+{
+  wire::CommandResult result;
+  result.version = aCommand.version;
+  if (WasAcceptedLocked(aCommand.version, aCommand.hash)) {
+    return result;
+  }
+  if (wire::CommandResult base = CheckBase(aCommand.basedOn); base.code != wire::ResultCode::Done) {
+    return base;
+  }
+  if (aCommand.version <= m_current->version) {
+    return Refusal(wire::ResultCode::Invalid,
+                   "version " + std::to_string(aCommand.version) + " isn't above the current " +
+                     std::to_string(m_current->version) + "; choose a higher number");
+  }
+  const Result<std::string> text =
+    aCommand.delta ? DecompressAgainst(aCommand.body, m_current->text, kDocumentLimitBytes)
+                   : Decompress(aCommand.body, kDocumentLimitBytes);
+  if (!text) {
+    return Refusal(wire::ResultCode::Invalid, text.error().message);
+  }
+  // The replica that took the order has validated the document, so that replaying the log costs no parsing.
+  SnapshotPointer made = MakeValidatedSnapshot(aCommand.version, text.value());
+  if (made->hash != aCommand.hash) {
+    return Refusal(wire::ResultCode::Invalid, "the document has another hash than announced; send it again");
+  }
+  return Adopt(std::move(made), aCommand, "replaced");
+}
+
 wire::CommandResult
 ConfigurationState::Install(const wire::Command& aCommand,
                             const std::string& aText,
                             const std::string& aSummary)
 {
-  Result<SnapshotPointer> made = MakeSnapshot(m_current->version + 1, aText);
+  Result<SnapshotPointer> made = MakeSnapshot(m_current->version + 1, aText, m_parser);
   if (!made) {
     return Refusal(wire::ResultCode::Invalid, made.error().message);
   }
-  m_history.Add(MakeDelta(*m_current, *made.value()));
-  m_current = std::move(made.value());
+  return Adopt(std::move(made.value()), aCommand, aSummary);
+}
+
+wire::CommandResult
+ConfigurationState::Adopt(SnapshotPointer aSnapshot,
+                          const wire::Command& aCommand,
+                          const std::string& aSummary)
+{
+  m_current = std::move(aSnapshot);
+  m_history.Add(*m_current);
   m_versions.push_back({ .version = m_current->version,
                          .author = aCommand.author,
                          .summary = aSummary,
@@ -176,7 +231,6 @@
   const std::lock_guard lock(m_mutex);
   wire::ConfigurationImage image;
   image.version = m_current->version;
-  image.body = m_current->text;
   for (const VersionSummary& summary : m_versions) {
     wire::VersionRecord record;
     record.version = summary.version;
@@ -186,7 +240,7 @@
     record.hash = summary.hash;
     image.history.push_back(std::move(record));
   }
-  image.updates.assign(m_history.Updates().begin(), m_history.Updates().end());
+  image.updates = m_history.Image();
   for (const auto& [number, proposal] : m_proposals) {
     image.proposals.push_back(proposal);
   }
@@ -209,8 +263,10 @@
     return boost::outcome_v2::success();
   }
   MIMOSARUN_TRY(const wire::ConfigurationImage image, Decode<wire::ConfigurationImage>(aImage));
+  BOOST_OUTCOME_TRYV(m_history.Restore(image.updates));
   if (image.version > 0) {
-    MIMOSARUN_TRY(m_current, MakeSnapshot(image.version, image.body));
+    MIMOSARUN_TRY(const std::string text, TextLocked(image.version));
+    MIMOSARUN_TRY(m_current, MakeSnapshot(image.version, text, m_parser));
   }
   for (const wire::VersionRecord& record : image.history) {
     m_versions.push_back({ .version = record.version,
@@ -219,9 +275,6 @@
                            .acceptedAt = WallTime(std::chrono::microseconds(record.atMicros)),
                            .hash = record.hash });
   }
-  for (const wire::ConfigurationUpdate& update : image.updates) {
-    m_history.Add(update);
-  }
   for (const wire::Proposal& proposal : image.proposals) {
     m_proposals[proposal.number] = proposal;
   }
@@ -250,7 +303,7 @@
 ConfigurationState::UpdateFrom(int64_t aHeldVersion) const
 {
   const std::lock_guard lock(m_mutex);
-  return m_history.Compose(aHeldVersion, *m_current);
+  return m_history.UpdateFrom(aHeldVersion, *m_current);
 }
 
 std::vector<wire::Proposal>
@@ -271,28 +324,28 @@
   return m_versions;
 }
 
+Result<std::string>
+ConfigurationState::TextLocked(int64_t aVersion) const
+{
+  const std::string* text = aVersion == 0 ? &EmptySnapshot()->text : m_history.TextOf(aVersion);
+  if (text == nullptr) {
+    return Fail(ErrorKind::NotFound,
+                "history no longer holds version " + std::to_string(aVersion) +
+                  "; choose versions that 'show versions' lists, the newer ones");
+  }
+  return *text;
+}
+
 Result<std::string>
 ConfigurationState::Difference(int64_t aFrom, int64_t aTo) const
 {
   const std::lock_guard lock(m_mutex);
-  nlohmann::json operations = nlohmann::json::array();
-  int64_t reached = aFrom;
-  for (const wire::ConfigurationUpdate& update : m_history.Updates()) {
-    if (update.fromVersion != reached || reached >= aTo) {
-      continue;
-    }
-    MIMOSARUN_TRY(const std::string patch, Decompress(update.payload, kPatchLimitBytes));
-    for (auto& operation : nlohmann::json::parse(patch)) {
-      operations.push_back(std::move(operation));
-    }
-    reached = update.toVersion;
-  }
-  if (reached != aTo) {
-    return Fail(ErrorKind::NotFound,
-                "history doesn't hold all versions from " + std::to_string(aFrom) + " to " +
-                  std::to_string(aTo) + "; choose versions that 'show versions' lists, the older first");
+  if (aFrom >= aTo) {
+    return Fail(ErrorKind::NotFound, "name the older version first; 'show versions' lists them");
   }
-  return operations.dump(2);
+  MIMOSARUN_TRY(const std::string from, TextLocked(aFrom));
+  MIMOSARUN_TRY(const std::string to, TextLocked(aTo));
+  return nlohmann::json::diff(nlohmann::json::parse(from), nlohmann::json::parse(to)).dump(2);
 }
 
 } // namespace mimosarun
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -30,7 +30,7 @@
 class ConfigurationState
 {
 public:
-  ConfigurationState();
+  explicit ConfigurationState(DocumentParser aParser = ParserOf<NativeFormat>());
 
   wire::CommandResult Apply(const wire::LogEntry& aEntry);
   std::string Image() const;
@@ -48,7 +48,10 @@
   std::vector<wire::Proposal> Proposals() const;
   std::vector<VersionSummary> Versions() const;
 
-  /** The JSON patch between two versions, if history still holds all steps. */
+  /** Whether a document with this hash was accepted under a version number, now or earlier. */
+  bool WasAccepted(int64_t aVersion, const std::string& aHash) const;
+
+  /** The JSON patch between two versions, if history still holds both. */
   Result<std::string> Difference(int64_t aFrom, int64_t aTo) const;
 
 private:
@@ -56,11 +59,18 @@
   wire::CommandResult Propose(const wire::Command& aCommand);
   wire::CommandResult Accept(const wire::Command& aCommand);
   wire::CommandResult SetTargetState(const wire::Command& aCommand);
+  wire::CommandResult Replace(const wire::Command& aCommand);
   wire::CommandResult CheckBase(int64_t aBase) const;
+  bool WasAcceptedLocked(int64_t aVersion, const std::string& aHash) const;
+  Result<std::string> TextLocked(int64_t aVersion) const;
+  wire::CommandResult Adopt(SnapshotPointer aSnapshot,
+                            const wire::Command& aCommand,
+                            const std::string& aSummary);
   wire::CommandResult Install(const wire::Command& aCommand,
                               const std::string& aText,
                               const std::string& aSummary);
 
+  const DocumentParser m_parser;
   mutable std::mutex m_mutex;
   mutable std::condition_variable m_changed;
   SnapshotPointer m_current;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -20,10 +20,30 @@
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
 static constexpr int kExpireRounds = 240;
 static constexpr int64_t kFarElectionDelayFactor = 2;
+/** A formed replica that hears no leader for this long asks whether it is still a member. */
+static constexpr std::chrono::milliseconds kLeaderless{ 2500 };
+static constexpr std::chrono::milliseconds kLeaderPoll{ 20 };
+static constexpr std::chrono::milliseconds kOrderTry{ 500 };
+/** Orders to the leader don't wait for each other up to this number. */
+static constexpr size_t kOrderConnections = 4;
+/** Identity of the replicas that form the groups at the first start; later folders get one of their own. */
+static constexpr int64_t kFirstIncarnation = 1;
+
+static std::vector<GroupPlan>
+PlansOf(const ProcessSettings& aSettings)
+{
+  if (!aSettings.discoverReplicas) {
+    return PlanGroups(aSettings.replicas);
+  }
+  // Claims need to know every replica's region beforehand.
+  return { { .name = kConfigurationGroup, .members = aSettings.replicas, .preferredRegion = "" } };
+}
 
-Controller::Controller(ProcessSettings aSettings)
+Controller::Controller(ProcessSettings aSettings, DocumentParser aParser)
   : m_settings(std::move(aSettings))
-  , m_plans(PlanGroups(m_settings.replicas))
+  , m_plans(PlansOf(m_settings))
+  , m_configuration(std::move(aParser))
+  , m_transport(m_settings.name)
   , m_client(m_settings.replicas)
 {
 }
@@ -56,6 +76,9 @@
   self.incarnation = m_incarnation;
   self.region = m_settings.region;
   self.failureDomain = m_settings.failureDomain;
+  if (m_settings.discoverReplicas) {
+    self.address = m_settings.peerAddress.Text();
+  }
   return self;
 }
 
@@ -66,7 +89,7 @@
     const bool member = std::any_of(plan.members.begin(), plan.members.end(), [&](const auto& aMember) {
       return aMember.name == m_settings.name;
     });
-    if (!member) {
+    if (!member && !m_settings.discoverReplicas) {
       continue;
     }
     const bool far = !plan.preferredRegion.empty() && plan.preferredRegion != m_settings.region;
@@ -74,6 +97,8 @@
                           .replica = m_settings.name,
                           .incarnation = m_incarnation,
                           .folder = m_settings.dataFolder + "/" + plan.name,
+                          .address = Self().address,
+                          .voters = m_settings.voters,
                           .heartbeat = m_settings.heartbeat,
                           .electionTimeout = m_settings.electionTimeout,
                           .electionDelay = far ? kFarElectionDelayFactor * m_settings.electionTimeout
@@ -93,18 +118,22 @@
 Result<void>
 Controller::Start()
 {
-  if (FindReplica(m_settings.name) == nullptr) {
+  if (FindReplica(m_settings.name) == nullptr && !m_settings.discoverReplicas) {
     return Fail(ErrorKind::InvalidInput,
                 "replicas: this process, '" + m_settings.name +
                   "', isn't listed; add it or correct its name");
   }
-  MIMOSARUN_TRY(m_incarnation, LoadOrCreateIncarnation(m_settings.dataFolder));
+  const bool first = m_settings.discoverReplicas && m_settings.formGroups;
+  MIMOSARUN_TRY(m_incarnation,
+                LoadOrCreateIncarnation(m_settings.dataFolder,
+                                        first ? std::optional(kFirstIncarnation) : std::nullopt));
   for (const ReplicaSettings& replica : m_settings.replicas) {
     if (replica.name != m_settings.name) {
       m_transport.AddPeer(replica.name, replica.address);
-      m_peers[replica.name] = std::make_unique<PeerClient>(replica.address);
+      m_peers[replica.name] = std::make_shared<PeerClient>(replica.address);
     }
   }
+  m_leaderSeen = SteadyClock::now();
   MakeGroups();
   BOOST_OUTCOME_TRYV(m_configurationGroup->Start());
   for (auto& [name, group] : m_claimGroups) {
@@ -116,6 +145,54 @@
   return boost::outcome_v2::success();
 }
 
+std::shared_ptr<Controller::PeerClient>
+Controller::PeerOf(const std::string& aName)
+{
+  const std::lock_guard lock(m_peersMutex);
+  std::shared_ptr<PeerClient>& peer = m_peers[aName];
+  if (peer == nullptr && m_settings.discoverReplicas) {
+    if (const Result<Address> address = ParseAddress(aName)) {
+      peer = std::make_shared<PeerClient>(address.value());
+    }
+  }
+  return peer;
+}
+
+std::shared_ptr<Controller::PeerClient>
+Controller::PeerForOrder(const std::string& aName)
+{
+  const Result<Address> address = ParseAddress(aName);
+  if (!address) {
+    return PeerOf(aName);
+  }
+  const std::lock_guard lock(m_peersMutex);
+  std::vector<std::shared_ptr<PeerClient>>& peers = m_orderPeers[aName];
+  if (peers.size() < kOrderConnections) {
+    peers.push_back(std::make_shared<PeerClient>(address.value()));
+    return peers.back();
+  }
+  return peers[m_nextOrder++ % peers.size()];
+}
+
+std::vector<wire::Replica>
+Controller::OtherReplicas() const
+{
+  std::vector<wire::Replica> replicas;
+  if (m_settings.discoverReplicas) {
+    replicas = Status(kConfigurationGroup).members;
+  } else {
+    for (const ReplicaSettings& listed : m_settings.replicas) {
+      wire::Replica replica;
+      replica.name = listed.name;
+      replica.region = listed.region;
+      replica.failureDomain = listed.failureDomain;
+      replicas.push_back(std::move(replica));
+    }
+  }
+  std::erase_if(replicas, [&](const wire::Replica& aReplica) { return aReplica.name == m_settings.name; });
+  return replicas;
+}
+
 size_t
 Controller::ClaimCount() const
 {
@@ -133,6 +210,9 @@
 {
   std::map<std::string, std::vector<wire::RaftMessage>> byGroup;
   for (const wire::RaftMessage& message : aBatch.messages) {
+    if (const Result<Address> sender = ParseAddress(message.senderAddress)) {
+      m_transport.AddPeer(message.sender, sender.value());
+    }
     byGroup[message.group].push_back(message);
   }
   for (auto& [name, messages] : byGroup) {
@@ -160,7 +240,7 @@
 wire::CommandResult
 Controller::Join(const std::string& aGroup, const wire::Replica& aReplica, Deadline aDeadline)
 {
-  if (FindReplica(aReplica.name) == nullptr) {
+  if (FindReplica(aReplica.name) == nullptr && !m_settings.discoverReplicas) {
     return Refusal(wire::ResultCode::Invalid, "the replica isn't listed in the settings; add it there first");
   }
   Log(Event::JoinRequested, { { "group", aGroup }, { "replica", aReplica.name } });
@@ -200,33 +280,53 @@
   if (aReplica == m_settings.name) {
     return Status(aGroup);
   }
-  const auto peer = m_peers.find(aReplica);
-  if (peer == m_peers.end()) {
+  const std::shared_ptr<PeerClient> peer = PeerOf(aReplica);
+  if (peer == nullptr) {
     return Fail(ErrorKind::NotFound, aReplica + ": no such replica; see 'show control'");
   }
   wire::GroupStatus status;
   BOOST_OUTCOME_TRYV(
-    peer->second->Call(aDeadline, [&](wire::ControlPeerClient& aClient) { aClient.status(status, aGroup); }));
+    peer->Call(aDeadline, [&](wire::ControlPeerClient& aClient) { aClient.status(status, aGroup); }));
   return status;
 }
 
-bool
-Controller::CatchUp(Deadline aDeadline)
+wire::ReadIndex
+Controller::ConfirmLeadership(const std::string& aGroup, Deadline aDeadline)
+{
+  return aGroup == kConfigurationGroup ? m_configurationGroup->ConfirmLeadership(aDeadline)
+                                       : wire::ReadIndex{};
+}
+
+Result<wire::ReadIndex>
+Controller::ConfirmLeader(Deadline aDeadline)
 {
   const std::string leader = Status(kConfigurationGroup).leader;
-  if (leader.empty()) {
-    return false;
-  }
-  Result<wire::GroupStatus> status =
-    StatusAt(leader, kConfigurationGroup, std::min(aDeadline, SteadyClock::now() + kStatusTimeout));
-  if (!status) {
-    // The kept connection may have gone silent; the second try opens a new one.
-    status = StatusAt(leader, kConfigurationGroup, aDeadline);
-  }
-  if (!status || status.value().leader != leader) {
-    return false;
+  if (leader == m_settings.name) {
+    return ConfirmLeadership(kConfigurationGroup, aDeadline);
+  }
+  const std::shared_ptr<PeerClient> peer = leader.empty() ? nullptr : PeerForOrder(leader);
+  if (peer == nullptr) {
+    return Fail(ErrorKind::NotLeader, "no leader is known; ask again, or another replica");
+  }
+  wire::ReadIndex answer;
+  // The kept connection may have gone silent; the second try opens a new one.
+  const Deadline firstTry = std::min(aDeadline, SteadyClock::now() + kStatusTimeout);
+  for (const Deadline deadline : { firstTry, aDeadline }) {
+    const auto wait = static_cast<int32_t>(TimeLeft(deadline).count());
+    const Result<void> called = peer->Call(deadline, [&](wire::ControlPeerClient& aClient) {
+      aClient.readIndex(answer, kConfigurationGroup, wait);
+    });
+    if (called) {
+      return answer;
+    }
   }
-  while (Status(kConfigurationGroup).applied < status.value().commit) {
+  return Fail(ErrorKind::Unreachable, leader + ": the leader gives no answer; ask another replica");
+}
+
+bool
+Controller::WaitApplied(int64_t aIndex, Deadline aDeadline) const
+{
+  while (Status(kConfigurationGroup).applied < aIndex) {
     if (SteadyClock::now() >= aDeadline) {
       return false;
     }
@@ -235,6 +335,63 @@
   return true;
 }
 
+bool
+Controller::CatchUp(Deadline aDeadline)
+{
+  while (SteadyClock::now() < aDeadline) {
+    const Result<wire::ReadIndex> answer = ConfirmLeader(aDeadline);
+    if (answer && answer.value().confirmed) {
+      return WaitApplied(answer.value().index, aDeadline);
+    }
+    std::this_thread::sleep_for(std::min(kLeaderPoll, TimeLeft(aDeadline)));
+  }
+  return false;
+}
+
+Result<SnapshotPointer>
+Controller::ReadNewest(Deadline aDeadline)
+{
+  if (!CatchUp(aDeadline)) {
+    return Fail(ErrorKind::NotLeader,
+                "no quorum of replicas confirms which configuration is the newest; ask another replica");
+  }
+  return m_configuration.Current();
+}
+
+wire::CommandResult
+Controller::SubmitToLeader(const wire::Command& aCommand, Deadline aDeadline)
+{
+  bool mayHaveRun = false;
+  while (SteadyClock::now() < aDeadline) {
+    const std::string leader = Status(kConfigurationGroup).leader;
+    wire::CommandResult result;
+    if (leader == m_settings.name) {
+      result = Submit(kConfigurationGroup, aCommand, aDeadline);
+    } else if (const auto peer = leader.empty() ? nullptr : PeerForOrder(leader)) {
+      const Deadline tryBy = std::min(aDeadline, SteadyClock::now() + kOrderTry);
+      const auto wait = static_cast<int32_t>(TimeLeft(tryBy).count() * 9 / 10);
+      const Result<void> called = peer->Call(tryBy, [&](wire::ControlPeerClient& aClient) {
+        aClient.submit(result, kConfigurationGroup, aCommand, wait);
+      });
+      if (!called) {
+        result = Refusal(wire::ResultCode::Unknown, called.error().message);
+      }
+    } else {
+      result = Refusal(wire::ResultCode::NotLeader, "no leader is known");
+    }
+    mayHaveRun = mayHaveRun || result.code == wire::ResultCode::Unknown;
+    const bool decided =
+      result.code != wire::ResultCode::NotLeader && result.code != wire::ResultCode::Unknown;
+    if (decided) {
+      return result;
+    }
+    std::this_thread::sleep_for(std::min(kLeaderPoll, TimeLeft(aDeadline)));
+  }
+  return Refusal(mayHaveRun ? wire::ResultCode::Unknown : wire::ResultCode::Unavailable,
+                 mayHaveRun ? "no decision before the deadline; send the command again unchanged"
+                            : "not run: no quorum of control replicas is reachable; try again");
+}
+
 wire::CommandResult
 Controller::RemoveReplica(const std::string& aName, Deadline aDeadline)
 {
@@ -291,7 +448,12 @@
   while (!m_stop) {
     for (const GroupPlan& plan : m_plans) {
       const wire::GroupStatus status = Status(plan.name);
-      if (!status.replica.empty() && !status.formed) {
+      if (status.replica.empty()) {
+        continue;
+      }
+      if (m_settings.discoverReplicas) {
+        KeepMembership(plan, status);
+      } else if (!status.formed) {
         FormOrJoin(plan);
       }
     }
@@ -319,7 +481,7 @@
     }
     if (status.value().formed) {
       if (!Contains(status.value().members, self.name, self.incarnation)) {
-        TryToJoin(aPlan, self);
+        TryToJoinAnywhere(aPlan);
       } else {
         Form(aPlan.name, status.value().members);
       }
@@ -340,6 +502,70 @@
   }
 }
 
+std::vector<wire::Replica>
+Controller::FirstMembers() const
+{
+  std::vector<wire::Replica> members;
+  for (const ReplicaSettings& listed : m_settings.replicas) {
+    wire::Replica replica;
+    replica.name = listed.name;
+    replica.incarnation = kFirstIncarnation;
+    replica.address = listed.address.Text();
+    members.push_back(std::move(replica));
+  }
+  std::sort(members.begin(), members.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.name < aRight.name;
+  });
+  return members;
+}
+
+void
+Controller::KeepMembership(const GroupPlan& aPlan, const wire::GroupStatus& aStatus)
+{
+  const Deadline now = SteadyClock::now();
+  if (!aStatus.leader.empty()) {
+    m_leaderSeen = now;
+  }
+  if (!aStatus.formed) {
+    // All listed replicas form the same group by themselves, so none waits for the others.
+    if (m_settings.formGroups && FindReplica(m_settings.name) != nullptr) {
+      Form(aPlan.name, FirstMembers());
+    } else {
+      Discover(aPlan);
+    }
+    return;
+  }
+  if (!aStatus.leader.empty() && !Describes(aStatus.members, Self())) {
+    TryToJoin(aStatus.leader, aPlan.name);
+  } else if (now > m_leaderSeen + kLeaderless) {
+    Discover(aPlan);
+  }
+}
+
+void
+Controller::Discover(const GroupPlan& aPlan)
+{
+  const wire::Replica self = Self();
+  for (const ReplicaSettings& listed : m_settings.replicas) {
+    if (listed.name == m_settings.name) {
+      continue;
+    }
+    const Result<wire::GroupStatus> status =
+      StatusAt(listed.name, aPlan.name, SteadyClock::now() + kStatusTimeout);
+    const bool helpful = status && status.value().formed && !status.value().leader.empty();
+    if (!helpful) {
+      continue;
+    }
+    m_transport.Learn(status.value().members);
+    if (Contains(status.value().members, self.name, self.incarnation)) {
+      return;
+    }
+    if (TryToJoin(status.value().leader, aPlan.name)) {
+      return;
+    }
+  }
+}
+
 void
 Controller::Form(const std::string& aGroup, const std::vector<wire::Replica>& aMembers)
 {
@@ -350,19 +576,28 @@
   }
 }
 
+bool
+Controller::TryToJoin(const std::string& aAt, const std::string& aGroup)
+{
+  if (aAt == m_settings.name) {
+    return Join(aGroup, Self(), SteadyClock::now() + kJoinTimeout).code == wire::ResultCode::Done;
+  }
+  const std::shared_ptr<PeerClient> peer = PeerOf(aAt);
+  if (peer == nullptr) {
+    return false;
+  }
+  wire::CommandResult result;
+  const Result<void> called = peer->Call(
+    SteadyClock::now() + kJoinTimeout,
+    [&](wire::ControlPeerClient& aClient) { aClient.join(result, aGroup, Self()); });
+  return called && result.code == wire::ResultCode::Done;
+}
+
 void
-Controller::TryToJoin(const GroupPlan& aPlan, const wire::Replica& aSelf)
+Controller::TryToJoinAnywhere(const GroupPlan& aPlan)
 {
   for (const ReplicaSettings& member : aPlan.members) {
-    const auto peer = m_peers.find(member.name);
-    if (peer == m_peers.end()) {
-      continue;
-    }
-    wire::CommandResult result;
-    const Deadline deadline = SteadyClock::now() + kJoinTimeout;
-    const Result<void> called = peer->second->Call(
-      deadline, [&](wire::ControlPeerClient& aClient) { aClient.join(result, aPlan.name, aSelf); });
-    if (called && result.code == wire::ResultCode::Done) {
+    if (member.name != m_settings.name && TryToJoin(member.name, aPlan.name)) {
       return;
     }
   }
@@ -402,12 +637,16 @@
 }
 
 bool
-Controller::CollectReportsOf(const ReplicaSettings& aReplica)
+Controller::CollectReportsOf(const std::string& aReplica)
 {
+  const std::shared_ptr<PeerClient> peer = PeerOf(aReplica);
+  if (peer == nullptr) {
+    return false;
+  }
   std::vector<wire::DomainReport> reports;
-  const Result<void> called = m_peers.at(aReplica.name)
-                                ->Call(SteadyClock::now() + kStatusTimeout,
-                                       [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
+  const Result<void> called =
+    peer->Call(SteadyClock::now() + kStatusTimeout,
+               [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
   if (!called) {
     return false;
   }
@@ -421,8 +660,8 @@
 Controller::CollectFarReports()
 {
   std::set<std::string> reached{ m_settings.region };
-  for (const ReplicaSettings& replica : m_settings.replicas) {
-    if (!reached.contains(replica.region) && CollectReportsOf(replica)) {
+  for (const wire::Replica& replica : OtherReplicas()) {
+    if (!reached.contains(replica.region) && CollectReportsOf(replica.name)) {
       reached.insert(replica.region);
     }
   }
@@ -433,9 +672,9 @@
 {
   Deadline farAt = SteadyClock::now();
   while (!m_stop) {
-    for (const ReplicaSettings& replica : m_settings.replicas) {
-      if (replica.name != m_settings.name && replica.region == m_settings.region) {
-        CollectReportsOf(replica);
+    for (const wire::Replica& replica : OtherReplicas()) {
+      if (replica.region == m_settings.region) {
+        CollectReportsOf(replica.name);
       }
     }
     const Deadline now = SteadyClock::now();
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -24,7 +24,7 @@
 class Controller
 {
 public:
-  explicit Controller(ProcessSettings aSettings);
+  explicit Controller(ProcessSettings aSettings, DocumentParser aParser = ParserOf<NativeFormat>());
   ~Controller();
 
   Controller(const Controller&) = delete;
@@ -52,6 +52,18 @@
                                      const std::string& aGroup,
                                      Deadline aDeadline);
 
+  /**
+   * The newest accepted configuration, or an error where it can't be told for sure which one that is by the
+   * deadline.
+   */
+  Result<SnapshotPointer> ReadNewest(Deadline aDeadline);
+
+  /** The commit index of a group if this replica leads it for certain. */
+  wire::ReadIndex ConfirmLeadership(const std::string& aGroup, Deadline aDeadline);
+
+  /** Runs a command on the leader of the configuration's group, wherever it is. */
+  wire::CommandResult SubmitToLeader(const wire::Command& aCommand, Deadline aDeadline);
+
   /**
    * Waits until this replica has applied all that the leader of the configuration had committed when asked;
    * false if there is no leader or the deadline passes.
@@ -69,13 +81,22 @@
   using PeerClient = RpcClient<wire::ControlPeerClient>;
 
   void MakeGroups();
+  std::shared_ptr<PeerClient> PeerOf(const std::string& aName);
+  std::shared_ptr<PeerClient> PeerForOrder(const std::string& aName);
+  Result<wire::ReadIndex> ConfirmLeader(Deadline aDeadline);
+  bool WaitApplied(int64_t aIndex, Deadline aDeadline) const;
+  std::vector<wire::Replica> OtherReplicas() const;
+  std::vector<wire::Replica> FirstMembers() const;
+  void KeepMembership(const GroupPlan& aPlan, const wire::GroupStatus& aStatus);
+  void Discover(const GroupPlan& aPlan);
   void WatchGroups();
   void Form(const std::string& aGroup, const std::vector<wire::Replica>& aMembers);
   void FormOrJoin(const GroupPlan& aPlan);
-  void TryToJoin(const GroupPlan& aPlan, const wire::Replica& aSelf);
+  bool TryToJoin(const std::string& aAt, const std::string& aGroup);
+  void TryToJoinAnywhere(const GroupPlan& aPlan);
   void ExpireClaims();
   void CollectReports();
-  bool CollectReportsOf(const ReplicaSettings& aReplica);
+  bool CollectReportsOf(const std::string& aReplica);
   void NoteSilence();
   wire::Replica Self() const;
   const ReplicaSettings* FindReplica(const std::string& aName) const;
@@ -88,7 +109,11 @@
   ReportBoard m_board;
   PeerTransport m_transport;
   GroupClient m_client;
-  std::map<std::string, std::unique_ptr<PeerClient>> m_peers;
+  std::mutex m_peersMutex;
+  std::map<std::string, std::shared_ptr<PeerClient>> m_peers;
+  std::map<std::string, std::vector<std::shared_ptr<PeerClient>>> m_orderPeers;
+  size_t m_nextOrder = 0;
+  Deadline m_leaderSeen{};
   std::map<std::string, bool> m_silent;
   std::unique_ptr<Group<ConfigurationState>> m_configurationGroup;
   std::map<std::string, std::unique_ptr<Group<ClaimState>>> m_claimGroups;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -44,6 +44,11 @@
     aReturn = m_controller.Join(aGroup, aReplica, SteadyClock::now() + kJoinWait);
   }
 
+  void readIndex(wire::ReadIndex& aReturn, const std::string& aGroup, const int32_t aWaitMillis) override
+  {
+    aReturn = m_controller.ConfirmLeadership(aGroup, DeadlineAfter(aWaitMillis));
+  }
+
   void submit(wire::CommandResult& aReturn,
               const std::string& aGroup,
               const wire::Command& aCommand,
@@ -69,6 +74,9 @@
       aReturn.sample = m_controller.Board().Sample(
         aRequest.report.failureDomain.empty() ? aRequest.failureDomain : aRequest.report.failureDomain);
     }
+    if (aRequest.wantsMembers) {
+      aReturn.replicas = m_controller.Status(kConfigurationGroup).members;
+    }
     aReturn.current = !m_controller.Status(kConfigurationGroup).leader.empty();
     aReturn.sentAt = StampNow();
   }
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -41,6 +41,10 @@
   std::string replica;
   int64_t incarnation = 0;
   std::string folder;
+  /** Where other replicas reach this one; empty where settings say it. */
+  std::string address;
+  /** Voters that the leader aims at; zero makes every caught-up learner a voter. */
+  int voters = 0;
   std::chrono::milliseconds heartbeat{ 150 };
   std::chrono::milliseconds electionTimeout{ 900 };
   /** Added before this replica stands for election. */
@@ -81,6 +85,9 @@
 
   wire::GroupStatus Status() const;
 
+  /** The commit index if this replica leads for certain after the call began; else whom it takes for leader. */
+  wire::ReadIndex ConfirmLeadership(Deadline aDeadline);
+
 private:
   /** A command on its way to its result. */
   struct Pending
@@ -89,6 +96,14 @@
     std::promise<wire::CommandResult> promise;
   };
 
+  /** A question whether this replica leads, and the round that answers it. */
+  struct PendingRead
+  {
+    Deadline since{};
+    Deadline deadline;
+    std::promise<wire::ReadIndex> promise;
+  };
+
   /** A result awaited at an index of the log. */
   struct Waiter
   {
@@ -105,6 +120,10 @@
   void ApplyCommitted();
   Result<void> CompactIfLong();
   void FailWaiters(const std::string& aMessage);
+  void StartReads(std::vector<PendingRead> aReads, Deadline aNow);
+  void AnswerReads(Deadline aNow);
+  wire::ReadIndex NotConfirmed() const;
+  SilenceReport Silences(Deadline aNow) const;
   void NoteRole();
   void MaintainMembers();
   void Publish();
@@ -117,6 +136,8 @@
   std::unique_ptr<RaftCore> m_core;
   std::map<int64_t, Waiter> m_waiters;
   RaftRole m_lastRole = RaftRole::Follower;
+  std::vector<PendingRead> m_reads;
+  Deadline m_leaderSince{};
   Deadline m_maintainAt{};
   Deadline m_reopenAt{};
   bool m_failed = false;
@@ -126,6 +147,7 @@
   bool m_stop = false;
   std::vector<wire::RaftMessage> m_inbox;
   std::vector<Pending> m_commands;
+  std::vector<PendingRead> m_newReads;
   std::vector<wire::Replica> m_firstMembers;
   wire::GroupStatus m_status;
   std::thread m_thread;
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -54,6 +54,7 @@
   RaftCore::Options options{ .group = m_options.name,
                              .name = m_options.replica,
                              .incarnation = m_options.incarnation,
+                             .address = m_options.address,
                              .heartbeat = m_options.heartbeat,
                              .electionTimeout = m_options.electionTimeout,
                              .electionDelay = m_options.electionDelay,
@@ -118,6 +119,67 @@
   return Submit(std::move(command), aDeadline);
 }
 
+template<StateMachine Machine>
+wire::ReadIndex
+Group<Machine>::ConfirmLeadership(Deadline aDeadline)
+{
+  std::future<wire::ReadIndex> future;
+  {
+    const std::lock_guard lock(m_mutex);
+    PendingRead read{ .deadline = aDeadline, .promise = {} };
+    future = read.promise.get_future();
+    m_newReads.push_back(std::move(read));
+  }
+  m_wake.notify_all();
+  return future.wait_until(aDeadline) == std::future_status::ready ? future.get() : wire::ReadIndex{};
+}
+
+template<StateMachine Machine>
+wire::ReadIndex
+Group<Machine>::NotConfirmed() const
+{
+  wire::ReadIndex answer;
+  answer.leader = m_core->Role() == RaftRole::Leader ? "" : m_core->Leader();
+  return answer;
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::StartReads(std::vector<PendingRead> aReads, Deadline aNow)
+{
+  if (aReads.empty()) {
+    return;
+  }
+  // Rounds are numbered by their time in microseconds.
+  const Deadline round = std::chrono::floor<std::chrono::microseconds>(aNow);
+  for (PendingRead& read : aReads) {
+    read.since = round;
+    m_reads.push_back(std::move(read));
+  }
+  m_core->StartRound(aNow);
+}
+
+template<StateMachine Machine>
+void
+Group<Machine>::AnswerReads(Deadline aNow)
+{
+  std::erase_if(m_reads, [&](PendingRead& aRead) {
+    if (m_core->ConfirmedSince(aRead.since)) {
+      wire::ReadIndex answer;
+      answer.confirmed = true;
+      answer.index = m_core->CommitIndex();
+      answer.leader = m_options.replica;
+      aRead.promise.set_value(std::move(answer));
+      return true;
+    }
+    if (m_failed || m_core->Role() != RaftRole::Leader || aNow >= aRead.deadline) {
+      aRead.promise.set_value(NotConfirmed());
+      return true;
+    }
+    return false;
+  });
+}
+
 template<StateMachine Machine>
 wire::GroupStatus
 Group<Machine>::Status() const
@@ -132,16 +194,19 @@
 {
   std::unique_lock lock(m_mutex);
   while (!m_stop) {
-    if (m_inbox.empty() && m_commands.empty()) {
+    if (m_inbox.empty() && m_commands.empty() && m_newReads.empty()) {
       m_wake.wait_until(lock, SteadyClock::now() + kGroupTick);
     }
     std::vector<wire::RaftMessage> messages = std::exchange(m_inbox, {});
     std::vector<Pending> commands = std::exchange(m_commands, {});
+    std::vector<PendingRead> reads = std::exchange(m_newReads, {});
     lock.unlock();
+    StartReads(std::move(reads), SteadyClock::now());
     const Result<void> stepped = Step(std::move(messages), std::move(commands));
     if (!stepped && !m_failed) {
       Halt(stepped.error());
     }
+    AnswerReads(SteadyClock::now());
     Publish();
     lock.lock();
   }
@@ -197,9 +262,9 @@
   }
   std::vector<wire::Replica> members = m_core->Members();
   for (const wire::Replica& replica : aCommand.members) {
-    if (!Contains(members, replica.name, replica.incarnation)) {
-      members = MembersWithLearner(std::move(members), replica);
-    }
+    members = Contains(members, replica.name, replica.incarnation)
+                ? MembersWithDescription(std::move(members), replica)
+                : MembersWithLearner(std::move(members), replica);
   }
   return members;
 }
@@ -307,6 +372,7 @@
     return;
   }
   if (role == RaftRole::Leader) {
+    m_leaderSince = SteadyClock::now();
     Log(Event::LeaderElected, { { "group", m_options.name }, { "term", m_core->Term() } });
   } else if (m_lastRole == RaftRole::Leader) {
     Log(Event::LeaderSteppedDown, { { "group", m_options.name }, { "term", m_core->Term() } });
@@ -324,12 +390,26 @@
     return;
   }
   m_maintainAt = now + kMaintenanceInterval;
+  const std::optional<std::vector<wire::Replica>> next = NextMembers(
+    m_core->Members(),
+    { .voters = m_options.voters, .self = m_options.replica },
+    Silences(now),
+    [this](const std::string& aName) { return m_core->CaughtUp(aName); });
+  if (next) {
+    m_core->ProposeMembers(*next, now);
+  }
+}
+
+template<StateMachine Machine>
+SilenceReport
+Group<Machine>::Silences(Deadline aNow) const
+{
+  SilenceReport report;
   for (const wire::Replica& member : m_core->Members()) {
-    if (!member.voter && m_core->CaughtUp(member.name)) {
-      m_core->ProposeMembers(MembersWithVoter(m_core->Members(), member.name), now);
-      return;
-    }
+    const Deadline heard = m_core->LastHeard(member.name).value_or(m_leaderSince);
+    report[member.name] = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - heard);
   }
+  return report;
 }
 
 template<StateMachine Machine>
@@ -347,6 +427,7 @@
   status.applied = m_core->AppliedIndex();
   status.lastIndex = m_core->LastIndex();
   status.members = m_core->Members();
+  m_transport.Learn(status.members);
   status.failed = m_failed;
   const Deadline now = SteadyClock::now();
   for (const wire::Replica& member : m_core->Members()) {
--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -207,14 +207,14 @@
 }
 
 Result<int64_t>
-LoadOrCreateIncarnation(const std::string& aFolder)
+LoadOrCreateIncarnation(const std::string& aFolder, std::optional<int64_t> aFirst)
 {
   const std::string path = aFolder + "/" + kIncarnationName;
   std::error_code code;
   std::filesystem::create_directories(aFolder, code);
   if (!std::filesystem::exists(path)) {
     wire::Ballot identity;
-    identity.term = WallNow().time_since_epoch().count();
+    identity.term = aFirst.value_or(WallNow().time_since_epoch().count());
     BOOST_OUTCOME_TRYV(ReplaceFile(path, MakeRecord(Encode(identity))));
   }
   MIMOSARUN_TRY(const wire::Ballot identity, ReadRecordFile<wire::Ballot>(path));
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -4,6 +4,7 @@
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,8 +73,12 @@
   std::vector<Position> m_positions;
 };
 
-/** Identity of a data folder: created once and kept until the folder is lost. */
+/**
+ * Identity of a data folder: created once and kept until the folder is lost.
+ *
+ * @param aFirst identity to give an empty folder; nothing means one that no folder had before
+ */
 Result<int64_t>
-LoadOrCreateIncarnation(const std::string& aFolder);
+LoadOrCreateIncarnation(const std::string& aFolder, std::optional<int64_t> aFirst = std::nullopt);
 
 } // namespace mimosarun
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -6,6 +6,10 @@
 
 namespace mimosarun {
 
+static constexpr std::chrono::milliseconds kSilenceOfVoter{ 3000 };
+static constexpr std::chrono::milliseconds kSilenceOfLearner{ 60000 };
+static constexpr std::chrono::milliseconds kPresence{ 1000 };
+
 std::vector<wire::Replica>
 MembersWithLearner(std::vector<wire::Replica> aMembers, wire::Replica aReplica)
 {
@@ -18,6 +22,19 @@
   return members;
 }
 
+std::vector<wire::Replica>
+MembersWithDescription(std::vector<wire::Replica> aMembers, const wire::Replica& aReplica)
+{
+  for (wire::Replica& member : aMembers) {
+    if (member.name == aReplica.name) {
+      member.region = aReplica.region;
+      member.failureDomain = aReplica.failureDomain;
+      member.address = aReplica.address;
+    }
+  }
+  return aMembers;
+}
+
 std::vector<wire::Replica>
 MembersWithVoter(std::vector<wire::Replica> aMembers, const std::string& aName)
 {
@@ -34,6 +51,76 @@
   return aMembers;
 }
 
+static std::vector<wire::Replica>
+MembersWithLearnerMadeOf(std::vector<wire::Replica> aMembers, const std::string& aName)
+{
+  for (wire::Replica& member : aMembers) {
+    member.voter = member.voter && member.name != aName;
+  }
+  return aMembers;
+}
+
+static std::chrono::milliseconds
+SilenceOf(const SilenceReport& aSilences, const std::string& aName)
+{
+  const auto found = aSilences.find(aName);
+  return found == aSilences.end() ? std::chrono::milliseconds(0) : found->second;
+}
+
+/** The voter to give up first: one that is silent, else the last by name. */
+static const wire::Replica*
+VoterToGiveUp(const std::vector<wire::Replica>& aMembers,
+              const MembershipGoal& aGoal,
+              const SilenceReport& aSilences)
+{
+  const wire::Replica* choice = nullptr;
+  for (const wire::Replica& member : aMembers) {
+    if (!member.voter || member.name == aGoal.self) {
+      continue;
+    }
+    if (choice == nullptr || SilenceOf(aSilences, member.name) + kPresence >= SilenceOf(aSilences, choice->name)) {
+      choice = &member;
+    }
+  }
+  return choice;
+}
+
+std::optional<std::vector<wire::Replica>>
+NextMembers(const std::vector<wire::Replica>& aMembers,
+            const MembershipGoal& aGoal,
+            const SilenceReport& aSilences,
+            const std::function<bool(const std::string& aName)>& aCaughtUp)
+{
+  int voters = 0;
+  bool voterSilent = false;
+  const wire::Replica* ready = nullptr;
+  const wire::Replica* gone = nullptr;
+  for (const wire::Replica& member : aMembers) {
+    const std::chrono::milliseconds silence = SilenceOf(aSilences, member.name);
+    const bool self = member.name == aGoal.self;
+    if (member.voter) {
+      ++voters;
+      voterSilent = voterSilent || (!self && silence > kSilenceOfVoter);
+    } else if (aCaughtUp(member.name) && silence < kPresence) {
+      ready = &member;
+    } else if (silence > kSilenceOfLearner) {
+      gone = &member;
+    }
+  }
+  const bool wantsAll = aGoal.voters == 0;
+  if (ready != nullptr && (wantsAll || voters < aGoal.voters || (voterSilent && voters == aGoal.voters))) {
+    return MembersWithVoter(aMembers, ready->name);
+  }
+  if (!wantsAll && voters > aGoal.voters) {
+    const wire::Replica* given = VoterToGiveUp(aMembers, aGoal, aSilences);
+    return given == nullptr ? std::nullopt : std::optional(MembersWithLearnerMadeOf(aMembers, given->name));
+  }
+  if (!wantsAll && gone != nullptr) {
+    return MembersWithout(aMembers, gone->name);
+  }
+  return std::nullopt;
+}
+
 bool
 Contains(const std::vector<wire::Replica>& aMembers, const std::string& aName, int64_t aIncarnation)
 {
@@ -42,6 +129,16 @@
   });
 }
 
+bool
+Describes(const std::vector<wire::Replica>& aMembers, const wire::Replica& aReplica)
+{
+  return std::any_of(aMembers.begin(), aMembers.end(), [&](const wire::Replica& aMember) {
+    return aMember.name == aReplica.name && aMember.incarnation == aReplica.incarnation &&
+           aMember.region == aReplica.region && aMember.failureDomain == aReplica.failureDomain &&
+           aMember.address == aReplica.address;
+  });
+}
+
 std::string
 Describe(const std::vector<wire::Replica>& aMembers)
 {
--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -2,6 +2,10 @@
 
 #include "wire/gen-cpp/mesh_types.h"
 
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +15,10 @@
 std::vector<wire::Replica>
 MembersWithLearner(std::vector<wire::Replica> aMembers, wire::Replica aReplica);
 
+/** Members with the place and address of one of them as it says itself. */
+std::vector<wire::Replica>
+MembersWithDescription(std::vector<wire::Replica> aMembers, const wire::Replica& aReplica);
+
 /** Members with a learner made a voter. */
 std::vector<wire::Replica>
 MembersWithVoter(std::vector<wire::Replica> aMembers, const std::string& aName);
@@ -19,10 +27,37 @@
 std::vector<wire::Replica>
 MembersWithout(std::vector<wire::Replica> aMembers, const std::string& aName);
 
+/** How long each member has been silent, as the leader sees it. */
+using SilenceReport = std::map<std::string, std::chrono::milliseconds>;
+
+/** What the leader aims at. */
+struct MembershipGoal
+{
+  /** Number of voters; zero makes every caught-up learner a voter. */
+  int voters = 0;
+  /** The leader itself. */
+  std::string self;
+};
+
+/**
+ * The next list of members on the way to the goal, one change at a time, or nothing where all is well. A voter
+ * that has fallen silent is replaced by a learner that has caught up: first the learner is promoted, then the
+ * silent voter is made a learner. A learner that stays silent for long is removed.
+ */
+std::optional<std::vector<wire::Replica>>
+NextMembers(const std::vector<wire::Replica>& aMembers,
+            const MembershipGoal& aGoal,
+            const SilenceReport& aSilences,
+            const std::function<bool(const std::string& aName)>& aCaughtUp);
+
 /** Whether a member of this name and incarnation is among the members. */
 bool
 Contains(const std::vector<wire::Replica>& aMembers, const std::string& aName, int64_t aIncarnation);
 
+/** Whether a member with this identity, place and address is among the members. */
+bool
+Describes(const std::vector<wire::Replica>& aMembers, const wire::Replica& aReplica);
+
 /** The members as one line for logs. */
 std::string
 Describe(const std::vector<wire::Replica>& aMembers);
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -521,6 +521,29 @@
   return answered >= QuorumSize();
 }
 
+void
+RaftCore::StartRound(Deadline aNow)
+{
+  if (m_role == RaftRole::Leader) {
+    Broadcast(aNow);
+  }
+}
+
+bool
+RaftCore::ConfirmedSince(Deadline aSince) const
+{
+  if (m_role != RaftRole::Leader || m_log.TermAt(m_commit) != m_ballot.term) {
+    return false;
+  }
+  const auto answered =
+    std::count_if(m_log.Members().begin(), m_log.Members().end(), [&](const wire::Replica& aMember) {
+      const auto progress = m_progress.find(aMember.name);
+      const bool self = aMember.name == m_options.name;
+      return aMember.voter && (self || (progress != m_progress.end() && progress->second.answeredRound >= aSince));
+    });
+  return answered >= QuorumSize();
+}
+
 // --- steps -----------------------------------------------------------------------------------------------
 
 wire::RaftMessage
@@ -534,6 +557,7 @@
   message.receiver = aMember.name;
   message.receiverIncarnation = aMember.incarnation;
   message.term = m_ballot.term;
+  message.senderAddress = m_options.address;
   return message;
 }
 
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -56,6 +56,8 @@
     std::string group;
     std::string name;
     int64_t incarnation = 0;
+    /** Where other replicas reach this one; empty where settings say it. */
+    std::string address;
     std::chrono::milliseconds heartbeat{ 150 };
     /** Shortest election timeout; the longest is twice as long. */
     std::chrono::milliseconds electionTimeout{ 900 };
@@ -81,6 +83,15 @@
    */
   std::optional<int64_t> ProposeMembers(std::vector<wire::Replica> aMembers, Deadline aNow);
 
+  /** On the leader: asks all members for an answer at once, so that ConfirmedSince() may become true. */
+  void StartRound(Deadline aNow);
+
+  /**
+   * Whether a quorum has answered a round that this leader began at a time or later, and an entry of its term
+   * is committed. Then nothing was committed by another leader before that time that this one doesn't hold.
+   */
+  bool ConfirmedSince(Deadline aSince) const;
+
   /** Takes what has to be stored and sent. */
   RaftOutput TakeOutput();
 
--- a/src/control/transport.cpp
+++ b/src/control/transport.cpp
@@ -81,18 +81,39 @@
   }
 }
 
+PeerTransport::PeerTransport(std::string aSelf)
+  : m_self(std::move(aSelf))
+{
+}
+
 void
 PeerTransport::AddPeer(const std::string& aName, const Address& aAddress)
 {
-  m_links[aName] = std::make_unique<PeerLink>(aAddress);
+  const std::lock_guard lock(m_mutex);
+  std::unique_ptr<PeerLink>& link = m_links[aName];
+  if (link == nullptr && aName != m_self) {
+    link = std::make_unique<PeerLink>(aAddress);
+  }
+}
+
+void
+PeerTransport::Learn(const std::vector<wire::Replica>& aMembers)
+{
+  for (const wire::Replica& member : aMembers) {
+    const Result<Address> address = ParseAddress(member.address);
+    if (address) {
+      AddPeer(member.name, address.value());
+    }
+  }
 }
 
 void
 PeerTransport::Send(std::vector<wire::RaftMessage> aMessages)
 {
+  const std::lock_guard lock(m_mutex);
   for (wire::RaftMessage& message : aMessages) {
     const auto link = m_links.find(message.receiver);
-    if (link != m_links.end()) {
+    if (link != m_links.end() && link->second != nullptr) {
       link->second->Enqueue(std::move(message));
     }
   }
--- a/src/control/transport.h
+++ b/src/control/transport.h
@@ -24,6 +24,9 @@
   virtual ~Transport() = default;
 
   virtual void Send(std::vector<wire::RaftMessage> aMessages) = 0;
+
+  /** Takes note of where members can be reached. */
+  virtual void Learn(const std::vector<wire::Replica>& /*aMembers*/) {}
 };
 
 /** Queue, connection and thread for the messages to one other control replica. */
@@ -51,16 +54,22 @@
   std::thread m_thread;
 };
 
-/** Transport over one PeerLink for each other replica. */
+/** Transport over one PeerLink for each other replica. Thread-safe. */
 class PeerTransport : public Transport
 {
 public:
-  /** Adds a replica; called before Send(). */
+  /** @param aSelf name of this replica, which is never sent to */
+  explicit PeerTransport(std::string aSelf);
+
+  /** Adds a replica whose address is known; a known one keeps its address. */
   void AddPeer(const std::string& aName, const Address& aAddress);
 
   void Send(std::vector<wire::RaftMessage> aMessages) override;
+  void Learn(const std::vector<wire::Replica>& aMembers) override;
 
 private:
+  const std::string m_self;
+  std::mutex m_mutex;
   std::map<std::string, std::unique_ptr<PeerLink>> m_links;
 };
 
--- /dev/null
+++ b/src/hop/hopheaders.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "http/message.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace mimosarun {
+
+// What entry and gate tell each other travels in one short header each way, since these bytes cross domains.
+
+/** What an entry tells the gate of a call. */
+struct HopRequest
+{
+  std::string call;
+  std::string service;
+  /** Names calls of like cost. */
+  std::string route;
+  RepeatPolicy repeat = RepeatPolicy::Once;
+  CallClass callClass = CallClass::Short;
+  int64_t priority = 0;
+  std::chrono::milliseconds expectedCost{ 0 };
+  std::chrono::milliseconds timeLeft{ 0 };
+  /** Longest wait for a slot for which the call is to stay at this gate. */
+  std::chrono::milliseconds longestWait{ 0 };
+  /** Set where the call was sent to this life of the gate before and its connection broke; else zero. */
+  int64_t sentToLife = 0;
+  /** Region whose quorum holds the idempotency keys; keyed calls only. */
+  std::string homeRegion;
+};
+
+/** What became of a call at a gate. */
+enum class HopOutcome
+{
+  /** The answer is the target's own. */
+  Answered,
+  /** The target was never given the request; another gate may take it. */
+  TurnedBack,
+  /** The target was never given the request, and no other gate would take it either. */
+  Refused,
+  /** The target was given the request and says that it didn't run it. */
+  NotRun,
+  /** The target was given the request; whether it ran isn't known. */
+  Unknown,
+};
+
+/** What a gate tells the entry with its answer. */
+struct HopAnswer
+{
+  HopOutcome outcome = HopOutcome::Answered;
+  int slotsInUse = 0;
+  int slots = 0;
+  int waiting = 0;
+  /** Wait for a slot that another call would see now. */
+  std::chrono::milliseconds wait{ 0 };
+};
+
+inline constexpr const char* kHopRequestHeader = "M-Q";
+inline constexpr const char* kHopAnswerHeader = "M-A";
+
+/** Sets the header that carries a HopRequest. */
+void
+WriteHop(HttpHeaders& aHeaders, const HopRequest& aHop);
+
+/** Reads and removes that header; nothing where it is missing or damaged. */
+std::optional<HopRequest>
+TakeHopRequest(HttpHeaders& aHeaders);
+
+/** Sets the header that carries a HopAnswer. */
+void
+WriteHop(HttpHeaders& aHeaders, const HopAnswer& aHop);
+
+/** Reads and removes that header; nothing where it is missing or damaged. */
+std::optional<HopAnswer>
+TakeHopAnswer(HttpHeaders& aHeaders);
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/http/connectionpool.cpp
@@ -0,0 +1,89 @@
+#include "http/connectionpool.h"
+
+#include <algorithm>
+
+namespace mimosarun {
+
+static constexpr size_t kIdleForPeer = 64;
+/** An idle connection that nobody has used for this long is closed. */
+static constexpr std::chrono::milliseconds kLongestIdle{ 30000 };
+
+static void
+Close(ClientConnection& aConnection)
+{
+  boost::system::error_code ignored;
+  aConnection.socket.close(ignored);
+}
+
+ConnectionPool::ConnectionPointer
+ConnectionPool::Take(const std::string& aKey, std::chrono::milliseconds aLongestIdle)
+{
+  const auto found = m_idle.find(aKey);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  const Deadline now = SteadyClock::now();
+  while (!found->second.empty()) {
+    const ConnectionPointer connection = found->second.back();
+    const bool usable = now < connection->usableUntil && now < connection->idleSince + aLongestIdle;
+    if (!usable && now < connection->usableUntil) {
+      // The others were idle for longer still; another request may take them.
+      return nullptr;
+    }
+    found->second.pop_back();
+    ++connection->uses;
+    boost::system::error_code ignored;
+    connection->socket.cancel(ignored);
+    if (usable) {
+      return connection;
+    }
+    Close(*connection);
+  }
+  return nullptr;
+}
+
+void
+ConnectionPool::Give(const std::string& aKey, ConnectionPointer aConnection)
+{
+  const Deadline now = SteadyClock::now();
+  aConnection->idleSince = now;
+  std::deque<ConnectionPointer>& idle = m_idle[aKey];
+  idle.push_back(aConnection);
+  while (idle.size() > kIdleForPeer || now > idle.front()->idleSince + kLongestIdle) {
+    ++idle.front()->uses;
+    Close(*idle.front());
+    idle.pop_front();
+  }
+  Watch(aKey, aConnection);
+}
+
+void
+ConnectionPool::Watch(const std::string& aKey, const ConnectionPointer& aConnection)
+{
+  aConnection->socket.async_wait(
+    boost::asio::ip::tcp::socket::wait_read,
+    [weak = weak_from_this(), aKey, connection = std::weak_ptr(aConnection), uses = aConnection->uses](
+      const boost::system::error_code&) {
+      const auto self = weak.lock();
+      const auto held = connection.lock();
+      if (self && held && held->uses == uses) {
+        self->Remove(aKey, held);
+      }
+    });
+}
+
+void
+ConnectionPool::Remove(const std::string& aKey, const ConnectionPointer& aConnection)
+{
+  Close(*aConnection);
+  const auto found = m_idle.find(aKey);
+  if (found == m_idle.end()) {
+    return;
+  }
+  std::erase(found->second, aConnection);
+  if (found->second.empty()) {
+    m_idle.erase(found);
+  }
+}
+
+} // namespace mimosarun
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -1,28 +1,32 @@
 #pragma once
 
+#include "common/clock.h"
+#include "http/eventloop.h"
 #include "http/message.h"
 
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 
-struct MHD_Connection;
-struct MHD_Response;
-
 namespace mimosarun {
 
+class ServerConnection;
+
 /**
- * One request at a server and its answer. The answer may come from any thread, whole or in pieces; no server
- * thread waits for it. Thread-safe.
+ * One request at a server and its answer, whole or in pieces; no thread waits for it. Respond() may be called
+ * on any thread, everything else on the loop of the connection only.
  */
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-  explicit Exchange(HttpRequest aRequest);
+  Exchange(HttpRequest aRequest, EventLoop& aLoop);
 
   const HttpRequest& Request() const { return m_request; }
+  EventLoop& Loop() const { return m_loop; }
+
+  /** When the whole request had been read. */
+  Deadline ReceivedAt() const { return m_receivedAt; }
 
   /** Answers with a whole body; ignored once an answer has begun. */
   void Respond(HttpResponse aResponse);
@@ -30,7 +34,7 @@
   /** Begins an answer whose body follows by Write(); false if an answer has begun already. */
   bool Start(HttpHead aHead);
 
-  /** Adds a piece of the body; false when the buffer is full and the writer should wait for a drain. */
+  /** Adds a piece of the body; false when much of it waits and the writer should wait for a drain. */
   bool Write(std::string_view aBytes);
 
   /** Ends the body. An incomplete one closes the connection so that the cut shows. */
@@ -42,11 +46,16 @@
   /** Called when a full buffer has room again. */
   void OnDrain(std::function<void()> aCallback);
 
-  bool Started() const;
+  /**
+   * Called once, perhaps at once, when all requests that came before this one on its connection have been
+   * answered; not at all if the connection closes before.
+   */
+  void OnTurn(std::function<void()> aCallback);
+
+  bool Started() const { return m_stage != Stage::Waiting; }
 
 private:
-  friend class HttpServer;
-  friend struct ServerCallbacks;
+  friend class ServerConnection;
 
   /** How far the answer is. */
   enum class Stage
@@ -57,30 +66,27 @@
     Broken,
   };
 
-  static ssize_t ReadBody(void* aSelf, uint64_t aPosition, char* aBuffer, size_t aLimit);
-  ssize_t ReadBodyLocked(char* aBuffer, size_t aLimit, std::function<void()>& aDrained);
-
-  void Suspend(MHD_Connection* aConnection, int aSocket);
-  void ResumeLocked();
-  bool ReadyToQueue() const;
-  MHD_Response* MakeResponse(const std::shared_ptr<Exchange>& aSelf);
-  int Status() const;
   void Cancel();
-  int WatchedSocket() const;
+  void Drained();
+  void BecomeFirst();
+  void NotifyConnection();
 
   HttpRequest m_request;
-  mutable std::mutex m_mutex;
+  EventLoop& m_loop;
+  const Deadline m_receivedAt;
   Stage m_stage = Stage::Waiting;
   HttpHead m_head;
-  std::string m_buffer;
-  size_t m_bufferStart = 0;
+  /** Part of the body that waits to be sent. */
+  std::string m_body;
+  bool m_headSent = false;
   bool m_writerWaits = false;
   bool m_cancelled = false;
-  bool m_suspended = false;
-  MHD_Connection* m_connection = nullptr;
-  int m_socket = -1;
+  bool m_first = false;
+  bool m_keepAlive = true;
+  std::weak_ptr<ServerConnection> m_connection;
   std::function<void()> m_onCancel;
   std::function<void()> m_onDrain;
+  std::function<void()> m_onTurn;
 };
 
 using ExchangePointer = std::shared_ptr<Exchange>;
--- a/src/http/forwarder.cpp
+++ b/src/http/forwarder.cpp
@@ -1,43 +1,46 @@
 #include "http/forwarder.h"
 
-#include "http/forwardershard.h"
+#include "http/connectionpool.h"
+#include "http/forwardtransfer.h"
 
 namespace mimosarun {
 
-Forwarder::Forwarder(unsigned int aThreads)
+void
+ForwardTicket::Resume() const
 {
-  curl_global_init(CURL_GLOBAL_DEFAULT);
-  for (unsigned int i = 0; i < aThreads; ++i) {
-    m_shards.push_back(std::make_unique<ForwarderShard>());
+  if (const auto transfer = m_transfer.lock()) {
+    transfer->Resume();
   }
 }
 
-Forwarder::~Forwarder() = default;
-
-ForwarderShard&
-Forwarder::ShardOf(ForwardTicket aTicket)
+void
+ForwardTicket::Cancel() const
 {
-  return *m_shards[aTicket.number % m_shards.size()];
+  if (const auto transfer = m_transfer.lock()) {
+    transfer->Cancel();
+  }
 }
 
-ForwardTicket
-Forwarder::Start(ForwardRequest aRequest, std::shared_ptr<ForwardListener> aListener)
-{
-  const ForwardTicket ticket{ .number = ++m_next };
-  ShardOf(ticket).Start(ticket, std::move(aRequest), std::move(aListener));
-  return ticket;
-}
+Forwarder::~Forwarder() = default;
 
-void
-Forwarder::Resume(ForwardTicket aTicket)
+std::shared_ptr<ConnectionPool>
+Forwarder::PoolOf(EventLoop& aLoop)
 {
-  ShardOf(aTicket).Resume(aTicket);
+  const std::lock_guard lock(m_mutex);
+  std::shared_ptr<ConnectionPool>& pool = m_pools[&aLoop];
+  if (pool == nullptr) {
+    pool = std::make_shared<ConnectionPool>();
+  }
+  return pool;
 }
 
-void
-Forwarder::Cancel(ForwardTicket aTicket)
+ForwardTicket
+Forwarder::Start(EventLoop& aLoop, ForwardRequest aRequest, std::shared_ptr<ForwardListener> aListener)
 {
-  ShardOf(aTicket).Cancel(aTicket);
+  const auto transfer =
+    std::make_shared<ForwardTransfer>(aLoop, PoolOf(aLoop), std::move(aRequest), std::move(aListener));
+  transfer->Begin();
+  return ForwardTicket(transfer);
 }
 
 } // namespace mimosarun
--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -2,14 +2,15 @@
 
 #include "common/address.h"
 #include "common/clock.h"
+#include "http/eventloop.h"
 #include "http/message.h"
 
-#include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace mimosarun {
 
@@ -20,6 +21,8 @@
   Complete,
   /** No connection could be made, so the peer never saw the request. */
   NotSent,
+  /** A kept connection broke before any byte of an answer; the peer may have closed it while it was idle. */
+  KeptConnectionClosed,
   /** The connection broke or the answer was damaged after the request may have been sent. */
   Broken,
   /** The deadline passed. */
@@ -34,62 +37,83 @@
   Address to;
   HttpRequest request;
   Deadline deadline;
-  /** Use a new connection, so that the library never sends the request a second time by itself. */
-  bool freshConnection = false;
+  /** Longest time to wait for a new connection. */
+  std::chrono::milliseconds connectTimeout{ 1000 };
+  /** Kept connections that were idle for longer aren't used. */
+  std::chrono::milliseconds longestIdle{ 20000 };
+  /** Sent bytes that stay unacknowledged for this long break the connection. */
+  std::chrono::milliseconds unacknowledgedLimit{ 2000 };
   /** Kept connections are shared only among requests with the same value; raise it to leave old ones behind.
    */
   uint32_t connectionGeneration = 0;
 };
 
-/** Receives the answer of an outgoing request on a thread of the Forwarder. */
+/** What becomes of an answer whose head has arrived. */
+enum class HeadVerdict
+{
+  Accept,
+  /** It belongs to another request; drop it and wait for the next one on the connection. */
+  Skip,
+};
+
+/** Receives the answer of an outgoing request on the loop that sent it. */
 class ForwardListener
 {
 public:
   virtual ~ForwardListener() = default;
 
-  virtual void OnHead(const HttpHead& aHead) = 0;
+  virtual HeadVerdict OnHead(const HttpHead& aHead) = 0;
 
-  /** A piece of the body; false pauses the transfer until Forwarder::Resume(). */
+  /** A piece of the body; false pauses the transfer until ForwardTransfer::Resume(). */
   virtual bool OnBody(std::string_view aBytes) = 0;
 
   /** The end; nothing follows. */
   virtual void OnEnd(ForwardEnd aEnd) = 0;
 };
 
-/** Names a request that was started. */
-struct ForwardTicket
+class ConnectionPool;
+class ForwardTransfer;
+
+/** Handle of a request that was started. */
+class ForwardTicket
 {
-  uint64_t number = 0;
-};
+public:
+  ForwardTicket() = default;
+  explicit ForwardTicket(std::weak_ptr<ForwardTransfer> aTransfer)
+    : m_transfer(std::move(aTransfer))
+  {
+  }
+
+  /** Continues a paused transfer. */
+  void Resume() const;
+
+  /** Gives a request up; its connection is closed, so that the peer sees it. OnEnd() isn't called. */
+  void Cancel() const;
 
-class ForwarderShard;
+private:
+  std::weak_ptr<ForwardTransfer> m_transfer;
+};
 
-/**
- * Sends requests over kept connections on a few threads, none of which waits for an answer. Each thread has
- * its own connections.
- */
+/** Sends requests over kept connections, without a thread that waits. Each loop has its own connections. */
 class Forwarder
 {
 public:
-  explicit Forwarder(unsigned int aThreads);
+  Forwarder() = default;
   ~Forwarder();
 
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
 
-  ForwardTicket Start(ForwardRequest aRequest, std::shared_ptr<ForwardListener> aListener);
-
-  /** Continues a paused transfer. */
-  void Resume(ForwardTicket aTicket);
-
-  /** Gives a request up; its connection is closed, so that the peer sees it. */
-  void Cancel(ForwardTicket aTicket);
+  /** Sends a request; called on the loop, on which the listener is called too, never within this call. */
+  ForwardTicket Start(EventLoop& aLoop,
+                      ForwardRequest aRequest,
+                      std::shared_ptr<ForwardListener> aListener);
 
 private:
-  ForwarderShard& ShardOf(ForwardTicket aTicket);
+  std::shared_ptr<ConnectionPool> PoolOf(EventLoop& aLoop);
 
-  std::vector<std::unique_ptr<ForwarderShard>> m_shards;
-  std::atomic<uint64_t> m_next{ 0 };
+  std::mutex m_mutex;
+  std::map<EventLoop*, std::shared_ptr<ConnectionPool>> m_pools;
 };
 
 } // namespace mimosarun
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -1,153 +1,316 @@
 #include "http/forwardtransfer.h"
 
+#include "http/headwriter.h"
+#include "http/sockets.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
 #include <algorithm>
+#include <cstdlib>
+#include <limits>
+#include <utility>
 
 namespace mimosarun {
 
-static constexpr long kConnectTimeoutMilliseconds = 1000;
-static constexpr long kIdleConnectionSeconds = 20;
+namespace http = boost::beast::http;
+
+static constexpr size_t kReadBytes = 8UL * 1024;
+static constexpr uint32_t kHeadLimitBytes = 64U * 1024;
+/** Kept of the time after which a peer says it closes an idle connection. */
+static constexpr std::chrono::milliseconds kCloseMargin{ 500 };
+static constexpr int kInformational = 200;
+
+static std::string
+KeyOf(const ForwardRequest& aRequest)
+{
+  return aRequest.to.Text() + "#" + std::to_string(aRequest.connectionGeneration);
+}
 
-ForwardTransfer::ForwardTransfer(ForwardTicket aTicket,
+ForwardTransfer::ForwardTransfer(EventLoop& aLoop,
+                                 std::shared_ptr<ConnectionPool> aPool,
                                  ForwardRequest aRequest,
                                  std::shared_ptr<ForwardListener> aListener)
-  : m_ticket(aTicket)
+  : m_loop(aLoop)
+  , m_pool(std::move(aPool))
   , m_request(std::move(aRequest))
   , m_listener(std::move(aListener))
+  , m_key(KeyOf(m_request))
+  , m_timer(aLoop.Context())
+{
+}
+
+// --- sending ---------------------------------------------------------------------------------------------
+
+void
+ForwardTransfer::Begin()
 {
+  m_output = WriteRequestHead(m_request.request) + m_request.request.body;
+  m_connection = m_pool->Take(m_key, m_request.longestIdle);
+  m_kept = m_connection != nullptr;
+  if (m_kept) {
+    boost::asio::post(m_loop.Context(), [self = shared_from_this()] { self->Send(); });
+  } else {
+    Connect();
+  }
 }
 
-ForwardTransfer::~ForwardTransfer()
+void
+ForwardTransfer::Connect()
 {
-  curl_slist_free_all(m_headers);
-  curl_slist_free_all(m_connectTo);
+  m_connection = std::make_shared<ClientConnection>(m_loop.Context());
+  boost::system::error_code error;
+  m_connection->socket.open(boost::asio::ip::tcp::v4(), error);
+  const auto host = boost::asio::ip::make_address(m_request.to.host, error);
+  if (error) {
+    boost::asio::post(m_loop.Context(), [self = shared_from_this()] { self->End(ForwardEnd::NotSent); });
+    return;
+  }
+  StartTimer(std::min(m_request.deadline, SteadyClock::now() + m_request.connectTimeout));
+  m_connection->socket.async_connect(
+    { host, m_request.to.port },
+    [self = shared_from_this()](const auto& aError) { self->OnConnected(aError); });
 }
 
 void
-ForwardTransfer::AddHeaders()
+ForwardTransfer::OnConnected(const boost::system::error_code& aError)
 {
-  for (const HttpHeader& header : m_request.request.headers) {
-    if (IsHopHeader(header.name) || SameHeaderName(header.name, "Content-Length")) {
+  if (m_ended) {
+    return;
+  }
+  if (aError) {
+    End(ForwardEnd::NotSent);
+    return;
+  }
+  Send();
+}
+
+void
+ForwardTransfer::Send()
+{
+  if (m_ended) {
+    return;
+  }
+  m_connected = true;
+  TuneSocket(m_connection->socket, m_request.unacknowledgedLimit);
+  StartTimer(m_request.deadline);
+  NewParser();
+  boost::asio::async_write(
+    m_connection->socket,
+    boost::asio::buffer(m_output),
+    // An answer may come before the whole request is out, so reading tells how it ends.
+    [self = shared_from_this()](const auto& aError, size_t) { self->m_written = !aError; });
+  Read();
+}
+
+// --- answer ----------------------------------------------------------------------------------------------
+
+void
+ForwardTransfer::NewParser()
+{
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(kHeadLimitBytes);
+  m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+  m_parser->skip(m_request.request.method == "HEAD");
+  m_headTaken = false;
+  m_skipping = false;
+}
+
+void
+ForwardTransfer::Read()
+{
+  m_connection->socket.async_read_some(m_buffer.prepare(kReadBytes),
+                                       [self = shared_from_this()](const auto& aError, size_t aLength) {
+                                         self->OnRead(aError, aLength);
+                                       });
+}
+
+void
+ForwardTransfer::OnRead(const boost::system::error_code& aError, size_t aLength)
+{
+  if (m_ended) {
+    return;
+  }
+  if (aError == boost::asio::error::eof && m_headTaken) {
+    boost::system::error_code error;
+    m_parser->put_eof(error);
+    if (!error && m_parser->is_done()) {
+      DeliverBody();
+      OnMessageEnd();
+      return;
+    }
+  }
+  if (aError) {
+    End(BrokenEnd());
+    return;
+  }
+  m_anyByte = true;
+  m_buffer.commit(aLength);
+  ParseBuffered();
+}
+
+ForwardEnd
+ForwardTransfer::BrokenEnd() const
+{
+  return m_kept && !m_anyByte ? ForwardEnd::KeptConnectionClosed : ForwardEnd::Broken;
+}
+
+void
+ForwardTransfer::ParseBuffered()
+{
+  while (!m_ended && m_buffer.size() > 0) {
+    boost::system::error_code error;
+    const size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      End(ForwardEnd::Broken);
+      return;
+    }
+    if (m_parser->is_header_done() && !m_headTaken && !TakeHead()) {
       continue;
     }
-    const std::string line = header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
-    m_headers = curl_slist_append(m_headers, line.c_str());
+    DeliverBody();
+    if (m_ended) {
+      return;
+    }
+    if (m_parser->is_done()) {
+      if (!m_skipping) {
+        OnMessageEnd();
+        return;
+      }
+      NewParser();
+    } else if (used == 0) {
+      break;
+    }
+  }
+  if (!m_ended && !m_paused) {
+    Read();
   }
-  m_headers = curl_slist_append(m_headers, "Expect:");
-  if (!HasHeader(m_request.request.headers, "Accept")) {
-    m_headers = curl_slist_append(m_headers, "Accept:");
+}
+
+bool
+ForwardTransfer::TakeHead()
+{
+  const auto& message = m_parser->get();
+  if (message.result_int() < kInformational) {
+    NewParser();
+    return false;
   }
-  if (!HasHeader(m_request.request.headers, "Content-Type")) {
-    m_headers = curl_slist_append(m_headers, "Content-Type:");
+  m_headTaken = true;
+  HttpHead head{ .status = static_cast<int>(message.result_int()), .headers = {}, .length = std::nullopt };
+  for (const auto& field : message) {
+    head.headers.push_back({ .name = std::string(field.name_string()), .value = std::string(field.value()) });
   }
+  if (m_parser->content_length()) {
+    head.length = *m_parser->content_length();
+  }
+  // The listener may cancel, so it is kept for the length of the call.
+  const std::shared_ptr<ForwardListener> listener = m_listener;
+  m_skipping = listener->OnHead(head) == HeadVerdict::Skip;
+  // The end of an answer that the connection's end delimits leaves nothing to wait for.
+  if (m_skipping && m_parser->need_eof()) {
+    End(ForwardEnd::Broken);
+  }
+  return !m_ended;
 }
 
 void
-ForwardTransfer::Prepare(CURL* aHandle)
-{
-  m_handle = aHandle;
-  curl_easy_reset(aHandle);
-  // The host name only separates generations of kept connections; the connection goes to the address.
-  const std::string name = "g" + std::to_string(m_request.connectionGeneration) + ".mesh";
-  const std::string place = m_request.to.host + ":" + std::to_string(m_request.to.port);
-  const std::string url =
-    "http://" + name + ":" + std::to_string(m_request.to.port) + m_request.request.target;
-  m_connectTo = curl_slist_append(nullptr, ("::" + place).c_str());
-  AddHeaders();
-  curl_easy_setopt(aHandle, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(aHandle, CURLOPT_CONNECT_TO, m_connectTo);
-  curl_easy_setopt(aHandle, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(aHandle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(aHandle, CURLOPT_HTTPHEADER, m_headers);
-  curl_easy_setopt(aHandle, CURLOPT_PROXY, "");
-  curl_easy_setopt(aHandle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(aHandle, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(aHandle, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMilliseconds);
-  curl_easy_setopt(aHandle, CURLOPT_MAXAGE_CONN, kIdleConnectionSeconds);
-  curl_easy_setopt(aHandle, CURLOPT_FRESH_CONNECT, m_request.freshConnection ? 1L : 0L);
-  curl_easy_setopt(aHandle, CURLOPT_PRIVATE, this);
-  curl_easy_setopt(aHandle, CURLOPT_HEADERFUNCTION, &ForwardTransfer::OnHeaderLine);
-  curl_easy_setopt(aHandle, CURLOPT_HEADERDATA, this);
-  curl_easy_setopt(aHandle, CURLOPT_WRITEFUNCTION, &ForwardTransfer::OnBodyBytes);
-  curl_easy_setopt(aHandle, CURLOPT_WRITEDATA, this);
-  const auto left = std::max(TimeLeft(m_request.deadline), std::chrono::milliseconds(1));
-  curl_easy_setopt(aHandle, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
-  const std::string& method = m_request.request.method;
-  if (method == "HEAD") {
-    curl_easy_setopt(aHandle, CURLOPT_NOBODY, 1L);
-  } else if (method != "GET" || !m_request.request.body.empty()) {
-    curl_easy_setopt(aHandle, CURLOPT_POST, 1L);
-    curl_easy_setopt(aHandle, CURLOPT_POSTFIELDS, m_request.request.body.data());
-    curl_easy_setopt(
-      aHandle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.request.body.size()));
-  }
-  curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, method.c_str());
-}
-
-size_t
-ForwardTransfer::OnHeaderLine(char* aBytes, size_t aSize, size_t aCount, void* aSelf)
-{
-  auto& self = *static_cast<ForwardTransfer*>(aSelf);
-  const size_t length = aSize * aCount;
-  std::string line(aBytes, length);
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-    line.pop_back();
-  }
-  if (line.starts_with("HTTP/")) {
-    self.m_head = {};
-    const size_t space = line.find(' ');
-    self.m_head.status = space == std::string::npos ? 0 : std::atoi(line.c_str() + space);
-    return length;
-  }
-  const size_t colon = line.find(':');
-  if (colon != std::string::npos) {
-    const size_t start = std::min(line.find_first_not_of(" \t", colon + 1), line.size());
-    self.m_head.headers.push_back({ .name = line.substr(0, colon), .value = line.substr(start) });
-    if (SameHeaderName(self.m_head.headers.back().name, "Content-Length")) {
-      self.m_head.length = std::strtoull(self.m_head.headers.back().value.c_str(), nullptr, 10);
-    }
+ForwardTransfer::DeliverBody()
+{
+  std::string& body = m_parser->get().body();
+  if (body.empty()) {
+    return;
+  }
+  const std::shared_ptr<ForwardListener> listener = m_listener;
+  if (!m_skipping && !listener->OnBody(body)) {
+    m_paused = true;
   }
-  return length;
+  body.clear();
 }
 
 void
-ForwardTransfer::DeliverHead()
+ForwardTransfer::Resume()
 {
-  if (!m_headDelivered && m_head.status > 0) {
-    m_headDelivered = true;
-    m_listener->OnHead(m_head);
+  if (m_paused && !m_ended) {
+    m_paused = false;
+    ParseBuffered();
   }
 }
 
-size_t
-ForwardTransfer::OnBodyBytes(char* aBytes, size_t aSize, size_t aCount, void* aSelf)
+void
+ForwardTransfer::OnMessageEnd()
 {
-  auto& self = *static_cast<ForwardTransfer*>(aSelf);
-  self.DeliverHead();
-  if (!self.m_listener->OnBody({ aBytes, aSize * aCount })) {
-    // The bytes were taken; the pause begins with the next piece.
-    curl_easy_pause(self.m_handle, CURLPAUSE_RECV);
+  KeepOrClose();
+  End(ForwardEnd::Complete);
+}
+
+/** The time that a Keep-Alive header names, or nothing. */
+static std::optional<std::chrono::seconds>
+KeepAliveTime(const std::string& aValue)
+{
+  static const std::string kName = "timeout=";
+  const size_t place = aValue.find(kName);
+  if (place == std::string::npos) {
+    return std::nullopt;
   }
-  return aSize * aCount;
+  return std::chrono::seconds(std::strtol(aValue.c_str() + place + kName.size(), nullptr, 10));
 }
 
-ForwardEnd
-ForwardTransfer::Judge(CURLcode aCode) const
-{
-  long connects = 0;
-  curl_easy_getinfo(m_handle, CURLINFO_NUM_CONNECTS, &connects);
-  double connectTime = 0;
-  curl_easy_getinfo(m_handle, CURLINFO_CONNECT_TIME, &connectTime);
-  switch (aCode) {
-    case CURLE_OK:
-      return ForwardEnd::Complete;
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-      return ForwardEnd::NotSent;
-    case CURLE_OPERATION_TIMEDOUT:
-      // A timeout while the only connection was still being made.
-      return m_request.freshConnection && connectTime == 0 ? ForwardEnd::NotSent : ForwardEnd::TimedOut;
-    default:
-      return ForwardEnd::Broken;
+void
+ForwardTransfer::KeepOrClose()
+{
+  const auto& message = m_parser->get();
+  const bool reusable = m_written && m_parser->keep_alive() && !m_parser->need_eof() && m_buffer.size() == 0;
+  if (!reusable) {
+    return;
+  }
+  if (const auto time = KeepAliveTime(std::string(message[http::field::keep_alive]))) {
+    m_connection->usableUntil = SteadyClock::now() + *time - kCloseMargin;
+  }
+  m_pool->Give(m_key, std::exchange(m_connection, nullptr));
+}
+
+// --- end -------------------------------------------------------------------------------------------------
+
+void
+ForwardTransfer::StartTimer(Deadline aDeadline)
+{
+  m_timer.expires_at(aDeadline);
+  m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
+    const auto self = weak.lock();
+    if (self && !aError && !self->m_ended) {
+      self->End(self->m_connected ? ForwardEnd::TimedOut : ForwardEnd::NotSent);
+    }
+  });
+}
+
+void
+ForwardTransfer::Cancel()
+{
+  if (!m_ended) {
+    m_listener.reset();
+    End(ForwardEnd::Cancelled);
+  }
+}
+
+void
+ForwardTransfer::End(ForwardEnd aEnd)
+{
+  if (std::exchange(m_ended, true)) {
+    return;
+  }
+  m_timer.cancel();
+  if (m_connection) {
+    boost::system::error_code ignored;
+    m_connection->socket.close(ignored);
+  }
+  if (const auto listener = std::exchange(m_listener, nullptr)) {
+    listener->OnEnd(aEnd);
   }
 }
 
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -1,50 +1,68 @@
 #pragma once
 
+#include "http/connectionpool.h"
 #include "http/forwarder.h"
 
-#include <curl/curl.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mimosarun {
 
-/** One outgoing request in the hands of libcurl. */
-class ForwardTransfer
+/** One outgoing request: its connection, its bytes and the answer. Lives on one loop. */
+class ForwardTransfer : public std::enable_shared_from_this<ForwardTransfer>
 {
 public:
-  ForwardTransfer(ForwardTicket aTicket, ForwardRequest aRequest, std::shared_ptr<ForwardListener> aListener);
-  ~ForwardTransfer();
+  ForwardTransfer(EventLoop& aLoop,
+                  std::shared_ptr<ConnectionPool> aPool,
+                  ForwardRequest aRequest,
+                  std::shared_ptr<ForwardListener> aListener);
 
-  ForwardTransfer(const ForwardTransfer&) = delete;
-  ForwardTransfer& operator=(const ForwardTransfer&) = delete;
-
-  /** Prepares a handle; it stays the caller's. */
-  void Prepare(CURL* aHandle);
-
-  CURL* Handle() const { return m_handle; }
-  ForwardTicket Ticket() const { return m_ticket; }
-  ForwardListener& Listener() { return *m_listener; }
-
-  /** Hands over the head if it is complete and was not handed over yet. */
-  void DeliverHead();
-
-  /** How the transfer ended, from the library's code. */
-  ForwardEnd Judge(CURLcode aCode) const;
+  void Begin();
+  void Resume();
+  void Cancel();
 
 private:
-  static size_t OnHeaderLine(char* aBytes, size_t aSize, size_t aCount, void* aSelf);
-  static size_t OnBodyBytes(char* aBytes, size_t aSize, size_t aCount, void* aSelf);
-  void AddHeaders();
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void OnConnected(const boost::system::error_code& aError);
+  void Send();
+  void NewParser();
+  void Read();
+  void OnRead(const boost::system::error_code& aError, size_t aLength);
+  void ParseBuffered();
+  bool TakeHead();
+  void DeliverBody();
+  void OnMessageEnd();
+  void KeepOrClose();
+  void StartTimer(Deadline aDeadline);
+  void End(ForwardEnd aEnd);
+  ForwardEnd BrokenEnd() const;
 
-  ForwardTicket m_ticket;
+  EventLoop& m_loop;
+  std::shared_ptr<ConnectionPool> m_pool;
   ForwardRequest m_request;
   std::shared_ptr<ForwardListener> m_listener;
-  CURL* m_handle = nullptr;
-  curl_slist* m_headers = nullptr;
-  curl_slist* m_connectTo = nullptr;
-  HttpHead m_head;
-  bool m_headDelivered = false;
+  const std::string m_key;
+  ConnectionPool::ConnectionPointer m_connection;
+  boost::asio::steady_timer m_timer;
+  std::string m_output;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  bool m_kept = false;
+  bool m_connected = false;
+  bool m_written = false;
+  bool m_anyByte = false;
+  bool m_headTaken = false;
+  bool m_skipping = false;
+  bool m_paused = false;
+  bool m_ended = false;
 };
 
 } // namespace mimosarun
--- /dev/null
+++ b/src/http/headwriter.cpp
@@ -0,0 +1,71 @@
+#include "http/headwriter.h"
+
+#include <ostream>
+// Before Boost's header, which needs it whole.
+#include <boost/beast/http/status.hpp>
+
+#include <cstdio>
+
+namespace mimosarun {
+
+static constexpr const char* kLengthHeader = "Content-Length";
+
+bool
+MayHaveBody(const std::string& aMethod, int aStatus)
+{
+  return aMethod != "HEAD" && aStatus >= 200 && aStatus != 204 && aStatus != 304;
+}
+
+static void
+WriteHeaders(std::string& aText, const HttpHeaders& aHeaders)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (IsHopHeader(header.name) || SameHeaderName(header.name, kLengthHeader)) {
+      continue;
+    }
+    aText += header.name;
+    aText += ": ";
+    aText += header.value;
+    aText += "\r\n";
+  }
+}
+
+std::string
+WriteAnswerHead(const HttpHead& aHead, BodyFraming aFraming, bool aKeepAlive)
+{
+  const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(aHead.status));
+  std::string text = "HTTP/1.1 " + std::to_string(aHead.status) + " ";
+  text.append(reason.data(), reason.size());
+  text += "\r\n";
+  WriteHeaders(text, aHead.headers);
+  if (aFraming == BodyFraming::Length) {
+    text += std::string(kLengthHeader) + ": " + std::to_string(aHead.length.value_or(0)) + "\r\n";
+  } else if (aFraming == BodyFraming::Chunked) {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  text += aKeepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+  return text;
+}
+
+std::string
+WriteRequestHead(const HttpRequest& aRequest)
+{
+  std::string text = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  WriteHeaders(text, aRequest.headers);
+  const bool usual = aRequest.method == "POST" || aRequest.method == "PUT" || aRequest.method == "PATCH";
+  if (usual || !aRequest.body.empty()) {
+    text += std::string(kLengthHeader) + ": " + std::to_string(aRequest.body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string
+WriteChunkHead(size_t aLength)
+{
+  char line[24];
+  const int length = std::snprintf(line, sizeof line, "%zx\r\n", aLength);
+  return std::string(line, static_cast<size_t>(length));
+}
+
+} // namespace mimosarun
--- a/src/http/refusal.cpp
+++ b/src/http/refusal.cpp
@@ -20,8 +20,8 @@
                                       { .name = kCallHeader, .value = aRefused.call } },
                          .body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" };
   if (aRefused.retryAfter) {
-    response.headers.push_back(
-      { .name = kRetryAfterHeader, .value = std::to_string(aRefused.retryAfter->count()) });
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*aRefused.retryAfter);
+    response.headers.push_back({ .name = kRetryAfterHeader, .value = std::to_string(seconds.count()) });
   }
   return response;
 }
--- a/src/http/refusal.h
+++ b/src/http/refusal.h
@@ -24,7 +24,7 @@
   CallOutcome outcome = CallOutcome::NotRun;
   std::string reason;
   std::string call;
-  std::optional<std::chrono::seconds> retryAfter;
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 /** The answer that tells a caller of a refusal. */
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,33 +4,51 @@
 #include "common/error.h"
 #include "http/exchange.h"
 
-#include <condition_variable>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
 #include <functional>
-#include <list>
 #include <memory>
 #include <mutex>
-#include <thread>
-#include <vector>
-
-struct MHD_Daemon;
+#include <string>
 
 namespace mimosarun {
 
+/** What a server accepts. */
+struct HttpLimits
+{
+  size_t headerBytes = 16UL * 1024;
+  size_t bodyBytes = 1024UL * 1024;
+  /** Longest time from the first byte of a request to the end of its head. */
+  std::chrono::milliseconds headerTimeout{ 30000 };
+  /** Longest time without a byte between requests or within a body. */
+  std::chrono::milliseconds idleTimeout{ 30000 };
+};
+
+/** A request that couldn't be read. */
+struct UnreadableRequest
+{
+  int status = 400;
+  std::string reason;
+};
+
 /** An HTTP/1.1 server on one address that hands each whole request to a handler. */
 class HttpServer
 {
 public:
   using Handler = std::function<void(const ExchangePointer&)>;
+  using Refuser = std::function<HttpResponse(const UnreadableRequest&)>;
 
   struct Options
   {
     Address address;
     Handler handler;
-    unsigned int threads = 2;
-    unsigned int maximumConnections = 2000;
-    size_t bodyLimitBytes = 1024UL * 1024;
-    /** An idle or half-sent connection is closed after this. */
-    std::chrono::seconds idleTimeout{ 30 };
+    /** Words the answer to a request that can't be read; nothing means plain text. */
+    Refuser refuser;
+    /** Loops that serve the connections; nothing means one of the server's own. */
+    EventLoops* loops = nullptr;
+    size_t maximumConnections = 2000;
+    HttpLimits limits;
   };
 
   /** Binds the address and starts to serve. */
@@ -44,32 +62,34 @@
   /** Takes no further connections; those that are open go on. */
   void StopListening();
 
+  /** From now on each connection closes with the answer to the last request that it has read. */
+  void CloseAfterAnswers();
+
+  /** Changes the limits for requests that begin from now on. */
+  void SetLimits(const HttpLimits& aLimits);
+
 private:
-  /** State of one request while its parts arrive. */
-  struct Incoming
+  friend class ServerConnection;
+
+  /** What connections share with their server and may outlive it. */
+  struct Shared
   {
-    HttpServer* server = nullptr;
-    HttpRequest request;
-    ExchangePointer exchange;
-    bool tooLarge = false;
+    Options options;
+    std::mutex mutex;
+    HttpLimits limits;
+    std::atomic<size_t> connections{ 0 };
+    std::atomic<bool> closing{ false };
   };
 
-  explicit HttpServer(Options aOptions);
-
-  friend struct ServerCallbacks;
+  HttpServer() = default;
 
-  void WatchForHangUps();
-  bool WaitForExchanges();
-  std::vector<ExchangePointer> OpenExchanges();
-  void Track(const ExchangePointer& aExchange);
+  Result<void> Listen();
+  void Accept();
 
-  Options m_options;
-  MHD_Daemon* m_daemon = nullptr;
-  std::mutex m_mutex;
-  std::condition_variable m_wake;
-  std::list<std::weak_ptr<Exchange>> m_exchanges;
-  bool m_stop = false;
-  std::thread m_watcher;
+  std::shared_ptr<Shared> m_shared = std::make_shared<Shared>();
+  std::unique_ptr<EventLoops> m_ownLoops;
+  EventLoops* m_loops = nullptr;
+  std::shared_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
 };
 
 } // namespace mimosarun
--- /dev/null
+++ b/src/http/serverconnection.cpp
@@ -0,0 +1,414 @@
+#include "http/serverconnection.h"
+
+#include "http/headwriter.h"
+#include "http/sockets.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <utility>
+
+namespace mimosarun {
+
+namespace http = boost::beast::http;
+
+static constexpr size_t kReadBytes = 8UL * 1024;
+/** Requests that one connection may have open; the rest is read when they are answered. */
+static constexpr size_t kPipelineLimit = 32;
+static constexpr std::chrono::milliseconds kUnsentLimit{ 4000 };
+static constexpr std::chrono::milliseconds kLingerTime{ 1000 };
+
+void
+ServerConnection::Begin(boost::asio::ip::tcp::socket aSocket, SharedPointer aShared, EventLoop& aLoop)
+{
+  const auto self = std::make_shared<ServerConnection>(std::move(aSocket), std::move(aShared), aLoop);
+  aLoop.Dispatch([self] {
+    TuneSocket(self->m_socket, kUnsentLimit);
+    self->NewParser();
+    self->ResetTimer();
+    self->Read();
+  });
+}
+
+ServerConnection::ServerConnection(boost::asio::ip::tcp::socket aSocket,
+                                   SharedPointer aShared,
+                                   EventLoop& aLoop)
+  : m_socket(std::move(aSocket))
+  , m_shared(std::move(aShared))
+  , m_loop(aLoop)
+  , m_timer(aLoop.Context())
+{
+  ++m_shared->connections;
+}
+
+ServerConnection::~ServerConnection()
+{
+  --m_shared->connections;
+}
+
+// --- requests --------------------------------------------------------------------------------------------
+
+void
+ServerConnection::NewParser()
+{
+  {
+    const std::lock_guard lock(m_shared->mutex);
+    m_limits = m_shared->limits;
+  }
+  m_continued = false;
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(static_cast<uint32_t>(m_limits.headerBytes));
+  m_parser->body_limit(m_limits.bodyBytes);
+}
+
+void
+ServerConnection::Read()
+{
+  if (m_reading || m_closed) {
+    return;
+  }
+  m_reading = true;
+  m_socket.async_read_some(m_buffer.prepare(kReadBytes),
+                           [self = shared_from_this()](const auto& aError, size_t aLength) {
+                             self->OnRead(aError, aLength);
+                           });
+}
+
+void
+ServerConnection::OnRead(const boost::system::error_code& aError, size_t aLength)
+{
+  m_reading = false;
+  if (m_closed) {
+    return;
+  }
+  if (aError) {
+    Close();
+    return;
+  }
+  if (m_refused || m_lastRequestRead || m_lingering) {
+    // Whatever follows a request that ends the connection isn't looked at, but a hang-up still shows.
+    Read();
+    return;
+  }
+  m_buffer.commit(aLength);
+  if (ParseBuffered()) {
+    Read();
+  }
+  ResetTimer();
+}
+
+bool
+ServerConnection::ParseBuffered()
+{
+  while (m_buffer.size() > 0 && !m_closed && !m_refused && !m_lastRequestRead) {
+    if (m_exchanges.size() >= kPipelineLimit) {
+      return false;
+    }
+    boost::system::error_code error;
+    const size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      RefuseUnreadable(error);
+      return true;
+    }
+    if (m_parser->is_done()) {
+      TakeRequest();
+    } else if (used == 0) {
+      break;
+    }
+  }
+  if (!m_closed && !m_refused && m_parser->is_header_done() && !m_parser->is_done()) {
+    ContinueIfExpected();
+  }
+  return !m_closed;
+}
+
+void
+ServerConnection::ContinueIfExpected()
+{
+  const auto expect = m_parser->get()[http::field::expect];
+  if (expect.empty() || m_continued || !m_exchanges.empty() || m_writing) {
+    return;
+  }
+  m_continued = true;
+  m_writing = true;
+  m_output = "HTTP/1.1 100 Continue\r\n\r\n";
+  boost::asio::async_write(
+    m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const auto& aError, size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+static HttpRequest
+ToRequest(http::request<http::string_body>&& aMessage)
+{
+  HttpRequest request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  request.path = request.target.substr(0, request.target.find('?'));
+  const std::string named = std::string(aMessage[http::field::connection]);
+  http::token_list perConnection{ aMessage[http::field::connection] };
+  for (const auto& field : aMessage) {
+    const bool length = field.name() == http::field::content_length;
+    const std::string name(field.name_string());
+    const bool listed = !named.empty() && perConnection.exists(field.name_string());
+    if (!length && !listed && !IsHopHeader(name)) {
+      request.headers.push_back({ .name = name, .value = std::string(field.value()) });
+    }
+  }
+  request.body = std::move(aMessage.body());
+  return request;
+}
+
+void
+ServerConnection::TakeRequest()
+{
+  http::request<http::string_body> message = m_parser->release();
+  const bool keepAlive = message.keep_alive();
+  const bool plausible = !message.target().empty() && message.count(http::field::host) == 1;
+  NewParser();
+  if (!plausible) {
+    Refuse({ .status = 400, .reason = "the request needs a target and exactly one Host header" });
+    return;
+  }
+  m_lastRequestRead = !keepAlive;
+  const auto exchange = std::make_shared<Exchange>(ToRequest(std::move(message)), m_loop);
+  exchange->m_keepAlive = keepAlive;
+  AddExchange(exchange);
+  m_shared->options.handler(exchange);
+}
+
+void
+ServerConnection::AddExchange(const ExchangePointer& aExchange)
+{
+  aExchange->m_connection = weak_from_this();
+  m_exchanges.push_back(aExchange);
+  if (m_exchanges.size() == 1) {
+    aExchange->BecomeFirst();
+  }
+}
+
+void
+ServerConnection::RefuseUnreadable(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    Refuse({ .status = 431, .reason = "the request's head is too large; shorten it" });
+  } else if (aError == http::error::body_limit) {
+    Refuse({ .status = 413, .reason = "the request's body is too large; shorten it" });
+  } else {
+    Refuse({ .status = 400, .reason = "the request can't be read: " + aError.message() });
+  }
+}
+
+void
+ServerConnection::Refuse(const UnreadableRequest& aRequest)
+{
+  m_refused = true;
+  m_buffer.consume(m_buffer.size());
+  const auto exchange = std::make_shared<Exchange>(HttpRequest{}, m_loop);
+  exchange->m_keepAlive = false;
+  AddExchange(exchange);
+  const auto& refuser = m_shared->options.refuser;
+  exchange->Respond(refuser ? refuser(aRequest)
+                            : HttpResponse{ .status = aRequest.status, .headers = {}, .body = aRequest.reason + "\n" });
+}
+
+// --- answers ---------------------------------------------------------------------------------------------
+
+std::string
+ServerConnection::TakeOutput(Exchange& aFirst)
+{
+  const bool mayHaveBody = MayHaveBody(aFirst.m_request.method, aFirst.m_head.status);
+  const BodyFraming framing = !mayHaveBody            ? BodyFraming::None
+                              : aFirst.m_head.length ? BodyFraming::Length
+                                                     : BodyFraming::Chunked;
+  std::string output;
+  if (!aFirst.m_headSent) {
+    aFirst.m_headSent = true;
+    const bool last = m_exchanges.size() == 1 && m_buffer.size() == 0;
+    if (m_shared->closing && last) {
+      m_lastRequestRead = true;
+      aFirst.m_keepAlive = false;
+    }
+    output = WriteAnswerHead(aFirst.m_head, framing, aFirst.m_keepAlive);
+  }
+  std::string body = std::exchange(aFirst.m_body, {});
+  if (framing == BodyFraming::Length) {
+    output += body;
+  } else if (framing == BodyFraming::Chunked) {
+    if (!body.empty()) {
+      output += WriteChunkHead(body.size()) + body + "\r\n";
+    }
+    if (aFirst.m_stage == Exchange::Stage::Finished) {
+      output += "0\r\n\r\n";
+    }
+  }
+  return output;
+}
+
+void
+ServerConnection::Pump()
+{
+  if (m_writing || m_closed || m_exchanges.empty()) {
+    return;
+  }
+  Exchange& first = *m_exchanges.front();
+  if (first.m_stage == Exchange::Stage::Waiting) {
+    return;
+  }
+  const bool ended = first.m_stage == Exchange::Stage::Finished || first.m_stage == Exchange::Stage::Broken;
+  if (!ended && first.m_headSent && first.m_body.empty()) {
+    return;
+  }
+  if (first.m_stage == Exchange::Stage::Broken && first.m_body.empty()) {
+    Close();
+    return;
+  }
+  m_output = TakeOutput(first);
+  if (m_output.empty()) {
+    FinishFirst();
+    return;
+  }
+  m_writing = true;
+  boost::asio::async_write(
+    m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const auto& aError, size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+void
+ServerConnection::OnWritten(const boost::system::error_code& aError)
+{
+  m_writing = false;
+  if (m_closed) {
+    return;
+  }
+  if (aError) {
+    Close();
+    return;
+  }
+  if (m_exchanges.empty()) {
+    return;
+  }
+  const ExchangePointer first = m_exchanges.front();
+  const bool sent = first->m_headSent && first->m_body.empty();
+  if (sent && first->m_stage == Exchange::Stage::Finished) {
+    FinishFirst();
+    return;
+  }
+  if (sent) {
+    first->Drained();
+  }
+  Pump();
+}
+
+void
+ServerConnection::FinishFirst()
+{
+  const ExchangePointer finished = m_exchanges.front();
+  m_exchanges.pop_front();
+  finished->m_onCancel = nullptr;
+  if (!finished->m_keepAlive) {
+    Linger();
+    return;
+  }
+  if (!m_exchanges.empty()) {
+    m_exchanges.front()->BecomeFirst();
+  }
+  if (ParseBuffered()) {
+    Read();
+  }
+  ResetTimer();
+  Pump();
+}
+
+// --- end -------------------------------------------------------------------------------------------------
+
+void
+ServerConnection::Linger()
+{
+  // Closing with unread bytes would reset the connection before the answer has arrived.
+  m_lingering = true;
+  m_buffer.consume(m_buffer.size());
+  boost::system::error_code ignored;
+  m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
+  ResetTimer();
+}
+
+void
+ServerConnection::ResetTimer()
+{
+  if (m_closed) {
+    return;
+  }
+  if (m_lingering) {
+    m_timer.expires_after(kLingerTime);
+    WaitForTimer();
+    return;
+  }
+  const bool inHead = !m_parser->is_header_done() && m_buffer.size() > 0;
+  const bool inBody = m_parser->is_header_done() && !m_parser->is_done();
+  if (!m_exchanges.empty() && !inHead && !inBody) {
+    m_timer.cancel();
+    return;
+  }
+  if (!inHead) {
+    m_headDeadline.reset();
+    m_timer.expires_after(m_limits.idleTimeout);
+  } else {
+    if (!m_headDeadline) {
+      m_headDeadline = SteadyClock::now() + m_limits.headerTimeout;
+    }
+    m_timer.expires_at(*m_headDeadline);
+  }
+  WaitForTimer();
+}
+
+void
+ServerConnection::WaitForTimer()
+{
+  m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
+    const auto self = weak.lock();
+    if (self && !aError) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+ServerConnection::OnTimer()
+{
+  const bool begun = m_buffer.size() > 0 || m_parser->is_header_done();
+  if (m_lingering) {
+    Close();
+  } else if (begun && !m_refused) {
+    Refuse({ .status = 408, .reason = "the request took too long to arrive; send it again" });
+  } else if (m_exchanges.empty()) {
+    Close();
+  }
+}
+
+void
+ServerConnection::Close()
+{
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_timer.cancel();
+  boost::system::error_code ignored;
+  m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  m_socket.close(ignored);
+  for (const ExchangePointer& exchange : std::exchange(m_exchanges, {})) {
+    exchange->Cancel();
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/http/serverconnection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "http/server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace mimosarun {
+
+/**
+ * One connection of a server. It reads on while answers are due, so that pipelined requests are served side by
+ * side and a hang-up shows at once; answers leave in the order of the requests.
+ */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  using SharedPointer = std::shared_ptr<HttpServer::Shared>;
+
+  /** Takes a socket over on its loop. */
+  static void Begin(boost::asio::ip::tcp::socket aSocket, SharedPointer aShared, EventLoop& aLoop);
+
+  ServerConnection(boost::asio::ip::tcp::socket aSocket, SharedPointer aShared, EventLoop& aLoop);
+  ~ServerConnection();
+
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  /** Sends what the first exchange has ready. */
+  void Pump();
+
+private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void NewParser();
+  void Read();
+  void OnRead(const boost::system::error_code& aError, size_t aLength);
+  bool ParseBuffered();
+  void ContinueIfExpected();
+  void TakeRequest();
+  void RefuseUnreadable(const boost::system::error_code& aError);
+  void Refuse(const UnreadableRequest& aRequest);
+  void AddExchange(const ExchangePointer& aExchange);
+
+  std::string TakeOutput(Exchange& aFirst);
+  void OnWritten(const boost::system::error_code& aError);
+  void FinishFirst();
+
+  void Linger();
+  void ResetTimer();
+  void WaitForTimer();
+  void OnTimer();
+  void Close();
+
+  boost::asio::ip::tcp::socket m_socket;
+  SharedPointer m_shared;
+  EventLoop& m_loop;
+  HttpLimits m_limits;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  boost::asio::steady_timer m_timer;
+  std::deque<ExchangePointer> m_exchanges;
+  std::string m_output;
+  std::optional<Deadline> m_headDeadline;
+  bool m_lingering = false;
+  bool m_reading = false;
+  bool m_writing = false;
+  bool m_refused = false;
+  bool m_closed = false;
+  bool m_lastRequestRead = false;
+  bool m_continued = false;
+};
+
+} // namespace mimosarun
--- /dev/null
+++ b/src/http/sockets.cpp
@@ -0,0 +1,18 @@
+#include "http/sockets.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mimosarun {
+
+void
+TuneSocket(boost::asio::ip::tcp::socket& aSocket, std::chrono::milliseconds aUnacknowledgedLimit)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  const auto limit = static_cast<unsigned int>(aUnacknowledgedLimit.count());
+  ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
+} // namespace mimosarun
--- a/src/load/generator.cpp
+++ b/src/load/generator.cpp
@@ -29,7 +29,11 @@
   {
   }
 
-  void OnHead(const HttpHead& aHead) override { m_head = aHead; }
+  HeadVerdict OnHead(const HttpHead& aHead) override
+  {
+    m_head = aHead;
+    return HeadVerdict::Accept;
+  }
 
   bool OnBody(std::string_view aBytes) override
   {
@@ -99,7 +103,7 @@
   : m_workload(std::move(aWorkload))
   , m_random(m_workload.seed)
   , m_runName(RandomIdentifier().substr(0, 8))
-  , m_forwarder(std::make_unique<Forwarder>(aThreads))
+  , m_loops(aThreads)
 {
   const std::vector<double> weights = Weights(m_workload);
   m_chooseKind = std::discrete_distribution<size_t>(weights.begin(), weights.end());
@@ -126,10 +130,15 @@
   const TallyKey key{ .phase = aPhase.name, .kind = kind.name };
   Count(key, [](LoadTally& aTally) { ++aTally.offered; });
   ++m_open;
-  m_forwarder->Start({ .to = m_workload.entries[m_calls % m_workload.entries.size()],
-                       .request = std::move(request),
-                       .deadline = SteadyClock::now() + kind.timeout + kGrace },
-                     std::make_shared<LoadCall>(*this, key, token, aDue));
+  EventLoop& loop = m_loops.Next();
+  loop.Dispatch([this,
+                 &loop,
+                 to = m_workload.entries[m_calls % m_workload.entries.size()],
+                 request = std::move(request),
+                 deadline = SteadyClock::now() + kind.timeout + kGrace,
+                 call = std::make_shared<LoadCall>(*this, key, token, aDue)]() mutable {
+    m_forwarder.Start(loop, { .to = to, .request = std::move(request), .deadline = deadline }, call);
+  });
 }
 
 void
@@ -161,7 +170,7 @@
   while (m_open > 0 && SteadyClock::now() < limit) {
     std::this_thread::sleep_for(kDrainPoll);
   }
-  m_forwarder.reset();
+  m_loops.Stop();
   return m_report;
 }
 
--- a/src/load/generator.h
+++ b/src/load/generator.h
@@ -69,7 +69,8 @@
   std::atomic<uint64_t> m_open{ 0 };
   std::mutex m_mutex;
   LoadReport m_report;
-  std::unique_ptr<Forwarder> m_forwarder;
+  EventLoops m_loops;
+  Forwarder m_forwarder;
 };
 
 } // namespace mimosarun
--- a/src/mimosarund/main.cpp
+++ b/src/mimosarund/main.cpp
@@ -4,8 +4,9 @@
 #include "node/node.h"
 #include "operators/controloperator.h"
 #include "operators/operatorserver.h"
-#include "platform/metrics.h"
-#include "platform/shutdownsignal.h"
+#include "platform/run.h"
+#include "process/metrics.h"
+#include "process/shutdownsignal.h"
 #include "settings/processsettings.h"
 
 #include <cxxopts.hpp>
@@ -22,6 +23,8 @@
 struct Arguments
 {
   std::string settings;
+  /** Run as the settings file of the infrastructure says. */
+  bool platform = false;
   bool check = false;
   BalancePolicy policy = BalancePolicy::ExpectedTime;
 };
@@ -68,7 +71,7 @@
 RunNode(const ProcessSettings& aSettings, BalancePolicy aPolicy, ShutdownSignal& aSignal)
 {
   Metrics metrics;
-  Node node(aSettings, metrics, aPolicy);
+  Node node(aSettings, metrics, { .balancer = { .policy = aPolicy } });
   if (const Result<void> started = node.Start(); !started) {
     return FailToStart(started.error());
   }
@@ -86,6 +89,7 @@
   aSignal.Wait();
   Log(Event::ProcessStopping);
   node.Shutdown();
+  node.Stop();
   return 0;
 }
 
@@ -110,7 +114,7 @@
   cxxopts::Options options("mimosarund", "One process of the service mesh: a node or a control replica");
   options.add_options()("settings",
                         "File with the settings, JSON with comments",
-                        cxxopts::value<std::string>())("check", "Check the settings and exit")(
+                        cxxopts::value<std::string>())("platform", "Run as the settings file of the infrastructure says")("check", "Check the settings and exit")(
     "balance", "How gates are chosen", cxxopts::value<std::string>()->default_value("expected-time"))(
     "version", "Print the version")("help", "Print this help");
   try {
@@ -119,6 +123,9 @@
       std::cout << (parsed.count("help") > 0 ? options.help() : std::string(kVersion)) << "\n";
       std::exit(0);
     }
+    if (parsed.count("platform") > 0) {
+      return Arguments{ .settings = {}, .platform = true };
+    }
     if (parsed.count("settings") == 0) {
       return Fail(ErrorKind::InvalidInput, "--settings FILE is missing; see --help");
     }
@@ -139,6 +146,9 @@
     std::cerr << "mimosarund: " << arguments.error().message << "\n";
     return kExitInvalid;
   }
+  if (arguments.value().platform) {
+    return platform::Run();
+  }
   const Result<ProcessSettings> settings = LoadSettings(arguments.value().settings);
   if (!settings) {
     std::cerr << settings.error().message << "\n";
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -27,16 +27,59 @@
   , m_holder(aHolder)
   , m_table(aTable)
 {
-  std::vector<ReplicaSettings> replicas = m_settings.replicas;
-  std::shuffle(replicas.begin(), replicas.end(), RandomEngine());
-  std::stable_partition(replicas.begin(), replicas.end(), [&](const auto& aReplica) {
-    return aReplica.region == m_settings.region;
+  SetReplicas(m_settings.replicas);
+}
+
+void
+ControlLink::SetReplicas(std::vector<ReplicaSettings> aReplicas)
+{
+  std::shuffle(aReplicas.begin(), aReplicas.end(), RandomEngine());
+  std::stable_sort(aReplicas.begin(), aReplicas.end(), [this](const auto& aLeft, const auto& aRight) {
+    return DistanceTo(aLeft) < DistanceTo(aRight);
   });
-  for (const ReplicaSettings& replica : replicas) {
+  m_replicas = std::move(aReplicas);
+  m_clients.clear();
+  m_current = 0;
+  for (const ReplicaSettings& replica : m_replicas) {
     m_clients.push_back(std::make_unique<Client>(replica.address));
   }
 }
 
+int
+ControlLink::DistanceTo(const ReplicaSettings& aReplica) const
+{
+  if (aReplica.failureDomain == m_settings.failureDomain) {
+    return 0;
+  }
+  return aReplica.region == m_settings.region ? 1 : 2;
+}
+
+void
+ControlLink::TakeReplicas(const std::vector<wire::Replica>& aReplicas)
+{
+  if (!m_settings.discoverReplicas || aReplicas.empty()) {
+    return;
+  }
+  std::vector<ReplicaSettings> replicas;
+  for (const wire::Replica& replica : aReplicas) {
+    if (const Result<Address> address = ParseAddress(replica.address)) {
+      replicas.push_back({ .name = replica.name,
+                           .region = replica.region,
+                           .failureDomain = replica.failureDomain,
+                           .address = address.value() });
+    }
+  }
+  std::vector<ReplicaSettings> held = m_replicas;
+  for (std::vector<ReplicaSettings>* list : { &replicas, &held }) {
+    std::sort(list->begin(), list->end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.name < aRight.name;
+    });
+  }
+  if (!replicas.empty() && replicas != held) {
+    SetReplicas(std::move(replicas));
+  }
+}
+
 ControlLink::~ControlLink()
 {
   Stop();
@@ -145,6 +188,7 @@
   }
   Observe(reply.sentAt);
   m_table.Merge(reply.sample, SteadyClock::now());
+  TakeReplicas(reply.replicas);
   return reply;
 }
 
@@ -208,8 +252,8 @@
   for (const wire::Member& member : m_table.Reachable("")) {
     known.insert(member.region);
   }
-  return std::all_of(m_settings.replicas.begin(), m_settings.replicas.end(), [&](const auto& aReplica) {
-    return known.contains(aReplica.region);
+  return std::all_of(m_settings.regions.begin(), m_settings.regions.end(), [&](const auto& aRegion) {
+    return known.contains(aRegion);
   });
 }
 
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -41,6 +41,9 @@
   bool AskForMembers();
   bool Watch();
   Result<wire::WatchReply> Call(const wire::WatchRequest& aRequest);
+  void SetReplicas(std::vector<ReplicaSettings> aReplicas);
+  int DistanceTo(const ReplicaSettings& aReplica) const;
+  void TakeReplicas(const std::vector<wire::Replica>& aReplicas);
   void NextReplica();
   void TakeUpdate(const wire::WatchReply& aReply);
   wire::DomainReport MakeReport(bool aWithMembers);
@@ -51,7 +54,8 @@
   const ProcessSettings& m_settings;
   ConfigurationHolder& m_holder;
   MemberTable& m_table;
-  /** Replicas in the order of preference: own region first. */
+  /** Replicas in the order of preference: own failure domain first, then own region. */
+  std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
   size_t m_current = 0;
   size_t m_failures = 0;
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
   Address address;
   Locality locality = Locality::FailureDomain;
   int slots = 1;
+  /** Names one life of the gate's process. */
+  int64_t life = 0;
 };
 
 /** The gates of each service at one moment; shared, never changed. */
