--- a/src/node/holder.cpp
+++ b/src/node/holder.cpp
@@ -4,8 +4,13 @@
 
 namespace mimosarun {
 
-ConfigurationHolder::ConfigurationHolder()
-  : m_current(EmptySnapshot())
+/** Nodes fetch from each other within seconds, so few versions serve all. */
+static constexpr size_t kKeptVersions = 8;
+
+ConfigurationHolder::ConfigurationHolder(DocumentParser aParser)
+  : m_parser(std::move(aParser))
+  , m_current(EmptySnapshot())
+  , m_history(kKeptVersions)
 {
 }
 
@@ -26,7 +31,7 @@
 ConfigurationHolder::Apply(const wire::ConfigurationUpdate& aUpdate)
 {
   const std::lock_guard applyLock(m_applyMutex);
-  Result<SnapshotPointer> applied = ApplyUpdate(*Current(), aUpdate);
+  Result<SnapshotPointer> applied = ApplyUpdate(*Current(), aUpdate, m_parser);
   if (!applied) {
     if (applied.error().kind != ErrorKind::Conflict) {
       Log(Event::VersionRefused, { { "version", aUpdate.toVersion }, { "reason", applied.error().message } });
@@ -36,11 +41,7 @@
   {
     const std::lock_guard lock(m_mutex);
     m_current = applied.value();
-    if (aUpdate.whole) {
-      m_history.Clear();
-    } else {
-      m_history.Add(aUpdate);
-    }
+    m_history.Add(*m_current);
   }
   Log(Event::VersionApplied,
       { { "version", aUpdate.toVersion },
@@ -56,7 +57,7 @@
 ConfigurationHolder::UpdateFrom(int64_t aHeldVersion) const
 {
   const std::lock_guard lock(m_mutex);
-  return m_history.Compose(aHeldVersion, *m_current);
+  return m_history.UpdateFrom(aHeldVersion, *m_current);
 }
 
 } // namespace mimosarun
--- a/src/node/holder.h
+++ b/src/node/holder.h
@@ -14,7 +14,7 @@
 public:
   using Listener = std::function<void(const SnapshotPointer& aSnapshot)>;
 
-  ConfigurationHolder();
+  explicit ConfigurationHolder(DocumentParser aParser = ParserOf<NativeFormat>());
 
   /** Called after each change, in order; set before the first Apply(). */
   void SetListener(Listener aListener);
@@ -28,6 +28,7 @@
   wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
 
 private:
+  const DocumentParser m_parser;
   std::mutex m_applyMutex;
   mutable std::mutex m_mutex;
   SnapshotPointer m_current;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,7 +9,7 @@
 
 namespace mimosarun {
 
-static constexpr unsigned int kForwarderThreads = 2;
+static constexpr std::chrono::milliseconds kLeaseCheckInterval{ 250 };
 static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
 static constexpr std::chrono::milliseconds kLeaveTime{ 1200 };
 static constexpr std::chrono::milliseconds kDrainPoll{ 10 };
@@ -27,22 +27,31 @@
   return self;
 }
 
-Node::Node(ProcessSettings aSettings, Metrics& aMetrics, BalancePolicy aPolicy)
+Node::Node(ProcessSettings aSettings, Metrics& aMetrics, Options aOptions)
   : m_settings(std::move(aSettings))
   , m_metrics(aMetrics)
-  , m_policy(aPolicy)
+  , m_options(std::move(aOptions))
   , m_table(FirstRecord(m_settings), {})
   , m_peers(m_settings)
+  , m_holder(m_options.parser)
   , m_fetcher(m_holder, m_table, m_peers)
   , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
   , m_control(m_settings, m_holder, m_table)
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
-  , m_forwarder(std::make_unique<Forwarder>(kForwarderThreads))
+  , m_loops(m_options.loops)
+  , m_target({ .lease = m_options.targetLease,
+               .listener = [this](const TargetState& aState) { OnTarget(aState); } })
 {
 }
 
 Node::~Node()
+{
+  Stop();
+}
+
+void
+Node::Stop()
 {
   m_stop = true;
   if (m_directoryThread.joinable()) {
@@ -51,15 +60,8 @@
   m_control.Stop();
   m_gossiper.Stop();
   m_server.reset();
-  m_target.reset();
-  if (m_entry) {
-    m_entry->Stop();
-  }
-  if (m_gate) {
-    m_gate->Stop();
-  }
-  // Ends all transfers; their listeners still use entry and gate.
-  m_forwarder.reset();
+  // Ends all connections; entry and gate are used by none of them from here on.
+  m_loops.Stop();
 }
 
 Result<void>
@@ -68,22 +70,52 @@
   MIMOSARUN_TRY(m_entry,
                 Entry::Start({ .address = m_settings.callerAddress,
                                .node = m_settings.name,
-                               .forwarder = m_forwarder.get(),
+                               .loops = &m_loops,
+                               .forwarder = &m_forwarder,
                                .metrics = &m_metrics,
-                               .policy = m_policy }));
+                               .codec = m_options.callers,
+                               .balancer = m_options.balancer,
+                               .retries = m_options.retries,
+                               .hedges = m_options.hedges }));
   MIMOSARUN_TRY(m_gate,
                 Gate::Start({ .address = m_settings.gateAddress,
-                              .node = m_settings.name,
-                              .forwarder = m_forwarder.get(),
-                              .claims = &m_claims,
-                              .metrics = &m_metrics }));
-  MIMOSARUN_TRY(m_target,
-                TargetAgent::Start({ .address = m_settings.targetAddress,
-                                     .listener = [this](const TargetState& aState) { OnTarget(aState); } }));
+                              .loops = &m_loops,
+                              .forwarder = &m_forwarder,
+                              .claims = m_settings.discoverReplicas ? nullptr : &m_claims,
+                              .metrics = &m_metrics,
+                              .codec = m_options.targets,
+                              .onLoss = [this](const std::string& aTarget) { m_target.Lose(aTarget); },
+                              .life = [this] { return m_table.Self().incarnation; } }));
+  if (m_settings.targetAddress.port != 0) {
+    MIMOSARUN_TRY(m_agent,
+                  TargetAgent::Start(
+                    { .address = m_settings.targetAddress, .watch = &m_target, .loops = &m_loops }));
+  }
   MIMOSARUN_TRY(m_server, StartNodeService(m_settings.peerAddress, m_gossiper, m_holder));
+  WatchLease();
   return boost::outcome_v2::success();
 }
 
+void
+Node::WatchLease()
+{
+  m_loops.First().RunAt(SteadyClock::now() + kLeaseCheckInterval, [this] {
+    m_target.CheckLease(SteadyClock::now());
+    WatchLease();
+  });
+}
+
+bool
+Node::IsReady() const
+{
+  if (m_leaving) {
+    return false;
+  }
+  const bool knows = m_holder.Current()->version > 0 && !m_table.Reachable("").empty();
+  m_ready = m_ready || knows;
+  return m_ready;
+}
+
 Result<void>
 Node::Start()
 {
@@ -109,12 +141,12 @@
 Node::ApplyIntent(const SnapshotPointer& aSnapshot)
 {
   const auto& targets = aSnapshot->configuration.targets;
-  const auto found = targets.find(m_target->State().name);
+  const auto found = targets.find(m_target.State().name);
   const TargetIntent intent = found == targets.end() ? TargetIntent::Serving : found->second;
   m_gate->SetIntent(intent);
   // The target is told to stop only once its last call has ended.
   const bool busy = intent == TargetIntent::Stopped && m_gate->CallsInHand() > 0;
-  m_target->SetIntent(busy ? TargetIntent::Draining : intent);
+  m_target.SetIntent(busy ? TargetIntent::Draining : intent);
 }
 
 void
@@ -126,6 +158,7 @@
     aSelf.serviceName = aState.service;
     aSelf.phase = aState.phase;
     aSelf.slots = aState.slots;
+    aSelf.warmUpMillis = static_cast<int32_t>(aState.warmUpLeft.count());
   });
   m_gossiper.SpreadNow();
 }
@@ -160,7 +193,8 @@
                                                        .target = member.targetName,
                                                        .address = address.value(),
                                                        .locality = LocalityOf(member, m_settings),
-                                                       .slots = member.slots });
+                                                       .slots = member.slots,
+                                                       .life = member.incarnation });
     }
   }
   return directory;
@@ -175,6 +209,7 @@
     if (newest != generation) {
       generation = newest;
       m_entry->SetDirectory(MakeDirectory(m_holder.Current()));
+      m_entry->SetNodes(m_table.Reachable("").size() + 1);
     }
     ApplyIntent(m_holder.Current());
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,7 +11,7 @@
 #include "node/peers.h"
 #include "operators/answer.h"
 #include "operators/request.h"
-#include "platform/metrics.h"
+#include "process/metrics.h"
 #include "settings/processsettings.h"
 #include "target/claimclient.h"
 #include "target/gate.h"
@@ -28,7 +28,20 @@
 class Node
 {
 public:
-  Node(ProcessSettings aSettings, Metrics& aMetrics, BalancePolicy aPolicy);
+  /** How the process speaks with its peers, and its policies. */
+  struct Options
+  {
+    CallerCodec callers = CallerCodecOf<NativeCallerProtocol>();
+    TargetCodec targets = TargetCodecOf<NativeTargetProtocol>();
+    DocumentParser parser = ParserOf<NativeFormat>();
+    Balancer::Options balancer;
+    RetryBudget::Options retries;
+    double hedges = 0.05;
+    unsigned int loops = 2;
+    std::chrono::milliseconds targetLease{ 3000 };
+  };
+
+  Node(ProcessSettings aSettings, Metrics& aMetrics, Options aOptions);
   ~Node();
 
   Node(const Node&) = delete;
@@ -39,6 +52,20 @@
   /** Leaves the mesh, finishes the calls in flight, and stops. */
   void Shutdown();
 
+  /** Ends all threads. */
+  void Stop();
+
+  TargetWatch& Target() { return m_target; }
+  EventLoops& Loops() { return m_loops; }
+  Forwarder& Outgoing() { return m_forwarder; }
+  Entry& Calls() { return *m_entry; }
+
+  /** The configuration held now. */
+  SnapshotPointer Configuration() const { return m_holder.Current(); }
+
+  /** Whether callers can be served: a configuration is held and targets are known. */
+  bool IsReady() const;
+
   /** Carries out an operator's command as far as this node knows. */
   Answer RunCommand(const OperatorRequest& aRequest) const;
 
@@ -53,13 +80,14 @@
   void MaintainDirectory();
   DirectoryPointer MakeDirectory(const SnapshotPointer& aSnapshot) const;
   void LeaveMesh();
+  void WatchLease();
   bool WaitForCalls(Deadline aDeadline) const;
   Answer ShowInForce() const;
   Answer ExplainCall(const std::string& aCall) const;
 
   ProcessSettings m_settings;
   Metrics& m_metrics;
-  BalancePolicy m_policy;
+  const Options m_options;
   MemberTable m_table;
   Peers m_peers;
   ConfigurationHolder m_holder;
@@ -68,12 +96,17 @@
   ControlLink m_control;
   GroupClient m_groups;
   ClaimClient m_claims;
-  std::unique_ptr<Forwarder> m_forwarder;
+  EventLoops m_loops;
+  Forwarder m_forwarder;
+  TargetWatch m_target;
   std::unique_ptr<Entry> m_entry;
   std::unique_ptr<Gate> m_gate;
-  std::unique_ptr<TargetAgent> m_target;
+  std::unique_ptr<TargetAgent> m_agent;
   std::unique_ptr<RpcServer> m_server;
   std::atomic<bool> m_stop{ false };
+  /** Once ready, a node stays ready until it is told to stop. */
+  mutable std::atomic<bool> m_ready{ false };
+  std::atomic<bool> m_leaving{ false };
   std::thread m_directoryThread;
 };
 
--- a/src/operators/controloperator.cpp
+++ b/src/operators/controloperator.cpp
@@ -151,6 +151,20 @@
   return text;
 }
 
+/** The services of a route, with weights where it has several. */
+static std::string
+SharesText(const Route& aRoute)
+{
+  if (aRoute.shares.size() == 1) {
+    return aRoute.shares.front().service;
+  }
+  std::vector<std::string> words;
+  for (const RouteShare& share : aRoute.shares) {
+    words.push_back(share.service + ":" + std::to_string(share.weight));
+  }
+  return Join(words);
+}
+
 Answer
 ControlOperator::ShowInForce() const
 {
@@ -188,16 +202,16 @@
 ControlOperator::ShowRoutes() const
 {
   Answer answer{
-    .columns = { "route", "host", "path", "methods", "service", "timeout-ms", "idempotent", "class", "limit" }
+    .columns = { "route", "host", "path", "methods", "service", "timeout-ms", "repeat", "class", "limit" }
   };
   for (const Route& route : m_controller.Configuration().Current()->configuration.routes) {
     answer.rows.push_back({ route.name,
                             route.host,
                             route.pathPrefix,
                             Join(route.methods),
-                            route.service,
+                            SharesText(route),
                             std::to_string(route.timeout.count()),
-                            route.idempotent ? "yes" : "no",
+                            Name(route.repeat),
                             Name(route.callClass),
                             route.limit });
   }
--- a/src/operators/operatorserver.cpp
+++ b/src/operators/operatorserver.cpp
@@ -22,9 +22,8 @@
     HttpServer::Start(
       { .address = server->m_options.address,
         .handler = [raw = server.get()](const ExchangePointer& aExchange) { raw->Handle(aExchange); },
-        .threads = 1,
         .maximumConnections = 128,
-        .bodyLimitBytes = kBodyLimitBytes }));
+        .limits = { .bodyBytes = kBodyLimitBytes } }));
   return server;
 }
 
--- a/src/operators/operatorserver.h
+++ b/src/operators/operatorserver.h
@@ -5,14 +5,14 @@
 #include "http/server.h"
 #include "operators/answer.h"
 #include "operators/request.h"
-#include "platform/metrics.h"
+#include "process/metrics.h"
 
 #include <functional>
 #include <memory>
 
 namespace mimosarun {
 
-/** Serves operators (POST /v1/command) and the platform (GET /metrics, GET /health) on one address. */
+/** Serves operators (POST /v1/command) and monitoring (GET /metrics, GET /health) on one address. */
 class OperatorServer
 {
 public:
--- a/src/platform/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics.h"
+#include "process/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/src/platform/shutdownsignal.cpp
+++ b/src/process/shutdownsignal.cpp
@@ -1,4 +1,4 @@
-#include "platform/shutdownsignal.h"
+#include "process/shutdownsignal.h"
 
 #include <pthread.h>
 
--- a/src/settings/processsettings.cpp
+++ b/src/settings/processsettings.cpp
@@ -3,6 +3,8 @@
 #include "common/file.h"
 #include "settings/jsonreader.h"
 
+#include <set>
+
 namespace mimosarun {
 
 static constexpr size_t kSettingsLimitBytes = 1024 * 1024;
@@ -39,6 +41,16 @@
   }
 }
 
+static void
+CollectRegions(ProcessSettings& aSettings)
+{
+  std::set<std::string> regions{ aSettings.region };
+  for (const ReplicaSettings& replica : aSettings.replicas) {
+    regions.insert(replica.region);
+  }
+  aSettings.regions.assign(regions.begin(), regions.end());
+}
+
 static void
 ReadOverrides(JsonReader& aReader, ProcessSettings& aSettings, Problems& aProblems)
 {
@@ -70,6 +82,8 @@
 ReadControlSettings(JsonReader& aReader, ProcessSettings& aSettings, Problems& aProblems)
 {
   aSettings.dataFolder = aReader.Text("dataFolder");
+  aSettings.formGroups = aReader.Flag("formGroups", false);
+  aSettings.voters = static_cast<int>(aReader.Integer("voters", 0, kMaximumReplicas, 0));
   aSettings.heartbeat =
     aReader.Milliseconds("heartbeatMs", kShortestInterval, kLongestInterval, aSettings.heartbeat);
   aSettings.electionTimeout =
@@ -95,6 +109,8 @@
   settings.peerAddress = ReadAddress(reader, "peerAddress", problems);
   settings.operatorAddress = ReadAddress(reader, "operatorAddress", problems);
   ReadReplicas(reader, settings, problems);
+  CollectRegions(settings);
+  settings.discoverReplicas = reader.Flag("discoverReplicas", false);
   ReadOverrides(reader, settings, problems);
   if (settings.role == ProcessRole::Node) {
     ReadNodeSettings(reader, settings, problems);
--- a/src/settings/processsettings.h
+++ b/src/settings/processsettings.h
@@ -23,6 +23,8 @@
   std::string region;
   std::string failureDomain;
   Address address;
+
+  bool operator==(const ReplicaSettings&) const = default;
 };
 
 /** Another address for a peer, where the announced one can't be reached from here. */
@@ -46,8 +48,12 @@
   /** Operators and metrics. */
   Address operatorAddress;
 
-  /** All control replicas. */
+  /** All control replicas; where more are discovered, those to begin with. */
   std::vector<ReplicaSettings> replicas;
+  /** Find further replicas through those listed. Then a replica's name is the text of its peer address. */
+  bool discoverReplicas = false;
+  /** All regions of the deployment. */
+  std::vector<std::string> regions;
   std::vector<AddressOverride> overrides;
 
   /** Node only: calls from callers, calls from other nodes, announcements of the target. */
@@ -61,6 +67,10 @@
 
   /** Control only. */
   std::string dataFolder;
+  /** Whether the whole deployment starts for the first time, so that the listed replicas form the groups. */
+  bool formGroups = false;
+  /** Voters to aim at; zero makes every replica a voter. */
+  int voters = 0;
   std::chrono::milliseconds heartbeat{ 300 };
   std::chrono::milliseconds electionTimeout{ 1200 };
 };
--- a/src/target/admission.cpp
+++ b/src/target/admission.cpp
@@ -6,6 +6,7 @@
 
 /** One part in this many of the slots is kept for short calls, and at least one slot. */
 static constexpr int kShortReserve = 3;
+static constexpr double kMedian = 0.5;
 
 Admission::Admission(Options aOptions)
   : m_options(aOptions)
@@ -36,39 +37,63 @@
   ++(aClass == CallClass::Long ? m_inUseLong : m_inUseShort);
 }
 
+std::chrono::microseconds
+Admission::TypicalOfClass(CallClass aClass) const
+{
+  return (aClass == CallClass::Long ? m_typicalLong : m_typicalShort).Value();
+}
+
+std::chrono::microseconds
+Admission::TypicalTime(const std::string& aKind) const
+{
+  const auto known = m_typicalOfKind.find(aKind);
+  return known == m_typicalOfKind.end() ? std::chrono::microseconds(0) : known->second.Value();
+}
+
 std::chrono::microseconds
 Admission::Cost(const AdmissionRequest& aRequest) const
 {
-  const auto typical = (aRequest.callClass == CallClass::Long ? m_typicalLong : m_typicalShort).Value();
+  const auto ofKind = aRequest.kind.empty() ? std::chrono::microseconds(0) : TypicalTime(aRequest.kind);
+  const auto typical = ofKind.count() > 0 ? ofKind : TypicalOfClass(aRequest.callClass);
   return typical.count() > 0 ? typical : std::chrono::microseconds(aRequest.expectedCost);
 }
 
+bool
+Admission::GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight)
+{
+  if (aLeft.priority != aRight.priority) {
+    return aLeft.priority < aRight.priority;
+  }
+  return aLeft.deadline <= aRight.deadline;
+}
+
 std::chrono::microseconds
-Admission::ExpectedWait(CallClass aClass) const
+Admission::ExpectedWait(const AdmissionRequest& aRequest) const
 {
-  if (HasSlot(aClass) && m_queue.empty()) {
+  const CallClass callClass = aRequest.callClass;
+  if (HasSlot(callClass) && m_queue.empty()) {
     return std::chrono::microseconds(0);
   }
   std::chrono::microseconds work{ 0 };
   for (const AdmissionRequest& waiting : m_queue) {
-    if (waiting.callClass == aClass) {
+    if (waiting.callClass == callClass && GoesBefore(waiting, aRequest)) {
       work += Cost(waiting);
     }
   }
-  const auto typical = (aClass == CallClass::Long ? m_typicalLong : m_typicalShort).Value();
-  const int servers = aClass == CallClass::Long ? LongLimit() : std::max(1, m_options.slots - m_inUseLong);
+  const int servers = callClass == CallClass::Long ? LongLimit() : std::max(1, m_options.slots - m_inUseLong);
   // A slot in use is on average half done.
-  const auto current = HasSlot(aClass) ? std::chrono::microseconds(0) : typical / 2;
+  const auto current =
+    HasSlot(callClass) ? std::chrono::microseconds(0) : TypicalOfClass(callClass) / 2;
   return (work + current) / servers;
 }
 
 AdmissionVerdict
 Admission::Offer(const AdmissionRequest& aRequest, Deadline aNow)
 {
-  const auto sameClass = [&](const AdmissionRequest& aWaiting) {
-    return aWaiting.callClass == aRequest.callClass;
+  const auto ahead = [&](const AdmissionRequest& aWaiting) {
+    return aWaiting.callClass == aRequest.callClass && GoesBefore(aWaiting, aRequest);
   };
-  const bool overtakes = std::none_of(m_queue.begin(), m_queue.end(), sameClass);
+  const bool overtakes = std::none_of(m_queue.begin(), m_queue.end(), ahead);
   if (aNow >= aRequest.deadline) {
     return AdmissionVerdict::Refused;
   }
@@ -76,22 +101,35 @@
     Occupy(aRequest.callClass);
     return AdmissionVerdict::Admitted;
   }
+  const std::chrono::microseconds wait = ExpectedWait(aRequest);
   const bool full = Waiting() >= m_options.queueFactor * m_options.slots;
-  if (full || aNow + ExpectedWait(aRequest.callClass) + Cost(aRequest) > aRequest.deadline) {
+  if (full || aNow + wait + Cost(aRequest) > aRequest.deadline) {
     return AdmissionVerdict::Refused;
   }
+  if (wait > aRequest.longestWait) {
+    return AdmissionVerdict::TurnedBack;
+  }
   const auto later = std::find_if(m_queue.begin(), m_queue.end(), [&](const AdmissionRequest& aWaiting) {
-    return aWaiting.deadline > aRequest.deadline;
+    return !GoesBefore(aWaiting, aRequest);
   });
   m_queue.insert(later, aRequest);
   return AdmissionVerdict::Queued;
 }
 
 void
-Admission::Release(CallClass aClass, std::chrono::microseconds aHeldFor)
+Admission::ReleaseUnused(CallClass aClass)
 {
   --(aClass == CallClass::Long ? m_inUseLong : m_inUseShort);
+}
+
+void
+Admission::Release(CallClass aClass, std::chrono::microseconds aHeldFor, const std::string& aKind)
+{
+  ReleaseUnused(aClass);
   (aClass == CallClass::Long ? m_typicalLong : m_typicalShort).Add(aHeldFor);
+  if (!aKind.empty()) {
+    m_typicalOfKind.try_emplace(aKind, kMedian).first->second.Add(aHeldFor);
+  }
 }
 
 bool
--- a/src/target/admission.h
+++ b/src/target/admission.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace mimosarun {
@@ -15,22 +17,31 @@
 {
   uint64_t call = 0;
   CallClass callClass = CallClass::Short;
+  /** Names calls of like cost, such as those of one route. */
+  std::string kind;
+  /** Waiting calls of a lower number go first. */
+  int64_t priority = 0;
   Deadline deadline;
   std::chrono::milliseconds expectedCost{ 0 };
   /** A call that still waits then is given back, while its entry has time to try another gate. */
   Deadline giveBackAt = Deadline::max();
+  /** A call that would wait longer is turned back at once, since another gate may serve it sooner. */
+  std::chrono::microseconds longestWait = std::chrono::microseconds::max();
 };
 
 enum class AdmissionVerdict
 {
   Admitted,
   Queued,
+  /** The wait is longer than the call allows here. */
+  TurnedBack,
+  /** The deadline can't be met here. */
   Refused,
 };
 
 /**
  * Decides which calls occupy the slots of one target. Long calls never take the slots reserved for short
- * ones. Waiting calls are served by deadline; a call whose deadline can't be met is refused at once, and one
+ * ones. Waiting calls are served by priority, then by deadline; a call whose deadline can't be met is refused at once, and one
  * that has become hopeless is dropped from the queue. Not thread-safe.
  */
 class Admission
@@ -49,7 +60,10 @@
   AdmissionVerdict Offer(const AdmissionRequest& aRequest, Deadline aNow);
 
   /** Gives a slot back; the time it was held corrects the estimates. */
-  void Release(CallClass aClass, std::chrono::microseconds aHeldFor);
+  void Release(CallClass aClass, std::chrono::microseconds aHeldFor, const std::string& aKind = {});
+
+  /** Gives back a slot that was held without running anything. */
+  void ReleaseUnused(CallClass aClass);
 
   /** Takes a waiting call out; false if it doesn't wait. */
   bool Withdraw(uint64_t aCall);
@@ -60,8 +74,11 @@
   /** Waiting calls whose deadline can no longer be met, or that have waited too long. */
   std::vector<uint64_t> TakeHopeless(Deadline aNow);
 
-  /** The wait that a call of a class would see now. */
-  std::chrono::microseconds ExpectedWait(CallClass aClass) const;
+  /** The wait that a call would see now. */
+  std::chrono::microseconds ExpectedWait(const AdmissionRequest& aRequest) const;
+
+  /** The time for which calls of a kind hold a slot, or zero before the first one has ended. */
+  std::chrono::microseconds TypicalTime(const std::string& aKind) const;
 
   void SetSlots(int aSlots);
   int Slots() const;
@@ -73,6 +90,8 @@
   bool HasSlot(CallClass aClass) const;
   void Occupy(CallClass aClass);
   std::chrono::microseconds Cost(const AdmissionRequest& aRequest) const;
+  std::chrono::microseconds TypicalOfClass(CallClass aClass) const;
+  static bool GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight);
 
   Options m_options;
   int m_inUseShort = 0;
@@ -80,7 +99,8 @@
   /** Median time that a call holds a slot; a few very long calls don't move it much. */
   QuantileEstimate m_typicalShort{ 0.5 };
   QuantileEstimate m_typicalLong{ 0.5 };
-  /** Ordered by deadline. */
+  std::map<std::string, QuantileEstimate> m_typicalOfKind;
+  /** In the order in which they are served. */
   std::list<AdmissionRequest> m_queue;
 };
 
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -7,32 +7,39 @@
 
 static constexpr unsigned int kClaimWorkers = 8;
 static constexpr size_t kClaimQueueLimit = 512;
-/** A call waits for a slot for at most one part in this many of its time. */
-static constexpr int kQueueShare = 3;
-static constexpr std::chrono::milliseconds kSweepInterval{ 5 };
+static constexpr std::chrono::milliseconds kSweepInterval{ 10 };
+/** A target that takes no connections is tried again after this. */
+static constexpr std::chrono::milliseconds kAloneTime{ 200 };
+static constexpr size_t kHopBodyLimitBytes = 64UL * 1024 * 1024;
+static constexpr std::chrono::milliseconds kHopIdleTime{ 60000 };
 
 Gate::Gate(Options aOptions)
   : m_options(std::move(aOptions))
   , m_admission({ .slots = 1 })
-  , m_workers(
-      std::make_unique<Workers>(Workers::Options{ .threads = kClaimWorkers, .queueLimit = kClaimQueueLimit }))
-  , m_timers(std::make_unique<TimerQueue>())
 {
+  if (m_options.claims != nullptr) {
+    m_workers =
+      std::make_unique<Workers>(Workers::Options{ .threads = kClaimWorkers, .queueLimit = kClaimQueueLimit });
+  }
   m_admitted =
     &m_options.metrics->Counter("mimosarun_gate_admitted_total", "Calls given a slot of the target", {});
   m_refused = &m_options.metrics->Counter("mimosarun_gate_refused_total", "Calls refused at the gate", {});
-  m_queueTime = &m_options.metrics->Seconds("mimosarun_gate_slot_seconds", "Time that calls held a slot", {});
+  m_slotTime = &m_options.metrics->Seconds("mimosarun_gate_slot_seconds", "Time that calls held a slot", {});
 }
 
 Result<std::unique_ptr<Gate>>
 Gate::Start(Options aOptions)
 {
   std::unique_ptr<Gate> gate(new Gate(std::move(aOptions)));
-  MIMOSARUN_TRY(gate->m_server,
-                HttpServer::Start({ .address = gate->m_options.address,
-                                    .handler = [raw = gate.get()](const ExchangePointer& aExchange) {
-                                      raw->Handle(aExchange);
-                                    } }));
+  MIMOSARUN_TRY(
+    gate->m_server,
+    HttpServer::Start(
+      { .address = gate->m_options.address,
+        .handler = [raw = gate.get()](const ExchangePointer& aExchange) { raw->Handle(aExchange); },
+        .loops = gate->m_options.loops,
+        .limits = { .headerBytes = kHopBodyLimitBytes,
+                    .bodyBytes = kHopBodyLimitBytes,
+                    .idleTimeout = kHopIdleTime } }));
   return gate;
 }
 
@@ -45,16 +52,25 @@
 Gate::Stop()
 {
   m_server.reset();
-  m_timers.reset();
-  m_workers->Stop();
+  if (m_workers) {
+    m_workers->Stop();
+  }
 }
 
 void
 Gate::SetTarget(const TargetState& aState)
 {
-  const std::lock_guard lock(m_mutex);
-  m_target = aState;
-  m_admission.SetSlots(aState.slots);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_target = aState;
+    m_admission.SetSlots(aState.slots);
+    m_aloneUntil = {};
+  }
+  if (aState.phase == wire::TargetPhase::Ready) {
+    PumpQueue();
+  } else {
+    TurnBackAllWaiting("the target stopped taking calls");
+  }
 }
 
 void
@@ -81,19 +97,25 @@
   return m_admission.InUse() + m_admission.Waiting();
 }
 
-TargetState
-Gate::Target() const
+std::optional<TargetState>
+Gate::TargetFor(const std::string& aService) const
 {
   const std::lock_guard lock(m_mutex);
+  if (m_target.phase != wire::TargetPhase::Ready || m_target.service != aService) {
+    return std::nullopt;
+  }
   return m_target;
 }
 
-std::string
-Gate::LoadText() const
+HopAnswer
+Gate::Load(const GateCall& aCall) const
 {
   const std::lock_guard lock(m_mutex);
-  return std::to_string(m_admission.InUse()) + " " + std::to_string(m_admission.Slots()) + " " +
-         std::to_string(m_admission.Waiting());
+  const auto wait = m_admission.ExpectedWait(aCall.Admission());
+  return { .slotsInUse = m_admission.InUse(),
+           .slots = m_admission.Slots(),
+           .waiting = m_admission.Waiting(),
+           .wait = std::chrono::ceil<std::chrono::milliseconds>(wait) };
 }
 
 std::string
@@ -112,42 +134,55 @@
   if (m_target.service != aService) {
     return "the target here serves another service";
   }
+  if (SteadyClock::now() < m_aloneUntil) {
+    return "the target takes no connections";
+  }
   return {};
 }
 
+void
+Gate::NoteConnecting(bool aConnected)
+{
+  const std::lock_guard lock(m_mutex);
+  m_aloneUntil = aConnected ? Deadline{} : SteadyClock::now() + kAloneTime;
+}
+
 void
 Gate::Handle(const ExchangePointer& aExchange)
 {
-  GateRequest request = ParseGateRequest(aExchange->Request(), SteadyClock::now());
-  const auto call = std::make_shared<GateCall>(*this, ++m_nextCall, aExchange, std::move(request));
-  const std::string reason = ReasonToRefuse(call->Request().service);
+  HttpRequest request = aExchange->Request();
+  const std::optional<HopRequest> hop = TakeHopRequest(request.headers);
+  if (!hop) {
+    aExchange->Respond({ .status = 400, .headers = {}, .body = "only entries call gates\n" });
+    return;
+  }
+  const auto call =
+    std::make_shared<GateCall>(*this, ++m_nextCall, aExchange, *hop, std::move(request));
+  const bool once = hop->repeat != RepeatPolicy::Idempotent;
+  if (const auto before = once ? m_onceCalls.FindOrAdd(hop->call, call, SteadyClock::now()) : nullptr) {
+    before->Join(aExchange);
+    return;
+  }
+  if (hop->sentToLife != 0 && hop->sentToLife != m_options.life()) {
+    call->TurnBack(HopOutcome::Unknown, "the gate was restarted since it was sent the call");
+    return;
+  }
+  const std::string reason = ReasonToRefuse(hop->service);
   if (!reason.empty()) {
-    call->Refuse(503, reason);
+    call->TurnBack(HopOutcome::TurnedBack, reason);
     return;
   }
-  const std::weak_ptr<GateCall> weak = call;
-  aExchange->OnCancel([weak] {
-    if (const auto held = weak.lock()) {
-      held->Cancelled();
-    }
-  });
+  call->Watch();
   Offer(call);
 }
 
 void
 Gate::Offer(const std::shared_ptr<GateCall>& aCall)
 {
-  const GateRequest& request = aCall->Request();
-  const Deadline now = SteadyClock::now();
   AdmissionVerdict verdict = AdmissionVerdict::Refused;
   {
     const std::lock_guard lock(m_mutex);
-    verdict = m_admission.Offer({ .call = aCall->Number(),
-                                  .callClass = request.callClass,
-                                  .deadline = request.deadline,
-                                  .expectedCost = request.expectedCost,
-                                  .giveBackAt = now + (request.deadline - now) / kQueueShare },
-                                now);
+    verdict = m_admission.Offer(aCall->Admission(), SteadyClock::now());
     if (verdict == AdmissionVerdict::Queued) {
       m_waiting[aCall->Number()] = aCall;
     }
@@ -160,8 +195,11 @@
     case AdmissionVerdict::Queued:
       ScheduleSweep();
       break;
+    case AdmissionVerdict::TurnedBack:
+      aCall->TurnBack(HopOutcome::TurnedBack, "the wait for the target is too long");
+      break;
     case AdmissionVerdict::Refused:
-      aCall->Refuse(503, "the target is too busy to answer before the deadline");
+      aCall->TurnBack(HopOutcome::TurnedBack, "the target is too busy to answer before the deadline");
       break;
   }
 }
@@ -188,14 +226,40 @@
 void
 Gate::Release(GateCall& aCall, std::chrono::microseconds aHeldFor)
 {
-  m_queueTime->Observe(std::chrono::duration<double>(aHeldFor).count());
+  m_slotTime->Observe(std::chrono::duration<double>(aHeldFor).count());
   {
     const std::lock_guard lock(m_mutex);
-    m_admission.Release(aCall.Request().callClass, aHeldFor);
+    m_admission.Release(aCall.Hop().callClass, aHeldFor, aCall.Hop().route);
   }
   PumpQueue();
 }
 
+void
+Gate::ReleaseUnused(GateCall& aCall)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_admission.ReleaseUnused(aCall.Hop().callClass);
+  }
+  PumpQueue();
+}
+
+void
+Gate::TurnBackAllWaiting(const std::string& aReason)
+{
+  std::map<uint64_t, std::shared_ptr<GateCall>> waiting;
+  {
+    const std::lock_guard lock(m_mutex);
+    waiting.swap(m_waiting);
+    for (const auto& [number, call] : waiting) {
+      m_admission.Withdraw(number);
+    }
+  }
+  for (const auto& [number, call] : waiting) {
+    call->TurnBack(HopOutcome::TurnedBack, aReason);
+  }
+}
+
 void
 Gate::PumpQueue()
 {
@@ -212,7 +276,7 @@
     }
   }
   for (const auto& call : hopeless) {
-    call->Refuse(503, "the target is too busy to answer before the deadline");
+    call->TurnBack(HopOutcome::TurnedBack, "the target is too busy to answer in time");
   }
   for (const auto& call : admitted) {
     m_admitted->Increment();
@@ -230,7 +294,7 @@
     }
     m_sweepScheduled = true;
   }
-  m_timers->At(SteadyClock::now() + kSweepInterval, [this] {
+  m_options.loops->First().RunAt(SteadyClock::now() + kSweepInterval, [this] {
     PumpQueue();
     bool waiting = false;
     {
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -10,56 +10,79 @@
 
 namespace mimosarun {
 
-/** Answers of claimed calls are stored up to this size; larger ones are streamed and not stored. */
-static constexpr size_t kStoredAnswerLimitBytes = 64UL * 1024;
+/** Answers up to this size are passed on whole, larger ones piece by piece. */
+static constexpr size_t kCollectLimitBytes = 64UL * 1024;
 /** A claimed call may go on this long after its caller has given up, so that its answer is stored. */
 static constexpr std::chrono::milliseconds kClaimedCallTime{ 30000 };
 /** Kept of a call's time, so that its refusal still arrives before the entry gives up. */
 static constexpr std::chrono::milliseconds kRefusalTime{ 100 };
 static constexpr std::chrono::milliseconds kRecordTime{ 3000 };
 static constexpr std::chrono::milliseconds kLongestTimeout{ 3600000 };
+/** An entry whose connection broke has this long to ask again for a call that may run once. */
+static constexpr std::chrono::milliseconds kRejoinTime{ 350 };
+static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+/** A target may close a connection that was idle for longer just as the next request is sent. */
+static constexpr std::chrono::milliseconds kLongestIdle{ 8000 };
+static constexpr std::chrono::milliseconds kLongestIdleOnce{ 2500 };
+/** Estimates of waits may be off by this factor before a call is given back. */
+static constexpr int kWaitSlack = 2;
+static constexpr std::chrono::milliseconds kLeastWait{ 20 };
 
-static std::chrono::milliseconds
-MillisecondsOf(const std::string& aText, std::chrono::milliseconds aDefault)
+static std::optional<ClaimKey>
+ClaimOf(const HopRequest& aHop, const HttpRequest& aRequest)
 {
-  if (aText.empty()) {
-    return aDefault;
+  const std::string key = FindHeader(aRequest.headers, kIdempotencyHeader);
+  if (aHop.repeat != RepeatPolicy::Keyed || key.empty()) {
+    return std::nullopt;
   }
-  const std::chrono::milliseconds value(std::strtoll(aText.c_str(), nullptr, 10));
-  return std::clamp(value, std::chrono::milliseconds(0), kLongestTimeout);
+  return ClaimKey{ .homeRegion = aHop.homeRegion,
+                   .service = aHop.service,
+                   .key = key,
+                   .token = RandomIdentifier(),
+                   .fingerprint =
+                     Sha256(aRequest.method + "\n" + aRequest.target + "\n" + aRequest.body).substr(0, 32) };
 }
 
-GateRequest
-ParseGateRequest(const HttpRequest& aRequest, Deadline aNow)
-{
-  const HttpHeaders& headers = aRequest.headers;
-  const std::chrono::milliseconds defaultTime{ 1000 };
-  GateRequest request;
-  request.call = FindHeader(headers, kCallHeader);
-  request.service = FindHeader(headers, kServiceHeader);
-  request.callClass = FindHeader(headers, kClassHeader) == "long" ? CallClass::Long : CallClass::Short;
-  request.expectedCost = MillisecondsOf(FindHeader(headers, kCostHeader), std::chrono::milliseconds(1));
-  request.deadline = aNow + MillisecondsOf(FindHeader(headers, kTimeoutHeader), defaultTime);
-  request.idempotent = FindHeader(headers, kIdempotentHeader) == "yes";
-  const std::string key = FindHeader(headers, kIdempotencyHeader);
-  if (!request.idempotent && !key.empty()) {
-    request.claim =
-      ClaimKey{ .homeRegion = FindHeader(headers, kHomeRegionHeader),
-                .service = request.service,
-                .key = key,
-                .token = RandomIdentifier(),
-                .fingerprint =
-                  Sha256(aRequest.method + "\n" + aRequest.target + "\n" + aRequest.body).substr(0, 32) };
-  }
-  return request;
-}
-
-GateCall::GateCall(Gate& aGate, uint64_t aNumber, ExchangePointer aExchange, GateRequest aRequest)
+GateCall::GateCall(Gate& aGate,
+                   uint64_t aNumber,
+                   ExchangePointer aExchange,
+                   HopRequest aHop,
+                   HttpRequest aRequest)
   : m_gate(aGate)
   , m_number(aNumber)
+  , m_loop(aExchange->Loop())
   , m_exchange(std::move(aExchange))
+  , m_hop(std::move(aHop))
   , m_request(std::move(aRequest))
+  , m_deadline(m_exchange->ReceivedAt() +
+               std::clamp(m_hop.timeLeft, std::chrono::milliseconds(0), kLongestTimeout))
+  , m_claim(ClaimOf(m_hop, m_request))
+  , m_abandonTimer(m_loop.Context())
+{
+}
+
+AdmissionRequest
+GateCall::Admission() const
 {
+  const auto wait = std::max(m_hop.longestWait, kLeastWait) * kWaitSlack;
+  return { .call = m_number,
+           .callClass = m_hop.callClass,
+           .kind = m_hop.route,
+           .priority = m_hop.priority,
+           .deadline = m_deadline,
+           .expectedCost = m_hop.expectedCost,
+           .giveBackAt = m_exchange->ReceivedAt() + wait,
+           .longestWait = m_hop.longestWait };
+}
+
+void
+GateCall::Watch()
+{
+  m_exchange->OnCancel([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnOtherEndGone();
+    }
+  });
 }
 
 // --- before the target -----------------------------------------------------------------------------------
@@ -67,60 +90,72 @@
 void
 GateCall::Admitted()
 {
-  {
-    const std::lock_guard lock(m_mutex);
-    m_holdsSlot = true;
-    m_admittedAt = SteadyClock::now();
+  m_loop.Dispatch([self = shared_from_this()] { self->Start(); });
+}
+
+void
+GateCall::Start()
+{
+  m_stage = Stage::Running;
+  m_admittedAt = SteadyClock::now();
+  if (m_cancelled && !Claimed()) {
+    m_gate.ReleaseUnused(*this);
+    m_stage = Stage::Ended;
+    return;
   }
-  if (!m_request.claim) {
+  if (!Claimed()) {
     Forward();
     return;
   }
-  const auto self = shared_from_this();
-  if (!m_gate.m_workers->Post([self] { self->ClaimThenForward(); })) {
-    ReleaseSlot();
-    RefuseWith(503, CallOutcome::NotRun, "too many claims wait at the gate");
+  const bool posted = m_gate.m_workers && m_gate.m_workers->Post(
+                                            [self = shared_from_this()] { self->ClaimThenForward(); });
+  if (!posted) {
+    m_gate.ReleaseUnused(*this);
+    Refuse(503, HopOutcome::TurnedBack, "too many claims wait at the gate");
   }
 }
 
 void
 GateCall::ClaimThenForward()
 {
-  const ClaimResult claim =
-    m_gate.m_options.claims->Claim(*m_request.claim, m_request.deadline - kRefusalTime);
-  switch (claim.verdict) {
+  ClaimResult claim = m_gate.m_options.claims->Claim(*m_claim, m_deadline - kRefusalTime);
+  m_loop.Dispatch([self = shared_from_this(), claim = std::move(claim)] { self->OnClaim(claim); });
+}
+
+void
+GateCall::OnClaim(const ClaimResult& aClaim)
+{
+  if (aClaim.verdict == ClaimVerdict::Granted) {
+    Log(Event::ClaimGranted, { { "call", m_hop.call }, { "key", m_claim->key } });
+    Forward();
+    return;
+  }
+  m_gate.ReleaseUnused(*this);
+  const bool answered = aClaim.verdict == ClaimVerdict::Answered;
+  if (answered || aClaim.verdict == ClaimVerdict::Taken) {
+    Log(Event::ClaimRepeated,
+        { { "call", m_hop.call }, { "key", m_claim->key }, { "answer", answered ? "first" : "unknown" } });
+  }
+  switch (aClaim.verdict) {
     case ClaimVerdict::Granted:
-      Log(Event::ClaimGranted, { { "call", m_request.call }, { "key", m_request.claim->key } });
-      Forward();
       return;
     case ClaimVerdict::Answered:
-      ReleaseSlot();
-      Log(Event::ClaimRepeated,
-          { { "call", m_request.call }, { "key", m_request.claim->key }, { "answer", "first" } });
-      AnswerFirst(claim.answer);
+      RespondWith(aClaim.answer, HopOutcome::Answered);
       return;
     case ClaimVerdict::Taken:
-      ReleaseSlot();
-      Log(Event::ClaimRepeated,
-          { { "call", m_request.call }, { "key", m_request.claim->key }, { "answer", "unknown" } });
-      RefuseWith(504,
-                 CallOutcome::Unknown,
-                 "another attempt holds this idempotency key; its outcome isn't known yet",
-                 Elsewhere::WontHelp);
+      Refuse(504,
+             HopOutcome::Unknown,
+             "another attempt holds this idempotency key; its outcome isn't known yet");
       return;
     case ClaimVerdict::Mismatch:
-      ReleaseSlot();
-      RefuseWith(422,
-                 CallOutcome::NotRun,
-                 "this idempotency key was used for another request; choose a new key",
-                 Elsewhere::WontHelp);
+      Refuse(422,
+             HopOutcome::Refused,
+             "this idempotency key was used for another request; choose a new key");
       return;
     case ClaimVerdict::Unavailable:
-      ReleaseSlot();
-      RefuseWith(503,
-                 CallOutcome::NotRun,
-                 "the home region's quorum can't be reached to claim the idempotency key",
-                 Elsewhere::WontHelp);
+      Refuse(503,
+             HopOutcome::Refused,
+             "the home region's quorum can't be reached to claim the idempotency key");
       GiveClaimBack();
       return;
   }
@@ -129,231 +164,280 @@
 void
 GateCall::Forward()
 {
-  const TargetState target = m_gate.Target();
-  HttpRequest request = m_exchange->Request();
-  for (const char* name :
-       { kServiceHeader, kClassHeader, kCostHeader, kHomeRegionHeader, kIdempotentHeader }) {
-    std::erase_if(request.headers,
-                  [&](const HttpHeader& aHeader) { return SameHeaderName(aHeader.name, name); });
-  }
+  const std::optional<TargetState> target = m_gate.TargetFor(m_hop.service);
   const Deadline now = SteadyClock::now();
-  SetHeader(request.headers, kTimeoutHeader, std::to_string(TimeLeft(m_request.deadline, now).count()));
-  const Deadline deadline =
-    m_request.claim ? std::max(m_request.deadline, now + kClaimedCallTime) : m_request.deadline;
-  std::unique_lock lock(m_mutex);
-  if (m_cancelled && !m_request.claim) {
-    lock.unlock();
-    ReleaseSlot();
+  if (!target || now >= m_deadline) {
+    m_gate.ReleaseUnused(*this);
+    Refuse(503, HopOutcome::TurnedBack, "the target stopped taking calls");
+    GiveClaimBack();
     return;
   }
-  m_forwarded = true;
-  m_ticket = m_gate.m_options.forwarder->Start({ .to = target.address,
+  m_target = target->name;
+  HttpRequest request = m_request;
+  m_gate.m_options.codec.prepare(
+    request.headers, { .call = m_hop.call, .target = m_target, .timeLeft = TimeLeft(m_deadline, now) });
+  const Deadline deadline = Claimed() ? std::max(m_deadline, now + kClaimedCallTime) : m_deadline;
+  const bool once = m_hop.repeat != RepeatPolicy::Idempotent;
+  const auto idle = m_secondTry ? std::chrono::milliseconds(0) : once ? kLongestIdleOnce : kLongestIdle;
+  m_ticket = m_gate.m_options.forwarder->Start(m_loop,
+                                               { .to = target->address,
                                                  .request = std::move(request),
                                                  .deadline = deadline,
-                                                 .freshConnection = !m_request.idempotent },
+                                                 .connectTimeout = kConnectTimeout,
+                                                 .longestIdle = idle },
                                                shared_from_this());
 }
 
 void
 GateCall::ReleaseSlot()
 {
-  std::chrono::microseconds held{ 0 };
-  {
-    const std::lock_guard lock(m_mutex);
-    if (!m_holdsSlot) {
-      return;
-    }
-    m_holdsSlot = false;
-    held = std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - m_admittedAt);
-  }
+  const auto held =
+    std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - m_admittedAt);
   m_gate.Release(*this, held);
 }
 
 void
-GateCall::Refuse(int aStatus, const std::string& aReason)
+GateCall::TurnBack(HopOutcome aOutcome, const std::string& aReason)
 {
-  RefuseWith(aStatus, CallOutcome::NotRun, aReason);
+  m_loop.Dispatch([self = shared_from_this(), aOutcome, aReason] {
+    self->Refuse(aOutcome == HopOutcome::Unknown ? 502 : 503, aOutcome, aReason);
+  });
 }
 
 void
-GateCall::RefuseWith(int aStatus, CallOutcome aOutcome, const std::string& aReason, Elsewhere aElsewhere)
+GateCall::Refuse(int aStatus, HopOutcome aOutcome, const std::string& aReason)
 {
   m_gate.m_refused->Increment();
-  HttpResponse response = MakeRefusal({ .status = aStatus,
-                                        .outcome = aOutcome,
-                                        .reason = aReason,
-                                        .call = m_request.call,
-                                        .retryAfter = std::chrono::seconds(1) });
-  response.headers.push_back({ .name = kLoadHeader, .value = m_gate.LoadText() });
-  if (aElsewhere == Elsewhere::WontHelp) {
-    response.headers.push_back({ .name = kRetryHeader, .value = "no" });
-  }
-  m_exchange->Respond(std::move(response));
+  const bool mayComeAgain = aOutcome != HopOutcome::Unknown && m_hop.sentToLife == 0;
+  if (mayComeAgain && m_hop.repeat != RepeatPolicy::Idempotent) {
+    m_gate.m_onceCalls.Forget(m_hop.call);
+  }
+  RespondWith({ .status = aStatus, .headers = {}, .body = aReason }, aOutcome);
 }
 
 void
-GateCall::AnswerFirst(const HttpResponse& aFirst)
+GateCall::RespondWith(HttpResponse aResponse, HopOutcome aOutcome)
 {
-  HttpResponse response = aFirst;
-  response.headers = AnswerHeaders(aFirst.headers);
-  m_exchange->Respond(std::move(response));
+  m_stage = Stage::Ended;
+  m_abandonTimer.cancel();
+  HopAnswer hop = m_gate.Load(*this);
+  hop.outcome = aOutcome;
+  WriteHop(aResponse.headers, hop);
+  const bool final = aOutcome == HopOutcome::Answered || aOutcome == HopOutcome::Unknown || m_hop.sentToLife != 0;
+  if (final && m_hop.repeat != RepeatPolicy::Idempotent) {
+    m_answer = aResponse;
+  }
+  m_exchange->Respond(std::move(aResponse));
 }
 
+// --- the other end ---------------------------------------------------------------------------------------
+
 void
-GateCall::Cancelled()
+GateCall::Join(const ExchangePointer& aExchange)
 {
-  ForwardTicket ticket;
-  {
-    const std::lock_guard lock(m_mutex);
-    m_cancelled = true;
-    if (!m_forwarded || m_request.claim) {
-      // A claimed call goes on, so that its outcome is stored; a waiting one is withdrawn.
-      ticket.number = 0;
-    } else {
-      ticket = m_ticket;
+  m_loop.Dispatch([self = shared_from_this(), aExchange] {
+    self->m_abandonTimer.cancel();
+    if (self->m_answer) {
+      aExchange->Respond(*self->m_answer);
+      return;
     }
-  }
-  if (ticket.number != 0) {
-    m_gate.m_options.forwarder->Cancel(ticket);
-  } else {
-    m_gate.Withdraw(*this);
-  }
+    if (self->m_stage == Stage::Ended || self->m_streaming || &aExchange->Loop() != &self->m_loop) {
+      HttpResponse response{ .status = 502, .headers = {}, .body = "the answer of the first try is lost" };
+      HopAnswer hop;
+      hop.outcome = HopOutcome::Unknown;
+      WriteHop(response.headers, hop);
+      aExchange->Respond(std::move(response));
+      return;
+    }
+    self->m_cancelled = false;
+    self->m_exchange->OnCancel({});
+    self->m_exchange = aExchange;
+    self->Watch();
+  });
 }
 
-// --- answer of the target --------------------------------------------------------------------------------
-
-std::string
-GateCall::DamageOf(const HttpHead& aHead) const
+void
+GateCall::OnOtherEndGone()
 {
-  const std::string call = FindHeader(aHead.headers, kCallHeader);
-  if (!call.empty() && call != m_request.call) {
-    return "the target's answer belongs to another call";
+  m_cancelled = true;
+  if (Claimed()) {
+    // It goes on, so that its outcome is stored.
+    return;
   }
-  const bool empty = aHead.status == 204 || aHead.status == 304 || m_exchange->Request().method == "HEAD";
-  const bool framed = aHead.length || !FindHeader(aHead.headers, "Transfer-Encoding").empty();
-  if (!empty && !framed) {
-    return "the target's answer has no length, so a cut wouldn't show";
+  if (m_stage == Stage::Waiting || m_hop.repeat == RepeatPolicy::Idempotent) {
+    Abandon();
+    return;
   }
-  return {};
+  m_abandonTimer.expires_after(kRejoinTime);
+  m_abandonTimer.async_wait([weak = weak_from_this()](const auto& aError) {
+    const auto self = weak.lock();
+    if (self && !aError && self->m_cancelled) {
+      self->Abandon();
+    }
+  });
 }
 
-HttpHeaders
-GateCall::AnswerHeaders(const HttpHeaders& aFrom) const
+void
+GateCall::Abandon()
 {
-  HttpHeaders headers = aFrom;
-  SetHeader(headers, kCallHeader, m_request.call);
-  if (!HasHeader(headers, kOutcomeHeader)) {
-    SetHeader(headers, kOutcomeHeader, kOutcomeComplete);
+  if (m_stage == Stage::Waiting) {
+    m_gate.Withdraw(*this);
+    if (m_hop.repeat != RepeatPolicy::Idempotent) {
+      m_gate.m_onceCalls.Forget(m_hop.call);
+    }
+    return;
+  }
+  if (m_stage == Stage::Running) {
+    m_stage = Stage::Ended;
+    m_ticket.Cancel();
+    ReleaseSlot();
   }
-  SetHeader(headers, kLoadHeader, m_gate.LoadText());
-  return headers;
 }
 
-void
+// --- answer of the target --------------------------------------------------------------------------------
+
+HeadVerdict
 GateCall::OnHead(const HttpHead& aHead)
 {
-  const std::lock_guard lock(m_mutex);
-  m_damage = DamageOf(aHead);
-  if (!m_damage.empty() || m_delivery == Delivery::Dropped) {
-    m_delivery = Delivery::Dropped;
-    m_gate.m_options.forwarder->Cancel(m_ticket);
-    return;
+  m_gate.NoteConnecting(true);
+  const TargetCall call{ .call = m_hop.call, .target = m_target };
+  m_verdict = m_gate.m_options.codec.judge(aHead, call);
+  if (m_verdict == TargetVerdict::Foreign) {
+    return HeadVerdict::Skip;
   }
   m_head = aHead;
-  const bool storable = m_request.claim && aHead.length.value_or(0) <= kStoredAnswerLimitBytes;
-  if (storable) {
-    m_delivery = Delivery::Collected;
-    return;
+  if (m_verdict == TargetVerdict::Answer && aHead.length.value_or(0) > kCollectLimitBytes) {
+    StartStreaming();
   }
-  m_delivery = Delivery::Streamed;
-  const std::weak_ptr<GateCall> weak = weak_from_this();
-  m_exchange->OnDrain([weak, forwarder = m_gate.m_options.forwarder, ticket = m_ticket] {
-    if (const auto self = weak.lock()) {
-      forwarder->Resume(ticket);
-    }
-  });
-  HttpHead head = aHead;
-  head.headers = AnswerHeaders(aHead.headers);
+  return HeadVerdict::Accept;
+}
+
+void
+GateCall::StartStreaming()
+{
+  if (Claimed()) {
+    // Too large to be stored; the claim stays without an outcome.
+    m_claim.reset();
+  }
+  m_streaming = true;
+  HttpHead head = m_head;
+  HopAnswer hop = m_gate.Load(*this);
+  hop.outcome = HopOutcome::Answered;
+  WriteHop(head.headers, hop);
+  m_exchange->OnDrain([ticket = m_ticket] { ticket.Resume(); });
   m_exchange->Start(std::move(head));
+  if (!m_collected.empty()) {
+    m_exchange->Write(std::exchange(m_collected, {}));
+  }
 }
 
 bool
 GateCall::OnBody(std::string_view aBytes)
 {
-  const std::lock_guard lock(m_mutex);
-  switch (m_delivery) {
-    case Delivery::Streamed:
-      return m_exchange->Write(aBytes);
-    case Delivery::Collected:
-      if (m_collected.size() + aBytes.size() <= kStoredAnswerLimitBytes) {
-        m_collected.append(aBytes);
-        return true;
-      }
-      m_damage = "the target's answer grew too large to be stored";
-      m_delivery = Delivery::Dropped;
-      return true;
-    default:
-      return true;
+  if (m_verdict != TargetVerdict::Answer) {
+    return true;
   }
+  if (m_streaming) {
+    return m_exchange->Write(aBytes);
+  }
+  m_collected.append(aBytes);
+  if (m_collected.size() > kCollectLimitBytes) {
+    StartStreaming();
+  }
+  return true;
 }
 
 void
 GateCall::OnEnd(ForwardEnd aEnd)
 {
-  ReleaseSlot();
-  const auto self = shared_from_this();
-  Delivery delivery = Delivery::Undecided;
-  {
-    const std::lock_guard lock(m_mutex);
-    delivery = m_delivery;
-  }
-  if (delivery == Delivery::Streamed) {
-    m_exchange->Finish(aEnd == ForwardEnd::Complete);
+  if (m_stage != Stage::Running) {
     return;
   }
-  if (delivery == Delivery::Collected && aEnd == ForwardEnd::Complete) {
-    if (!m_gate.m_workers->Post([self] { self->FinishCollected(); })) {
-      FinishCollected();
-    }
+  const bool idempotent = m_hop.repeat == RepeatPolicy::Idempotent;
+  if (aEnd == ForwardEnd::KeptConnectionClosed && idempotent && !m_secondTry) {
+    m_secondTry = true;
+    Forward();
     return;
   }
   if (aEnd == ForwardEnd::NotSent) {
-    RefuseWith(503, CallOutcome::NotRun, "the target takes no connections");
+    m_gate.NoteConnecting(false);
+    m_gate.ReleaseUnused(*this);
+    Refuse(503, HopOutcome::TurnedBack, "the target takes no connections");
     GiveClaimBack();
     return;
   }
-  const std::string reason = !m_damage.empty()              ? m_damage
-                             : aEnd == ForwardEnd::TimedOut ? "the target gave no answer before the deadline"
-                                                            : "the connection to the target broke";
-  Log(Event::CallUnknown, { { "call", m_request.call }, { "reason", reason } });
-  RefuseWith(aEnd == ForwardEnd::TimedOut ? 504 : 502, CallOutcome::Unknown, reason);
+  if (aEnd == ForwardEnd::Complete && m_verdict != TargetVerdict::Answer && m_verdict != TargetVerdict::Damaged) {
+    m_gate.ReleaseUnused(*this);
+  } else {
+    ReleaseSlot();
+  }
+  if (m_streaming) {
+    m_stage = Stage::Ended;
+    m_exchange->Finish(aEnd == ForwardEnd::Complete);
+    return;
+  }
+  if (aEnd == ForwardEnd::Complete && m_verdict != TargetVerdict::Damaged) {
+    FinishAnswered();
+    return;
+  }
+  const bool late = aEnd == ForwardEnd::TimedOut;
+  const std::string reason = aEnd == ForwardEnd::Complete ? "the target's answer is damaged"
+                             : late                       ? "the target gave no answer before the deadline"
+                                                          : "the connection to the target broke";
+  Log(Event::CallUnknown, { { "call", m_hop.call }, { "target", m_target }, { "reason", reason } });
+  Refuse(late ? 504 : 502, HopOutcome::Unknown, reason);
 }
 
 void
-GateCall::FinishCollected()
+GateCall::FinishAnswered()
 {
-  HttpResponse answer{ .status = m_head.status, .headers = m_head.headers, .body = m_collected };
-  if (FindHeader(answer.headers, kOutcomeHeader) == kOutcomeNotRun) {
+  if (m_verdict == TargetVerdict::OtherTarget) {
+    m_gate.m_options.onLoss(m_target);
+    Refuse(503, HopOutcome::NotRun, "another target has the address");
+    return;
+  }
+  if (m_verdict == TargetVerdict::NotRun) {
+    Refuse(503, HopOutcome::NotRun, "the target refused the call");
     GiveClaimBack();
-  } else {
-    m_gate.m_options.claims->Complete(*m_request.claim, answer, SteadyClock::now() + kRecordTime);
+    return;
+  }
+  if (Claimed()) {
+    StoreThenRespond();
+    return;
+  }
+  RespondWith({ .status = m_head.status, .headers = m_head.headers, .body = std::move(m_collected) },
+              HopOutcome::Answered);
+}
+
+void
+GateCall::StoreThenRespond()
+{
+  const auto store = [self = shared_from_this()] {
+    const HttpResponse answer{ .status = self->m_head.status,
+                               .headers = self->m_head.headers,
+                               .body = self->m_collected };
+    self->m_gate.m_options.claims->Complete(*self->m_claim, answer, SteadyClock::now() + kRecordTime);
+    self->m_loop.Dispatch([self, answer] { self->RespondWith(answer, HopOutcome::Answered); });
+  };
+  if (!m_gate.m_workers->Post(store)) {
+    // The answer counts more than the record of it; without the record, a repetition gets "unknown".
+    RespondWith({ .status = m_head.status, .headers = m_head.headers, .body = m_collected },
+                HopOutcome::Answered);
   }
-  AnswerFirst(answer);
 }
 
 void
 GateCall::GiveClaimBack()
 {
-  if (!m_request.claim) {
+  if (!Claimed()) {
     return;
   }
-  const auto self = shared_from_this();
-  m_gate.m_workers->Post([self] {
+  m_gate.m_workers->Post([self = shared_from_this()] {
     const bool released =
-      self->m_gate.m_options.claims->Release(*self->m_request.claim, SteadyClock::now() + kRecordTime);
+      self->m_gate.m_options.claims->Release(*self->m_claim, SteadyClock::now() + kRecordTime);
     Log(Event::ClaimReleased,
-        { { "call", self->m_request.call },
-          { "key", self->m_request.claim->key },
+        { { "call", self->m_hop.call },
+          { "key", self->m_claim->key },
           { "released", released ? "yes" : "no" } });
   });
 }
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "hop/hopheaders.h"
 #include "http/forwarder.h"
-#include "http/refusal.h"
 #include "http/server.h"
 #include "target/admission.h"
 #include "target/claimclient.h"
+#include "target/targetprotocol.h"
+#include "target/targetwatch.h"
+
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 
@@ -15,94 +18,86 @@
 
 class Gate;
 
-/** What the entry says of a call. */
-struct GateRequest
-{
-  std::string call;
-  std::string service;
-  CallClass callClass = CallClass::Short;
-  std::chrono::milliseconds expectedCost{ 0 };
-  Deadline deadline;
-  bool idempotent = false;
-  /** Set for a call whose key has to be claimed. */
-  std::optional<ClaimKey> claim;
-};
-
-/** Reads the headers that an entry sets. */
-GateRequest
-ParseGateRequest(const HttpRequest& aRequest, Deadline aNow);
-
-/** One call at the gate: from the offer over the claim to the end of the answer. */
+/**
+ * One call at the gate: from the offer over the claim to the end of the answer. Lives on the loop of the
+ * connection that brought it.
+ */
 class GateCall
   : public ForwardListener
   , public std::enable_shared_from_this<GateCall>
 {
 public:
-  GateCall(Gate& aGate, uint64_t aNumber, ExchangePointer aExchange, GateRequest aRequest);
+  GateCall(Gate& aGate, uint64_t aNumber, ExchangePointer aExchange, HopRequest aHop, HttpRequest aRequest);
 
   uint64_t Number() const { return m_number; }
-  const GateRequest& Request() const { return m_request; }
+  const HopRequest& Hop() const { return m_hop; }
+  EventLoop& Loop() const { return m_loop; }
 
-  /** The call has a slot; it claims its key if it has one, then goes to the target. */
+  /** What the admission has to know of it. */
+  AdmissionRequest Admission() const;
+
+  /** Watches for the other end's hang-up. */
+  void Watch();
+
+  /** The call has a slot; it claims its key if it has one, then goes to the target. Any thread. */
   void Admitted();
 
-  /** Refuses a call that holds no slot. */
-  void Refuse(int aStatus, const std::string& aReason);
+  /** Answers a call that holds no slot. Any thread. */
+  void TurnBack(HopOutcome aOutcome, const std::string& aReason);
 
-  /** The other end has gone. */
-  void Cancelled();
+  /** Gives the answer to another exchange of the same call. */
+  void Join(const ExchangePointer& aExchange);
 
-  void OnHead(const HttpHead& aHead) override;
+  HeadVerdict OnHead(const HttpHead& aHead) override;
   bool OnBody(std::string_view aBytes) override;
   void OnEnd(ForwardEnd aEnd) override;
 
 private:
-  /** Where the answer of the target goes. */
-  enum class Delivery
+  /** How far the call is on its way to the target. */
+  enum class Stage
   {
-    Undecided,
-    /** Straight to the other end. */
-    Streamed,
-    /** Collected, because its outcome is stored first. */
-    Collected,
-    /** Dropped, because it is damaged or belongs to another call. */
-    Dropped,
+    Waiting,
+    /** It holds a slot. */
+    Running,
+    Ended,
   };
 
+  void Start();
   void ClaimThenForward();
+  void OnClaim(const ClaimResult& aClaim);
   void Forward();
+  bool Claimed() const { return m_claim.has_value(); }
   void ReleaseSlot();
-  void AnswerFirst(const HttpResponse& aFirst);
-  /** Whether another gate might take the call. */
-  enum class Elsewhere
-  {
-    MayHelp,
-    WontHelp,
-  };
-
-  void RefuseWith(int aStatus,
-                  CallOutcome aOutcome,
-                  const std::string& aReason,
-                  Elsewhere aElsewhere = Elsewhere::MayHelp);
-  void FinishCollected();
+  void Refuse(int aStatus, HopOutcome aOutcome, const std::string& aReason);
+  void RespondWith(HttpResponse aResponse, HopOutcome aOutcome);
+  void StartStreaming();
+  void FinishAnswered();
+  void StoreThenRespond();
   void GiveClaimBack();
-  std::string DamageOf(const HttpHead& aHead) const;
-  HttpHeaders AnswerHeaders(const HttpHeaders& aFrom) const;
+  void OnOtherEndGone();
+  void Abandon();
 
   Gate& m_gate;
   const uint64_t m_number;
-  const ExchangePointer m_exchange;
-  const GateRequest m_request;
-  std::mutex m_mutex;
+  EventLoop& m_loop;
+  ExchangePointer m_exchange;
+  const HopRequest m_hop;
+  HttpRequest m_request;
+  const Deadline m_deadline;
+  std::optional<ClaimKey> m_claim;
+  boost::asio::steady_timer m_abandonTimer;
+  Stage m_stage = Stage::Waiting;
   bool m_cancelled = false;
-  bool m_holdsSlot = false;
-  bool m_forwarded = false;
+  bool m_secondTry = false;
   Deadline m_admittedAt{};
+  std::string m_target;
   ForwardTicket m_ticket;
-  Delivery m_delivery = Delivery::Undecided;
+  TargetVerdict m_verdict = TargetVerdict::Damaged;
+  bool m_streaming = false;
   HttpHead m_head;
   std::string m_collected;
-  std::string m_damage;
+  /** Kept for an entry that asks again. */
+  std::optional<HttpResponse> m_answer;
 };
 
 } // namespace mimosarun
--- a/src/target/targetagent.cpp
+++ b/src/target/targetagent.cpp
@@ -1,13 +1,12 @@
 #include "target/targetagent.h"
 
-#include "common/log.h"
 #include "settings/jsonreader.h"
 
 namespace mimosarun {
 
-static constexpr std::chrono::milliseconds kLease{ 3000 };
-static constexpr std::chrono::milliseconds kWatchInterval{ 100 };
 static constexpr int kMaximumSlots = 10000;
+static constexpr size_t kBodyLimitBytes = 64UL * 1024;
+static constexpr size_t kMaximumConnections = 64;
 
 TargetAgent::TargetAgent(Options aOptions)
   : m_options(std::move(aOptions))
@@ -23,36 +22,12 @@
     HttpServer::Start(
       { .address = agent->m_options.address,
         .handler = [raw = agent.get()](const ExchangePointer& aExchange) { raw->Handle(aExchange); },
-        .threads = 1,
-        .maximumConnections = 64,
-        .bodyLimitBytes = 64UL * 1024 }));
-  agent->m_watcher = std::thread([raw = agent.get()] { raw->WatchLease(); });
+        .loops = agent->m_options.loops,
+        .maximumConnections = kMaximumConnections,
+        .limits = { .bodyBytes = kBodyLimitBytes } }));
   return agent;
 }
 
-TargetAgent::~TargetAgent()
-{
-  m_stop = true;
-  if (m_watcher.joinable()) {
-    m_watcher.join();
-  }
-  m_server.reset();
-}
-
-TargetState
-TargetAgent::State() const
-{
-  const std::lock_guard lock(m_mutex);
-  return m_state;
-}
-
-void
-TargetAgent::SetIntent(TargetIntent aIntent)
-{
-  const std::lock_guard lock(m_mutex);
-  m_intent = aIntent;
-}
-
 Result<TargetState>
 ParseAnnouncement(const std::string& aBody)
 {
@@ -93,54 +68,11 @@
     aExchange->Respond({ .status = 400, .headers = {}, .body = state.error().message + "\n" });
     return;
   }
-  Take(std::move(state.value()));
-  const std::lock_guard lock(m_mutex);
-  aExchange->Respond({ .status = 200,
-                       .headers = { { .name = "Content-Type", .value = "application/json" } },
-                       .body = std::string("{\"intent\":\"") + Name(m_intent) + "\"}\n" });
-}
-
-void
-TargetAgent::Take(TargetState aState)
-{
-  TargetState before;
-  {
-    const std::lock_guard lock(m_mutex);
-    before = m_state;
-    m_state = aState;
-    m_leaseUntil = SteadyClock::now() + kLease;
-  }
-  const bool same = before.name == aState.name && before.phase == aState.phase &&
-                    before.slots == aState.slots && before.service == aState.service &&
-                    before.address == aState.address;
-  if (same) {
-    return;
-  }
-  Log(before.name == aState.name ? Event::TargetPhaseChanged : Event::TargetAnnounced,
-      { { "target", aState.name },
-        { "service", aState.service },
-        { "phase", static_cast<int>(aState.phase) } });
-  m_options.listener(aState);
-}
-
-void
-TargetAgent::WatchLease()
-{
-  while (!m_stop) {
-    TargetState lost;
-    {
-      const std::lock_guard lock(m_mutex);
-      if (m_state.phase != wire::TargetPhase::Absent && SteadyClock::now() > m_leaseUntil) {
-        m_state.phase = wire::TargetPhase::Absent;
-        lost = m_state;
-      }
-    }
-    if (!lost.name.empty()) {
-      Log(Event::TargetLost, { { "target", lost.name } });
-      m_options.listener(lost);
-    }
-    std::this_thread::sleep_for(kWatchInterval);
-  }
+  m_options.watch->Take({ .state = std::move(state.value()) }, SteadyClock::now());
+  aExchange->Respond(
+    { .status = 200,
+      .headers = { { .name = "Content-Type", .value = "application/json" } },
+      .body = std::string("{\"intent\":\"") + Name(m_options.watch->Intent()) + "\"}\n" });
 }
 
 } // namespace mimosarun
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -586,6 +586,209 @@
 }
 
 
+ControlPeer_readIndex_args::~ControlPeer_readIndex_args() noexcept {
+}
+
+
+uint32_t ControlPeer_readIndex_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMillis);
+          this->__isset.waitMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_readIndex_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_readIndex_args");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waitMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_readIndex_pargs::~ControlPeer_readIndex_pargs() noexcept {
+}
+
+
+uint32_t ControlPeer_readIndex_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_readIndex_pargs");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->group)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32((*(this->waitMillis)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_readIndex_result::~ControlPeer_readIndex_result() noexcept {
+}
+
+
+uint32_t ControlPeer_readIndex_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_readIndex_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ControlPeer_readIndex_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_readIndex_presult::~ControlPeer_readIndex_presult() noexcept {
+}
+
+
+uint32_t ControlPeer_readIndex_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 ControlPeer_submit_args::~ControlPeer_submit_args() noexcept {
 }
 
@@ -1079,14 +1282,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->success.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->success.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += this->success[_i220].read(iprot);
+              xfer += this->success[_i230].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1117,10 +1320,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter221;
-      for (_iter221 = this->success.begin(); _iter221 != this->success.end(); ++_iter221)
+      std::vector<DomainReport> ::const_iterator _iter231;
+      for (_iter231 = this->success.begin(); _iter231 != this->success.end(); ++_iter231)
       {
-        xfer += (*_iter221).write(oprot);
+        xfer += (*_iter231).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1161,14 +1364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            (*(this->success)).resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            (*(this->success)).resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += (*(this->success))[_i226].read(iprot);
+              xfer += (*(this->success))[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1364,6 +1567,65 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "join failed: unknown result");
 }
 
+void ControlPeerClient::readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis)
+{
+  send_readIndex(group, waitMillis);
+  recv_readIndex(_return);
+}
+
+void ControlPeerClient::send_readIndex(const std::string& group, const int32_t waitMillis)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("readIndex", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_readIndex_pargs args;
+  args.group = &group;
+  args.waitMillis = &waitMillis;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlPeerClient::recv_readIndex(ReadIndex& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("readIndex") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ControlPeer_readIndex_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "readIndex failed: unknown result");
+}
+
 void ControlPeerClient::submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis)
 {
   send_submit(group, command, waitMillis);
@@ -1720,6 +1982,60 @@
   }
 }
 
+void ControlPeerProcessor::process_readIndex(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ControlPeer.readIndex", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ControlPeer.readIndex");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ControlPeer.readIndex");
+  }
+
+  ControlPeer_readIndex_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ControlPeer.readIndex", bytes);
+  }
+
+  ControlPeer_readIndex_result result;
+  try {
+    iface_->readIndex(result.success, args.group, args.waitMillis);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ControlPeer.readIndex");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("readIndex", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ControlPeer.readIndex");
+  }
+
+  oprot->writeMessageBegin("readIndex", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ControlPeer.readIndex", bytes);
+  }
+}
+
 void ControlPeerProcessor::process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -2142,6 +2458,91 @@
   } // end while(true)
 }
 
+void ControlPeerConcurrentClient::readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis)
+{
+  int32_t seqid = send_readIndex(group, waitMillis);
+  recv_readIndex(_return, seqid);
+}
+
+int32_t ControlPeerConcurrentClient::send_readIndex(const std::string& group, const int32_t waitMillis)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("readIndex", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_readIndex_pargs args;
+  args.group = &group;
+  args.waitMillis = &waitMillis;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlPeerConcurrentClient::recv_readIndex(ReadIndex& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("readIndex") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ControlPeer_readIndex_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "readIndex failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void ControlPeerConcurrentClient::submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis)
 {
   int32_t seqid = send_submit(group, command, waitMillis);
--- a/src/wire/gen-cpp/ControlPeer.h
+++ b/src/wire/gen-cpp/ControlPeer.h
@@ -25,6 +25,7 @@
   virtual void deliver(Stamp& _return, const RaftBatch& batch) = 0;
   virtual void status(GroupStatus& _return, const std::string& group) = 0;
   virtual void join(CommandResult& _return, const std::string& group, const Replica& replica) = 0;
+  virtual void readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis) = 0;
   virtual void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) = 0;
   virtual void watch(WatchReply& _return, const WatchRequest& request) = 0;
   virtual void reports(std::vector<DomainReport> & _return) = 0;
@@ -66,6 +67,9 @@
   void join(CommandResult& /* _return */, const std::string& /* group */, const Replica& /* replica */) override {
     return;
   }
+  void readIndex(ReadIndex& /* _return */, const std::string& /* group */, const int32_t /* waitMillis */) override {
+    return;
+  }
   void submit(CommandResult& /* _return */, const std::string& /* group */, const Command& /* command */, const int32_t /* waitMillis */) override {
     return;
   }
@@ -410,6 +414,123 @@
 
 };
 
+typedef struct _ControlPeer_readIndex_args__isset {
+  _ControlPeer_readIndex_args__isset() : group(false), waitMillis(false) {}
+  bool group :1;
+  bool waitMillis :1;
+} _ControlPeer_readIndex_args__isset;
+
+class ControlPeer_readIndex_args {
+ public:
+
+  ControlPeer_readIndex_args(const ControlPeer_readIndex_args&);
+  ControlPeer_readIndex_args(ControlPeer_readIndex_args&&) noexcept;
+  ControlPeer_readIndex_args& operator=(const ControlPeer_readIndex_args&);
+  ControlPeer_readIndex_args& operator=(ControlPeer_readIndex_args&&) noexcept;
+  ControlPeer_readIndex_args() noexcept
+                             : group(),
+                               waitMillis(0) {
+  }
+
+  virtual ~ControlPeer_readIndex_args() noexcept;
+  std::string group;
+  int32_t waitMillis;
+
+  _ControlPeer_readIndex_args__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_waitMillis(const int32_t val);
+
+  bool operator == (const ControlPeer_readIndex_args & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(waitMillis == rhs.waitMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_readIndex_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_readIndex_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_readIndex_pargs {
+ public:
+
+
+  virtual ~ControlPeer_readIndex_pargs() noexcept;
+  const std::string* group;
+  const int32_t* waitMillis;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_readIndex_result__isset {
+  _ControlPeer_readIndex_result__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_readIndex_result__isset;
+
+class ControlPeer_readIndex_result {
+ public:
+
+  ControlPeer_readIndex_result(const ControlPeer_readIndex_result&);
+  ControlPeer_readIndex_result(ControlPeer_readIndex_result&&) noexcept;
+  ControlPeer_readIndex_result& operator=(const ControlPeer_readIndex_result&);
+  ControlPeer_readIndex_result& operator=(ControlPeer_readIndex_result&&) noexcept;
+  ControlPeer_readIndex_result() noexcept {
+  }
+
+  virtual ~ControlPeer_readIndex_result() noexcept;
+  ReadIndex success;
+
+  _ControlPeer_readIndex_result__isset __isset;
+
+  void __set_success(const ReadIndex& val);
+
+  bool operator == (const ControlPeer_readIndex_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_readIndex_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_readIndex_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_readIndex_presult__isset {
+  _ControlPeer_readIndex_presult__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_readIndex_presult__isset;
+
+class ControlPeer_readIndex_presult {
+ public:
+
+
+  virtual ~ControlPeer_readIndex_presult() noexcept;
+  ReadIndex* success;
+
+  _ControlPeer_readIndex_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _ControlPeer_submit_args__isset {
   _ControlPeer_submit_args__isset() : group(false), command(false), waitMillis(false) {}
   bool group :1;
@@ -772,6 +893,9 @@
   void join(CommandResult& _return, const std::string& group, const Replica& replica) override;
   void send_join(const std::string& group, const Replica& replica);
   void recv_join(CommandResult& _return);
+  void readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis) override;
+  void send_readIndex(const std::string& group, const int32_t waitMillis);
+  void recv_readIndex(ReadIndex& _return);
   void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) override;
   void send_submit(const std::string& group, const Command& command, const int32_t waitMillis);
   void recv_submit(CommandResult& _return);
@@ -799,6 +923,7 @@
   void process_deliver(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_join(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_readIndex(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_watch(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reports(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -808,6 +933,7 @@
     processMap_["deliver"] = &ControlPeerProcessor::process_deliver;
     processMap_["status"] = &ControlPeerProcessor::process_status;
     processMap_["join"] = &ControlPeerProcessor::process_join;
+    processMap_["readIndex"] = &ControlPeerProcessor::process_readIndex;
     processMap_["submit"] = &ControlPeerProcessor::process_submit;
     processMap_["watch"] = &ControlPeerProcessor::process_watch;
     processMap_["reports"] = &ControlPeerProcessor::process_reports;
@@ -869,6 +995,16 @@
     return;
   }
 
+  void readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->readIndex(_return, group, waitMillis);
+    }
+    ifaces_[i]->readIndex(_return, group, waitMillis);
+    return;
+  }
+
   void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -940,6 +1076,9 @@
   void join(CommandResult& _return, const std::string& group, const Replica& replica) override;
   int32_t send_join(const std::string& group, const Replica& replica);
   void recv_join(CommandResult& _return, const int32_t seqid);
+  void readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis) override;
+  int32_t send_readIndex(const std::string& group, const int32_t waitMillis);
+  void recv_readIndex(ReadIndex& _return, const int32_t seqid);
   void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) override;
   int32_t send_submit(const std::string& group, const Command& command, const int32_t waitMillis);
   void recv_submit(CommandResult& _return, const int32_t seqid);
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -22,7 +22,8 @@
   CommandKind::Claim,
   CommandKind::Complete,
   CommandKind::Release,
-  CommandKind::Expire
+  CommandKind::Expire,
+  CommandKind::Replace
 };
 const char* _kCommandKindNames[] = {
   "Noop",
@@ -33,9 +34,10 @@
   "Claim",
   "Complete",
   "Release",
-  "Expire"
+  "Expire",
+  "Replace"
 };
-const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CommandKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CommandKind_VALUES_TO_NAMES.find(val);
@@ -380,6 +382,10 @@
 void Replica::__set_voter(const bool val) {
   this->voter = val;
 }
+
+void Replica::__set_address(const std::string& val) {
+  this->address = val;
+}
 std::ostream& operator<<(std::ostream& out, const Replica& obj)
 {
   obj.printTo(out);
@@ -448,6 +454,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -485,6 +499,10 @@
   xfer += oprot->writeBool(this->voter);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -497,6 +515,7 @@
   swap(a.region, b.region);
   swap(a.failureDomain, b.failureDomain);
   swap(a.voter, b.voter);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
@@ -506,6 +525,7 @@
   region = other4.region;
   failureDomain = other4.failureDomain;
   voter = other4.voter;
+  address = other4.address;
   __isset = other4.__isset;
 }
 Replica::Replica(Replica&& other5) noexcept {
@@ -514,6 +534,7 @@
   region = std::move(other5.region);
   failureDomain = std::move(other5.failureDomain);
   voter = other5.voter;
+  address = std::move(other5.address);
   __isset = other5.__isset;
 }
 Replica& Replica::operator=(const Replica& other6) {
@@ -522,6 +543,7 @@
   region = other6.region;
   failureDomain = other6.failureDomain;
   voter = other6.voter;
+  address = other6.address;
   __isset = other6.__isset;
   return *this;
 }
@@ -531,6 +553,7 @@
   region = std::move(other7.region);
   failureDomain = std::move(other7.failureDomain);
   voter = other7.voter;
+  address = std::move(other7.address);
   __isset = other7.__isset;
   return *this;
 }
@@ -542,6 +565,7 @@
   out << ", " << "region=" << to_string(region);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "voter=" << to_string(voter);
+  out << ", " << "address=" << to_string(address);
   out << ")";
 }
 
@@ -609,6 +633,18 @@
 void Command::__set_fingerprint(const std::string& val) {
   this->fingerprint = val;
 }
+
+void Command::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void Command::__set_hash(const std::string& val) {
+  this->hash = val;
+}
+
+void Command::__set_delta(const bool val) {
+  this->delta = val;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -773,6 +809,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->delta);
+          this->__isset.delta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -858,6 +918,18 @@
   xfer += oprot->writeString(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("delta", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->delta);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -880,6 +952,9 @@
   swap(a.contentType, b.contentType);
   swap(a.atMicros, b.atMicros);
   swap(a.fingerprint, b.fingerprint);
+  swap(a.version, b.version);
+  swap(a.hash, b.hash);
+  swap(a.delta, b.delta);
   swap(a.__isset, b.__isset);
 }
 
@@ -899,6 +974,9 @@
   contentType = other16.contentType;
   atMicros = other16.atMicros;
   fingerprint = other16.fingerprint;
+  version = other16.version;
+  hash = other16.hash;
+  delta = other16.delta;
   __isset = other16.__isset;
 }
 Command::Command(Command&& other17) noexcept {
@@ -917,6 +995,9 @@
   contentType = std::move(other17.contentType);
   atMicros = other17.atMicros;
   fingerprint = std::move(other17.fingerprint);
+  version = other17.version;
+  hash = std::move(other17.hash);
+  delta = other17.delta;
   __isset = other17.__isset;
 }
 Command& Command::operator=(const Command& other18) {
@@ -935,6 +1016,9 @@
   contentType = other18.contentType;
   atMicros = other18.atMicros;
   fingerprint = other18.fingerprint;
+  version = other18.version;
+  hash = other18.hash;
+  delta = other18.delta;
   __isset = other18.__isset;
   return *this;
 }
@@ -954,6 +1038,9 @@
   contentType = std::move(other19.contentType);
   atMicros = other19.atMicros;
   fingerprint = std::move(other19.fingerprint);
+  version = other19.version;
+  hash = std::move(other19.hash);
+  delta = other19.delta;
   __isset = other19.__isset;
   return *this;
 }
@@ -975,6 +1062,9 @@
   out << ", " << "contentType=" << to_string(contentType);
   out << ", " << "atMicros=" << to_string(atMicros);
   out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "delta=" << to_string(delta);
   out << ")";
 }
 
@@ -1187,6 +1277,10 @@
 void RaftMessage::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void RaftMessage::__set_senderAddress(const std::string& val) {
+  this->senderAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
 {
   obj.printTo(out);
@@ -1361,6 +1455,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->senderAddress);
+          this->__isset.senderAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1454,6 +1556,10 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("senderAddress", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->senderAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1476,6 +1582,7 @@
   swap(a.snapshot, b.snapshot);
   swap(a.members, b.members);
   swap(a.round, b.round);
+  swap(a.senderAddress, b.senderAddress);
   swap(a.__isset, b.__isset);
 }
 
@@ -1495,6 +1602,7 @@
   snapshot = other37.snapshot;
   members = other37.members;
   round = other37.round;
+  senderAddress = other37.senderAddress;
   __isset = other37.__isset;
 }
 RaftMessage::RaftMessage(RaftMessage&& other38) noexcept {
@@ -1513,6 +1621,7 @@
   snapshot = std::move(other38.snapshot);
   members = std::move(other38.members);
   round = other38.round;
+  senderAddress = std::move(other38.senderAddress);
   __isset = other38.__isset;
 }
 RaftMessage& RaftMessage::operator=(const RaftMessage& other39) {
@@ -1531,6 +1640,7 @@
   snapshot = other39.snapshot;
   members = other39.members;
   round = other39.round;
+  senderAddress = other39.senderAddress;
   __isset = other39.__isset;
   return *this;
 }
@@ -1550,6 +1660,7 @@
   snapshot = std::move(other40.snapshot);
   members = std::move(other40.members);
   round = other40.round;
+  senderAddress = std::move(other40.senderAddress);
   __isset = other40.__isset;
   return *this;
 }
@@ -1571,6 +1682,7 @@
   out << ", " << "snapshot=" << to_string(snapshot);
   out << ", " << "members=" << to_string(members);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "senderAddress=" << to_string(senderAddress);
   out << ")";
 }
 
@@ -2883,6 +2995,151 @@
 }
 
 
+ReadIndex::~ReadIndex() noexcept {
+}
+
+
+void ReadIndex::__set_confirmed(const bool val) {
+  this->confirmed = val;
+}
+
+void ReadIndex::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ReadIndex::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReadIndex& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReadIndex::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReadIndex::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReadIndex");
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReadIndex &a, ReadIndex &b) {
+  using ::std::swap;
+  swap(a.confirmed, b.confirmed);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
+  swap(a.__isset, b.__isset);
+}
+
+ReadIndex::ReadIndex(const ReadIndex& other92) {
+  confirmed = other92.confirmed;
+  index = other92.index;
+  leader = other92.leader;
+  __isset = other92.__isset;
+}
+ReadIndex::ReadIndex(ReadIndex&& other93) noexcept {
+  confirmed = other93.confirmed;
+  index = other93.index;
+  leader = std::move(other93.leader);
+  __isset = other93.__isset;
+}
+ReadIndex& ReadIndex::operator=(const ReadIndex& other94) {
+  confirmed = other94.confirmed;
+  index = other94.index;
+  leader = other94.leader;
+  __isset = other94.__isset;
+  return *this;
+}
+ReadIndex& ReadIndex::operator=(ReadIndex&& other95) noexcept {
+  confirmed = other95.confirmed;
+  index = other95.index;
+  leader = std::move(other95.leader);
+  __isset = other95.__isset;
+  return *this;
+}
+void ReadIndex::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReadIndex(";
+  out << "confirmed=" << to_string(confirmed);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
+  out << ")";
+}
+
+
 ClaimRecord::~ClaimRecord() noexcept {
 }
 
@@ -3077,50 +3334,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other92) {
-  key = other92.key;
-  token = other92.token;
-  claimedAtMicros = other92.claimedAtMicros;
-  finished = other92.finished;
-  status = other92.status;
-  contentType = other92.contentType;
-  body = other92.body;
-  fingerprint = other92.fingerprint;
-  __isset = other92.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other96) {
+  key = other96.key;
+  token = other96.token;
+  claimedAtMicros = other96.claimedAtMicros;
+  finished = other96.finished;
+  status = other96.status;
+  contentType = other96.contentType;
+  body = other96.body;
+  fingerprint = other96.fingerprint;
+  __isset = other96.__isset;
 }
-ClaimRecord::ClaimRecord(ClaimRecord&& other93) noexcept {
-  key = std::move(other93.key);
-  token = std::move(other93.token);
-  claimedAtMicros = other93.claimedAtMicros;
-  finished = other93.finished;
-  status = other93.status;
-  contentType = std::move(other93.contentType);
-  body = std::move(other93.body);
-  fingerprint = std::move(other93.fingerprint);
-  __isset = other93.__isset;
+ClaimRecord::ClaimRecord(ClaimRecord&& other97) noexcept {
+  key = std::move(other97.key);
+  token = std::move(other97.token);
+  claimedAtMicros = other97.claimedAtMicros;
+  finished = other97.finished;
+  status = other97.status;
+  contentType = std::move(other97.contentType);
+  body = std::move(other97.body);
+  fingerprint = std::move(other97.fingerprint);
+  __isset = other97.__isset;
 }
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other94) {
-  key = other94.key;
-  token = other94.token;
-  claimedAtMicros = other94.claimedAtMicros;
-  finished = other94.finished;
-  status = other94.status;
-  contentType = other94.contentType;
-  body = other94.body;
-  fingerprint = other94.fingerprint;
-  __isset = other94.__isset;
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other98) {
+  key = other98.key;
+  token = other98.token;
+  claimedAtMicros = other98.claimedAtMicros;
+  finished = other98.finished;
+  status = other98.status;
+  contentType = other98.contentType;
+  body = other98.body;
+  fingerprint = other98.fingerprint;
+  __isset = other98.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other95) noexcept {
-  key = std::move(other95.key);
-  token = std::move(other95.token);
-  claimedAtMicros = other95.claimedAtMicros;
-  finished = other95.finished;
-  status = other95.status;
-  contentType = std::move(other95.contentType);
-  body = std::move(other95.body);
-  fingerprint = std::move(other95.fingerprint);
-  __isset = other95.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other99) noexcept {
+  key = std::move(other99.key);
+  token = std::move(other99.token);
+  claimedAtMicros = other99.claimedAtMicros;
+  finished = other99.finished;
+  status = other99.status;
+  contentType = std::move(other99.contentType);
+  body = std::move(other99.body);
+  fingerprint = std::move(other99.fingerprint);
+  __isset = other99.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
@@ -3230,26 +3487,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredResult::StoredResult(const StoredResult& other96) {
-  requestId = other96.requestId;
-  result = other96.result;
-  __isset = other96.__isset;
+StoredResult::StoredResult(const StoredResult& other100) {
+  requestId = other100.requestId;
+  result = other100.result;
+  __isset = other100.__isset;
 }
-StoredResult::StoredResult(StoredResult&& other97) noexcept {
-  requestId = std::move(other97.requestId);
-  result = std::move(other97.result);
-  __isset = other97.__isset;
+StoredResult::StoredResult(StoredResult&& other101) noexcept {
+  requestId = std::move(other101.requestId);
+  result = std::move(other101.result);
+  __isset = other101.__isset;
 }
-StoredResult& StoredResult::operator=(const StoredResult& other98) {
-  requestId = other98.requestId;
-  result = other98.result;
-  __isset = other98.__isset;
+StoredResult& StoredResult::operator=(const StoredResult& other102) {
+  requestId = other102.requestId;
+  result = other102.result;
+  __isset = other102.__isset;
   return *this;
 }
-StoredResult& StoredResult::operator=(StoredResult&& other99) noexcept {
-  requestId = std::move(other99.requestId);
-  result = std::move(other99.result);
-  __isset = other99.__isset;
+StoredResult& StoredResult::operator=(StoredResult&& other103) noexcept {
+  requestId = std::move(other103.requestId);
+  result = std::move(other103.result);
+  __isset = other103.__isset;
   return *this;
 }
 void StoredResult::printTo(std::ostream& out) const {
@@ -3304,14 +3561,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->claims.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->claims.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->claims[_i104].read(iprot);
+              xfer += this->claims[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3324,14 +3581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->results.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->results.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->results[_i109].read(iprot);
+              xfer += this->results[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3360,10 +3617,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRecord> ::const_iterator _iter110;
-    for (_iter110 = this->claims.begin(); _iter110 != this->claims.end(); ++_iter110)
+    std::vector<ClaimRecord> ::const_iterator _iter114;
+    for (_iter114 = this->claims.begin(); _iter114 != this->claims.end(); ++_iter114)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3372,10 +3629,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter111;
-    for (_iter111 = this->results.begin(); _iter111 != this->results.end(); ++_iter111)
+    std::vector<StoredResult> ::const_iterator _iter115;
+    for (_iter115 = this->results.begin(); _iter115 != this->results.end(); ++_iter115)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3393,26 +3650,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimImage::ClaimImage(const ClaimImage& other112) {
-  claims = other112.claims;
-  results = other112.results;
-  __isset = other112.__isset;
+ClaimImage::ClaimImage(const ClaimImage& other116) {
+  claims = other116.claims;
+  results = other116.results;
+  __isset = other116.__isset;
 }
-ClaimImage::ClaimImage(ClaimImage&& other113) noexcept {
-  claims = std::move(other113.claims);
-  results = std::move(other113.results);
-  __isset = other113.__isset;
+ClaimImage::ClaimImage(ClaimImage&& other117) noexcept {
+  claims = std::move(other117.claims);
+  results = std::move(other117.results);
+  __isset = other117.__isset;
 }
-ClaimImage& ClaimImage::operator=(const ClaimImage& other114) {
-  claims = other114.claims;
-  results = other114.results;
-  __isset = other114.__isset;
+ClaimImage& ClaimImage::operator=(const ClaimImage& other118) {
+  claims = other118.claims;
+  results = other118.results;
+  __isset = other118.__isset;
   return *this;
 }
-ClaimImage& ClaimImage::operator=(ClaimImage&& other115) noexcept {
-  claims = std::move(other115.claims);
-  results = std::move(other115.results);
-  __isset = other115.__isset;
+ClaimImage& ClaimImage::operator=(ClaimImage&& other119) noexcept {
+  claims = std::move(other119.claims);
+  results = std::move(other119.results);
+  __isset = other119.__isset;
   return *this;
 }
 void ClaimImage::printTo(std::ostream& out) const {
@@ -3567,38 +3824,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Proposal::Proposal(const Proposal& other116) {
-  number = other116.number;
-  basedOn = other116.basedOn;
-  author = other116.author;
-  body = other116.body;
-  atMicros = other116.atMicros;
-  __isset = other116.__isset;
+Proposal::Proposal(const Proposal& other120) {
+  number = other120.number;
+  basedOn = other120.basedOn;
+  author = other120.author;
+  body = other120.body;
+  atMicros = other120.atMicros;
+  __isset = other120.__isset;
 }
-Proposal::Proposal(Proposal&& other117) noexcept {
-  number = other117.number;
-  basedOn = other117.basedOn;
-  author = std::move(other117.author);
-  body = std::move(other117.body);
-  atMicros = other117.atMicros;
-  __isset = other117.__isset;
+Proposal::Proposal(Proposal&& other121) noexcept {
+  number = other121.number;
+  basedOn = other121.basedOn;
+  author = std::move(other121.author);
+  body = std::move(other121.body);
+  atMicros = other121.atMicros;
+  __isset = other121.__isset;
 }
-Proposal& Proposal::operator=(const Proposal& other118) {
-  number = other118.number;
-  basedOn = other118.basedOn;
-  author = other118.author;
-  body = other118.body;
-  atMicros = other118.atMicros;
-  __isset = other118.__isset;
+Proposal& Proposal::operator=(const Proposal& other122) {
+  number = other122.number;
+  basedOn = other122.basedOn;
+  author = other122.author;
+  body = other122.body;
+  atMicros = other122.atMicros;
+  __isset = other122.__isset;
   return *this;
 }
-Proposal& Proposal::operator=(Proposal&& other119) noexcept {
-  number = other119.number;
-  basedOn = other119.basedOn;
-  author = std::move(other119.author);
-  body = std::move(other119.body);
-  atMicros = other119.atMicros;
-  __isset = other119.__isset;
+Proposal& Proposal::operator=(Proposal&& other123) noexcept {
+  number = other123.number;
+  basedOn = other123.basedOn;
+  author = std::move(other123.author);
+  body = std::move(other123.body);
+  atMicros = other123.atMicros;
+  __isset = other123.__isset;
   return *this;
 }
 void Proposal::printTo(std::ostream& out) const {
@@ -3756,38 +4013,38 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionRecord::VersionRecord(const VersionRecord& other120) {
-  version = other120.version;
-  author = other120.author;
-  summary = other120.summary;
-  atMicros = other120.atMicros;
-  hash = other120.hash;
-  __isset = other120.__isset;
-}
-VersionRecord::VersionRecord(VersionRecord&& other121) noexcept {
-  version = other121.version;
-  author = std::move(other121.author);
-  summary = std::move(other121.summary);
-  atMicros = other121.atMicros;
-  hash = std::move(other121.hash);
-  __isset = other121.__isset;
-}
-VersionRecord& VersionRecord::operator=(const VersionRecord& other122) {
-  version = other122.version;
-  author = other122.author;
-  summary = other122.summary;
-  atMicros = other122.atMicros;
-  hash = other122.hash;
-  __isset = other122.__isset;
+VersionRecord::VersionRecord(const VersionRecord& other124) {
+  version = other124.version;
+  author = other124.author;
+  summary = other124.summary;
+  atMicros = other124.atMicros;
+  hash = other124.hash;
+  __isset = other124.__isset;
+}
+VersionRecord::VersionRecord(VersionRecord&& other125) noexcept {
+  version = other125.version;
+  author = std::move(other125.author);
+  summary = std::move(other125.summary);
+  atMicros = other125.atMicros;
+  hash = std::move(other125.hash);
+  __isset = other125.__isset;
+}
+VersionRecord& VersionRecord::operator=(const VersionRecord& other126) {
+  version = other126.version;
+  author = other126.author;
+  summary = other126.summary;
+  atMicros = other126.atMicros;
+  hash = other126.hash;
+  __isset = other126.__isset;
   return *this;
 }
-VersionRecord& VersionRecord::operator=(VersionRecord&& other123) noexcept {
-  version = other123.version;
-  author = std::move(other123.author);
-  summary = std::move(other123.summary);
-  atMicros = other123.atMicros;
-  hash = std::move(other123.hash);
-  __isset = other123.__isset;
+VersionRecord& VersionRecord::operator=(VersionRecord&& other127) noexcept {
+  version = other127.version;
+  author = std::move(other127.author);
+  summary = std::move(other127.summary);
+  atMicros = other127.atMicros;
+  hash = std::move(other127.hash);
+  __isset = other127.__isset;
   return *this;
 }
 void VersionRecord::printTo(std::ostream& out) const {
@@ -3810,10 +4067,6 @@
   this->version = val;
 }
 
-void ConfigurationImage::__set_body(const std::string& val) {
-  this->body = val;
-}
-
 void ConfigurationImage::__set_history(const std::vector<VersionRecord> & val) {
   this->history = val;
 }
@@ -3869,26 +4122,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->history.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->history.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->history[_i128].read(iprot);
+              xfer += this->history[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3901,14 +4146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proposals.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->proposals.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->proposals.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->proposals[_i133].read(iprot);
+              xfer += this->proposals[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3929,14 +4174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->results.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->results.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->results[_i138].read(iprot);
+              xfer += this->results[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3949,14 +4194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->updates.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->updates.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->updates[_i143].read(iprot);
+              xfer += this->updates[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3986,17 +4231,13 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->body);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionRecord> ::const_iterator _iter144;
-    for (_iter144 = this->history.begin(); _iter144 != this->history.end(); ++_iter144)
+    std::vector<VersionRecord> ::const_iterator _iter148;
+    for (_iter148 = this->history.begin(); _iter148 != this->history.end(); ++_iter148)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4005,10 +4246,10 @@
   xfer += oprot->writeFieldBegin("proposals", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proposals.size()));
-    std::vector<Proposal> ::const_iterator _iter145;
-    for (_iter145 = this->proposals.begin(); _iter145 != this->proposals.end(); ++_iter145)
+    std::vector<Proposal> ::const_iterator _iter149;
+    for (_iter149 = this->proposals.begin(); _iter149 != this->proposals.end(); ++_iter149)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4021,10 +4262,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter146;
-    for (_iter146 = this->results.begin(); _iter146 != this->results.end(); ++_iter146)
+    std::vector<StoredResult> ::const_iterator _iter150;
+    for (_iter150 = this->results.begin(); _iter150 != this->results.end(); ++_iter150)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4033,10 +4274,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<ConfigurationUpdate> ::const_iterator _iter147;
-    for (_iter147 = this->updates.begin(); _iter147 != this->updates.end(); ++_iter147)
+    std::vector<ConfigurationUpdate> ::const_iterator _iter151;
+    for (_iter151 = this->updates.begin(); _iter151 != this->updates.end(); ++_iter151)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4050,7 +4291,6 @@
 void swap(ConfigurationImage &a, ConfigurationImage &b) {
   using ::std::swap;
   swap(a.version, b.version);
-  swap(a.body, b.body);
   swap(a.history, b.history);
   swap(a.proposals, b.proposals);
   swap(a.nextProposal, b.nextProposal);
@@ -4059,53 +4299,48 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationImage::ConfigurationImage(const ConfigurationImage& other148) {
-  version = other148.version;
-  body = other148.body;
-  history = other148.history;
-  proposals = other148.proposals;
-  nextProposal = other148.nextProposal;
-  results = other148.results;
-  updates = other148.updates;
-  __isset = other148.__isset;
-}
-ConfigurationImage::ConfigurationImage(ConfigurationImage&& other149) noexcept {
-  version = other149.version;
-  body = std::move(other149.body);
-  history = std::move(other149.history);
-  proposals = std::move(other149.proposals);
-  nextProposal = other149.nextProposal;
-  results = std::move(other149.results);
-  updates = std::move(other149.updates);
-  __isset = other149.__isset;
-}
-ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other150) {
-  version = other150.version;
-  body = other150.body;
-  history = other150.history;
-  proposals = other150.proposals;
-  nextProposal = other150.nextProposal;
-  results = other150.results;
-  updates = other150.updates;
-  __isset = other150.__isset;
+ConfigurationImage::ConfigurationImage(const ConfigurationImage& other152) {
+  version = other152.version;
+  history = other152.history;
+  proposals = other152.proposals;
+  nextProposal = other152.nextProposal;
+  results = other152.results;
+  updates = other152.updates;
+  __isset = other152.__isset;
+}
+ConfigurationImage::ConfigurationImage(ConfigurationImage&& other153) noexcept {
+  version = other153.version;
+  history = std::move(other153.history);
+  proposals = std::move(other153.proposals);
+  nextProposal = other153.nextProposal;
+  results = std::move(other153.results);
+  updates = std::move(other153.updates);
+  __isset = other153.__isset;
+}
+ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other154) {
+  version = other154.version;
+  history = other154.history;
+  proposals = other154.proposals;
+  nextProposal = other154.nextProposal;
+  results = other154.results;
+  updates = other154.updates;
+  __isset = other154.__isset;
   return *this;
 }
-ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other151) noexcept {
-  version = other151.version;
-  body = std::move(other151.body);
-  history = std::move(other151.history);
-  proposals = std::move(other151.proposals);
-  nextProposal = other151.nextProposal;
-  results = std::move(other151.results);
-  updates = std::move(other151.updates);
-  __isset = other151.__isset;
+ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other155) noexcept {
+  version = other155.version;
+  history = std::move(other155.history);
+  proposals = std::move(other155.proposals);
+  nextProposal = other155.nextProposal;
+  results = std::move(other155.results);
+  updates = std::move(other155.updates);
+  __isset = other155.__isset;
   return *this;
 }
 void ConfigurationImage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ConfigurationImage(";
   out << "version=" << to_string(version);
-  out << ", " << "body=" << to_string(body);
   out << ", " << "history=" << to_string(history);
   out << ", " << "proposals=" << to_string(proposals);
   out << ", " << "nextProposal=" << to_string(nextProposal);
@@ -4170,6 +4405,10 @@
 void Member::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void Member::__set_warmUpMillis(const int32_t val) {
+  this->warmUpMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -4224,9 +4463,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast152;
-          xfer += iprot->readI32(ecast152);
-          this->state = static_cast<MemberState::type>(ecast152);
+          int32_t ecast156;
+          xfer += iprot->readI32(ecast156);
+          this->state = static_cast<MemberState::type>(ecast156);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4282,9 +4521,9 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast153;
-          xfer += iprot->readI32(ecast153);
-          this->phase = static_cast<TargetPhase::type>(ecast153);
+          int32_t ecast157;
+          xfer += iprot->readI32(ecast157);
+          this->phase = static_cast<TargetPhase::type>(ecast157);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4306,6 +4545,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->warmUpMillis);
+          this->__isset.warmUpMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4375,6 +4622,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("warmUpMillis", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->warmUpMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4395,73 +4646,78 @@
   swap(a.phase, b.phase);
   swap(a.slots, b.slots);
   swap(a.version, b.version);
+  swap(a.warmUpMillis, b.warmUpMillis);
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other154) {
-  name = other154.name;
-  incarnation = other154.incarnation;
-  revision = other154.revision;
-  state = other154.state;
-  region = other154.region;
-  failureDomain = other154.failureDomain;
-  peerAddress = other154.peerAddress;
-  gateAddress = other154.gateAddress;
-  serviceName = other154.serviceName;
-  targetName = other154.targetName;
-  phase = other154.phase;
-  slots = other154.slots;
-  version = other154.version;
-  __isset = other154.__isset;
-}
-Member::Member(Member&& other155) noexcept {
-  name = std::move(other155.name);
-  incarnation = other155.incarnation;
-  revision = other155.revision;
-  state = other155.state;
-  region = std::move(other155.region);
-  failureDomain = std::move(other155.failureDomain);
-  peerAddress = std::move(other155.peerAddress);
-  gateAddress = std::move(other155.gateAddress);
-  serviceName = std::move(other155.serviceName);
-  targetName = std::move(other155.targetName);
-  phase = other155.phase;
-  slots = other155.slots;
-  version = other155.version;
-  __isset = other155.__isset;
-}
-Member& Member::operator=(const Member& other156) {
-  name = other156.name;
-  incarnation = other156.incarnation;
-  revision = other156.revision;
-  state = other156.state;
-  region = other156.region;
-  failureDomain = other156.failureDomain;
-  peerAddress = other156.peerAddress;
-  gateAddress = other156.gateAddress;
-  serviceName = other156.serviceName;
-  targetName = other156.targetName;
-  phase = other156.phase;
-  slots = other156.slots;
-  version = other156.version;
-  __isset = other156.__isset;
+Member::Member(const Member& other158) {
+  name = other158.name;
+  incarnation = other158.incarnation;
+  revision = other158.revision;
+  state = other158.state;
+  region = other158.region;
+  failureDomain = other158.failureDomain;
+  peerAddress = other158.peerAddress;
+  gateAddress = other158.gateAddress;
+  serviceName = other158.serviceName;
+  targetName = other158.targetName;
+  phase = other158.phase;
+  slots = other158.slots;
+  version = other158.version;
+  warmUpMillis = other158.warmUpMillis;
+  __isset = other158.__isset;
+}
+Member::Member(Member&& other159) noexcept {
+  name = std::move(other159.name);
+  incarnation = other159.incarnation;
+  revision = other159.revision;
+  state = other159.state;
+  region = std::move(other159.region);
+  failureDomain = std::move(other159.failureDomain);
+  peerAddress = std::move(other159.peerAddress);
+  gateAddress = std::move(other159.gateAddress);
+  serviceName = std::move(other159.serviceName);
+  targetName = std::move(other159.targetName);
+  phase = other159.phase;
+  slots = other159.slots;
+  version = other159.version;
+  warmUpMillis = other159.warmUpMillis;
+  __isset = other159.__isset;
+}
+Member& Member::operator=(const Member& other160) {
+  name = other160.name;
+  incarnation = other160.incarnation;
+  revision = other160.revision;
+  state = other160.state;
+  region = other160.region;
+  failureDomain = other160.failureDomain;
+  peerAddress = other160.peerAddress;
+  gateAddress = other160.gateAddress;
+  serviceName = other160.serviceName;
+  targetName = other160.targetName;
+  phase = other160.phase;
+  slots = other160.slots;
+  version = other160.version;
+  warmUpMillis = other160.warmUpMillis;
+  __isset = other160.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other157) noexcept {
-  name = std::move(other157.name);
-  incarnation = other157.incarnation;
-  revision = other157.revision;
-  state = other157.state;
-  region = std::move(other157.region);
-  failureDomain = std::move(other157.failureDomain);
-  peerAddress = std::move(other157.peerAddress);
-  gateAddress = std::move(other157.gateAddress);
-  serviceName = std::move(other157.serviceName);
-  targetName = std::move(other157.targetName);
-  phase = other157.phase;
-  slots = other157.slots;
-  version = other157.version;
-  __isset = other157.__isset;
+Member& Member::operator=(Member&& other161) noexcept {
+  name = std::move(other161.name);
+  incarnation = other161.incarnation;
+  revision = other161.revision;
+  state = other161.state;
+  region = std::move(other161.region);
+  failureDomain = std::move(other161.failureDomain);
+  peerAddress = std::move(other161.peerAddress);
+  gateAddress = std::move(other161.gateAddress);
+  serviceName = std::move(other161.serviceName);
+  targetName = std::move(other161.targetName);
+  phase = other161.phase;
+  slots = other161.slots;
+  version = other161.version;
+  warmUpMillis = other161.warmUpMillis;
+  __isset = other161.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -4480,6 +4736,7 @@
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "warmUpMillis=" << to_string(warmUpMillis);
   out << ")";
 }
 
@@ -4567,14 +4824,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->members.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->members.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += this->members[_i162].read(iprot);
+              xfer += this->members[_i166].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4651,10 +4908,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter163;
-    for (_iter163 = this->members.begin(); _iter163 != this->members.end(); ++_iter163)
+    std::vector<Member> ::const_iterator _iter167;
+    for (_iter167 = this->members.begin(); _iter167 != this->members.end(); ++_iter167)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4698,50 +4955,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other164) {
-  sentAt = other164.sentAt;
-  sender = other164.sender;
-  members = other164.members;
-  version = other164.version;
-  hash = other164.hash;
-  full = other164.full;
-  digest = other164.digest;
-  mesh = other164.mesh;
-  __isset = other164.__isset;
-}
-Gossip::Gossip(Gossip&& other165) noexcept {
-  sentAt = std::move(other165.sentAt);
-  sender = std::move(other165.sender);
-  members = std::move(other165.members);
-  version = other165.version;
-  hash = std::move(other165.hash);
-  full = other165.full;
-  digest = other165.digest;
-  mesh = other165.mesh;
-  __isset = other165.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other166) {
-  sentAt = other166.sentAt;
-  sender = other166.sender;
-  members = other166.members;
-  version = other166.version;
-  hash = other166.hash;
-  full = other166.full;
-  digest = other166.digest;
-  mesh = other166.mesh;
-  __isset = other166.__isset;
+Gossip::Gossip(const Gossip& other168) {
+  sentAt = other168.sentAt;
+  sender = other168.sender;
+  members = other168.members;
+  version = other168.version;
+  hash = other168.hash;
+  full = other168.full;
+  digest = other168.digest;
+  mesh = other168.mesh;
+  __isset = other168.__isset;
+}
+Gossip::Gossip(Gossip&& other169) noexcept {
+  sentAt = std::move(other169.sentAt);
+  sender = std::move(other169.sender);
+  members = std::move(other169.members);
+  version = other169.version;
+  hash = std::move(other169.hash);
+  full = other169.full;
+  digest = other169.digest;
+  mesh = other169.mesh;
+  __isset = other169.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other170) {
+  sentAt = other170.sentAt;
+  sender = other170.sender;
+  members = other170.members;
+  version = other170.version;
+  hash = other170.hash;
+  full = other170.full;
+  digest = other170.digest;
+  mesh = other170.mesh;
+  __isset = other170.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other167) noexcept {
-  sentAt = std::move(other167.sentAt);
-  sender = std::move(other167.sender);
-  members = std::move(other167.members);
-  version = other167.version;
-  hash = std::move(other167.hash);
-  full = other167.full;
-  digest = other167.digest;
-  mesh = other167.mesh;
-  __isset = other167.__isset;
+Gossip& Gossip::operator=(Gossip&& other171) noexcept {
+  sentAt = std::move(other171.sentAt);
+  sender = std::move(other171.sender);
+  members = std::move(other171.members);
+  version = other171.version;
+  hash = std::move(other171.hash);
+  full = other171.full;
+  digest = other171.digest;
+  mesh = other171.mesh;
+  __isset = other171.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -4814,14 +5071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->members.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->members.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->members[_i172].read(iprot);
+              xfer += this->members[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4882,10 +5139,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter173;
-    for (_iter173 = this->members.begin(); _iter173 != this->members.end(); ++_iter173)
+    std::vector<Member> ::const_iterator _iter177;
+    for (_iter177 = this->members.begin(); _iter177 != this->members.end(); ++_iter177)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4922,38 +5179,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipReply::GossipReply(const GossipReply& other174) {
-  members = other174.members;
-  version = other174.version;
-  sentAt = other174.sentAt;
-  digest = other174.digest;
-  name = other174.name;
-  __isset = other174.__isset;
-}
-GossipReply::GossipReply(GossipReply&& other175) noexcept {
-  members = std::move(other175.members);
-  version = other175.version;
-  sentAt = std::move(other175.sentAt);
-  digest = other175.digest;
-  name = std::move(other175.name);
-  __isset = other175.__isset;
-}
-GossipReply& GossipReply::operator=(const GossipReply& other176) {
-  members = other176.members;
-  version = other176.version;
-  sentAt = other176.sentAt;
-  digest = other176.digest;
-  name = other176.name;
-  __isset = other176.__isset;
+GossipReply::GossipReply(const GossipReply& other178) {
+  members = other178.members;
+  version = other178.version;
+  sentAt = other178.sentAt;
+  digest = other178.digest;
+  name = other178.name;
+  __isset = other178.__isset;
+}
+GossipReply::GossipReply(GossipReply&& other179) noexcept {
+  members = std::move(other179.members);
+  version = other179.version;
+  sentAt = std::move(other179.sentAt);
+  digest = other179.digest;
+  name = std::move(other179.name);
+  __isset = other179.__isset;
+}
+GossipReply& GossipReply::operator=(const GossipReply& other180) {
+  members = other180.members;
+  version = other180.version;
+  sentAt = other180.sentAt;
+  digest = other180.digest;
+  name = other180.name;
+  __isset = other180.__isset;
   return *this;
 }
-GossipReply& GossipReply::operator=(GossipReply&& other177) noexcept {
-  members = std::move(other177.members);
-  version = other177.version;
-  sentAt = std::move(other177.sentAt);
-  digest = other177.digest;
-  name = std::move(other177.name);
-  __isset = other177.__isset;
+GossipReply& GossipReply::operator=(GossipReply&& other181) noexcept {
+  members = std::move(other181.members);
+  version = other181.version;
+  sentAt = std::move(other181.sentAt);
+  digest = other181.digest;
+  name = std::move(other181.name);
+  __isset = other181.__isset;
   return *this;
 }
 void GossipReply::printTo(std::ostream& out) const {
@@ -5067,17 +5324,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->nodesAtVersion.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _ktype179;
-            ::apache::thrift::protocol::TType _vtype180;
-            xfer += iprot->readMapBegin(_ktype179, _vtype180, _size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _ktype183;
+            ::apache::thrift::protocol::TType _vtype184;
+            xfer += iprot->readMapBegin(_ktype183, _vtype184, _size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              int64_t _key183;
-              xfer += iprot->readI64(_key183);
-              int32_t& _val184 = this->nodesAtVersion[_key183];
-              xfer += iprot->readI32(_val184);
+              int64_t _key187;
+              xfer += iprot->readI64(_key187);
+              int32_t& _val188 = this->nodesAtVersion[_key187];
+              xfer += iprot->readI32(_val188);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5090,14 +5347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stragglers.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->stragglers.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->stragglers.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readString(this->stragglers[_i189]);
+              xfer += iprot->readString(this->stragglers[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5110,14 +5367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size190;
-            ::apache::thrift::protocol::TType _etype193;
-            xfer += iprot->readListBegin(_etype193, _size190);
-            this->sample.resize(_size190);
-            uint32_t _i194;
-            for (_i194 = 0; _i194 < _size190; ++_i194)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->sample.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->sample[_i194].read(iprot);
+              xfer += this->sample[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5170,11 +5427,11 @@
   xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter195;
-    for (_iter195 = this->nodesAtVersion.begin(); _iter195 != this->nodesAtVersion.end(); ++_iter195)
+    std::map<int64_t, int32_t> ::const_iterator _iter199;
+    for (_iter199 = this->nodesAtVersion.begin(); _iter199 != this->nodesAtVersion.end(); ++_iter199)
     {
-      xfer += oprot->writeI64(_iter195->first);
-      xfer += oprot->writeI32(_iter195->second);
+      xfer += oprot->writeI64(_iter199->first);
+      xfer += oprot->writeI32(_iter199->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5183,10 +5440,10 @@
   xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
-    std::vector<std::string> ::const_iterator _iter196;
-    for (_iter196 = this->stragglers.begin(); _iter196 != this->stragglers.end(); ++_iter196)
+    std::vector<std::string> ::const_iterator _iter200;
+    for (_iter200 = this->stragglers.begin(); _iter200 != this->stragglers.end(); ++_iter200)
     {
-      xfer += oprot->writeString((*_iter196));
+      xfer += oprot->writeString((*_iter200));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5195,10 +5452,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter197;
-    for (_iter197 = this->sample.begin(); _iter197 != this->sample.end(); ++_iter197)
+    std::vector<Member> ::const_iterator _iter201;
+    for (_iter201 = this->sample.begin(); _iter201 != this->sample.end(); ++_iter201)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5226,50 +5483,50 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainReport::DomainReport(const DomainReport& other198) {
-  failureDomain = other198.failureDomain;
-  region = other198.region;
-  relay = other198.relay;
-  alive = other198.alive;
-  nodesAtVersion = other198.nodesAtVersion;
-  stragglers = other198.stragglers;
-  sample = other198.sample;
-  ageMillis = other198.ageMillis;
-  __isset = other198.__isset;
-}
-DomainReport::DomainReport(DomainReport&& other199) noexcept {
-  failureDomain = std::move(other199.failureDomain);
-  region = std::move(other199.region);
-  relay = std::move(other199.relay);
-  alive = other199.alive;
-  nodesAtVersion = std::move(other199.nodesAtVersion);
-  stragglers = std::move(other199.stragglers);
-  sample = std::move(other199.sample);
-  ageMillis = other199.ageMillis;
-  __isset = other199.__isset;
-}
-DomainReport& DomainReport::operator=(const DomainReport& other200) {
-  failureDomain = other200.failureDomain;
-  region = other200.region;
-  relay = other200.relay;
-  alive = other200.alive;
-  nodesAtVersion = other200.nodesAtVersion;
-  stragglers = other200.stragglers;
-  sample = other200.sample;
-  ageMillis = other200.ageMillis;
-  __isset = other200.__isset;
+DomainReport::DomainReport(const DomainReport& other202) {
+  failureDomain = other202.failureDomain;
+  region = other202.region;
+  relay = other202.relay;
+  alive = other202.alive;
+  nodesAtVersion = other202.nodesAtVersion;
+  stragglers = other202.stragglers;
+  sample = other202.sample;
+  ageMillis = other202.ageMillis;
+  __isset = other202.__isset;
+}
+DomainReport::DomainReport(DomainReport&& other203) noexcept {
+  failureDomain = std::move(other203.failureDomain);
+  region = std::move(other203.region);
+  relay = std::move(other203.relay);
+  alive = other203.alive;
+  nodesAtVersion = std::move(other203.nodesAtVersion);
+  stragglers = std::move(other203.stragglers);
+  sample = std::move(other203.sample);
+  ageMillis = other203.ageMillis;
+  __isset = other203.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other204) {
+  failureDomain = other204.failureDomain;
+  region = other204.region;
+  relay = other204.relay;
+  alive = other204.alive;
+  nodesAtVersion = other204.nodesAtVersion;
+  stragglers = other204.stragglers;
+  sample = other204.sample;
+  ageMillis = other204.ageMillis;
+  __isset = other204.__isset;
   return *this;
 }
-DomainReport& DomainReport::operator=(DomainReport&& other201) noexcept {
-  failureDomain = std::move(other201.failureDomain);
-  region = std::move(other201.region);
-  relay = std::move(other201.relay);
-  alive = other201.alive;
-  nodesAtVersion = std::move(other201.nodesAtVersion);
-  stragglers = std::move(other201.stragglers);
-  sample = std::move(other201.sample);
-  ageMillis = other201.ageMillis;
-  __isset = other201.__isset;
+DomainReport& DomainReport::operator=(DomainReport&& other205) noexcept {
+  failureDomain = std::move(other205.failureDomain);
+  region = std::move(other205.region);
+  relay = std::move(other205.relay);
+  alive = other205.alive;
+  nodesAtVersion = std::move(other205.nodesAtVersion);
+  stragglers = std::move(other205.stragglers);
+  sample = std::move(other205.sample);
+  ageMillis = other205.ageMillis;
+  __isset = other205.__isset;
   return *this;
 }
 void DomainReport::printTo(std::ostream& out) const {
@@ -5447,42 +5704,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other202) {
-  heldVersion = other202.heldVersion;
-  waitMillis = other202.waitMillis;
-  report = other202.report;
-  sentAt = other202.sentAt;
-  failureDomain = other202.failureDomain;
-  wantsMembers = other202.wantsMembers;
-  __isset = other202.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other203) noexcept {
-  heldVersion = other203.heldVersion;
-  waitMillis = other203.waitMillis;
-  report = std::move(other203.report);
-  sentAt = std::move(other203.sentAt);
-  failureDomain = std::move(other203.failureDomain);
-  wantsMembers = other203.wantsMembers;
-  __isset = other203.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other204) {
-  heldVersion = other204.heldVersion;
-  waitMillis = other204.waitMillis;
-  report = other204.report;
-  sentAt = other204.sentAt;
-  failureDomain = other204.failureDomain;
-  wantsMembers = other204.wantsMembers;
-  __isset = other204.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other206) {
+  heldVersion = other206.heldVersion;
+  waitMillis = other206.waitMillis;
+  report = other206.report;
+  sentAt = other206.sentAt;
+  failureDomain = other206.failureDomain;
+  wantsMembers = other206.wantsMembers;
+  __isset = other206.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other207) noexcept {
+  heldVersion = other207.heldVersion;
+  waitMillis = other207.waitMillis;
+  report = std::move(other207.report);
+  sentAt = std::move(other207.sentAt);
+  failureDomain = std::move(other207.failureDomain);
+  wantsMembers = other207.wantsMembers;
+  __isset = other207.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other208) {
+  heldVersion = other208.heldVersion;
+  waitMillis = other208.waitMillis;
+  report = other208.report;
+  sentAt = other208.sentAt;
+  failureDomain = other208.failureDomain;
+  wantsMembers = other208.wantsMembers;
+  __isset = other208.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other205) noexcept {
-  heldVersion = other205.heldVersion;
-  waitMillis = other205.waitMillis;
-  report = std::move(other205.report);
-  sentAt = std::move(other205.sentAt);
-  failureDomain = std::move(other205.failureDomain);
-  wantsMembers = other205.wantsMembers;
-  __isset = other205.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other209) noexcept {
+  heldVersion = other209.heldVersion;
+  waitMillis = other209.waitMillis;
+  report = std::move(other209.report);
+  sentAt = std::move(other209.sentAt);
+  failureDomain = std::move(other209.failureDomain);
+  wantsMembers = other209.wantsMembers;
+  __isset = other209.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -5521,6 +5778,10 @@
 void WatchReply::__set_current(const bool val) {
   this->current = val;
 }
+
+void WatchReply::__set_replicas(const std::vector<Replica> & val) {
+  this->replicas = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -5561,14 +5822,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->sample.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->sample.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->sample[_i210].read(iprot);
+              xfer += this->sample[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5601,6 +5862,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replicas.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->replicas.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              xfer += this->replicas[_i219].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5625,10 +5906,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter211;
-    for (_iter211 = this->sample.begin(); _iter211 != this->sample.end(); ++_iter211)
+    std::vector<Member> ::const_iterator _iter220;
+    for (_iter220 = this->sample.begin(); _iter220 != this->sample.end(); ++_iter220)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5646,6 +5927,18 @@
   xfer += oprot->writeBool(this->current);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
+    std::vector<Replica> ::const_iterator _iter221;
+    for (_iter221 = this->replicas.begin(); _iter221 != this->replicas.end(); ++_iter221)
+    {
+      xfer += (*_iter221).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5658,41 +5951,46 @@
   swap(a.sentAt, b.sentAt);
   swap(a.unchanged, b.unchanged);
   swap(a.current, b.current);
+  swap(a.replicas, b.replicas);
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other212) {
-  update = other212.update;
-  sample = other212.sample;
-  sentAt = other212.sentAt;
-  unchanged = other212.unchanged;
-  current = other212.current;
-  __isset = other212.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other213) noexcept {
-  update = std::move(other213.update);
-  sample = std::move(other213.sample);
-  sentAt = std::move(other213.sentAt);
-  unchanged = other213.unchanged;
-  current = other213.current;
-  __isset = other213.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other214) {
-  update = other214.update;
-  sample = other214.sample;
-  sentAt = other214.sentAt;
-  unchanged = other214.unchanged;
-  current = other214.current;
-  __isset = other214.__isset;
+WatchReply::WatchReply(const WatchReply& other222) {
+  update = other222.update;
+  sample = other222.sample;
+  sentAt = other222.sentAt;
+  unchanged = other222.unchanged;
+  current = other222.current;
+  replicas = other222.replicas;
+  __isset = other222.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other223) noexcept {
+  update = std::move(other223.update);
+  sample = std::move(other223.sample);
+  sentAt = std::move(other223.sentAt);
+  unchanged = other223.unchanged;
+  current = other223.current;
+  replicas = std::move(other223.replicas);
+  __isset = other223.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other224) {
+  update = other224.update;
+  sample = other224.sample;
+  sentAt = other224.sentAt;
+  unchanged = other224.unchanged;
+  current = other224.current;
+  replicas = other224.replicas;
+  __isset = other224.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other215) noexcept {
-  update = std::move(other215.update);
-  sample = std::move(other215.sample);
-  sentAt = std::move(other215.sentAt);
-  unchanged = other215.unchanged;
-  current = other215.current;
-  __isset = other215.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other225) noexcept {
+  update = std::move(other225.update);
+  sample = std::move(other225.sample);
+  sentAt = std::move(other225.sentAt);
+  unchanged = other225.unchanged;
+  current = other225.current;
+  replicas = std::move(other225.replicas);
+  __isset = other225.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -5703,6 +6001,7 @@
   out << ", " << "sentAt=" << to_string(sentAt);
   out << ", " << "unchanged=" << to_string(unchanged);
   out << ", " << "current=" << to_string(current);
+  out << ", " << "replicas=" << to_string(replicas);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -31,7 +31,8 @@
     Claim = 5,
     Complete = 6,
     Release = 7,
-    Expire = 8
+    Expire = 8,
+    Replace = 9
   };
 };
 
@@ -144,6 +145,8 @@
 
 class ConfigurationUpdate;
 
+class ReadIndex;
+
 class ClaimRecord;
 
 class StoredResult;
@@ -221,12 +224,13 @@
 std::ostream& operator<<(std::ostream& out, const Stamp& obj);
 
 typedef struct _Replica__isset {
-  _Replica__isset() : name(false), incarnation(true), region(false), failureDomain(false), voter(true) {}
+  _Replica__isset() : name(false), incarnation(true), region(false), failureDomain(false), voter(true), address(false) {}
   bool name :1;
   bool incarnation :1;
   bool region :1;
   bool failureDomain :1;
   bool voter :1;
+  bool address :1;
 } _Replica__isset;
 
 class Replica : public virtual ::apache::thrift::TBase {
@@ -241,7 +245,8 @@
             incarnation(0LL),
             region(),
             failureDomain(),
-            voter(true) {
+            voter(true),
+            address() {
   }
 
   virtual ~Replica() noexcept;
@@ -250,6 +255,7 @@
   std::string region;
   std::string failureDomain;
   bool voter;
+  std::string address;
 
   _Replica__isset __isset;
 
@@ -263,6 +269,8 @@
 
   void __set_voter(const bool val);
 
+  void __set_address(const std::string& val);
+
   bool operator == (const Replica & rhs) const
   {
     if (!(name == rhs.name))
@@ -275,6 +283,8 @@
       return false;
     if (!(voter == rhs.voter))
       return false;
+    if (!(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const Replica &rhs) const {
@@ -294,7 +304,7 @@
 std::ostream& operator<<(std::ostream& out, const Replica& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : kind(true), requestId(false), author(false), basedOn(true), proposal(true), body(false), target(false), intent(true), members(false), key(false), token(false), status(true), contentType(false), atMicros(true), fingerprint(false) {}
+  _Command__isset() : kind(true), requestId(false), author(false), basedOn(true), proposal(true), body(false), target(false), intent(true), members(false), key(false), token(false), status(true), contentType(false), atMicros(true), fingerprint(false), version(true), hash(false), delta(true) {}
   bool kind :1;
   bool requestId :1;
   bool author :1;
@@ -310,6 +320,9 @@
   bool contentType :1;
   bool atMicros :1;
   bool fingerprint :1;
+  bool version :1;
+  bool hash :1;
+  bool delta :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -333,7 +346,10 @@
             status(0),
             contentType(),
             atMicros(0LL),
-            fingerprint() {
+            fingerprint(),
+            version(0LL),
+            hash(),
+            delta(false) {
   }
 
   virtual ~Command() noexcept;
@@ -360,6 +376,9 @@
   std::string contentType;
   int64_t atMicros;
   std::string fingerprint;
+  int64_t version;
+  std::string hash;
+  bool delta;
 
   _Command__isset __isset;
 
@@ -393,6 +412,12 @@
 
   void __set_fingerprint(const std::string& val);
 
+  void __set_version(const int64_t val);
+
+  void __set_hash(const std::string& val);
+
+  void __set_delta(const bool val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -425,6 +450,12 @@
       return false;
     if (!(fingerprint == rhs.fingerprint))
       return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(hash == rhs.hash))
+      return false;
+    if (!(delta == rhs.delta))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -502,7 +533,7 @@
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
 
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : group(false), kind(true), sender(false), senderIncarnation(true), receiver(false), receiverIncarnation(true), term(true), logIndex(true), logTerm(true), commit(true), granted(true), entries(false), snapshot(false), members(false), round(true) {}
+  _RaftMessage__isset() : group(false), kind(true), sender(false), senderIncarnation(true), receiver(false), receiverIncarnation(true), term(true), logIndex(true), logTerm(true), commit(true), granted(true), entries(false), snapshot(false), members(false), round(true), senderAddress(false) {}
   bool group :1;
   bool kind :1;
   bool sender :1;
@@ -518,6 +549,7 @@
   bool snapshot :1;
   bool members :1;
   bool round :1;
+  bool senderAddress :1;
 } _RaftMessage__isset;
 
 class RaftMessage : public virtual ::apache::thrift::TBase {
@@ -540,7 +572,8 @@
                 commit(0LL),
                 granted(false),
                 snapshot(),
-                round(0LL) {
+                round(0LL),
+                senderAddress() {
   }
 
   virtual ~RaftMessage() noexcept;
@@ -563,6 +596,7 @@
   std::string snapshot;
   std::vector<Replica>  members;
   int64_t round;
+  std::string senderAddress;
 
   _RaftMessage__isset __isset;
 
@@ -596,6 +630,8 @@
 
   void __set_round(const int64_t val);
 
+  void __set_senderAddress(const std::string& val);
+
   bool operator == (const RaftMessage & rhs) const
   {
     if (!(group == rhs.group))
@@ -628,6 +664,8 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(senderAddress == rhs.senderAddress))
+      return false;
     return true;
   }
   bool operator != (const RaftMessage &rhs) const {
@@ -1111,6 +1149,65 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationUpdate& obj);
 
+typedef struct _ReadIndex__isset {
+  _ReadIndex__isset() : confirmed(true), index(true), leader(false) {}
+  bool confirmed :1;
+  bool index :1;
+  bool leader :1;
+} _ReadIndex__isset;
+
+class ReadIndex : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReadIndex(const ReadIndex&);
+  ReadIndex(ReadIndex&&) noexcept;
+  ReadIndex& operator=(const ReadIndex&);
+  ReadIndex& operator=(ReadIndex&&) noexcept;
+  ReadIndex() noexcept
+            : confirmed(false),
+              index(0LL),
+              leader() {
+  }
+
+  virtual ~ReadIndex() noexcept;
+  bool confirmed;
+  int64_t index;
+  std::string leader;
+
+  _ReadIndex__isset __isset;
+
+  void __set_confirmed(const bool val);
+
+  void __set_index(const int64_t val);
+
+  void __set_leader(const std::string& val);
+
+  bool operator == (const ReadIndex & rhs) const
+  {
+    if (!(confirmed == rhs.confirmed))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
+    return true;
+  }
+  bool operator != (const ReadIndex &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReadIndex & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReadIndex &a, ReadIndex &b);
+
+std::ostream& operator<<(std::ostream& out, const ReadIndex& obj);
+
 typedef struct _ClaimRecord__isset {
   _ClaimRecord__isset() : key(false), token(false), claimedAtMicros(true), finished(true), status(true), contentType(false), body(false), fingerprint(false) {}
   bool key :1;
@@ -1453,9 +1550,8 @@
 std::ostream& operator<<(std::ostream& out, const VersionRecord& obj);
 
 typedef struct _ConfigurationImage__isset {
-  _ConfigurationImage__isset() : version(true), body(false), history(false), proposals(false), nextProposal(true), results(false), updates(false) {}
+  _ConfigurationImage__isset() : version(true), history(false), proposals(false), nextProposal(true), results(false), updates(false) {}
   bool version :1;
-  bool body :1;
   bool history :1;
   bool proposals :1;
   bool nextProposal :1;
@@ -1472,13 +1568,11 @@
   ConfigurationImage& operator=(ConfigurationImage&&) noexcept;
   ConfigurationImage() noexcept
                      : version(0LL),
-                       body(),
                        nextProposal(1LL) {
   }
 
   virtual ~ConfigurationImage() noexcept;
   int64_t version;
-  std::string body;
   std::vector<VersionRecord>  history;
   std::vector<Proposal>  proposals;
   int64_t nextProposal;
@@ -1489,8 +1583,6 @@
 
   void __set_version(const int64_t val);
 
-  void __set_body(const std::string& val);
-
   void __set_history(const std::vector<VersionRecord> & val);
 
   void __set_proposals(const std::vector<Proposal> & val);
@@ -1505,8 +1597,6 @@
   {
     if (!(version == rhs.version))
       return false;
-    if (!(body == rhs.body))
-      return false;
     if (!(history == rhs.history))
       return false;
     if (!(proposals == rhs.proposals))
@@ -1536,7 +1626,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigurationImage& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true) {}
+  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true), warmUpMillis(true) {}
   bool name :1;
   bool incarnation :1;
   bool revision :1;
@@ -1550,6 +1640,7 @@
   bool phase :1;
   bool slots :1;
   bool version :1;
+  bool warmUpMillis :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -1572,7 +1663,8 @@
            targetName(),
            phase(static_cast<TargetPhase::type>(0)),
            slots(0),
-           version(0LL) {
+           version(0LL),
+           warmUpMillis(0) {
   }
 
   virtual ~Member() noexcept;
@@ -1597,6 +1689,7 @@
   TargetPhase::type phase;
   int32_t slots;
   int64_t version;
+  int32_t warmUpMillis;
 
   _Member__isset __isset;
 
@@ -1626,6 +1719,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_warmUpMillis(const int32_t val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
@@ -1654,6 +1749,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(warmUpMillis == rhs.warmUpMillis))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -2005,12 +2102,13 @@
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true) {}
+  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true), replicas(false) {}
   bool update :1;
   bool sample :1;
   bool sentAt :1;
   bool unchanged :1;
   bool current :1;
+  bool replicas :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -2031,6 +2129,7 @@
   Stamp sentAt;
   bool unchanged;
   bool current;
+  std::vector<Replica>  replicas;
 
   _WatchReply__isset __isset;
 
@@ -2044,6 +2143,8 @@
 
   void __set_current(const bool val);
 
+  void __set_replicas(const std::vector<Replica> & val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(update == rhs.update))
@@ -2056,6 +2157,8 @@
       return false;
     if (!(current == rhs.current))
       return false;
+    if (!(replicas == rhs.replicas))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
--- a/tests/configuration/snapshottest.cpp
+++ b/tests/configuration/snapshottest.cpp
@@ -40,20 +40,20 @@
   RC_ASSERT(delta.value()->text == to->text && whole.value()->hash == to->hash);
 }
 
-RC_BOOST_PROP(a_composed_update_takes_any_holder_to_the_newest,
+RC_BOOST_PROP(an_update_takes_any_holder_to_the_newest,
               (std::vector<std::vector<uint8_t>> aDocuments))
 {
   std::vector<SnapshotPointer> versions{ EmptySnapshot() };
   UpdateHistory history;
   for (const auto& numbers : aDocuments) {
     versions.push_back(Make(static_cast<int64_t>(versions.size()), numbers));
-    history.Add(MakeDelta(*versions[versions.size() - 2], *versions.back()));
+    history.Add(*versions.back());
   }
   for (const SnapshotPointer& held : versions) {
     if (held == versions.back()) {
       continue;
     }
-    const auto reached = ApplyUpdate(*held, history.Compose(held->version, *versions.back()));
+    const auto reached = ApplyUpdate(*held, history.UpdateFrom(held->version, *versions.back()));
     RC_ASSERT(reached.has_value());
     RC_ASSERT(reached.value()->text == versions.back()->text);
   }
@@ -86,7 +86,7 @@
 
 BOOST_AUTO_TEST_CASE(a_whole_snapshot_with_a_dangling_route_is_refused)
 {
-  Snapshot bad{ .version = 9,
-                .text = R"({"services":{},"routes":{"r":{"pathPrefix":"/x","service":"gone"}}})" };
+  const std::string text = R"({"services":{},"routes":{"r":{"pathPrefix":"/x","service":"gone"}}})";
+  const Snapshot bad = *MakeValidatedSnapshot(9, text);
   BOOST_TEST(!ApplyUpdate(*Make(3, { 1 }), MakeWhole(bad)));
 }
--- a/tests/harness/quickstart.cpp
+++ b/tests/harness/quickstart.cpp
@@ -1,6 +1,6 @@
 #include "harness/mesh.h"
 #include "harness/quickstartrun.h"
-#include "platform/shutdownsignal.h"
+#include "process/shutdownsignal.h"
 
 #include <cxxopts.hpp>
 
--- a/tests/harness/quickstartrun.h
+++ b/tests/harness/quickstartrun.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "harness/mesh.h"
-#include "platform/shutdownsignal.h"
+#include "process/shutdownsignal.h"
 
 namespace mimosarun {
 
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -169,9 +169,11 @@
   std::string body = token + "\n" + m_options.name + "\n";
   body.resize(std::max(body.size(), static_cast<size_t>(QueryNumber(request, "bytes", 0))), '.');
   if (QueryNumber(request, "cut", 0) != 0) {
-    aCall->exchange->Start({ .status = 200, .headers = headers, .length = body.size() + 100 });
-    aCall->exchange->Write(body);
-    aCall->exchange->Finish(false);
+    aCall->exchange->Loop().Dispatch([exchange = aCall->exchange, headers, body] {
+      exchange->Start({ .status = 200, .headers = headers, .length = body.size() + 100 });
+      exchange->Write(body);
+      exchange->Finish(false);
+    });
     return;
   }
   aCall->exchange->Respond({ .status = 200, .headers = std::move(headers), .body = std::move(body) });
--- a/tests/standin/targetmain.cpp
+++ b/tests/standin/targetmain.cpp
@@ -1,6 +1,6 @@
 #include "standin/target.h"
 
-#include "platform/shutdownsignal.h"
+#include "process/shutdownsignal.h"
 
 #include <cxxopts.hpp>
 
