--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -110,6 +110,11 @@
   2: string votedFor,
 }
 
+// How far a replica knows its log to be committed.
+struct CommitMark {
+  1: i64 index = 0,
+}
+
 // A checksummed state of a replicated log up to an index.
 struct SnapshotFile {
   1: i64 index = 0,
@@ -291,6 +296,8 @@
   5: string failureDomain,
   // Whether the answer should carry members to meet.
   6: bool wantsMembers = true,
+  // A node that has just started says who it is, so that others learn of it.
+  7: list<Member> introduced,
 }
 
 struct WatchReply {
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -12,6 +12,8 @@
 static constexpr int kHedgeFactor = 2;
 static constexpr int kLoggedRefusalsPerSecond = 10;
 static constexpr std::chrono::milliseconds kLongestPatience{ 3600000 };
+/** About the time that a node needs from its start to its first configuration. */
+static constexpr std::chrono::milliseconds kRetryWithoutConfiguration{ 600 };
 
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
@@ -190,14 +192,10 @@
 }
 
 void
-Entry::RefuseAtOnce(const ExchangePointer& aExchange,
-                    const std::string& aCall,
-                    int aStatus,
-                    const std::string& aReason)
+Entry::RefuseAtOnce(const ExchangePointer& aExchange, const Refused& aRefused)
 {
   m_notRun->Increment();
-  aExchange->Respond(m_options.codec.refuse(
-    { .status = aStatus, .outcome = CallOutcome::NotRun, .reason = aReason, .call = aCall }));
+  aExchange->Respond(m_options.codec.refuse(aRefused));
 }
 
 static std::string
@@ -223,21 +221,29 @@
     draining = m_draining;
   }
   if (draining) {
-    RefuseAtOnce(aExchange, wishes.call, 503, "the entry is shutting down; use another");
+    RefuseAtOnce(
+      aExchange,
+      { .status = 503, .reason = "the entry is shutting down; use another", .call = wishes.call });
     return;
   }
   if (snapshot->version == 0) {
-    RefuseAtOnce(aExchange, wishes.call, 503, "the entry has no configuration yet; try again shortly");
+    RefuseAtOnce(aExchange,
+                 { .status = 503,
+                   .reason = "the entry has no configuration yet; try again shortly",
+                   .call = wishes.call,
+                   .retryAfter = kRetryWithoutConfiguration });
     return;
   }
   const Configuration& configuration = snapshot->configuration;
   const Route* route = FindRoute(configuration, HostWithoutPort(request), request.path, request.method);
   if (route == nullptr) {
-    RefuseAtOnce(aExchange, wishes.call, 404, "no route matches the request");
+    RefuseAtOnce(aExchange, { .status = 404, .reason = "no route matches the request", .call = wishes.call });
     return;
   }
   if (!TakeLimit(configuration, route->limit)) {
-    RefuseAtOnce(aExchange, wishes.call, 429, "the limit '" + route->limit + "' is reached");
+    RefuseAtOnce(
+      aExchange,
+      { .status = 429, .reason = "the limit '" + route->limit + "' is reached", .call = wishes.call });
     return;
   }
   const std::chrono::milliseconds patience =
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -78,10 +78,7 @@
   explicit Entry(Options aOptions);
 
   void Handle(const ExchangePointer& aExchange);
-  void RefuseAtOnce(const ExchangePointer& aExchange,
-                    const std::string& aCall,
-                    int aStatus,
-                    const std::string& aReason);
+  void RefuseAtOnce(const ExchangePointer& aExchange, const Refused& aRefused);
   /** When a second attempt of a short idempotent call is worth its cost; zero means never. */
   std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
   void NoteTime(const Route& aRoute, std::chrono::microseconds aTime);
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -153,13 +153,15 @@
 bool
 EntryCall::MayRunAgain()
 {
-  if (m_runs == 0) {
+  // An attempt under way may reach a target, so it counts.
+  const int64_t given = m_runs + static_cast<int64_t>(m_attempts.size());
+  if (given == 0) {
     return true;
   }
   const Route& route = *m_options.route;
   const Deadline now = SteadyClock::now();
   const bool inTime = now + m_entry.UsualTime(route) / 2 < m_options.deadline;
-  return m_runs <= route.retries && inTime && m_entry.m_budget.TrySpend(m_service, now);
+  return given <= route.retries && inTime && m_entry.m_budget.TrySpend(m_service, now);
 }
 
 bool
@@ -222,7 +224,7 @@
 {
   const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice.gate);
   const std::string& node = aChoice.gate.node;
-  attempt->m_paid = m_runs > 0;
+  attempt->m_paid = m_runs > 0 || !m_attempts.empty();
   m_attempts.push_back(attempt);
   ++m_hops;
   m_entry.m_balancer.Sent(node, m_options.route->callClass, attempt->m_sentAt);
@@ -257,10 +259,10 @@
   for (const AttemptPointer& attempt : m_attempts) {
     m_experience.excluded.insert(attempt->m_gate.node);
   }
-  m_runs = std::max<int64_t>(m_runs, 1);
-  const bool sent = SendNext();
-  // Where there is no other gate, a later attempt may still use the same one.
+  bool sent = SendNext();
   m_experience.excluded = excluded;
+  // Where there is no other gate, the same one may be reached over another connection.
+  sent = sent || SendNext();
   if (sent) {
     m_entry.m_retries->Increment();
   }
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -21,6 +21,7 @@
   EventDescription{ Event::ReplicaSilent, Severity::Warning, "replica-silent" },
   EventDescription{ Event::ReplicaHeard, Severity::Info, "replica-heard" },
   EventDescription{ Event::JoinRequested, Severity::Info, "join-requested" },
+  EventDescription{ Event::CommitMarkFailed, Severity::Warning, "commit-mark-failed" },
   EventDescription{ Event::VersionAccepted, Severity::Info, "version-accepted" },
   EventDescription{ Event::ProposalStored, Severity::Info, "proposal-stored" },
   EventDescription{ Event::CommandRefused, Severity::Warning, "command-refused" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -24,6 +24,7 @@
   ReplicaSilent = 209,
   ReplicaHeard = 210,
   JoinRequested = 211,
+  CommitMarkFailed = 212,
 
   VersionAccepted = 300,
   ProposalStored = 301,
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -63,6 +63,7 @@
     if (!aRequest.report.failureDomain.empty()) {
       m_controller.Board().Take(aRequest.report, std::chrono::milliseconds(0));
     }
+    m_controller.Board().Introduce(aRequest.introduced);
     const ConfigurationState& configuration = m_controller.Configuration();
     const SnapshotPointer current =
       configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis));
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -119,6 +119,7 @@
   Result<void> StoreAndSend();
   void ApplyCommitted();
   Result<void> CompactIfLong();
+  void MarkCommitted(Deadline aNow);
   void FailWaiters(const std::string& aMessage);
   void StartReads(std::vector<PendingRead> aReads, Deadline aNow);
   void AnswerReads(Deadline aNow);
@@ -138,6 +139,8 @@
   RaftRole m_lastRole = RaftRole::Follower;
   std::vector<PendingRead> m_reads;
   Deadline m_leaderSince{};
+  int64_t m_markedCommit = 0;
+  Deadline m_markAt{};
   Deadline m_maintainAt{};
   Deadline m_reopenAt{};
   bool m_failed = false;
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -7,6 +7,7 @@
 static constexpr std::chrono::milliseconds kGroupTick{ 20 };
 static constexpr std::chrono::milliseconds kMaintenanceInterval{ 500 };
 static constexpr std::chrono::milliseconds kReopenInterval{ 1000 };
+static constexpr std::chrono::milliseconds kMarkInterval{ 300 };
 static constexpr size_t kEntriesBeforeSnapshot = 4096;
 static constexpr size_t kCommandQueueLimit = 10000;
 
@@ -61,7 +62,8 @@
                              .seed = m_options.seed };
   RaftState state{ .ballot = std::move(content.ballot),
                    .snapshot = std::move(content.snapshot),
-                   .entries = std::move(content.entries) };
+                   .entries = std::move(content.entries),
+                   .committed = content.committed };
   m_core = std::make_unique<RaftCore>(std::move(options), std::move(state), SteadyClock::now());
   m_failed = false;
   return boost::outcome_v2::success();
@@ -248,6 +250,7 @@
   MaintainMembers();
   BOOST_OUTCOME_TRYV(StoreAndSend());
   ApplyCommitted();
+  MarkCommitted(now);
   NoteRole();
   return CompactIfLong();
 }
@@ -341,6 +344,22 @@
   }
 }
 
+template<StateMachine Machine>
+void
+Group<Machine>::MarkCommitted(Deadline aNow)
+{
+  const int64_t commit = m_core->AppliedIndex();
+  if (commit == m_markedCommit || aNow < m_markAt) {
+    return;
+  }
+  m_markAt = aNow + kMarkInterval;
+  m_markedCommit = commit;
+  if (const Result<void> saved = m_journal.SaveCommitted(commit); !saved) {
+    // Only a restart would miss it, so the replica goes on.
+    Log(Event::CommitMarkFailed, { { "group", m_options.name }, { "reason", saved.error().message } });
+  }
+}
+
 template<StateMachine Machine>
 Result<void>
 Group<Machine>::CompactIfLong()
--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -18,6 +18,7 @@
 static constexpr const char* kLogName = "log";
 static constexpr const char* kBallotName = "ballot";
 static constexpr const char* kSnapshotName = "snapshot";
+static constexpr const char* kCommitName = "commit";
 static constexpr const char* kIncarnationName = "incarnation";
 
 static auto
@@ -51,8 +52,10 @@
 
 Journal::~Journal()
 {
-  if (m_descriptor >= 0) {
-    ::close(m_descriptor);
+  for (const int descriptor : { m_descriptor, m_commitDescriptor }) {
+    if (descriptor >= 0) {
+      ::close(descriptor);
+    }
   }
 }
 
@@ -75,6 +78,47 @@
   return SyncFolder(m_folder);
 }
 
+Result<void>
+Journal::OpenCommitFile()
+{
+  if (m_commitDescriptor >= 0) {
+    return boost::outcome_v2::success();
+  }
+  m_commitDescriptor = ::open(PathOf(kCommitName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  if (m_commitDescriptor < 0) {
+    return StorageFailure("open " + PathOf(kCommitName));
+  }
+  return boost::outcome_v2::success();
+}
+
+int64_t
+Journal::ReadCommitted(const JournalContent& aContent) const
+{
+  // The file is overwritten in place, so a torn one only means that nothing is known.
+  const Result<std::string> bytes = ReadFile(PathOf(kCommitName), kFileLimitBytes);
+  if (!bytes) {
+    return 0;
+  }
+  const RecordView record = ParseRecord(bytes.value());
+  const auto mark = record.valid ? Decode<wire::CommitMark>(std::string(record.payload))
+                                 : Result<wire::CommitMark>(wire::CommitMark{});
+  const int64_t last = aContent.entries.empty() ? aContent.snapshot.index : aContent.entries.back().index;
+  return mark && mark.value().index <= last ? mark.value().index : 0;
+}
+
+Result<void>
+Journal::SaveCommitted(int64_t aIndex)
+{
+  wire::CommitMark mark;
+  mark.index = aIndex;
+  const std::string bytes = MakeRecord(Encode(mark));
+  const ssize_t written = ::pwrite(m_commitDescriptor, bytes.data(), bytes.size(), 0);
+  if (written != static_cast<ssize_t>(bytes.size()) || ::fdatasync(m_commitDescriptor) != 0) {
+    return StorageFailure("write " + PathOf(kCommitName));
+  }
+  return boost::outcome_v2::success();
+}
+
 Result<void>
 Journal::Sync()
 {
@@ -127,6 +171,7 @@
   JournalContent content;
   MIMOSARUN_TRY(content.ballot, ReadRecordFile<wire::Ballot>(PathOf(kBallotName)));
   MIMOSARUN_TRY(content.snapshot, ReadRecordFile<wire::SnapshotFile>(PathOf(kSnapshotName)));
+  BOOST_OUTCOME_TRYV(OpenCommitFile());
   BOOST_OUTCOME_TRYV(OpenLogFile());
   MIMOSARUN_TRY(JournalContent read, ReadLog(std::move(content)));
   if (read.cutBytes > 0) {
@@ -135,6 +180,7 @@
     }
     BOOST_OUTCOME_TRYV(Sync());
   }
+  read.committed = ReadCommitted(read);
   return read;
 }
 
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -16,6 +16,8 @@
   wire::Ballot ballot;
   wire::SnapshotFile snapshot;
   std::vector<wire::LogEntry> entries;
+  /** Index up to which the log was known to be committed; zero where that isn't known. */
+  int64_t committed = 0;
   /** Bytes of an unfinished last record that were cut off. */
   int64_t cutBytes = 0;
 };
@@ -50,6 +52,9 @@
   Result<void> SaveSnapshot(const wire::SnapshotFile& aSnapshot,
                             const std::vector<wire::LogEntry>& aRemaining);
 
+  /** Notes how far the log is committed, so that a restarted replica need not wait for a leader to know. */
+  Result<void> SaveCommitted(int64_t aIndex);
+
   /** Whether a sync failed; what the disk holds is unknown from then on. */
   bool SyncFailed() const;
 
@@ -64,10 +69,13 @@
   std::string PathOf(const char* aName) const;
   Result<void> OpenLogFile();
   Result<void> Sync();
+  Result<void> OpenCommitFile();
+  int64_t ReadCommitted(const JournalContent& aContent) const;
   Result<JournalContent> ReadLog(JournalContent aContent);
 
   std::string m_folder;
   int m_descriptor = -1;
+  int m_commitDescriptor = -1;
   int64_t m_length = 0;
   bool m_syncFailed = false;
   std::vector<Position> m_positions;
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -8,6 +8,8 @@
 static constexpr size_t kEntriesInMessage = 512;
 static constexpr size_t kBytesInMessage = 1024UL * 1024;
 static constexpr int64_t kCaughtUpDistance = 16;
+/** Longest wait for a first election after a start, in heartbeats. */
+static constexpr int64_t kFirstElectionFactor = 3;
 static constexpr std::chrono::milliseconds kSnapshotResend{ 2000 };
 
 using wire::RaftKind;
@@ -17,15 +19,15 @@
   , m_random(m_options.seed)
   , m_ballot(std::move(aState.ballot))
   , m_log(std::move(aState.snapshot), std::move(aState.entries))
-  , m_commit(m_log.SnapshotIndex())
+  , m_commit(std::max(m_log.SnapshotIndex(), aState.committed))
   , m_applied(m_log.SnapshotIndex())
 {
   m_persisted = LastIndex();
-  ResetElection(aNow);
-  if (m_ballot.term > 0) {
-    // A leader heard just before the restart may still count on this replica.
-    m_leaderHeard = aNow;
-  }
+  // A leader that still lives is heard within a few heartbeats; without one there is no reason to wait longer.
+  const auto shortest = m_options.heartbeat.count();
+  m_electionDeadline =
+    aNow + std::chrono::milliseconds(
+             std::uniform_int_distribution<int64_t>(shortest, kFirstElectionFactor * shortest)(m_random));
 }
 
 // --- state -----------------------------------------------------------------------------------------------
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -38,6 +38,8 @@
   wire::Ballot ballot;
   wire::SnapshotFile snapshot;
   std::vector<wire::LogEntry> entries;
+  /** Index up to which the entries are known to be committed. */
+  int64_t committed = 0;
 };
 
 /**
--- a/src/control/reportboard.cpp
+++ b/src/control/reportboard.cpp
@@ -6,7 +6,9 @@
 
 static constexpr std::chrono::minutes kForgetAfter{ 10 };
 static constexpr std::chrono::milliseconds kSampleFreshness{ 60000 };
-static constexpr size_t kSampleOfOtherDomain = 3;
+static constexpr size_t kSampleOfOtherDomain = 16;
+/** Until then the reports of a failure domain name a member that introduced itself. */
+static constexpr std::chrono::seconds kIntroductionTime{ 15 };
 
 void
 ReportBoard::Take(const wire::DomainReport& aReport, std::chrono::milliseconds aAge)
@@ -26,6 +28,17 @@
                 [](const auto& aEntry) { return SteadyClock::now() - aEntry.second.takenAt > kForgetAfter; });
 }
 
+void
+ReportBoard::Introduce(const std::vector<wire::Member>& aMembers)
+{
+  const std::lock_guard lock(m_mutex);
+  const Deadline now = SteadyClock::now();
+  std::erase_if(m_introduced, [now](const auto& aEntry) { return now > aEntry.second.at + kIntroductionTime; });
+  for (const wire::Member& member : aMembers) {
+    m_introduced[member.name] = { .member = member, .at = now };
+  }
+}
+
 std::vector<wire::DomainReport>
 ReportBoard::Reports() const
 {
@@ -82,6 +95,14 @@
       }
     }
   }
+  const std::lock_guard lock(m_mutex);
+  for (const auto& [name, introduced] : m_introduced) {
+    size_t& count = taken[introduced.member.failureDomain];
+    if (introduced.member.failureDomain == aFailureDomain || count < kSampleOfOtherDomain) {
+      sample.push_back(introduced.member);
+      ++count;
+    }
+  }
   return sample;
 }
 
--- a/src/control/reportboard.h
+++ b/src/control/reportboard.h
@@ -17,6 +17,9 @@
   /** Takes a report; aAge is how old it was when it arrived. */
   void Take(const wire::DomainReport& aReport, std::chrono::milliseconds aAge);
 
+  /** Takes members that have just started; reports of their relays follow. */
+  void Introduce(const std::vector<wire::Member>& aMembers);
+
   /** All reports with their ages. */
   std::vector<wire::DomainReport> Reports() const;
 
@@ -36,8 +39,16 @@
     Deadline takenAt;
   };
 
+  /** A member that introduced itself. */
+  struct Introduced
+  {
+    wire::Member member;
+    Deadline at;
+  };
+
   mutable std::mutex m_mutex;
   std::map<std::string, Held> m_reports;
+  std::map<std::string, Introduced> m_introduced;
 };
 
 } // namespace mimosarun
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -69,10 +69,11 @@
 void
 Exchange::OnCancel(std::function<void()> aCallback)
 {
-  m_onCancel = std::move(aCallback);
-  if (m_cancelled) {
-    std::exchange(m_onCancel, {})();
+  if (m_cancelled && aCallback) {
+    aCallback();
+    return;
   }
+  m_onCancel = std::move(aCallback);
 }
 
 void
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -14,6 +14,8 @@
 static constexpr std::chrono::milliseconds kStartJitter{ 150 };
 static constexpr std::chrono::milliseconds kPollTime{ 800 };
 static constexpr std::chrono::milliseconds kAnswerTime{ 700 };
+static constexpr std::chrono::milliseconds kIntroductionTimeout{ 150 };
+static constexpr std::chrono::milliseconds kLongestBackoff{ 400 };
 static constexpr std::chrono::milliseconds kIdleInterval{ 200 };
 static constexpr std::chrono::seconds kBestAgainInterval{ 10 };
 static constexpr std::chrono::seconds kMembersInterval{ 10 };
@@ -116,15 +118,15 @@
 void
 ControlLink::Run()
 {
-  Backoff backoff({});
+  Backoff backoff({ .limit = kLongestBackoff });
   bool introduced = false;
   bool going = Wait(std::chrono::milliseconds(RandomBetween(0, kStartJitter.count())));
   while (going) {
     bool reached = true;
     if (!introduced) {
-      introduced = AskForMembers();
+      introduced = Introduce();
       reached = introduced;
-    } else if (IsRelay(m_table, m_settings.failureDomain)) {
+    } else if (IsRelay(m_table, m_settings.failureDomain) || m_holder.Current()->version == 0) {
       if (!m_relay) {
         m_relay = true;
         Log(Event::RelayChanged, { { "relay", "yes" } });
@@ -151,6 +153,10 @@
 ControlLink::NextReplica()
 {
   m_current = (m_current + 1) % m_clients.size();
+  if (m_current == 0 && m_settings.discoverReplicas && m_failures >= m_clients.size()) {
+    // None of the known replicas answers; those of the settings may know the present ones.
+    SetReplicas(m_settings.replicas);
+  }
   // The next replica may not know this domain's members yet.
   m_membersDue = Deadline{};
 }
@@ -192,14 +198,42 @@
   return reply;
 }
 
-bool
-ControlLink::AskForMembers()
+Result<wire::WatchReply>
+ControlLink::IntroduceTo(Client& aReplica, int64_t aHeldVersion)
 {
   wire::WatchRequest request;
-  request.heldVersion = kMembersOnly;
+  request.heldVersion = aHeldVersion;
   request.failureDomain = m_settings.failureDomain;
+  request.introduced = { m_table.Self() };
   request.sentAt = StampNow();
-  return Call(request).has_value();
+  wire::WatchReply reply;
+  BOOST_OUTCOME_TRYV(aReplica.Call(SteadyClock::now() + kIntroductionTimeout,
+                                   [&](wire::ControlPeerClient& aClient) { aClient.watch(reply, request); }));
+  Observe(reply.sentAt);
+  m_table.Merge(reply.sample, SteadyClock::now());
+  return reply;
+}
+
+bool
+ControlLink::Introduce()
+{
+  const Result<wire::WatchReply> first =
+    IntroduceTo(*m_clients[m_current], m_holder.Current()->version);
+  NoteReachable(first.has_value());
+  if (!first) {
+    NextReplica();
+    return false;
+  }
+  TakeUpdate(first.value());
+  TakeReplicas(first.value().replicas);
+  for (const auto& replica : m_clients) {
+    const bool held = m_holder.Current()->version > 0;
+    const Result<wire::WatchReply> reply = IntroduceTo(*replica, held ? kMembersOnly : 0);
+    if (reply) {
+      TakeUpdate(reply.value());
+    }
+  }
+  return true;
 }
 
 bool
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -38,7 +38,8 @@
 
   void Run();
   bool Wait(std::chrono::milliseconds aTime);
-  bool AskForMembers();
+  bool Introduce();
+  Result<wire::WatchReply> IntroduceTo(Client& aReplica, int64_t aHeldVersion);
   bool Watch();
   Result<wire::WatchReply> Call(const wire::WatchRequest& aRequest);
   void SetReplicas(std::vector<ReplicaSettings> aReplicas);
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -1282,14 +1282,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->success.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->success.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->success[_i230].read(iprot);
+              xfer += this->success[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1320,10 +1320,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter231;
-      for (_iter231 = this->success.begin(); _iter231 != this->success.end(); ++_iter231)
+      std::vector<DomainReport> ::const_iterator _iter241;
+      for (_iter241 = this->success.begin(); _iter241 != this->success.end(); ++_iter241)
       {
-        xfer += (*_iter231).write(oprot);
+        xfer += (*_iter241).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1364,14 +1364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            (*(this->success)).resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            (*(this->success)).resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += (*(this->success))[_i236].read(iprot);
+              xfer += (*(this->success))[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -1953,6 +1953,107 @@
 }
 
 
+CommitMark::~CommitMark() noexcept {
+}
+
+
+void CommitMark::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const CommitMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CommitMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CommitMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CommitMark");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CommitMark &a, CommitMark &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+CommitMark::CommitMark(const CommitMark& other55) noexcept {
+  index = other55.index;
+  __isset = other55.__isset;
+}
+CommitMark::CommitMark(CommitMark&& other56) noexcept {
+  index = other56.index;
+  __isset = other56.__isset;
+}
+CommitMark& CommitMark::operator=(const CommitMark& other57) noexcept {
+  index = other57.index;
+  __isset = other57.__isset;
+  return *this;
+}
+CommitMark& CommitMark::operator=(CommitMark&& other58) noexcept {
+  index = other58.index;
+  __isset = other58.__isset;
+  return *this;
+}
+void CommitMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CommitMark(";
+  out << "index=" << to_string(index);
+  out << ")";
+}
+
+
 SnapshotFile::~SnapshotFile() noexcept {
 }
 
@@ -2020,14 +2121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->members.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->members.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->members[_i59].read(iprot);
+              xfer += this->members[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2072,10 +2173,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter60;
-    for (_iter60 = this->members.begin(); _iter60 != this->members.end(); ++_iter60)
+    std::vector<Replica> ::const_iterator _iter64;
+    for (_iter64 = this->members.begin(); _iter64 != this->members.end(); ++_iter64)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2099,34 +2200,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other61) {
-  index = other61.index;
-  term = other61.term;
-  members = other61.members;
-  state = other61.state;
-  __isset = other61.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other62) noexcept {
-  index = other62.index;
-  term = other62.term;
-  members = std::move(other62.members);
-  state = std::move(other62.state);
-  __isset = other62.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other63) {
-  index = other63.index;
-  term = other63.term;
-  members = other63.members;
-  state = other63.state;
-  __isset = other63.__isset;
+SnapshotFile::SnapshotFile(const SnapshotFile& other65) {
+  index = other65.index;
+  term = other65.term;
+  members = other65.members;
+  state = other65.state;
+  __isset = other65.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other66) noexcept {
+  index = other66.index;
+  term = other66.term;
+  members = std::move(other66.members);
+  state = std::move(other66.state);
+  __isset = other66.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other67) {
+  index = other67.index;
+  term = other67.term;
+  members = other67.members;
+  state = other67.state;
+  __isset = other67.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other64) noexcept {
-  index = other64.index;
-  term = other64.term;
-  members = std::move(other64.members);
-  state = std::move(other64.state);
-  __isset = other64.__isset;
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other68) noexcept {
+  index = other68.index;
+  term = other68.term;
+  members = std::move(other68.members);
+  state = std::move(other68.state);
+  __isset = other68.__isset;
   return *this;
 }
 void SnapshotFile::printTo(std::ostream& out) const {
@@ -2287,14 +2388,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->members.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->members.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->members[_i69].read(iprot);
+              xfer += this->members[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2307,17 +2408,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->silentMillis.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _ktype71;
-            ::apache::thrift::protocol::TType _vtype72;
-            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _ktype75;
+            ::apache::thrift::protocol::TType _vtype76;
+            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              std::string _key75;
-              xfer += iprot->readString(_key75);
-              int64_t& _val76 = this->silentMillis[_key75];
-              xfer += iprot->readI64(_val76);
+              std::string _key79;
+              xfer += iprot->readString(_key79);
+              int64_t& _val80 = this->silentMillis[_key79];
+              xfer += iprot->readI64(_val80);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2394,10 +2495,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter77;
-    for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
+    std::vector<Replica> ::const_iterator _iter81;
+    for (_iter81 = this->members.begin(); _iter81 != this->members.end(); ++_iter81)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2406,11 +2507,11 @@
   xfer += oprot->writeFieldBegin("silentMillis", ::apache::thrift::protocol::T_MAP, 10);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMillis.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter78;
-    for (_iter78 = this->silentMillis.begin(); _iter78 != this->silentMillis.end(); ++_iter78)
+    std::map<std::string, int64_t> ::const_iterator _iter82;
+    for (_iter82 = this->silentMillis.begin(); _iter82 != this->silentMillis.end(); ++_iter82)
     {
-      xfer += oprot->writeString(_iter78->first);
-      xfer += oprot->writeI64(_iter78->second);
+      xfer += oprot->writeString(_iter82->first);
+      xfer += oprot->writeI64(_iter82->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2446,66 +2547,66 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupStatus::GroupStatus(const GroupStatus& other79) {
-  group = other79.group;
-  formed = other79.formed;
-  replica = other79.replica;
-  incarnation = other79.incarnation;
-  leader = other79.leader;
-  term = other79.term;
-  commit = other79.commit;
-  applied = other79.applied;
-  members = other79.members;
-  silentMillis = other79.silentMillis;
-  lastIndex = other79.lastIndex;
-  failed = other79.failed;
-  __isset = other79.__isset;
-}
-GroupStatus::GroupStatus(GroupStatus&& other80) noexcept {
-  group = std::move(other80.group);
-  formed = other80.formed;
-  replica = std::move(other80.replica);
-  incarnation = other80.incarnation;
-  leader = std::move(other80.leader);
-  term = other80.term;
-  commit = other80.commit;
-  applied = other80.applied;
-  members = std::move(other80.members);
-  silentMillis = std::move(other80.silentMillis);
-  lastIndex = other80.lastIndex;
-  failed = other80.failed;
-  __isset = other80.__isset;
-}
-GroupStatus& GroupStatus::operator=(const GroupStatus& other81) {
-  group = other81.group;
-  formed = other81.formed;
-  replica = other81.replica;
-  incarnation = other81.incarnation;
-  leader = other81.leader;
-  term = other81.term;
-  commit = other81.commit;
-  applied = other81.applied;
-  members = other81.members;
-  silentMillis = other81.silentMillis;
-  lastIndex = other81.lastIndex;
-  failed = other81.failed;
-  __isset = other81.__isset;
+GroupStatus::GroupStatus(const GroupStatus& other83) {
+  group = other83.group;
+  formed = other83.formed;
+  replica = other83.replica;
+  incarnation = other83.incarnation;
+  leader = other83.leader;
+  term = other83.term;
+  commit = other83.commit;
+  applied = other83.applied;
+  members = other83.members;
+  silentMillis = other83.silentMillis;
+  lastIndex = other83.lastIndex;
+  failed = other83.failed;
+  __isset = other83.__isset;
+}
+GroupStatus::GroupStatus(GroupStatus&& other84) noexcept {
+  group = std::move(other84.group);
+  formed = other84.formed;
+  replica = std::move(other84.replica);
+  incarnation = other84.incarnation;
+  leader = std::move(other84.leader);
+  term = other84.term;
+  commit = other84.commit;
+  applied = other84.applied;
+  members = std::move(other84.members);
+  silentMillis = std::move(other84.silentMillis);
+  lastIndex = other84.lastIndex;
+  failed = other84.failed;
+  __isset = other84.__isset;
+}
+GroupStatus& GroupStatus::operator=(const GroupStatus& other85) {
+  group = other85.group;
+  formed = other85.formed;
+  replica = other85.replica;
+  incarnation = other85.incarnation;
+  leader = other85.leader;
+  term = other85.term;
+  commit = other85.commit;
+  applied = other85.applied;
+  members = other85.members;
+  silentMillis = other85.silentMillis;
+  lastIndex = other85.lastIndex;
+  failed = other85.failed;
+  __isset = other85.__isset;
   return *this;
 }
-GroupStatus& GroupStatus::operator=(GroupStatus&& other82) noexcept {
-  group = std::move(other82.group);
-  formed = other82.formed;
-  replica = std::move(other82.replica);
-  incarnation = other82.incarnation;
-  leader = std::move(other82.leader);
-  term = other82.term;
-  commit = other82.commit;
-  applied = other82.applied;
-  members = std::move(other82.members);
-  silentMillis = std::move(other82.silentMillis);
-  lastIndex = other82.lastIndex;
-  failed = other82.failed;
-  __isset = other82.__isset;
+GroupStatus& GroupStatus::operator=(GroupStatus&& other86) noexcept {
+  group = std::move(other86.group);
+  formed = other86.formed;
+  replica = std::move(other86.replica);
+  incarnation = other86.incarnation;
+  leader = std::move(other86.leader);
+  term = other86.term;
+  commit = other86.commit;
+  applied = other86.applied;
+  members = std::move(other86.members);
+  silentMillis = std::move(other86.silentMillis);
+  lastIndex = other86.lastIndex;
+  failed = other86.failed;
+  __isset = other86.__isset;
   return *this;
 }
 void GroupStatus::printTo(std::ostream& out) const {
@@ -2596,9 +2697,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast83;
-          xfer += iprot->readI32(ecast83);
-          this->code = static_cast<ResultCode::type>(ecast83);
+          int32_t ecast87;
+          xfer += iprot->readI32(ecast87);
+          this->code = static_cast<ResultCode::type>(ecast87);
           this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2740,54 +2841,54 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other84) {
-  code = other84.code;
-  message = other84.message;
-  version = other84.version;
-  proposal = other84.proposal;
-  leader = other84.leader;
-  finished = other84.finished;
-  status = other84.status;
-  contentType = other84.contentType;
-  body = other84.body;
-  __isset = other84.__isset;
+CommandResult::CommandResult(const CommandResult& other88) {
+  code = other88.code;
+  message = other88.message;
+  version = other88.version;
+  proposal = other88.proposal;
+  leader = other88.leader;
+  finished = other88.finished;
+  status = other88.status;
+  contentType = other88.contentType;
+  body = other88.body;
+  __isset = other88.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other85) noexcept {
-  code = other85.code;
-  message = std::move(other85.message);
-  version = other85.version;
-  proposal = other85.proposal;
-  leader = std::move(other85.leader);
-  finished = other85.finished;
-  status = other85.status;
-  contentType = std::move(other85.contentType);
-  body = std::move(other85.body);
-  __isset = other85.__isset;
+CommandResult::CommandResult(CommandResult&& other89) noexcept {
+  code = other89.code;
+  message = std::move(other89.message);
+  version = other89.version;
+  proposal = other89.proposal;
+  leader = std::move(other89.leader);
+  finished = other89.finished;
+  status = other89.status;
+  contentType = std::move(other89.contentType);
+  body = std::move(other89.body);
+  __isset = other89.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other86) {
-  code = other86.code;
-  message = other86.message;
-  version = other86.version;
-  proposal = other86.proposal;
-  leader = other86.leader;
-  finished = other86.finished;
-  status = other86.status;
-  contentType = other86.contentType;
-  body = other86.body;
-  __isset = other86.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other90) {
+  code = other90.code;
+  message = other90.message;
+  version = other90.version;
+  proposal = other90.proposal;
+  leader = other90.leader;
+  finished = other90.finished;
+  status = other90.status;
+  contentType = other90.contentType;
+  body = other90.body;
+  __isset = other90.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other87) noexcept {
-  code = other87.code;
-  message = std::move(other87.message);
-  version = other87.version;
-  proposal = other87.proposal;
-  leader = std::move(other87.leader);
-  finished = other87.finished;
-  status = other87.status;
-  contentType = std::move(other87.contentType);
-  body = std::move(other87.body);
-  __isset = other87.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other91) noexcept {
+  code = other91.code;
+  message = std::move(other91.message);
+  version = other91.version;
+  proposal = other91.proposal;
+  leader = std::move(other91.leader);
+  finished = other91.finished;
+  status = other91.status;
+  contentType = std::move(other91.contentType);
+  body = std::move(other91.body);
+  __isset = other91.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -2949,38 +3050,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other88) {
-  fromVersion = other88.fromVersion;
-  toVersion = other88.toVersion;
-  hash = other88.hash;
-  whole = other88.whole;
-  payload = other88.payload;
-  __isset = other88.__isset;
+ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other92) {
+  fromVersion = other92.fromVersion;
+  toVersion = other92.toVersion;
+  hash = other92.hash;
+  whole = other92.whole;
+  payload = other92.payload;
+  __isset = other92.__isset;
 }
-ConfigurationUpdate::ConfigurationUpdate(ConfigurationUpdate&& other89) noexcept {
-  fromVersion = other89.fromVersion;
-  toVersion = other89.toVersion;
-  hash = std::move(other89.hash);
-  whole = other89.whole;
-  payload = std::move(other89.payload);
-  __isset = other89.__isset;
+ConfigurationUpdate::ConfigurationUpdate(ConfigurationUpdate&& other93) noexcept {
+  fromVersion = other93.fromVersion;
+  toVersion = other93.toVersion;
+  hash = std::move(other93.hash);
+  whole = other93.whole;
+  payload = std::move(other93.payload);
+  __isset = other93.__isset;
 }
-ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other90) {
-  fromVersion = other90.fromVersion;
-  toVersion = other90.toVersion;
-  hash = other90.hash;
-  whole = other90.whole;
-  payload = other90.payload;
-  __isset = other90.__isset;
+ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other94) {
+  fromVersion = other94.fromVersion;
+  toVersion = other94.toVersion;
+  hash = other94.hash;
+  whole = other94.whole;
+  payload = other94.payload;
+  __isset = other94.__isset;
   return *this;
 }
-ConfigurationUpdate& ConfigurationUpdate::operator=(ConfigurationUpdate&& other91) noexcept {
-  fromVersion = other91.fromVersion;
-  toVersion = other91.toVersion;
-  hash = std::move(other91.hash);
-  whole = other91.whole;
-  payload = std::move(other91.payload);
-  __isset = other91.__isset;
+ConfigurationUpdate& ConfigurationUpdate::operator=(ConfigurationUpdate&& other95) noexcept {
+  fromVersion = other95.fromVersion;
+  toVersion = other95.toVersion;
+  hash = std::move(other95.hash);
+  whole = other95.whole;
+  payload = std::move(other95.payload);
+  __isset = other95.__isset;
   return *this;
 }
 void ConfigurationUpdate::printTo(std::ostream& out) const {
@@ -3104,30 +3205,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReadIndex::ReadIndex(const ReadIndex& other92) {
-  confirmed = other92.confirmed;
-  index = other92.index;
-  leader = other92.leader;
-  __isset = other92.__isset;
+ReadIndex::ReadIndex(const ReadIndex& other96) {
+  confirmed = other96.confirmed;
+  index = other96.index;
+  leader = other96.leader;
+  __isset = other96.__isset;
 }
-ReadIndex::ReadIndex(ReadIndex&& other93) noexcept {
-  confirmed = other93.confirmed;
-  index = other93.index;
-  leader = std::move(other93.leader);
-  __isset = other93.__isset;
+ReadIndex::ReadIndex(ReadIndex&& other97) noexcept {
+  confirmed = other97.confirmed;
+  index = other97.index;
+  leader = std::move(other97.leader);
+  __isset = other97.__isset;
 }
-ReadIndex& ReadIndex::operator=(const ReadIndex& other94) {
-  confirmed = other94.confirmed;
-  index = other94.index;
-  leader = other94.leader;
-  __isset = other94.__isset;
+ReadIndex& ReadIndex::operator=(const ReadIndex& other98) {
+  confirmed = other98.confirmed;
+  index = other98.index;
+  leader = other98.leader;
+  __isset = other98.__isset;
   return *this;
 }
-ReadIndex& ReadIndex::operator=(ReadIndex&& other95) noexcept {
-  confirmed = other95.confirmed;
-  index = other95.index;
-  leader = std::move(other95.leader);
-  __isset = other95.__isset;
+ReadIndex& ReadIndex::operator=(ReadIndex&& other99) noexcept {
+  confirmed = other99.confirmed;
+  index = other99.index;
+  leader = std::move(other99.leader);
+  __isset = other99.__isset;
   return *this;
 }
 void ReadIndex::printTo(std::ostream& out) const {
@@ -3334,50 +3435,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other96) {
-  key = other96.key;
-  token = other96.token;
-  claimedAtMicros = other96.claimedAtMicros;
-  finished = other96.finished;
-  status = other96.status;
-  contentType = other96.contentType;
-  body = other96.body;
-  fingerprint = other96.fingerprint;
-  __isset = other96.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other100) {
+  key = other100.key;
+  token = other100.token;
+  claimedAtMicros = other100.claimedAtMicros;
+  finished = other100.finished;
+  status = other100.status;
+  contentType = other100.contentType;
+  body = other100.body;
+  fingerprint = other100.fingerprint;
+  __isset = other100.__isset;
 }
-ClaimRecord::ClaimRecord(ClaimRecord&& other97) noexcept {
-  key = std::move(other97.key);
-  token = std::move(other97.token);
-  claimedAtMicros = other97.claimedAtMicros;
-  finished = other97.finished;
-  status = other97.status;
-  contentType = std::move(other97.contentType);
-  body = std::move(other97.body);
-  fingerprint = std::move(other97.fingerprint);
-  __isset = other97.__isset;
+ClaimRecord::ClaimRecord(ClaimRecord&& other101) noexcept {
+  key = std::move(other101.key);
+  token = std::move(other101.token);
+  claimedAtMicros = other101.claimedAtMicros;
+  finished = other101.finished;
+  status = other101.status;
+  contentType = std::move(other101.contentType);
+  body = std::move(other101.body);
+  fingerprint = std::move(other101.fingerprint);
+  __isset = other101.__isset;
 }
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other98) {
-  key = other98.key;
-  token = other98.token;
-  claimedAtMicros = other98.claimedAtMicros;
-  finished = other98.finished;
-  status = other98.status;
-  contentType = other98.contentType;
-  body = other98.body;
-  fingerprint = other98.fingerprint;
-  __isset = other98.__isset;
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other102) {
+  key = other102.key;
+  token = other102.token;
+  claimedAtMicros = other102.claimedAtMicros;
+  finished = other102.finished;
+  status = other102.status;
+  contentType = other102.contentType;
+  body = other102.body;
+  fingerprint = other102.fingerprint;
+  __isset = other102.__isset;
   return *this;
 }
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other99) noexcept {
-  key = std::move(other99.key);
-  token = std::move(other99.token);
-  claimedAtMicros = other99.claimedAtMicros;
-  finished = other99.finished;
-  status = other99.status;
-  contentType = std::move(other99.contentType);
-  body = std::move(other99.body);
-  fingerprint = std::move(other99.fingerprint);
-  __isset = other99.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other103) noexcept {
+  key = std::move(other103.key);
+  token = std::move(other103.token);
+  claimedAtMicros = other103.claimedAtMicros;
+  finished = other103.finished;
+  status = other103.status;
+  contentType = std::move(other103.contentType);
+  body = std::move(other103.body);
+  fingerprint = std::move(other103.fingerprint);
+  __isset = other103.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
@@ -3487,26 +3588,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredResult::StoredResult(const StoredResult& other100) {
-  requestId = other100.requestId;
-  result = other100.result;
-  __isset = other100.__isset;
+StoredResult::StoredResult(const StoredResult& other104) {
+  requestId = other104.requestId;
+  result = other104.result;
+  __isset = other104.__isset;
 }
-StoredResult::StoredResult(StoredResult&& other101) noexcept {
-  requestId = std::move(other101.requestId);
-  result = std::move(other101.result);
-  __isset = other101.__isset;
+StoredResult::StoredResult(StoredResult&& other105) noexcept {
+  requestId = std::move(other105.requestId);
+  result = std::move(other105.result);
+  __isset = other105.__isset;
 }
-StoredResult& StoredResult::operator=(const StoredResult& other102) {
-  requestId = other102.requestId;
-  result = other102.result;
-  __isset = other102.__isset;
+StoredResult& StoredResult::operator=(const StoredResult& other106) {
+  requestId = other106.requestId;
+  result = other106.result;
+  __isset = other106.__isset;
   return *this;
 }
-StoredResult& StoredResult::operator=(StoredResult&& other103) noexcept {
-  requestId = std::move(other103.requestId);
-  result = std::move(other103.result);
-  __isset = other103.__isset;
+StoredResult& StoredResult::operator=(StoredResult&& other107) noexcept {
+  requestId = std::move(other107.requestId);
+  result = std::move(other107.result);
+  __isset = other107.__isset;
   return *this;
 }
 void StoredResult::printTo(std::ostream& out) const {
@@ -3561,14 +3662,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->claims.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->claims.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->claims[_i108].read(iprot);
+              xfer += this->claims[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3581,14 +3682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->results.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->results.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->results[_i113].read(iprot);
+              xfer += this->results[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3617,10 +3718,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRecord> ::const_iterator _iter114;
-    for (_iter114 = this->claims.begin(); _iter114 != this->claims.end(); ++_iter114)
+    std::vector<ClaimRecord> ::const_iterator _iter118;
+    for (_iter118 = this->claims.begin(); _iter118 != this->claims.end(); ++_iter118)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3629,10 +3730,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter115;
-    for (_iter115 = this->results.begin(); _iter115 != this->results.end(); ++_iter115)
+    std::vector<StoredResult> ::const_iterator _iter119;
+    for (_iter119 = this->results.begin(); _iter119 != this->results.end(); ++_iter119)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3650,26 +3751,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimImage::ClaimImage(const ClaimImage& other116) {
-  claims = other116.claims;
-  results = other116.results;
-  __isset = other116.__isset;
+ClaimImage::ClaimImage(const ClaimImage& other120) {
+  claims = other120.claims;
+  results = other120.results;
+  __isset = other120.__isset;
 }
-ClaimImage::ClaimImage(ClaimImage&& other117) noexcept {
-  claims = std::move(other117.claims);
-  results = std::move(other117.results);
-  __isset = other117.__isset;
+ClaimImage::ClaimImage(ClaimImage&& other121) noexcept {
+  claims = std::move(other121.claims);
+  results = std::move(other121.results);
+  __isset = other121.__isset;
 }
-ClaimImage& ClaimImage::operator=(const ClaimImage& other118) {
-  claims = other118.claims;
-  results = other118.results;
-  __isset = other118.__isset;
+ClaimImage& ClaimImage::operator=(const ClaimImage& other122) {
+  claims = other122.claims;
+  results = other122.results;
+  __isset = other122.__isset;
   return *this;
 }
-ClaimImage& ClaimImage::operator=(ClaimImage&& other119) noexcept {
-  claims = std::move(other119.claims);
-  results = std::move(other119.results);
-  __isset = other119.__isset;
+ClaimImage& ClaimImage::operator=(ClaimImage&& other123) noexcept {
+  claims = std::move(other123.claims);
+  results = std::move(other123.results);
+  __isset = other123.__isset;
   return *this;
 }
 void ClaimImage::printTo(std::ostream& out) const {
@@ -3824,38 +3925,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Proposal::Proposal(const Proposal& other120) {
-  number = other120.number;
-  basedOn = other120.basedOn;
-  author = other120.author;
-  body = other120.body;
-  atMicros = other120.atMicros;
-  __isset = other120.__isset;
+Proposal::Proposal(const Proposal& other124) {
+  number = other124.number;
+  basedOn = other124.basedOn;
+  author = other124.author;
+  body = other124.body;
+  atMicros = other124.atMicros;
+  __isset = other124.__isset;
 }
-Proposal::Proposal(Proposal&& other121) noexcept {
-  number = other121.number;
-  basedOn = other121.basedOn;
-  author = std::move(other121.author);
-  body = std::move(other121.body);
-  atMicros = other121.atMicros;
-  __isset = other121.__isset;
+Proposal::Proposal(Proposal&& other125) noexcept {
+  number = other125.number;
+  basedOn = other125.basedOn;
+  author = std::move(other125.author);
+  body = std::move(other125.body);
+  atMicros = other125.atMicros;
+  __isset = other125.__isset;
 }
-Proposal& Proposal::operator=(const Proposal& other122) {
-  number = other122.number;
-  basedOn = other122.basedOn;
-  author = other122.author;
-  body = other122.body;
-  atMicros = other122.atMicros;
-  __isset = other122.__isset;
+Proposal& Proposal::operator=(const Proposal& other126) {
+  number = other126.number;
+  basedOn = other126.basedOn;
+  author = other126.author;
+  body = other126.body;
+  atMicros = other126.atMicros;
+  __isset = other126.__isset;
   return *this;
 }
-Proposal& Proposal::operator=(Proposal&& other123) noexcept {
-  number = other123.number;
-  basedOn = other123.basedOn;
-  author = std::move(other123.author);
-  body = std::move(other123.body);
-  atMicros = other123.atMicros;
-  __isset = other123.__isset;
+Proposal& Proposal::operator=(Proposal&& other127) noexcept {
+  number = other127.number;
+  basedOn = other127.basedOn;
+  author = std::move(other127.author);
+  body = std::move(other127.body);
+  atMicros = other127.atMicros;
+  __isset = other127.__isset;
   return *this;
 }
 void Proposal::printTo(std::ostream& out) const {
@@ -4013,38 +4114,38 @@
   swap(a.__isset, b.__isset);
 }
 
-VersionRecord::VersionRecord(const VersionRecord& other124) {
-  version = other124.version;
-  author = other124.author;
-  summary = other124.summary;
-  atMicros = other124.atMicros;
-  hash = other124.hash;
-  __isset = other124.__isset;
-}
-VersionRecord::VersionRecord(VersionRecord&& other125) noexcept {
-  version = other125.version;
-  author = std::move(other125.author);
-  summary = std::move(other125.summary);
-  atMicros = other125.atMicros;
-  hash = std::move(other125.hash);
-  __isset = other125.__isset;
-}
-VersionRecord& VersionRecord::operator=(const VersionRecord& other126) {
-  version = other126.version;
-  author = other126.author;
-  summary = other126.summary;
-  atMicros = other126.atMicros;
-  hash = other126.hash;
-  __isset = other126.__isset;
+VersionRecord::VersionRecord(const VersionRecord& other128) {
+  version = other128.version;
+  author = other128.author;
+  summary = other128.summary;
+  atMicros = other128.atMicros;
+  hash = other128.hash;
+  __isset = other128.__isset;
+}
+VersionRecord::VersionRecord(VersionRecord&& other129) noexcept {
+  version = other129.version;
+  author = std::move(other129.author);
+  summary = std::move(other129.summary);
+  atMicros = other129.atMicros;
+  hash = std::move(other129.hash);
+  __isset = other129.__isset;
+}
+VersionRecord& VersionRecord::operator=(const VersionRecord& other130) {
+  version = other130.version;
+  author = other130.author;
+  summary = other130.summary;
+  atMicros = other130.atMicros;
+  hash = other130.hash;
+  __isset = other130.__isset;
   return *this;
 }
-VersionRecord& VersionRecord::operator=(VersionRecord&& other127) noexcept {
-  version = other127.version;
-  author = std::move(other127.author);
-  summary = std::move(other127.summary);
-  atMicros = other127.atMicros;
-  hash = std::move(other127.hash);
-  __isset = other127.__isset;
+VersionRecord& VersionRecord::operator=(VersionRecord&& other131) noexcept {
+  version = other131.version;
+  author = std::move(other131.author);
+  summary = std::move(other131.summary);
+  atMicros = other131.atMicros;
+  hash = std::move(other131.hash);
+  __isset = other131.__isset;
   return *this;
 }
 void VersionRecord::printTo(std::ostream& out) const {
@@ -4126,14 +4227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->history.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->history.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->history[_i132].read(iprot);
+              xfer += this->history[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4146,14 +4247,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proposals.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->proposals.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->proposals.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->proposals[_i137].read(iprot);
+              xfer += this->proposals[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4174,14 +4275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->results.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->results.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->results[_i142].read(iprot);
+              xfer += this->results[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4194,14 +4295,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->updates.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->updates.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->updates[_i147].read(iprot);
+              xfer += this->updates[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4234,10 +4335,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionRecord> ::const_iterator _iter148;
-    for (_iter148 = this->history.begin(); _iter148 != this->history.end(); ++_iter148)
+    std::vector<VersionRecord> ::const_iterator _iter152;
+    for (_iter152 = this->history.begin(); _iter152 != this->history.end(); ++_iter152)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4246,10 +4347,10 @@
   xfer += oprot->writeFieldBegin("proposals", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proposals.size()));
-    std::vector<Proposal> ::const_iterator _iter149;
-    for (_iter149 = this->proposals.begin(); _iter149 != this->proposals.end(); ++_iter149)
+    std::vector<Proposal> ::const_iterator _iter153;
+    for (_iter153 = this->proposals.begin(); _iter153 != this->proposals.end(); ++_iter153)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4262,10 +4363,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter150;
-    for (_iter150 = this->results.begin(); _iter150 != this->results.end(); ++_iter150)
+    std::vector<StoredResult> ::const_iterator _iter154;
+    for (_iter154 = this->results.begin(); _iter154 != this->results.end(); ++_iter154)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4274,10 +4375,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<ConfigurationUpdate> ::const_iterator _iter151;
-    for (_iter151 = this->updates.begin(); _iter151 != this->updates.end(); ++_iter151)
+    std::vector<ConfigurationUpdate> ::const_iterator _iter155;
+    for (_iter155 = this->updates.begin(); _iter155 != this->updates.end(); ++_iter155)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4299,42 +4400,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationImage::ConfigurationImage(const ConfigurationImage& other152) {
-  version = other152.version;
-  history = other152.history;
-  proposals = other152.proposals;
-  nextProposal = other152.nextProposal;
-  results = other152.results;
-  updates = other152.updates;
-  __isset = other152.__isset;
-}
-ConfigurationImage::ConfigurationImage(ConfigurationImage&& other153) noexcept {
-  version = other153.version;
-  history = std::move(other153.history);
-  proposals = std::move(other153.proposals);
-  nextProposal = other153.nextProposal;
-  results = std::move(other153.results);
-  updates = std::move(other153.updates);
-  __isset = other153.__isset;
-}
-ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other154) {
-  version = other154.version;
-  history = other154.history;
-  proposals = other154.proposals;
-  nextProposal = other154.nextProposal;
-  results = other154.results;
-  updates = other154.updates;
-  __isset = other154.__isset;
+ConfigurationImage::ConfigurationImage(const ConfigurationImage& other156) {
+  version = other156.version;
+  history = other156.history;
+  proposals = other156.proposals;
+  nextProposal = other156.nextProposal;
+  results = other156.results;
+  updates = other156.updates;
+  __isset = other156.__isset;
+}
+ConfigurationImage::ConfigurationImage(ConfigurationImage&& other157) noexcept {
+  version = other157.version;
+  history = std::move(other157.history);
+  proposals = std::move(other157.proposals);
+  nextProposal = other157.nextProposal;
+  results = std::move(other157.results);
+  updates = std::move(other157.updates);
+  __isset = other157.__isset;
+}
+ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other158) {
+  version = other158.version;
+  history = other158.history;
+  proposals = other158.proposals;
+  nextProposal = other158.nextProposal;
+  results = other158.results;
+  updates = other158.updates;
+  __isset = other158.__isset;
   return *this;
 }
-ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other155) noexcept {
-  version = other155.version;
-  history = std::move(other155.history);
-  proposals = std::move(other155.proposals);
-  nextProposal = other155.nextProposal;
-  results = std::move(other155.results);
-  updates = std::move(other155.updates);
-  __isset = other155.__isset;
+ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other159) noexcept {
+  version = other159.version;
+  history = std::move(other159.history);
+  proposals = std::move(other159.proposals);
+  nextProposal = other159.nextProposal;
+  results = std::move(other159.results);
+  updates = std::move(other159.updates);
+  __isset = other159.__isset;
   return *this;
 }
 void ConfigurationImage::printTo(std::ostream& out) const {
@@ -4463,9 +4564,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast156;
-          xfer += iprot->readI32(ecast156);
-          this->state = static_cast<MemberState::type>(ecast156);
+          int32_t ecast160;
+          xfer += iprot->readI32(ecast160);
+          this->state = static_cast<MemberState::type>(ecast160);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4521,9 +4622,9 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast157;
-          xfer += iprot->readI32(ecast157);
-          this->phase = static_cast<TargetPhase::type>(ecast157);
+          int32_t ecast161;
+          xfer += iprot->readI32(ecast161);
+          this->phase = static_cast<TargetPhase::type>(ecast161);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4650,74 +4751,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other158) {
-  name = other158.name;
-  incarnation = other158.incarnation;
-  revision = other158.revision;
-  state = other158.state;
-  region = other158.region;
-  failureDomain = other158.failureDomain;
-  peerAddress = other158.peerAddress;
-  gateAddress = other158.gateAddress;
-  serviceName = other158.serviceName;
-  targetName = other158.targetName;
-  phase = other158.phase;
-  slots = other158.slots;
-  version = other158.version;
-  warmUpMillis = other158.warmUpMillis;
-  __isset = other158.__isset;
-}
-Member::Member(Member&& other159) noexcept {
-  name = std::move(other159.name);
-  incarnation = other159.incarnation;
-  revision = other159.revision;
-  state = other159.state;
-  region = std::move(other159.region);
-  failureDomain = std::move(other159.failureDomain);
-  peerAddress = std::move(other159.peerAddress);
-  gateAddress = std::move(other159.gateAddress);
-  serviceName = std::move(other159.serviceName);
-  targetName = std::move(other159.targetName);
-  phase = other159.phase;
-  slots = other159.slots;
-  version = other159.version;
-  warmUpMillis = other159.warmUpMillis;
-  __isset = other159.__isset;
-}
-Member& Member::operator=(const Member& other160) {
-  name = other160.name;
-  incarnation = other160.incarnation;
-  revision = other160.revision;
-  state = other160.state;
-  region = other160.region;
-  failureDomain = other160.failureDomain;
-  peerAddress = other160.peerAddress;
-  gateAddress = other160.gateAddress;
-  serviceName = other160.serviceName;
-  targetName = other160.targetName;
-  phase = other160.phase;
-  slots = other160.slots;
-  version = other160.version;
-  warmUpMillis = other160.warmUpMillis;
-  __isset = other160.__isset;
+Member::Member(const Member& other162) {
+  name = other162.name;
+  incarnation = other162.incarnation;
+  revision = other162.revision;
+  state = other162.state;
+  region = other162.region;
+  failureDomain = other162.failureDomain;
+  peerAddress = other162.peerAddress;
+  gateAddress = other162.gateAddress;
+  serviceName = other162.serviceName;
+  targetName = other162.targetName;
+  phase = other162.phase;
+  slots = other162.slots;
+  version = other162.version;
+  warmUpMillis = other162.warmUpMillis;
+  __isset = other162.__isset;
+}
+Member::Member(Member&& other163) noexcept {
+  name = std::move(other163.name);
+  incarnation = other163.incarnation;
+  revision = other163.revision;
+  state = other163.state;
+  region = std::move(other163.region);
+  failureDomain = std::move(other163.failureDomain);
+  peerAddress = std::move(other163.peerAddress);
+  gateAddress = std::move(other163.gateAddress);
+  serviceName = std::move(other163.serviceName);
+  targetName = std::move(other163.targetName);
+  phase = other163.phase;
+  slots = other163.slots;
+  version = other163.version;
+  warmUpMillis = other163.warmUpMillis;
+  __isset = other163.__isset;
+}
+Member& Member::operator=(const Member& other164) {
+  name = other164.name;
+  incarnation = other164.incarnation;
+  revision = other164.revision;
+  state = other164.state;
+  region = other164.region;
+  failureDomain = other164.failureDomain;
+  peerAddress = other164.peerAddress;
+  gateAddress = other164.gateAddress;
+  serviceName = other164.serviceName;
+  targetName = other164.targetName;
+  phase = other164.phase;
+  slots = other164.slots;
+  version = other164.version;
+  warmUpMillis = other164.warmUpMillis;
+  __isset = other164.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other161) noexcept {
-  name = std::move(other161.name);
-  incarnation = other161.incarnation;
-  revision = other161.revision;
-  state = other161.state;
-  region = std::move(other161.region);
-  failureDomain = std::move(other161.failureDomain);
-  peerAddress = std::move(other161.peerAddress);
-  gateAddress = std::move(other161.gateAddress);
-  serviceName = std::move(other161.serviceName);
-  targetName = std::move(other161.targetName);
-  phase = other161.phase;
-  slots = other161.slots;
-  version = other161.version;
-  warmUpMillis = other161.warmUpMillis;
-  __isset = other161.__isset;
+Member& Member::operator=(Member&& other165) noexcept {
+  name = std::move(other165.name);
+  incarnation = other165.incarnation;
+  revision = other165.revision;
+  state = other165.state;
+  region = std::move(other165.region);
+  failureDomain = std::move(other165.failureDomain);
+  peerAddress = std::move(other165.peerAddress);
+  gateAddress = std::move(other165.gateAddress);
+  serviceName = std::move(other165.serviceName);
+  targetName = std::move(other165.targetName);
+  phase = other165.phase;
+  slots = other165.slots;
+  version = other165.version;
+  warmUpMillis = other165.warmUpMillis;
+  __isset = other165.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -4824,14 +4925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->members.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->members.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->members[_i166].read(iprot);
+              xfer += this->members[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4908,10 +5009,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter167;
-    for (_iter167 = this->members.begin(); _iter167 != this->members.end(); ++_iter167)
+    std::vector<Member> ::const_iterator _iter171;
+    for (_iter171 = this->members.begin(); _iter171 != this->members.end(); ++_iter171)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4955,50 +5056,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other168) {
-  sentAt = other168.sentAt;
-  sender = other168.sender;
-  members = other168.members;
-  version = other168.version;
-  hash = other168.hash;
-  full = other168.full;
-  digest = other168.digest;
-  mesh = other168.mesh;
-  __isset = other168.__isset;
-}
-Gossip::Gossip(Gossip&& other169) noexcept {
-  sentAt = std::move(other169.sentAt);
-  sender = std::move(other169.sender);
-  members = std::move(other169.members);
-  version = other169.version;
-  hash = std::move(other169.hash);
-  full = other169.full;
-  digest = other169.digest;
-  mesh = other169.mesh;
-  __isset = other169.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other170) {
-  sentAt = other170.sentAt;
-  sender = other170.sender;
-  members = other170.members;
-  version = other170.version;
-  hash = other170.hash;
-  full = other170.full;
-  digest = other170.digest;
-  mesh = other170.mesh;
-  __isset = other170.__isset;
+Gossip::Gossip(const Gossip& other172) {
+  sentAt = other172.sentAt;
+  sender = other172.sender;
+  members = other172.members;
+  version = other172.version;
+  hash = other172.hash;
+  full = other172.full;
+  digest = other172.digest;
+  mesh = other172.mesh;
+  __isset = other172.__isset;
+}
+Gossip::Gossip(Gossip&& other173) noexcept {
+  sentAt = std::move(other173.sentAt);
+  sender = std::move(other173.sender);
+  members = std::move(other173.members);
+  version = other173.version;
+  hash = std::move(other173.hash);
+  full = other173.full;
+  digest = other173.digest;
+  mesh = other173.mesh;
+  __isset = other173.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other174) {
+  sentAt = other174.sentAt;
+  sender = other174.sender;
+  members = other174.members;
+  version = other174.version;
+  hash = other174.hash;
+  full = other174.full;
+  digest = other174.digest;
+  mesh = other174.mesh;
+  __isset = other174.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other171) noexcept {
-  sentAt = std::move(other171.sentAt);
-  sender = std::move(other171.sender);
-  members = std::move(other171.members);
-  version = other171.version;
-  hash = std::move(other171.hash);
-  full = other171.full;
-  digest = other171.digest;
-  mesh = other171.mesh;
-  __isset = other171.__isset;
+Gossip& Gossip::operator=(Gossip&& other175) noexcept {
+  sentAt = std::move(other175.sentAt);
+  sender = std::move(other175.sender);
+  members = std::move(other175.members);
+  version = other175.version;
+  hash = std::move(other175.hash);
+  full = other175.full;
+  digest = other175.digest;
+  mesh = other175.mesh;
+  __isset = other175.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5071,14 +5172,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->members.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->members.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->members[_i176].read(iprot);
+              xfer += this->members[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5139,10 +5240,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter177;
-    for (_iter177 = this->members.begin(); _iter177 != this->members.end(); ++_iter177)
+    std::vector<Member> ::const_iterator _iter181;
+    for (_iter181 = this->members.begin(); _iter181 != this->members.end(); ++_iter181)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5179,38 +5280,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipReply::GossipReply(const GossipReply& other178) {
-  members = other178.members;
-  version = other178.version;
-  sentAt = other178.sentAt;
-  digest = other178.digest;
-  name = other178.name;
-  __isset = other178.__isset;
-}
-GossipReply::GossipReply(GossipReply&& other179) noexcept {
-  members = std::move(other179.members);
-  version = other179.version;
-  sentAt = std::move(other179.sentAt);
-  digest = other179.digest;
-  name = std::move(other179.name);
-  __isset = other179.__isset;
-}
-GossipReply& GossipReply::operator=(const GossipReply& other180) {
-  members = other180.members;
-  version = other180.version;
-  sentAt = other180.sentAt;
-  digest = other180.digest;
-  name = other180.name;
-  __isset = other180.__isset;
+GossipReply::GossipReply(const GossipReply& other182) {
+  members = other182.members;
+  version = other182.version;
+  sentAt = other182.sentAt;
+  digest = other182.digest;
+  name = other182.name;
+  __isset = other182.__isset;
+}
+GossipReply::GossipReply(GossipReply&& other183) noexcept {
+  members = std::move(other183.members);
+  version = other183.version;
+  sentAt = std::move(other183.sentAt);
+  digest = other183.digest;
+  name = std::move(other183.name);
+  __isset = other183.__isset;
+}
+GossipReply& GossipReply::operator=(const GossipReply& other184) {
+  members = other184.members;
+  version = other184.version;
+  sentAt = other184.sentAt;
+  digest = other184.digest;
+  name = other184.name;
+  __isset = other184.__isset;
   return *this;
 }
-GossipReply& GossipReply::operator=(GossipReply&& other181) noexcept {
-  members = std::move(other181.members);
-  version = other181.version;
-  sentAt = std::move(other181.sentAt);
-  digest = other181.digest;
-  name = std::move(other181.name);
-  __isset = other181.__isset;
+GossipReply& GossipReply::operator=(GossipReply&& other185) noexcept {
+  members = std::move(other185.members);
+  version = other185.version;
+  sentAt = std::move(other185.sentAt);
+  digest = other185.digest;
+  name = std::move(other185.name);
+  __isset = other185.__isset;
   return *this;
 }
 void GossipReply::printTo(std::ostream& out) const {
@@ -5324,17 +5425,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->nodesAtVersion.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _ktype183;
-            ::apache::thrift::protocol::TType _vtype184;
-            xfer += iprot->readMapBegin(_ktype183, _vtype184, _size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _ktype187;
+            ::apache::thrift::protocol::TType _vtype188;
+            xfer += iprot->readMapBegin(_ktype187, _vtype188, _size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              int64_t _key187;
-              xfer += iprot->readI64(_key187);
-              int32_t& _val188 = this->nodesAtVersion[_key187];
-              xfer += iprot->readI32(_val188);
+              int64_t _key191;
+              xfer += iprot->readI64(_key191);
+              int32_t& _val192 = this->nodesAtVersion[_key191];
+              xfer += iprot->readI32(_val192);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5347,14 +5448,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stragglers.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->stragglers.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->stragglers.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += iprot->readString(this->stragglers[_i193]);
+              xfer += iprot->readString(this->stragglers[_i197]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5367,14 +5468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->sample.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->sample.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->sample[_i198].read(iprot);
+              xfer += this->sample[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5427,11 +5528,11 @@
   xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter199;
-    for (_iter199 = this->nodesAtVersion.begin(); _iter199 != this->nodesAtVersion.end(); ++_iter199)
+    std::map<int64_t, int32_t> ::const_iterator _iter203;
+    for (_iter203 = this->nodesAtVersion.begin(); _iter203 != this->nodesAtVersion.end(); ++_iter203)
     {
-      xfer += oprot->writeI64(_iter199->first);
-      xfer += oprot->writeI32(_iter199->second);
+      xfer += oprot->writeI64(_iter203->first);
+      xfer += oprot->writeI32(_iter203->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5440,10 +5541,10 @@
   xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
-    std::vector<std::string> ::const_iterator _iter200;
-    for (_iter200 = this->stragglers.begin(); _iter200 != this->stragglers.end(); ++_iter200)
+    std::vector<std::string> ::const_iterator _iter204;
+    for (_iter204 = this->stragglers.begin(); _iter204 != this->stragglers.end(); ++_iter204)
     {
-      xfer += oprot->writeString((*_iter200));
+      xfer += oprot->writeString((*_iter204));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5452,10 +5553,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter201;
-    for (_iter201 = this->sample.begin(); _iter201 != this->sample.end(); ++_iter201)
+    std::vector<Member> ::const_iterator _iter205;
+    for (_iter205 = this->sample.begin(); _iter205 != this->sample.end(); ++_iter205)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += (*_iter205).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5483,50 +5584,50 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainReport::DomainReport(const DomainReport& other202) {
-  failureDomain = other202.failureDomain;
-  region = other202.region;
-  relay = other202.relay;
-  alive = other202.alive;
-  nodesAtVersion = other202.nodesAtVersion;
-  stragglers = other202.stragglers;
-  sample = other202.sample;
-  ageMillis = other202.ageMillis;
-  __isset = other202.__isset;
-}
-DomainReport::DomainReport(DomainReport&& other203) noexcept {
-  failureDomain = std::move(other203.failureDomain);
-  region = std::move(other203.region);
-  relay = std::move(other203.relay);
-  alive = other203.alive;
-  nodesAtVersion = std::move(other203.nodesAtVersion);
-  stragglers = std::move(other203.stragglers);
-  sample = std::move(other203.sample);
-  ageMillis = other203.ageMillis;
-  __isset = other203.__isset;
-}
-DomainReport& DomainReport::operator=(const DomainReport& other204) {
-  failureDomain = other204.failureDomain;
-  region = other204.region;
-  relay = other204.relay;
-  alive = other204.alive;
-  nodesAtVersion = other204.nodesAtVersion;
-  stragglers = other204.stragglers;
-  sample = other204.sample;
-  ageMillis = other204.ageMillis;
-  __isset = other204.__isset;
+DomainReport::DomainReport(const DomainReport& other206) {
+  failureDomain = other206.failureDomain;
+  region = other206.region;
+  relay = other206.relay;
+  alive = other206.alive;
+  nodesAtVersion = other206.nodesAtVersion;
+  stragglers = other206.stragglers;
+  sample = other206.sample;
+  ageMillis = other206.ageMillis;
+  __isset = other206.__isset;
+}
+DomainReport::DomainReport(DomainReport&& other207) noexcept {
+  failureDomain = std::move(other207.failureDomain);
+  region = std::move(other207.region);
+  relay = std::move(other207.relay);
+  alive = other207.alive;
+  nodesAtVersion = std::move(other207.nodesAtVersion);
+  stragglers = std::move(other207.stragglers);
+  sample = std::move(other207.sample);
+  ageMillis = other207.ageMillis;
+  __isset = other207.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other208) {
+  failureDomain = other208.failureDomain;
+  region = other208.region;
+  relay = other208.relay;
+  alive = other208.alive;
+  nodesAtVersion = other208.nodesAtVersion;
+  stragglers = other208.stragglers;
+  sample = other208.sample;
+  ageMillis = other208.ageMillis;
+  __isset = other208.__isset;
   return *this;
 }
-DomainReport& DomainReport::operator=(DomainReport&& other205) noexcept {
-  failureDomain = std::move(other205.failureDomain);
-  region = std::move(other205.region);
-  relay = std::move(other205.relay);
-  alive = other205.alive;
-  nodesAtVersion = std::move(other205.nodesAtVersion);
-  stragglers = std::move(other205.stragglers);
-  sample = std::move(other205.sample);
-  ageMillis = other205.ageMillis;
-  __isset = other205.__isset;
+DomainReport& DomainReport::operator=(DomainReport&& other209) noexcept {
+  failureDomain = std::move(other209.failureDomain);
+  region = std::move(other209.region);
+  relay = std::move(other209.relay);
+  alive = other209.alive;
+  nodesAtVersion = std::move(other209.nodesAtVersion);
+  stragglers = std::move(other209.stragglers);
+  sample = std::move(other209.sample);
+  ageMillis = other209.ageMillis;
+  __isset = other209.__isset;
   return *this;
 }
 void DomainReport::printTo(std::ostream& out) const {
@@ -5571,6 +5672,10 @@
 void WatchRequest::__set_wantsMembers(const bool val) {
   this->wantsMembers = val;
 }
+
+void WatchRequest::__set_introduced(const std::vector<Member> & val) {
+  this->introduced = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -5647,6 +5752,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->introduced.clear();
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->introduced.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
+            {
+              xfer += this->introduced[_i214].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.introduced = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5688,6 +5813,18 @@
   xfer += oprot->writeBool(this->wantsMembers);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
+    std::vector<Member> ::const_iterator _iter215;
+    for (_iter215 = this->introduced.begin(); _iter215 != this->introduced.end(); ++_iter215)
+    {
+      xfer += (*_iter215).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5701,45 +5838,50 @@
   swap(a.sentAt, b.sentAt);
   swap(a.failureDomain, b.failureDomain);
   swap(a.wantsMembers, b.wantsMembers);
+  swap(a.introduced, b.introduced);
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other206) {
-  heldVersion = other206.heldVersion;
-  waitMillis = other206.waitMillis;
-  report = other206.report;
-  sentAt = other206.sentAt;
-  failureDomain = other206.failureDomain;
-  wantsMembers = other206.wantsMembers;
-  __isset = other206.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other207) noexcept {
-  heldVersion = other207.heldVersion;
-  waitMillis = other207.waitMillis;
-  report = std::move(other207.report);
-  sentAt = std::move(other207.sentAt);
-  failureDomain = std::move(other207.failureDomain);
-  wantsMembers = other207.wantsMembers;
-  __isset = other207.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other208) {
-  heldVersion = other208.heldVersion;
-  waitMillis = other208.waitMillis;
-  report = other208.report;
-  sentAt = other208.sentAt;
-  failureDomain = other208.failureDomain;
-  wantsMembers = other208.wantsMembers;
-  __isset = other208.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other216) {
+  heldVersion = other216.heldVersion;
+  waitMillis = other216.waitMillis;
+  report = other216.report;
+  sentAt = other216.sentAt;
+  failureDomain = other216.failureDomain;
+  wantsMembers = other216.wantsMembers;
+  introduced = other216.introduced;
+  __isset = other216.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other217) noexcept {
+  heldVersion = other217.heldVersion;
+  waitMillis = other217.waitMillis;
+  report = std::move(other217.report);
+  sentAt = std::move(other217.sentAt);
+  failureDomain = std::move(other217.failureDomain);
+  wantsMembers = other217.wantsMembers;
+  introduced = std::move(other217.introduced);
+  __isset = other217.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other218) {
+  heldVersion = other218.heldVersion;
+  waitMillis = other218.waitMillis;
+  report = other218.report;
+  sentAt = other218.sentAt;
+  failureDomain = other218.failureDomain;
+  wantsMembers = other218.wantsMembers;
+  introduced = other218.introduced;
+  __isset = other218.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other209) noexcept {
-  heldVersion = other209.heldVersion;
-  waitMillis = other209.waitMillis;
-  report = std::move(other209.report);
-  sentAt = std::move(other209.sentAt);
-  failureDomain = std::move(other209.failureDomain);
-  wantsMembers = other209.wantsMembers;
-  __isset = other209.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other219) noexcept {
+  heldVersion = other219.heldVersion;
+  waitMillis = other219.waitMillis;
+  report = std::move(other219.report);
+  sentAt = std::move(other219.sentAt);
+  failureDomain = std::move(other219.failureDomain);
+  wantsMembers = other219.wantsMembers;
+  introduced = std::move(other219.introduced);
+  __isset = other219.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -5751,6 +5893,7 @@
   out << ", " << "sentAt=" << to_string(sentAt);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "wantsMembers=" << to_string(wantsMembers);
+  out << ", " << "introduced=" << to_string(introduced);
   out << ")";
 }
 
@@ -5822,14 +5965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->sample.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->sample.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
             {
-              xfer += this->sample[_i214].read(iprot);
+              xfer += this->sample[_i224].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5866,14 +6009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->replicas.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->replicas.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += this->replicas[_i219].read(iprot);
+              xfer += this->replicas[_i229].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5906,10 +6049,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter220;
-    for (_iter220 = this->sample.begin(); _iter220 != this->sample.end(); ++_iter220)
+    std::vector<Member> ::const_iterator _iter230;
+    for (_iter230 = this->sample.begin(); _iter230 != this->sample.end(); ++_iter230)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5930,10 +6073,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter221;
-    for (_iter221 = this->replicas.begin(); _iter221 != this->replicas.end(); ++_iter221)
+    std::vector<Replica> ::const_iterator _iter231;
+    for (_iter231 = this->replicas.begin(); _iter231 != this->replicas.end(); ++_iter231)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5955,42 +6098,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other222) {
-  update = other222.update;
-  sample = other222.sample;
-  sentAt = other222.sentAt;
-  unchanged = other222.unchanged;
-  current = other222.current;
-  replicas = other222.replicas;
-  __isset = other222.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other223) noexcept {
-  update = std::move(other223.update);
-  sample = std::move(other223.sample);
-  sentAt = std::move(other223.sentAt);
-  unchanged = other223.unchanged;
-  current = other223.current;
-  replicas = std::move(other223.replicas);
-  __isset = other223.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other224) {
-  update = other224.update;
-  sample = other224.sample;
-  sentAt = other224.sentAt;
-  unchanged = other224.unchanged;
-  current = other224.current;
-  replicas = other224.replicas;
-  __isset = other224.__isset;
+WatchReply::WatchReply(const WatchReply& other232) {
+  update = other232.update;
+  sample = other232.sample;
+  sentAt = other232.sentAt;
+  unchanged = other232.unchanged;
+  current = other232.current;
+  replicas = other232.replicas;
+  __isset = other232.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other233) noexcept {
+  update = std::move(other233.update);
+  sample = std::move(other233.sample);
+  sentAt = std::move(other233.sentAt);
+  unchanged = other233.unchanged;
+  current = other233.current;
+  replicas = std::move(other233.replicas);
+  __isset = other233.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other234) {
+  update = other234.update;
+  sample = other234.sample;
+  sentAt = other234.sentAt;
+  unchanged = other234.unchanged;
+  current = other234.current;
+  replicas = other234.replicas;
+  __isset = other234.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other225) noexcept {
-  update = std::move(other225.update);
-  sample = std::move(other225.sample);
-  sentAt = std::move(other225.sentAt);
-  unchanged = other225.unchanged;
-  current = other225.current;
-  replicas = std::move(other225.replicas);
-  __isset = other225.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other235) noexcept {
+  update = std::move(other235.update);
+  sample = std::move(other235.sample);
+  sentAt = std::move(other235.sentAt);
+  unchanged = other235.unchanged;
+  current = other235.current;
+  replicas = std::move(other235.replicas);
+  __isset = other235.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -137,6 +137,8 @@
 
 class Ballot;
 
+class CommitMark;
+
 class SnapshotFile;
 
 class GroupStatus;
@@ -786,6 +788,51 @@
 
 std::ostream& operator<<(std::ostream& out, const Ballot& obj);
 
+typedef struct _CommitMark__isset {
+  _CommitMark__isset() : index(true) {}
+  bool index :1;
+} _CommitMark__isset;
+
+class CommitMark : public virtual ::apache::thrift::TBase {
+ public:
+
+  CommitMark(const CommitMark&) noexcept;
+  CommitMark(CommitMark&&) noexcept;
+  CommitMark& operator=(const CommitMark&) noexcept;
+  CommitMark& operator=(CommitMark&&) noexcept;
+  CommitMark() noexcept
+             : index(0LL) {
+  }
+
+  virtual ~CommitMark() noexcept;
+  int64_t index;
+
+  _CommitMark__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  bool operator == (const CommitMark & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const CommitMark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CommitMark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CommitMark &a, CommitMark &b);
+
+std::ostream& operator<<(std::ostream& out, const CommitMark& obj);
+
 typedef struct _SnapshotFile__isset {
   _SnapshotFile__isset() : index(true), term(true), members(false), state(false) {}
   bool index :1;
@@ -2024,13 +2071,14 @@
 std::ostream& operator<<(std::ostream& out, const DomainReport& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true) {}
+  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true), introduced(false) {}
   bool heldVersion :1;
   bool waitMillis :1;
   bool report :1;
   bool sentAt :1;
   bool failureDomain :1;
   bool wantsMembers :1;
+  bool introduced :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -2054,6 +2102,7 @@
   Stamp sentAt;
   std::string failureDomain;
   bool wantsMembers;
+  std::vector<Member>  introduced;
 
   _WatchRequest__isset __isset;
 
@@ -2069,6 +2118,8 @@
 
   void __set_wantsMembers(const bool val);
 
+  void __set_introduced(const std::vector<Member> & val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(heldVersion == rhs.heldVersion))
@@ -2083,6 +2134,8 @@
       return false;
     if (!(wantsMembers == rhs.wantsMembers))
       return false;
+    if (!(introduced == rhs.introduced))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
