--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -19,6 +19,10 @@
 static constexpr size_t kTellingAttempts = 3;
 /** Gates that cost the same are used in turn rather than by name. */
 static constexpr int64_t kJitterMicros = 500;
+/** An earlier answer counts for this little where the objective is met anyway. */
+static constexpr int kEaseFactor = 10;
+/** Open attempts of this many times the usual time are a sign of trouble. */
+static constexpr int kTroubleFactor = 3;
 
 Balancer::Balancer(Options aOptions)
   : m_options(aOptions)
@@ -39,18 +43,32 @@
   return shard.stats[aNode];
 }
 
+static std::chrono::microseconds
+Part(std::chrono::microseconds aTime, double aShare)
+{
+  return std::chrono::microseconds(static_cast<int64_t>(static_cast<double>(aTime.count()) * aShare));
+}
+
 std::chrono::microseconds
-Balancer::DistanceCost(Locality aLocality) const
+Balancer::DistanceCost(Locality aLocality, const CallWish& aWish) const
 {
+  const DistanceCosts& costs = m_options.distance;
   switch (aLocality) {
     case Locality::FailureDomain:
       return std::chrono::microseconds(0);
     case Locality::Region:
-      return m_options.distance.region;
+      return costs.region + Part(aWish.objective, costs.regionShare);
     case Locality::OtherRegion:
-      return m_options.distance.otherRegion;
+      return costs.otherRegion + Part(aWish.objective, costs.otherRegionShare);
   }
-  return m_options.distance.otherRegion;
+  return costs.otherRegion;
+}
+
+/** What an answer after a time costs: little while the caller is served well, each moment beyond that. */
+static std::chrono::microseconds
+LatenessCost(std::chrono::microseconds aTime, std::chrono::microseconds aComfort)
+{
+  return std::max(std::chrono::microseconds(0), aTime - aComfort) + aTime / kEaseFactor;
 }
 
 /** The age that half of the open attempts have reached, or zero where there are too few to tell. */
@@ -65,26 +83,55 @@
 }
 
 Balancer::Candidate
-Balancer::Weigh(const GateInfo& aGate, const CallExperience& aExperience, Deadline aNow)
+Balancer::Look(const GateInfo& aGate,
+               const CallExperience& aExperience,
+               const CallWish& aWish,
+               Deadline aNow)
 {
   const Stats stats = Read(aGate.node);
-  const auto mean = std::max(stats.mean, TypicalAge(stats.open, aNow));
+  const auto ofKind = stats.meanOfKind.find(aWish.kind);
+  const auto age = TypicalAge(stats.open, aNow);
   const bool fresh = aNow < stats.loadAt + kLoadFreshness;
   const int slots = std::max(1, fresh ? stats.load.slots : aGate.slots);
   const auto own = static_cast<int>(stats.open.size());
   Candidate candidate{ .gate = &aGate };
-  candidate.wait = mean * std::max(0, own + 1 - slots) / slots;
+  candidate.wait = std::max(stats.mean, age) * std::max(0, own + 1 - slots) / slots;
   if (fresh) {
     candidate.wait = std::max(candidate.wait, stats.load.wait);
   }
   if (const auto named = aExperience.turnedBack.find(aGate.node); named != aExperience.turnedBack.end()) {
     candidate.wait = std::max(candidate.wait, named->second);
   }
-  candidate.rest = mean + DistanceCost(aGate.locality) + mean * own / (slots * kSmoothing) +
-                   std::chrono::microseconds(RandomBetween(0, kJitterMicros));
+  if (ofKind != stats.meanOfKind.end()) {
+    // Attempts that are open for longer than usual tell of trouble before they end.
+    const bool troubled = age > kTroubleFactor * stats.mean;
+    candidate.time = std::max(ofKind->second, troubled ? age : std::chrono::microseconds(0));
+    candidate.time += candidate.time * own / (slots * kSmoothing);
+  }
   return candidate;
 }
 
+void
+Balancer::Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const
+{
+  std::chrono::microseconds sum{ 0 };
+  int known = 0;
+  for (const Candidate& candidate : aCandidates) {
+    sum += candidate.time;
+    known += candidate.time.count() > 0 ? 1 : 0;
+  }
+  const auto comfort = Part(aWish.objective, m_options.distance.comfortShare);
+  for (Candidate& candidate : aCandidates) {
+    if (candidate.time.count() == 0 && known > 0) {
+      // A gate that is new to this entry is taken to be like the others.
+      candidate.time = sum / known;
+    }
+    candidate.distance = DistanceCost(candidate.gate->locality, aWish);
+    candidate.cost = candidate.distance + LatenessCost(candidate.time + candidate.wait, comfort) +
+                     std::chrono::microseconds(RandomBetween(0, kJitterMicros));
+  }
+}
+
 std::vector<const GateInfo*>
 Balancer::Usable(const std::vector<GateInfo>& aGates, const std::set<std::string>& aExcluded, Deadline aNow)
 {
@@ -106,25 +153,34 @@
 GateChoice
 Balancer::Cheapest(const std::vector<const GateInfo*>& aGates,
                    const CallExperience& aExperience,
+                   const CallWish& aWish,
                    Deadline aNow)
 {
   std::vector<Candidate> candidates;
   for (const GateInfo* gate : aGates) {
-    candidates.push_back(Weigh(*gate, aExperience, aNow));
+    candidates.push_back(Look(*gate, aExperience, aWish, aNow));
   }
+  Weigh(candidates, aWish);
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& aLeft, const Candidate& aRight) {
-    return aLeft.Cost() < aRight.Cost();
+    return aLeft.cost < aRight.cost;
   });
   const Candidate& best = candidates.front();
   GateChoice choice{ .gate = *best.gate, .longestWait = std::chrono::microseconds::max() };
   if (candidates.size() > 1) {
-    choice.longestWait = std::max(std::chrono::microseconds(0), candidates[1].Cost() - best.rest);
+    // The wait after which the next best gate costs less.
+    const auto comfort = Part(aWish.objective, m_options.distance.comfortShare);
+    const auto spare = std::max(std::chrono::microseconds(0), comfort - best.time);
+    choice.longestWait = std::max(std::chrono::microseconds(0),
+                                  spare + candidates[1].cost - best.distance -
+                                    LatenessCost(best.time + spare, comfort));
   }
   return choice;
 }
 
 std::optional<GateChoice>
-Balancer::Choose(const std::vector<GateInfo>& aGates, const CallExperience& aExperience)
+Balancer::Choose(const std::vector<GateInfo>& aGates,
+                 const CallExperience& aExperience,
+                 const CallWish& aWish)
 {
   const Deadline now = SteadyClock::now();
   const std::vector<const GateInfo*> usable = Usable(aGates, aExperience.excluded, now);
@@ -144,7 +200,7 @@
       return GateChoice{ .gate = **std::min_element(usable.begin(), usable.end(), fewest),
                          .longestWait = std::chrono::microseconds::max() };
     case BalancePolicy::ExpectedTime:
-      return Cheapest(usable, aExperience, now);
+      return Cheapest(usable, aExperience, aWish, now);
   }
   return std::nullopt;
 }
@@ -163,26 +219,34 @@
   }
 }
 
+static void
+Smooth(std::chrono::microseconds& aMean, std::chrono::microseconds aTime)
+{
+  aMean = aMean.count() == 0 ? aTime : aMean + (aTime - aMean) / kSmoothing;
+}
+
 void
-Balancer::Ended(const std::string& aNode, CallClass aClass, AttemptEnd aEnd, Deadline aSentAt, Deadline aNow)
+Balancer::Ended(const EndedAttempt& aAttempt, Deadline aNow)
 {
-  Shard& shard = ShardOf(aNode);
+  Shard& shard = ShardOf(aAttempt.node);
   const std::lock_guard lock(shard.mutex);
-  Stats& stats = shard.stats[aNode];
-  if (const auto open = stats.open.find(aSentAt); aClass == CallClass::Short && open != stats.open.end()) {
+  Stats& stats = shard.stats[aAttempt.node];
+  const bool isShort = aAttempt.callClass == CallClass::Short;
+  if (const auto open = stats.open.find(aAttempt.sentAt); isShort && open != stats.open.end()) {
     stats.open.erase(open);
   }
-  const auto time = std::chrono::duration_cast<std::chrono::microseconds>(aNow - aSentAt);
+  const auto time = std::chrono::duration_cast<std::chrono::microseconds>(aNow - aAttempt.sentAt);
   // An abandoned attempt took at least as long as it was waited for.
-  const bool slow = aEnd == AttemptEnd::Abandoned && time > stats.mean;
-  if (aClass == CallClass::Short && (aEnd == AttemptEnd::Answered || slow)) {
-    stats.mean = stats.mean.count() == 0 ? time : stats.mean + (time - stats.mean) / kSmoothing;
+  const bool slow = aAttempt.end == AttemptEnd::Abandoned && time > stats.mean;
+  if (isShort && (aAttempt.end == AttemptEnd::Answered || slow)) {
+    Smooth(stats.mean, time);
+    Smooth(stats.meanOfKind[aAttempt.kind], time);
   }
-  if (aEnd == AttemptEnd::Answered) {
+  if (aAttempt.end == AttemptEnd::Answered) {
     stats.failures = 0;
     return;
   }
-  if (aEnd == AttemptEnd::Failed && ++stats.failures >= kFailuresToLeaveOut) {
+  if (aAttempt.end == AttemptEnd::Failed && ++stats.failures >= kFailuresToLeaveOut) {
     const int doublings = std::min(stats.failures - kFailuresToLeaveOut, 4);
     stats.leftOutUntil = aNow + std::min(kFirstLeaveOut * (1 << doublings), kLongestLeaveOut);
   }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -52,6 +52,30 @@
 {
   std::chrono::microseconds region{ 1500 };
   std::chrono::microseconds otherRegion{ 40000 };
+  /** Added parts of a call's latency objective, where bytes between domains cost more than a later answer. */
+  double regionShare = 0;
+  double otherRegionShare = 0;
+  /** Part of the objective within which a later answer costs next to nothing. */
+  double comfortShare = 0;
+};
+
+/** What a call wants of a gate. */
+struct CallWish
+{
+  /** Names calls of like cost, such as those of one route. */
+  std::string kind;
+  /** Time in which an answer is worth most to the caller; zero where only speed counts. */
+  std::chrono::microseconds objective{ 0 };
+};
+
+/** An attempt that has ended. */
+struct EndedAttempt
+{
+  std::string node;
+  std::string kind;
+  CallClass callClass = CallClass::Short;
+  AttemptEnd end = AttemptEnd::Answered;
+  Deadline sentAt;
 };
 
 /** A gate and how long the call may wait for a slot there before the next best gate is the better choice. */
@@ -87,13 +111,15 @@
   explicit Balancer(Options aOptions);
 
   /** Chooses a gate for a call that isn't excluded; one that turned it back counts with the wait it named. */
-  std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates, const CallExperience& aExperience);
+  std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates,
+                                   const CallExperience& aExperience,
+                                   const CallWish& aWish);
 
   /** Notes that an attempt was sent to a gate. */
   void Sent(const std::string& aNode, CallClass aClass, Deadline aNow);
 
   /** Notes how an attempt ended and how long it took. */
-  void Ended(const std::string& aNode, CallClass aClass, AttemptEnd aEnd, Deadline aSentAt, Deadline aNow);
+  void Ended(const EndedAttempt& aAttempt, Deadline aNow);
 
   /** Notes a load that a gate's answer carried. */
   void NoteLoad(const std::string& aNode, const GateLoad& aLoad);
@@ -113,8 +139,9 @@
   {
     /** When each open attempt of a short call was sent. */
     std::multiset<Deadline> open;
-    /** Mean time of short calls. */
+    /** Mean time of short calls of all kinds, and of each kind. */
     std::chrono::microseconds mean{ 0 };
+    std::map<std::string, std::chrono::microseconds> meanOfKind;
     GateLoad load;
     Deadline loadAt{};
     Deadline firstUsed{};
@@ -136,19 +163,24 @@
   {
     const GateInfo* gate = nullptr;
     std::chrono::microseconds wait{ 0 };
-    /** Everything but the wait. */
-    std::chrono::microseconds rest{ 0 };
-
-    std::chrono::microseconds Cost() const { return wait + rest; }
+    /** Time until an answer without the wait for a slot; zero where the gate hasn't shown it yet. */
+    std::chrono::microseconds time{ 0 };
+    std::chrono::microseconds distance{ 0 };
+    std::chrono::microseconds cost{ 0 };
   };
 
-  std::chrono::microseconds DistanceCost(Locality aLocality) const;
-  Candidate Weigh(const GateInfo& aGate, const CallExperience& aExperience, Deadline aNow);
+  std::chrono::microseconds DistanceCost(Locality aLocality, const CallWish& aWish) const;
+  Candidate Look(const GateInfo& aGate,
+                 const CallExperience& aExperience,
+                 const CallWish& aWish,
+                 Deadline aNow);
+  void Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const;
   std::vector<const GateInfo*> Usable(const std::vector<GateInfo>& aGates,
                                       const std::set<std::string>& aExcluded,
                                       Deadline aNow);
   GateChoice Cheapest(const std::vector<const GateInfo*>& aGates,
                       const CallExperience& aExperience,
+                      const CallWish& aWish,
                       Deadline aNow);
 
   const Options m_options;
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -12,6 +12,9 @@
 static constexpr int kHedgeFactor = 2;
 static constexpr int kLoggedRefusalsPerSecond = 10;
 static constexpr std::chrono::milliseconds kLongestPatience{ 3600000 };
+static constexpr int kFullPatiencePart = 50;
+static constexpr double kPatienceSmoothing = 32;
+static constexpr double kMostlyFull = 0.5;
 /** About the time that a node needs from its start to its first configuration. */
 static constexpr std::chrono::milliseconds kRetryWithoutConfiguration{ 600 };
 
@@ -164,7 +167,11 @@
   const std::lock_guard lock(m_timesMutex);
   RouteTimes& times = m_times[aRoute.name];
   times.longestPatience = std::max(times.longestPatience, aPatience);
-  return times.longestPatience - aPatience;
+  const auto missing = times.longestPatience - aPatience;
+  const bool full = missing < times.longestPatience / kFullPatiencePart;
+  times.fullPatienceShare += ((full ? 1.0 : 0.0) - times.fullPatienceShare) / kPatienceSmoothing;
+  // Where calls come with all kinds of patience, little patience doesn't tell of an earlier attempt.
+  return times.fullPatienceShare > kMostlyFull ? missing : std::chrono::milliseconds(0);
 }
 
 bool
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -96,6 +96,8 @@
     QuantileEstimate usual{ 0.5 };
     QuantileEstimate slow{ 0.95 };
     std::chrono::milliseconds longestPatience{ 0 };
+    /** Share of the calls that come with about the longest patience, smoothed. */
+    double fullPatienceShare = 1;
   };
 
   Options m_options;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -164,6 +164,13 @@
   return given <= route.retries && inTime && m_entry.m_budget.TrySpend(m_service, now);
 }
 
+CallWish
+EntryCall::WishAt(Deadline aNow) const
+{
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(m_options.objective - aNow);
+  return { .kind = m_options.route->name, .objective = std::max(left, std::chrono::microseconds(0)) };
+}
+
 bool
 EntryCall::SendNext()
 {
@@ -172,7 +179,7 @@
     return false;
   }
   std::optional<GateChoice> choice =
-    m_entry.m_balancer.Choose(m_entry.GatesOf(m_service), m_experience);
+    m_entry.m_balancer.Choose(m_entry.GatesOf(m_service), m_experience, WishAt(now));
   if (!choice) {
     return false;
   }
@@ -346,12 +353,22 @@
 
 // --- answers ---------------------------------------------------------------------------------------------
 
+void
+EntryCall::NoteEnd(const EntryAttempt& aAttempt, AttemptEnd aEnd)
+{
+  m_entry.m_balancer.Ended({ .node = aAttempt.m_gate.node,
+                             .kind = m_options.route->name,
+                             .callClass = m_options.route->callClass,
+                             .end = aEnd,
+                             .sentAt = aAttempt.m_sentAt },
+                           SteadyClock::now());
+}
+
 void
 EntryCall::Remove(EntryAttempt& aAttempt, AttemptEnd aEnd, const std::string& aName)
 {
   std::erase_if(m_attempts, [&](const AttemptPointer& aHeld) { return aHeld.get() == &aAttempt; });
-  m_entry.m_balancer.Ended(
-    aAttempt.m_gate.node, m_options.route->callClass, aEnd, aAttempt.m_sentAt, SteadyClock::now());
+  NoteEnd(aAttempt, aEnd);
   m_record.attempts.push_back(
     { .node = aAttempt.m_gate.node, .end = aName, .time = Since(aAttempt.m_sentAt) });
 }
@@ -563,11 +580,7 @@
       continue;
     }
     attempt->m_ticket.Cancel();
-    m_entry.m_balancer.Ended(attempt->m_gate.node,
-                             m_options.route->callClass,
-                             AttemptEnd::Abandoned,
-                             attempt->m_sentAt,
-                             SteadyClock::now());
+    NoteEnd(*attempt, AttemptEnd::Abandoned);
   }
 }
 
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -49,6 +49,7 @@
   /** Sends the call to the best gate that is left; false if there is none that would serve it. */
   bool SendNext();
   bool MayRunAgain();
+  CallWish WishAt(Deadline aNow) const;
   /** Sends a second attempt to a gate that has none, while the first goes on. */
   bool SendBeside();
   void Send(const GateChoice& aChoice);
@@ -67,6 +68,7 @@
   void OnTurnedBack(EntryAttempt& aAttempt);
   void OnNotRun(EntryAttempt& aAttempt);
   void OnLost(EntryAttempt& aAttempt, ForwardEnd aEnd);
+  void NoteEnd(const EntryAttempt& aAttempt, AttemptEnd aEnd);
   void Remove(EntryAttempt& aAttempt, AttemptEnd aEnd, const std::string& aName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -16,7 +16,8 @@
 
 namespace http = boost::beast::http;
 
-static constexpr size_t kReadBytes = 8UL * 1024;
+static constexpr size_t kFirstReadBytes = 8UL * 1024;
+static constexpr size_t kLargestReadBytes = 128UL * 1024;
 static constexpr uint32_t kHeadLimitBytes = 64U * 1024;
 /** Kept of the time after which a peer says it closes an idle connection. */
 static constexpr std::chrono::milliseconds kCloseMargin{ 500 };
@@ -38,6 +39,7 @@
   , m_listener(std::move(aListener))
   , m_key(KeyOf(m_request))
   , m_timer(aLoop.Context())
+  , m_readBytes(kFirstReadBytes)
 {
 }
 
@@ -46,6 +48,9 @@
 void
 ForwardTransfer::Begin()
 {
+  if (!HasHeader(m_request.request.headers, "Host")) {
+    SetHeader(m_request.request.headers, "Host", m_request.to.Text());
+  }
   m_output = WriteRequestHead(m_request.request) + m_request.request.body;
   m_connection = m_pool->Take(m_key, m_request.longestIdle);
   m_kept = m_connection != nullptr;
@@ -121,7 +126,7 @@
 void
 ForwardTransfer::Read()
 {
-  m_connection->socket.async_read_some(m_buffer.prepare(kReadBytes),
+  m_connection->socket.async_read_some(m_buffer.prepare(m_readBytes),
                                        [self = shared_from_this()](const auto& aError, size_t aLength) {
                                          self->OnRead(aError, aLength);
                                        });
@@ -147,6 +152,9 @@
     return;
   }
   m_anyByte = true;
+  if (aLength == m_readBytes) {
+    m_readBytes = std::min(2 * m_readBytes, kLargestReadBytes);
+  }
   m_buffer.commit(aLength);
   ParseBuffered();
 }
@@ -229,6 +237,8 @@
   const std::shared_ptr<ForwardListener> listener = m_listener;
   if (!m_skipping && !listener->OnBody(body)) {
     m_paused = true;
+    // No operation is under way that would keep it alive.
+    m_self = shared_from_this();
   }
   body.clear();
 }
@@ -238,6 +248,7 @@
 {
   if (m_paused && !m_ended) {
     m_paused = false;
+    const std::shared_ptr<ForwardTransfer> self = std::exchange(m_self, nullptr);
     ParseBuffered();
   }
 }
@@ -304,6 +315,7 @@
   if (std::exchange(m_ended, true)) {
     return;
   }
+  const std::shared_ptr<ForwardTransfer> self = std::exchange(m_self, nullptr);
   m_timer.cancel();
   if (m_connection) {
     boost::system::error_code ignored;
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -53,6 +53,8 @@
   ConnectionPool::ConnectionPointer m_connection;
   boost::asio::steady_timer m_timer;
   std::string m_output;
+  /** Grows while the peer keeps the buffer full. */
+  size_t m_readBytes;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   bool m_kept = false;
@@ -62,6 +64,8 @@
   bool m_headTaken = false;
   bool m_skipping = false;
   bool m_paused = false;
+  /** Set while it is paused. */
+  std::shared_ptr<ForwardTransfer> m_self;
   bool m_ended = false;
 };
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -19,6 +19,7 @@
 static constexpr size_t kPipelineLimit = 32;
 static constexpr std::chrono::milliseconds kUnsentLimit{ 4000 };
 static constexpr std::chrono::milliseconds kLingerTime{ 1000 };
+static constexpr size_t kDiscardLimitBytes = 512UL * 1024;
 
 void
 ServerConnection::Begin(boost::asio::ip::tcp::socket aSocket, SharedPointer aShared, EventLoop& aLoop)
@@ -90,7 +91,12 @@
   }
   if (m_refused || m_lastRequestRead || m_lingering) {
     // Whatever follows a request that ends the connection isn't looked at, but a hang-up still shows.
-    Read();
+    m_discarded += aLength;
+    if (m_discarded > kDiscardLimitBytes) {
+      Close();
+    } else {
+      Read();
+    }
     return;
   }
   m_buffer.commit(aLength);
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -68,6 +68,7 @@
   boost::asio::steady_timer m_timer;
   std::deque<ExchangePointer> m_exchanges;
   std::string m_output;
+  size_t m_discarded = 0;
   std::optional<Deadline> m_headDeadline;
   bool m_lingering = false;
   bool m_reading = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,7 +11,6 @@
 
 static constexpr std::chrono::milliseconds kLeaseCheckInterval{ 250 };
 static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
-static constexpr std::chrono::milliseconds kLeaveTime{ 1200 };
 static constexpr std::chrono::milliseconds kDrainPoll{ 10 };
 
 static wire::Member
@@ -240,12 +239,16 @@
 void
 Node::Shutdown()
 {
+  const Deadline now = SteadyClock::now();
+  const Deadline end = now + m_settings.drainTime;
+  m_leaving = true;
+  // Entries elsewhere need a moment to learn that the gate leaves; until then their calls are still taken.
+  std::this_thread::sleep_until(now + m_options.gateLeaveTime);
   LeaveMesh();
-  // Entries elsewhere need a moment to learn of it; until then their calls are still taken.
-  std::this_thread::sleep_for(kLeaveTime);
+  std::this_thread::sleep_until(now + m_options.entryLeaveTime);
   m_gate->BeginDrain();
   m_entry->BeginDrain();
-  const bool finished = WaitForCalls(SteadyClock::now() + m_settings.drainTime);
+  const bool finished = WaitForCalls(end);
   Log(Event::GateDrained, { { "finished", finished ? "yes" : "no" } });
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,6 +39,9 @@
     double hedges = 0.05;
     unsigned int loops = 2;
     std::chrono::milliseconds targetLease{ 3000 };
+    /** After the order to stop, until then callers may still come, and until then other entries. */
+    std::chrono::milliseconds entryLeaveTime{ 1200 };
+    std::chrono::milliseconds gateLeaveTime{ 0 };
   };
 
   Node(ProcessSettings aSettings, Metrics& aMetrics, Options aOptions);
