--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -9,6 +9,7 @@
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kLoadFreshness{ 300 };
+static constexpr std::chrono::milliseconds kDoubtFreshness{ 1500 };
 static constexpr int kFailuresToLeaveOut = 3;
 static constexpr std::chrono::milliseconds kFirstLeaveOut{ 500 };
 static constexpr std::chrono::milliseconds kLongestLeaveOut{ 8000 };
@@ -99,6 +100,9 @@
   if (fresh) {
     candidate.wait = std::max(candidate.wait, stats.load.wait);
   }
+  if (aNow < stats.loadAt + kDoubtFreshness) {
+    candidate.doubt = stats.load.doubt;
+  }
   if (const auto named = aExperience.turnedBack.find(aGate.node); named != aExperience.turnedBack.end()) {
     candidate.wait = std::max(candidate.wait, named->second);
   }
@@ -120,14 +124,14 @@
     sum += candidate.time;
     known += candidate.time.count() > 0 ? 1 : 0;
   }
-  const auto comfort = Part(aWish.objective, m_options.distance.comfortShare);
+  const auto comfort = Part(aWish.objectiveLeft, m_options.distance.comfortShare);
   for (Candidate& candidate : aCandidates) {
     if (candidate.time.count() == 0 && known > 0) {
       // A gate that is new to this entry is taken to be like the others.
       candidate.time = sum / known;
     }
     candidate.distance = DistanceCost(candidate.gate->locality, aWish);
-    candidate.cost = candidate.distance + LatenessCost(candidate.time + candidate.wait, comfort) +
+    candidate.cost = candidate.distance + candidate.doubt + LatenessCost(candidate.time + candidate.wait, comfort) +
                      std::chrono::microseconds(RandomBetween(0, kJitterMicros));
   }
 }
@@ -168,10 +172,10 @@
   GateChoice choice{ .gate = *best.gate, .longestWait = std::chrono::microseconds::max() };
   if (candidates.size() > 1) {
     // The wait after which the next best gate costs less.
-    const auto comfort = Part(aWish.objective, m_options.distance.comfortShare);
+    const auto comfort = Part(aWish.objectiveLeft, m_options.distance.comfortShare);
     const auto spare = std::max(std::chrono::microseconds(0), comfort - best.time);
     choice.longestWait = std::max(std::chrono::microseconds(0),
-                                  spare + candidates[1].cost - best.distance -
+                                  spare + candidates[1].cost - best.distance - best.doubt -
                                     LatenessCost(best.time + spare, comfort));
   }
   return choice;
@@ -214,9 +218,6 @@
   if (aClass == CallClass::Short) {
     stats.open.insert(aNow);
   }
-  if (stats.firstUsed == Deadline{}) {
-    stats.firstUsed = aNow;
-  }
 }
 
 static void
@@ -268,6 +269,12 @@
   return std::max<std::chrono::microseconds>(kLeastPatience, kPatienceFactor * Read(aNode).mean);
 }
 
+bool
+Balancer::HeardSince(const std::string& aNode, Deadline aTime)
+{
+  return Read(aNode).loadAt > aTime;
+}
+
 void
 Balancer::DistrustConnections(const std::string& aNode)
 {
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -23,6 +23,8 @@
   int waiting = 0;
   /** Wait for a slot that a call would see. */
   std::chrono::microseconds wait{ 0 };
+  /** What the target's failures cost a call. */
+  std::chrono::microseconds doubt{ 0 };
 };
 
 /** How an attempt ended, as far as it says something of the gate. */
@@ -66,6 +68,8 @@
   std::string kind;
   /** Time in which an answer is worth most to the caller; zero where only speed counts. */
   std::chrono::microseconds objective{ 0 };
+  /** What is left of that time. */
+  std::chrono::microseconds objectiveLeft{ 0 };
 };
 
 /** An attempt that has ended. */
@@ -83,6 +87,8 @@
 {
   GateInfo gate;
   std::chrono::microseconds longestWait{ 0 };
+  /** Whether the call comes back to a gate that turned it back before. */
+  bool last = false;
 };
 
 /** Gates that a call can't or shouldn't use. */
@@ -127,6 +133,9 @@
   /** A time after which a gate that is well would have begun to answer nearly always. */
   std::chrono::microseconds Patience(const std::string& aNode);
 
+  /** Whether a gate has answered any call since a time. */
+  bool HeardSince(const std::string& aNode, Deadline aTime);
+
   /** Leaves all kept connections to a gate behind. */
   void DistrustConnections(const std::string& aNode);
 
@@ -143,8 +152,8 @@
     std::chrono::microseconds mean{ 0 };
     std::map<std::string, std::chrono::microseconds> meanOfKind;
     GateLoad load;
+    /** When an answer of the gate arrived last. */
     Deadline loadAt{};
-    Deadline firstUsed{};
     int failures = 0;
     Deadline leftOutUntil{};
     uint32_t generation = 0;
@@ -163,6 +172,7 @@
   {
     const GateInfo* gate = nullptr;
     std::chrono::microseconds wait{ 0 };
+    std::chrono::microseconds doubt{ 0 };
     /** Time until an answer without the wait for a slot; zero where the gate hasn't shown it yet. */
     std::chrono::microseconds time{ 0 };
     std::chrono::microseconds distance{ 0 };
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -29,7 +29,8 @@
                                       { .inUse = m_hop->slotsInUse,
                                         .slots = m_hop->slots,
                                         .waiting = m_hop->waiting,
-                                        .wait = m_hop->wait });
+                                        .wait = m_hop->wait,
+                                        .doubt = m_hop->doubt });
   if (m_hop->outcome == HopOutcome::Answered && m_head.length.value_or(0) > kCollectLimitBytes) {
     m_call->BeginStreaming(*this);
   }
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -20,6 +20,8 @@
 /** A call that misses its objective anyway waits for at most one part in this many of its time. */
 static constexpr int kLateWaitPart = 8;
 static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
+/** A gate whose VM is gone or cut off acknowledges nothing. */
+static constexpr std::chrono::milliseconds kUnacknowledgedLimit{ 600 };
 /** Lets a gate notice that a connection broke before it is asked again. */
 static constexpr std::chrono::milliseconds kAskAgainPause{ 30 };
 static constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
@@ -168,7 +170,10 @@
 EntryCall::WishAt(Deadline aNow) const
 {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(m_options.objective - aNow);
-  return { .kind = m_options.route->name, .objective = std::max(left, std::chrono::microseconds(0)) };
+  const Route& route = *m_options.route;
+  return { .kind = route.name,
+           .objective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout,
+           .objectiveLeft = std::max(left, std::chrono::microseconds(0)) };
 }
 
 bool
@@ -192,6 +197,7 @@
   if (!MayRunAgain()) {
     return false;
   }
+  choice->last = again;
   choice->longestWait = again ? affordable : std::min(choice->longestWait, affordable);
   Send(*choice);
   return true;
@@ -217,7 +223,9 @@
                   .priority = route.priority,
                   .expectedCost = route.expectedCost,
                   .timeLeft = TimeLeft(m_options.deadline, aNow),
+                  .objectiveLeft = std::chrono::floor<milliseconds>(m_options.objective - aNow),
                   .longestWait = std::chrono::ceil<milliseconds>(aChoice.longestWait),
+                  .lastChoice = aChoice.last,
                   .sentToLife = m_asksAgain ? aChoice.gate.life : 0 };
   if (route.repeat == RepeatPolicy::Keyed) {
     hop.homeRegion = m_options.snapshot->configuration.services.at(m_service).homeRegion;
@@ -241,6 +249,7 @@
       .request = GateRequest(attempt->m_sentAt, aChoice),
       .deadline = m_options.deadline + 2 * kGrace,
       .connectTimeout = kConnectTimeout,
+      .unacknowledgedLimit = kUnacknowledgedLimit,
       .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node) },
     attempt);
   WatchForSilence(attempt);
@@ -314,9 +323,11 @@
 void
 EntryCall::OnHalfTime()
 {
-  const bool answering =
-    std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& aHeld) { return aHeld->m_hop; });
-  if (!m_decided && !answering && !m_attempts.empty()) {
+  // A gate that answers other calls is slow rather than gone, and more load would make it slower.
+  const bool heard = std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto& aHeld) {
+    return aHeld->m_hop || m_entry.m_balancer.HeardSince(aHeld->m_gate.node, aHeld->m_sentAt);
+  });
+  if (!m_decided && !heard && !m_attempts.empty()) {
     SendBeside();
   }
 }
@@ -433,7 +444,8 @@
     return;
   }
   const std::string& node = aAttempt.m_gate.node;
-  if (m_experience.turnedBack.contains(node) || aAttempt.m_hop->wait.count() == 0) {
+  const bool mayChange = aAttempt.m_hop->wait.count() > 0 || aAttempt.m_hop->doubt.count() > 0;
+  if (m_experience.turnedBack.contains(node) || !mayChange) {
     // It isn't a matter of waiting, or the call waited there in vain.
     m_experience.excluded.insert(node);
   }
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -40,7 +40,8 @@
   std::ostringstream text;
   text << Word(aHop.call) << ' ' << Word(aHop.service) << ' ' << Word(aHop.route) << ' '
        << static_cast<int>(aHop.repeat) << ' ' << static_cast<int>(aHop.callClass) << ' ' << aHop.priority << ' '
-       << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' ' << aHop.longestWait.count() << ' '
+       << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' '
+       << aHop.objectiveLeft.count() << ' ' << aHop.longestWait.count() << ' ' << aHop.lastChoice << ' '
        << aHop.sentToLife;
   if (!aHop.homeRegion.empty()) {
     text << ' ' << aHop.homeRegion;
@@ -61,9 +62,10 @@
   int callClass = 0;
   int64_t cost = 0;
   int64_t left = 0;
+  int64_t objective = 0;
   int64_t wait = 0;
-  text >> hop.call >> hop.service >> hop.route >> repeat >> callClass >> hop.priority >> cost >> left >> wait >>
-    hop.sentToLife;
+  text >> hop.call >> hop.service >> hop.route >> repeat >> callClass >> hop.priority >> cost >> left >>
+    objective >> wait >> hop.lastChoice >> hop.sentToLife;
   if (!text || repeat < 0 || repeat > static_cast<int>(RepeatPolicy::Once)) {
     return std::nullopt;
   }
@@ -74,6 +76,7 @@
   hop.callClass = callClass == static_cast<int>(CallClass::Long) ? CallClass::Long : CallClass::Short;
   hop.expectedCost = std::chrono::milliseconds(cost);
   hop.timeLeft = std::chrono::milliseconds(left);
+  hop.objectiveLeft = std::chrono::milliseconds(objective);
   hop.longestWait = std::chrono::milliseconds(wait);
   text >> hop.homeRegion;
   return hop;
@@ -84,7 +87,7 @@
 {
   std::ostringstream text;
   text << static_cast<int>(aHop.outcome) << ' ' << aHop.slotsInUse << ' ' << aHop.slots << ' ' << aHop.waiting
-       << ' ' << aHop.wait.count();
+       << ' ' << aHop.wait.count() << ' ' << aHop.doubt.count();
   SetHeader(aHeaders, kHopAnswerHeader, text.str());
 }
 
@@ -99,12 +102,14 @@
   HopAnswer hop;
   int outcome = 0;
   int64_t wait = 0;
-  text >> outcome >> hop.slotsInUse >> hop.slots >> hop.waiting >> wait;
+  int64_t doubt = 0;
+  text >> outcome >> hop.slotsInUse >> hop.slots >> hop.waiting >> wait >> doubt;
   if (!text || outcome < 0 || outcome > static_cast<int>(HopOutcome::Unknown)) {
     return std::nullopt;
   }
   hop.outcome = static_cast<HopOutcome>(outcome);
   hop.wait = std::chrono::milliseconds(wait);
+  hop.doubt = std::chrono::milliseconds(doubt);
   return hop;
 }
 
--- a/src/hop/hopheaders.h
+++ b/src/hop/hopheaders.h
@@ -23,8 +23,12 @@
   int64_t priority = 0;
   std::chrono::milliseconds expectedCost{ 0 };
   std::chrono::milliseconds timeLeft{ 0 };
+  /** Time until the answer is late; negative where it is late already. */
+  std::chrono::milliseconds objectiveLeft{ 0 };
   /** Longest wait for a slot for which the call is to stay at this gate. */
   std::chrono::milliseconds longestWait{ 0 };
+  /** Whether the entry knows no better gate, so that doubts about the target are no reason to turn it back. */
+  bool lastChoice = false;
   /** Set where the call was sent to this life of the gate before and its connection broke; else zero. */
   int64_t sentToLife = 0;
   /** Region whose quorum holds the idempotency keys; keyed calls only. */
@@ -55,6 +59,8 @@
   int waiting = 0;
   /** Wait for a slot that another call would see now. */
   std::chrono::milliseconds wait{ 0 };
+  /** What the target's recent failures cost a call, as time that it may rather wait elsewhere. */
+  std::chrono::milliseconds doubt{ 0 };
 };
 
 inline constexpr const char* kHopRequestHeader = "M-Q";
--- a/src/target/admission.cpp
+++ b/src/target/admission.cpp
@@ -1,6 +1,7 @@
 #include "target/admission.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace mimosarun {
 
@@ -59,16 +60,23 @@
 }
 
 bool
-Admission::GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight)
+Admission::IsLate(const AdmissionRequest& aRequest, Deadline aNow) const
 {
-  if (aLeft.priority != aRight.priority) {
-    return aLeft.priority < aRight.priority;
-  }
-  return aLeft.deadline <= aRight.deadline;
+  return aRequest.objective != Deadline::max() && aNow + Cost(aRequest) > aRequest.objective;
+}
+
+bool
+Admission::GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight, Deadline aNow) const
+{
+  const auto key = [&](const AdmissionRequest& aRequest) {
+    return std::make_tuple(
+      aRequest.priority, IsLate(aRequest, aNow), std::min(aRequest.objective, aRequest.deadline));
+  };
+  return key(aLeft) <= key(aRight);
 }
 
 std::chrono::microseconds
-Admission::ExpectedWait(const AdmissionRequest& aRequest) const
+Admission::ExpectedWait(const AdmissionRequest& aRequest, Deadline aNow) const
 {
   const CallClass callClass = aRequest.callClass;
   if (HasSlot(callClass) && m_queue.empty()) {
@@ -76,14 +84,13 @@
   }
   std::chrono::microseconds work{ 0 };
   for (const AdmissionRequest& waiting : m_queue) {
-    if (waiting.callClass == callClass && GoesBefore(waiting, aRequest)) {
+    if (waiting.callClass == callClass && GoesBefore(waiting, aRequest, aNow)) {
       work += Cost(waiting);
     }
   }
   const int servers = callClass == CallClass::Long ? LongLimit() : std::max(1, m_options.slots - m_inUseLong);
   // A slot in use is on average half done.
-  const auto current =
-    HasSlot(callClass) ? std::chrono::microseconds(0) : TypicalOfClass(callClass) / 2;
+  const auto current = HasSlot(callClass) ? std::chrono::microseconds(0) : TypicalOfClass(callClass) / 2;
   return (work + current) / servers;
 }
 
@@ -91,7 +98,7 @@
 Admission::Offer(const AdmissionRequest& aRequest, Deadline aNow)
 {
   const auto ahead = [&](const AdmissionRequest& aWaiting) {
-    return aWaiting.callClass == aRequest.callClass && GoesBefore(aWaiting, aRequest);
+    return aWaiting.callClass == aRequest.callClass && GoesBefore(aWaiting, aRequest, aNow);
   };
   const bool overtakes = std::none_of(m_queue.begin(), m_queue.end(), ahead);
   if (aNow >= aRequest.deadline) {
@@ -101,7 +108,7 @@
     Occupy(aRequest.callClass);
     return AdmissionVerdict::Admitted;
   }
-  const std::chrono::microseconds wait = ExpectedWait(aRequest);
+  const std::chrono::microseconds wait = ExpectedWait(aRequest, aNow);
   const bool full = Waiting() >= m_options.queueFactor * m_options.slots;
   if (full || aNow + wait + Cost(aRequest) > aRequest.deadline) {
     return AdmissionVerdict::Refused;
@@ -109,10 +116,7 @@
   if (wait > aRequest.longestWait) {
     return AdmissionVerdict::TurnedBack;
   }
-  const auto later = std::find_if(m_queue.begin(), m_queue.end(), [&](const AdmissionRequest& aWaiting) {
-    return !GoesBefore(aWaiting, aRequest);
-  });
-  m_queue.insert(later, aRequest);
+  m_queue.push_back(aRequest);
   return AdmissionVerdict::Queued;
 }
 
@@ -142,16 +146,21 @@
 Admission::TakeAdmitted(Deadline aNow)
 {
   std::vector<uint64_t> admitted;
-  for (auto waiting = m_queue.begin(); waiting != m_queue.end();) {
-    if (waiting->deadline > aNow && HasSlot(waiting->callClass)) {
-      Occupy(waiting->callClass);
-      admitted.push_back(waiting->call);
-      waiting = m_queue.erase(waiting);
-    } else {
-      ++waiting;
+  while (true) {
+    auto next = m_queue.end();
+    for (auto waiting = m_queue.begin(); waiting != m_queue.end(); ++waiting) {
+      const bool fits = waiting->deadline > aNow && HasSlot(waiting->callClass);
+      if (fits && (next == m_queue.end() || !GoesBefore(*next, *waiting, aNow))) {
+        next = waiting;
+      }
+    }
+    if (next == m_queue.end()) {
+      return admitted;
     }
+    Occupy(next->callClass);
+    admitted.push_back(next->call);
+    m_queue.erase(next);
   }
-  return admitted;
 }
 
 std::vector<uint64_t>
--- a/src/target/admission.h
+++ b/src/target/admission.h
@@ -22,6 +22,8 @@
   /** Waiting calls of a lower number go first. */
   int64_t priority = 0;
   Deadline deadline;
+  /** Until then the answer is worth most; calls that can't make it go after those that can. */
+  Deadline objective = Deadline::max();
   std::chrono::milliseconds expectedCost{ 0 };
   /** A call that still waits then is given back, while its entry has time to try another gate. */
   Deadline giveBackAt = Deadline::max();
@@ -41,7 +43,8 @@
 
 /**
  * Decides which calls occupy the slots of one target. Long calls never take the slots reserved for short
- * ones. Waiting calls are served by priority, then by deadline; a call whose deadline can't be met is refused at once, and one
+ * ones. Waiting calls are served by priority, then those that can still meet their objective, then by
+ * deadline: under overload a call that is late already would only make others late too. A call whose deadline can't be met is refused at once, and one
  * that has become hopeless is dropped from the queue. Not thread-safe.
  */
 class Admission
@@ -75,7 +78,7 @@
   std::vector<uint64_t> TakeHopeless(Deadline aNow);
 
   /** The wait that a call would see now. */
-  std::chrono::microseconds ExpectedWait(const AdmissionRequest& aRequest) const;
+  std::chrono::microseconds ExpectedWait(const AdmissionRequest& aRequest, Deadline aNow) const;
 
   /** The time for which calls of a kind hold a slot, or zero before the first one has ended. */
   std::chrono::microseconds TypicalTime(const std::string& aKind) const;
@@ -91,7 +94,8 @@
   void Occupy(CallClass aClass);
   std::chrono::microseconds Cost(const AdmissionRequest& aRequest) const;
   std::chrono::microseconds TypicalOfClass(CallClass aClass) const;
-  static bool GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight);
+  bool IsLate(const AdmissionRequest& aRequest, Deadline aNow) const;
+  bool GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight, Deadline aNow) const;
 
   Options m_options;
   int m_inUseShort = 0;
@@ -100,7 +104,7 @@
   QuantileEstimate m_typicalShort{ 0.5 };
   QuantileEstimate m_typicalLong{ 0.5 };
   std::map<std::string, QuantileEstimate> m_typicalOfKind;
-  /** In the order in which they are served. */
+  /** In the order of their arrival. */
   std::list<AdmissionRequest> m_queue;
 };
 
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -62,6 +62,9 @@
 {
   {
     const std::lock_guard lock(m_mutex);
+    if (aState.name != m_target.name) {
+      m_trust = {};
+    }
     m_target = aState;
     m_admission.SetSlots(aState.slots);
     m_aloneUntil = {};
@@ -111,11 +114,13 @@
 Gate::Load(const GateCall& aCall) const
 {
   const std::lock_guard lock(m_mutex);
-  const auto wait = m_admission.ExpectedWait(aCall.Admission());
+  const Deadline now = SteadyClock::now();
+  const auto wait = m_admission.ExpectedWait(aCall.Admission(), now);
   return { .slotsInUse = m_admission.InUse(),
            .slots = m_admission.Slots(),
            .waiting = m_admission.Waiting(),
-           .wait = std::chrono::ceil<std::chrono::milliseconds>(wait) };
+           .wait = std::chrono::ceil<std::chrono::milliseconds>(wait),
+           .doubt = m_trust.Doubt(now) };
 }
 
 std::string
@@ -147,6 +152,20 @@
   m_aloneUntil = aConnected ? Deadline{} : SteadyClock::now() + kAloneTime;
 }
 
+void
+Gate::NoteOutcome(TargetTrust::Outcome aOutcome)
+{
+  const std::lock_guard lock(m_mutex);
+  m_trust.Note(aOutcome, SteadyClock::now());
+}
+
+bool
+Gate::IsDoubtful(const GateCall& aCall)
+{
+  const std::lock_guard lock(m_mutex);
+  return !aCall.Hop().lastChoice && m_trust.TurnsBack(aCall.Hop().longestWait, SteadyClock::now());
+}
+
 void
 Gate::Handle(const ExchangePointer& aExchange)
 {
@@ -172,6 +191,10 @@
     call->TurnBack(HopOutcome::TurnedBack, reason);
     return;
   }
+  if (IsDoubtful(*call)) {
+    call->TurnBack(HopOutcome::TurnedBack, "the target fails too many calls");
+    return;
+  }
   call->Watch();
   Offer(call);
 }
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -8,6 +8,7 @@
 #include "target/claimclient.h"
 #include "target/oncecalls.h"
 #include "target/targetprotocol.h"
+#include "target/targettrust.h"
 #include "target/targetwatch.h"
 
 #include <atomic>
@@ -84,6 +85,8 @@
   HopAnswer Load(const GateCall& aCall) const;
   std::optional<TargetState> TargetFor(const std::string& aService) const;
   void NoteConnecting(bool aConnected);
+  void NoteOutcome(TargetTrust::Outcome aOutcome);
+  bool IsDoubtful(const GateCall& aCall);
 
   Options m_options;
   mutable std::mutex m_mutex;
@@ -93,6 +96,7 @@
   bool m_sweepScheduled = false;
   /** A target that takes no connections is left alone until then. */
   Deadline m_aloneUntil{};
+  TargetTrust m_trust;
   Admission m_admission;
   std::map<uint64_t, std::shared_ptr<GateCall>> m_waiting;
   OnceCalls m_onceCalls;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -27,6 +27,7 @@
 /** Estimates of waits may be off by this factor before a call is given back. */
 static constexpr int kWaitSlack = 2;
 static constexpr std::chrono::milliseconds kLeastWait{ 20 };
+static constexpr int kServerErrors = 500;
 
 static std::optional<ClaimKey>
 ClaimOf(const HopRequest& aHop, const HttpRequest& aRequest)
@@ -70,6 +71,7 @@
            .kind = m_hop.route,
            .priority = m_hop.priority,
            .deadline = m_deadline,
+           .objective = m_exchange->ReceivedAt() + m_hop.objectiveLeft,
            .expectedCost = m_hop.expectedCost,
            .giveBackAt = m_exchange->ReceivedAt() + wait,
            .longestWait = m_hop.longestWait };
@@ -306,6 +308,8 @@
     return HeadVerdict::Skip;
   }
   m_head = aHead;
+  const bool well = m_verdict == TargetVerdict::Answer && aHead.status < kServerErrors;
+  m_gate.NoteOutcome(well ? TargetTrust::Outcome::Well : TargetTrust::Outcome::Failed);
   if (m_verdict == TargetVerdict::Answer && aHead.length.value_or(0) > kCollectLimitBytes) {
     StartStreaming();
   }
@@ -380,6 +384,9 @@
     FinishAnswered();
     return;
   }
+  if (aEnd == ForwardEnd::Broken) {
+    m_gate.NoteOutcome(TargetTrust::Outcome::Failed);
+  }
   const bool late = aEnd == ForwardEnd::TimedOut;
   const std::string reason = aEnd == ForwardEnd::Complete ? "the target's answer is damaged"
                              : late                       ? "the target gave no answer before the deadline"
