--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -84,10 +84,7 @@
 }
 
 Balancer::Candidate
-Balancer::Look(const GateInfo& aGate,
-               const CallExperience& aExperience,
-               const CallWish& aWish,
-               Deadline aNow)
+Balancer::Look(const GateInfo& aGate, const CallExperience& aExperience, const CallWish& aWish, Deadline aNow)
 {
   const Stats stats = Read(aGate.node);
   const auto ofKind = stats.meanOfKind.find(aWish.kind);
@@ -131,7 +128,8 @@
       candidate.time = sum / known;
     }
     candidate.distance = DistanceCost(candidate.gate->locality, aWish);
-    candidate.cost = candidate.distance + candidate.doubt + LatenessCost(candidate.time + candidate.wait, comfort) +
+    candidate.cost = candidate.distance + candidate.doubt +
+                     LatenessCost(candidate.time + candidate.wait, comfort) +
                      std::chrono::microseconds(RandomBetween(0, kJitterMicros));
   }
 }
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -139,8 +139,7 @@
   const std::lock_guard lock(m_timesMutex);
   const auto times = m_times.find(aRoute.name);
   const bool known = times != m_times.end() && times->second.slow.Value().count() > 0;
-  return kHedgeFactor *
-         (known ? times->second.slow.Value() : std::chrono::microseconds(aRoute.expectedCost));
+  return kHedgeFactor * (known ? times->second.slow.Value() : std::chrono::microseconds(aRoute.expectedCost));
 }
 
 void
@@ -228,9 +227,8 @@
     draining = m_draining;
   }
   if (draining) {
-    RefuseAtOnce(
-      aExchange,
-      { .status = 503, .reason = "the entry is shutting down; use another", .call = wishes.call });
+    RefuseAtOnce(aExchange,
+                 { .status = 503, .reason = "the entry is shutting down; use another", .call = wishes.call });
     return;
   }
   if (snapshot->version == 0) {
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -119,10 +119,7 @@
   if (!m_options.route->Idempotent()) {
     return;
   }
-  Arm(m_halfTimer,
-      m_began + (m_options.deadline - m_began) / 2,
-      weak_from_this(),
-      &EntryCall::OnHalfTime);
+  Arm(m_halfTimer, m_began + (m_options.deadline - m_began) / 2, weak_from_this(), &EntryCall::OnHalfTime);
   const std::chrono::microseconds hedgeDelay = m_entry.HedgeDelay(*m_options.route);
   if (hedgeDelay.count() > 0) {
     Arm(m_hedgeTimer, m_began + hedgeDelay, weak_from_this(), &EntryCall::OnHedgeTime);
@@ -521,7 +518,9 @@
     return;
   }
   const bool late = aEnd == ForwardEnd::TimedOut || aAttempt.m_head.status == 504;
-  GiveUp(!m_mayHaveRun ? 503 : late ? 504 : 502,
+  GiveUp(!m_mayHaveRun ? 503
+         : late        ? 504
+                       : 502,
          saidByGate ? aAttempt.m_body : "the connection to the gate broke");
 }
 
--- a/src/caller/retrybudget.cpp
+++ b/src/caller/retrybudget.cpp
@@ -53,8 +53,8 @@
       repeats += part.repeats;
     }
   }
-  const double allowed = m_options.share * static_cast<double>(requests) +
-                         m_options.extra / static_cast<double>(m_nodes);
+  const double allowed =
+    m_options.share * static_cast<double>(requests) + m_options.extra / static_cast<double>(m_nodes);
   if (static_cast<double>(repeats + 1) > allowed) {
     return false;
   }
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -9,6 +9,8 @@
   EventDescription{ Event::ProcessStarted, Severity::Info, "process-started" },
   EventDescription{ Event::ProcessStopping, Severity::Info, "process-stopping" },
   EventDescription{ Event::PortRefused, Severity::Error, "port-refused" },
+  EventDescription{ Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
+  EventDescription{ Event::SettingsRefused, Severity::Warning, "settings-refused" },
   EventDescription{ Event::GroupFormed, Severity::Info, "group-formed" },
   EventDescription{ Event::LeaderElected, Severity::Info, "leader-elected" },
   EventDescription{ Event::LeaderSteppedDown, Severity::Warning, "leader-stepped-down" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -11,6 +11,8 @@
   ProcessStarted = 100,
   ProcessStopping = 101,
   PortRefused = 103,
+  SettingsReloaded = 104,
+  SettingsRefused = 105,
 
   GroupFormed = 200,
   LeaderElected = 201,
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -23,12 +23,11 @@
 ReadServices(JsonReader& aReader, Configuration& aConfiguration)
 {
   aReader.ForEach("services", [&](const std::string& aName, JsonReader& aService) {
-    aConfiguration.services[aName] = {
-      .name = aName,
-      .homeRegion = aService.Text("homeRegion", ""),
-      .healthPath = aService.Text("healthPath", ""),
-      .maxConnections = aService.Integer("maxConnections", 1, kMaximumConnections, kDefaultConnections)
-    };
+    aConfiguration.services[aName] = { .name = aName,
+                                       .homeRegion = aService.Text("homeRegion", ""),
+                                       .healthPath = aService.Text("healthPath", ""),
+                                       .maxConnections = aService.Integer(
+                                         "maxConnections", 1, kMaximumConnections, kDefaultConnections) };
   });
 }
 
@@ -89,7 +88,8 @@
 CheckMatching(const JsonReader& aReader, const Route& aRoute, Problems& aProblems)
 {
   if (!IsHost(aRoute.host)) {
-    aProblems.Add(aReader.PathOf("host"), "'" + aRoute.host + "' is no host name; remove what isn't part of it");
+    aProblems.Add(aReader.PathOf("host"),
+                  "'" + aRoute.host + "' is no host name; remove what isn't part of it");
   }
   for (const std::string& method : aRoute.methods) {
     if (!IsToken(method)) {
--- a/src/configuration/snapshot.cpp
+++ b/src/configuration/snapshot.cpp
@@ -21,10 +21,8 @@
 MakeSnapshot(int64_t aVersion, const std::string& aText, const DocumentParser& aParser)
 {
   MIMOSARUN_TRY(Configuration configuration, aParser(aText));
-  return std::make_shared<const Snapshot>(Snapshot{ .version = aVersion,
-                                                    .text = aText,
-                                                    .hash = Sha256(aText),
-                                                    .configuration = std::move(configuration) });
+  return std::make_shared<const Snapshot>(Snapshot{
+    .version = aVersion, .text = aText, .hash = Sha256(aText), .configuration = std::move(configuration) });
 }
 
 SnapshotPointer
@@ -35,7 +33,10 @@
 }
 
 static wire::ConfigurationUpdate
-DeltaBetween(int64_t aFromVersion, const std::string& aFromText, int64_t aToVersion, const std::string& aToText)
+DeltaBetween(int64_t aFromVersion,
+             const std::string& aFromText,
+             int64_t aToVersion,
+             const std::string& aToText)
 {
   wire::ConfigurationUpdate update;
   update.fromVersion = aFromVersion;
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -176,9 +176,9 @@
                    "version " + std::to_string(aCommand.version) + " isn't above the current " +
                      std::to_string(m_current->version) + "; choose a higher number");
   }
-  const Result<std::string> text =
-    aCommand.delta ? DecompressAgainst(aCommand.body, m_current->text, kDocumentLimitBytes)
-                   : Decompress(aCommand.body, kDocumentLimitBytes);
+  const Result<std::string> text = aCommand.delta
+                                     ? DecompressAgainst(aCommand.body, m_current->text, kDocumentLimitBytes)
+                                     : Decompress(aCommand.body, kDocumentLimitBytes);
   if (!text) {
     return Refusal(wire::ResultCode::Invalid, text.error().message);
   }
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -45,9 +45,17 @@
   , m_configuration(std::move(aParser))
   , m_transport(m_settings.name)
   , m_client(m_settings.replicas)
+  , m_seeds(m_settings.replicas)
 {
 }
 
+void
+Controller::SetSeeds(std::vector<ReplicaSettings> aSeeds)
+{
+  const std::lock_guard lock(m_peersMutex);
+  m_seeds = std::move(aSeeds);
+}
+
 Controller::~Controller()
 {
   m_stop = true;
@@ -124,9 +132,9 @@
                   "', isn't listed; add it or correct its name");
   }
   const bool first = m_settings.discoverReplicas && m_settings.formGroups;
-  MIMOSARUN_TRY(m_incarnation,
-                LoadOrCreateIncarnation(m_settings.dataFolder,
-                                        first ? std::optional(kFirstIncarnation) : std::nullopt));
+  MIMOSARUN_TRY(
+    m_incarnation,
+    LoadOrCreateIncarnation(m_settings.dataFolder, first ? std::optional(kFirstIncarnation) : std::nullopt));
   for (const ReplicaSettings& replica : m_settings.replicas) {
     if (replica.name != m_settings.name) {
       m_transport.AddPeer(replica.name, replica.address);
@@ -546,7 +554,10 @@
 Controller::Discover(const GroupPlan& aPlan)
 {
   const wire::Replica self = Self();
-  for (const ReplicaSettings& listed : m_settings.replicas) {
+  std::unique_lock lock(m_peersMutex);
+  const std::vector<ReplicaSettings> seeds = m_seeds;
+  lock.unlock();
+  for (const ReplicaSettings& listed : seeds) {
     if (listed.name == m_settings.name) {
       continue;
     }
@@ -587,9 +598,9 @@
     return false;
   }
   wire::CommandResult result;
-  const Result<void> called = peer->Call(
-    SteadyClock::now() + kJoinTimeout,
-    [&](wire::ControlPeerClient& aClient) { aClient.join(result, aGroup, Self()); });
+  const Result<void> called =
+    peer->Call(SteadyClock::now() + kJoinTimeout,
+               [&](wire::ControlPeerClient& aClient) { aClient.join(result, aGroup, Self()); });
   return called && result.code == wire::ResultCode::Done;
 }
 
@@ -644,9 +655,8 @@
     return false;
   }
   std::vector<wire::DomainReport> reports;
-  const Result<void> called =
-    peer->Call(SteadyClock::now() + kStatusTimeout,
-               [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
+  const Result<void> called = peer->Call(SteadyClock::now() + kStatusTimeout,
+                                         [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
   if (!called) {
     return false;
   }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -33,6 +33,9 @@
   /** Opens the data folder, starts the groups and listens. */
   Result<void> Start();
 
+  /** Sets the replicas through which others are discovered. */
+  void SetSeeds(std::vector<ReplicaSettings> aSeeds);
+
   const ProcessSettings& Settings() const { return m_settings; }
   const ConfigurationState& Configuration() const { return m_configuration; }
   ReportBoard& Board() { return m_board; }
@@ -110,6 +113,7 @@
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
+  std::vector<ReplicaSettings> m_seeds;
   std::map<std::string, std::shared_ptr<PeerClient>> m_peers;
   std::map<std::string, std::vector<std::shared_ptr<PeerClient>>> m_orderPeers;
   size_t m_nextOrder = 0;
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -85,7 +85,8 @@
 
   wire::GroupStatus Status() const;
 
-  /** The commit index if this replica leads for certain after the call began; else whom it takes for leader. */
+  /** The commit index if this replica leads for certain after the call began; else whom it takes for leader.
+   */
   wire::ReadIndex ConfirmLeadership(Deadline aDeadline);
 
 private:
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -409,11 +409,11 @@
     return;
   }
   m_maintainAt = now + kMaintenanceInterval;
-  const std::optional<std::vector<wire::Replica>> next = NextMembers(
-    m_core->Members(),
-    { .voters = m_options.voters, .self = m_options.replica },
-    Silences(now),
-    [this](const std::string& aName) { return m_core->CaughtUp(aName); });
+  const std::optional<std::vector<wire::Replica>> next =
+    NextMembers(m_core->Members(),
+                { .voters = m_options.voters, .self = m_options.replica },
+                Silences(now),
+                [this](const std::string& aName) { return m_core->CaughtUp(aName); });
   if (next) {
     m_core->ProposeMembers(*next, now);
   }
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -78,7 +78,8 @@
     if (!member.voter || member.name == aGoal.self) {
       continue;
     }
-    if (choice == nullptr || SilenceOf(aSilences, member.name) + kPresence >= SilenceOf(aSilences, choice->name)) {
+    if (choice == nullptr ||
+        SilenceOf(aSilences, member.name) + kPresence >= SilenceOf(aSilences, choice->name)) {
       choice = &member;
     }
   }
--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -40,9 +40,9 @@
 };
 
 /**
- * The next list of members on the way to the goal, one change at a time, or nothing where all is well. A voter
- * that has fallen silent is replaced by a learner that has caught up: first the learner is promoted, then the
- * silent voter is made a learner. A learner that stays silent for long is removed.
+ * The next list of members on the way to the goal, one change at a time, or nothing where all is well. A
+ * voter that has fallen silent is replaced by a learner that has caught up: first the learner is promoted,
+ * then the silent voter is made a learner. A learner that stays silent for long is removed.
  */
 std::optional<std::vector<wire::Replica>>
 NextMembers(const std::vector<wire::Replica>& aMembers,
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -23,11 +23,11 @@
   , m_applied(m_log.SnapshotIndex())
 {
   m_persisted = LastIndex();
-  // A leader that still lives is heard within a few heartbeats; without one there is no reason to wait longer.
+  // A leader that still lives is heard within a few heartbeats; without one there is no reason to wait
+  // longer.
   const auto shortest = m_options.heartbeat.count();
-  m_electionDeadline =
-    aNow + std::chrono::milliseconds(
-             std::uniform_int_distribution<int64_t>(shortest, kFirstElectionFactor * shortest)(m_random));
+  m_electionDeadline = aNow + std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(
+                                shortest, kFirstElectionFactor * shortest)(m_random));
 }
 
 // --- state -----------------------------------------------------------------------------------------------
@@ -541,7 +541,8 @@
     std::count_if(m_log.Members().begin(), m_log.Members().end(), [&](const wire::Replica& aMember) {
       const auto progress = m_progress.find(aMember.name);
       const bool self = aMember.name == m_options.name;
-      return aMember.voter && (self || (progress != m_progress.end() && progress->second.answeredRound >= aSince));
+      return aMember.voter &&
+             (self || (progress != m_progress.end() && progress->second.answeredRound >= aSince));
     });
   return answered >= QuorumSize();
 }
--- a/src/control/reportboard.cpp
+++ b/src/control/reportboard.cpp
@@ -33,7 +33,8 @@
 {
   const std::lock_guard lock(m_mutex);
   const Deadline now = SteadyClock::now();
-  std::erase_if(m_introduced, [now](const auto& aEntry) { return now > aEntry.second.at + kIntroductionTime; });
+  std::erase_if(m_introduced,
+                [now](const auto& aEntry) { return now > aEntry.second.at + kIntroductionTime; });
   for (const wire::Member& member : aMembers) {
     m_introduced[member.name] = { .member = member, .at = now };
   }
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -39,8 +39,8 @@
 {
   std::ostringstream text;
   text << Word(aHop.call) << ' ' << Word(aHop.service) << ' ' << Word(aHop.route) << ' '
-       << static_cast<int>(aHop.repeat) << ' ' << static_cast<int>(aHop.callClass) << ' ' << aHop.priority << ' '
-       << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' '
+       << static_cast<int>(aHop.repeat) << ' ' << static_cast<int>(aHop.callClass) << ' ' << aHop.priority
+       << ' ' << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' '
        << aHop.objectiveLeft.count() << ' ' << aHop.longestWait.count() << ' ' << aHop.lastChoice << ' '
        << aHop.sentToLife;
   if (!aHop.homeRegion.empty()) {
--- a/src/hop/hopheaders.h
+++ b/src/hop/hopheaders.h
@@ -27,7 +27,8 @@
   std::chrono::milliseconds objectiveLeft{ 0 };
   /** Longest wait for a slot for which the call is to stay at this gate. */
   std::chrono::milliseconds longestWait{ 0 };
-  /** Whether the entry knows no better gate, so that doubts about the target are no reason to turn it back. */
+  /** Whether the entry knows no better gate, so that doubts about the target are no reason to turn it back.
+   */
   bool lastChoice = false;
   /** Set where the call was sent to this life of the gate before and its connection broke; else zero. */
   int64_t sentToLife = 0;
--- a/src/http/eventloop.h
+++ b/src/http/eventloop.h
@@ -13,7 +13,8 @@
 
 namespace mimosarun {
 
-/** One thread that runs the handlers of its connections and timers; each of them stays on one loop for life. */
+/** One thread that runs the handlers of its connections and timers; each of them stays on one loop for life.
+ */
 class EventLoop
 {
 public:
--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -105,9 +105,7 @@
   Forwarder& operator=(const Forwarder&) = delete;
 
   /** Sends a request; called on the loop, on which the listener is called too, never within this call. */
-  ForwardTicket Start(EventLoop& aLoop,
-                      ForwardRequest aRequest,
-                      std::shared_ptr<ForwardListener> aListener);
+  ForwardTicket Start(EventLoop& aLoop, ForwardRequest aRequest, std::shared_ptr<ForwardListener> aListener);
 
 private:
   std::shared_ptr<ConnectionPool> PoolOf(EventLoop& aLoop);
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -126,10 +126,9 @@
 void
 ForwardTransfer::Read()
 {
-  m_connection->socket.async_read_some(m_buffer.prepare(m_readBytes),
-                                       [self = shared_from_this()](const auto& aError, size_t aLength) {
-                                         self->OnRead(aError, aLength);
-                                       });
+  m_connection->socket.async_read_some(
+    m_buffer.prepare(m_readBytes),
+    [self = shared_from_this()](const auto& aError, size_t aLength) { self->OnRead(aError, aLength); });
 }
 
 void
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -62,24 +62,24 @@
 HttpServer::Accept()
 {
   EventLoop& loop = m_loops->Next();
-  m_acceptor->async_accept(
-    loop.Context(), [this, acceptor = m_acceptor, &loop](const auto& aError, tcp::socket aSocket) {
-      if (aError == boost::asio::error::operation_aborted || !acceptor->is_open()) {
-        return;
-      }
-      if (aError) {
-        m_loops->First().RunAt(SteadyClock::now() + kAcceptPause, [this, acceptor] {
-          if (acceptor->is_open()) {
-            Accept();
-          }
-        });
-        return;
-      }
-      if (m_shared->connections < m_shared->options.maximumConnections) {
-        ServerConnection::Begin(std::move(aSocket), m_shared, loop);
-      }
-      Accept();
-    });
+  m_acceptor->async_accept(loop.Context(),
+                           [this, acceptor = m_acceptor, &loop](const auto& aError, tcp::socket aSocket) {
+                             if (aError == boost::asio::error::operation_aborted || !acceptor->is_open()) {
+                               return;
+                             }
+                             if (aError) {
+                               m_loops->First().RunAt(SteadyClock::now() + kAcceptPause, [this, acceptor] {
+                                 if (acceptor->is_open()) {
+                                   Accept();
+                                 }
+                               });
+                               return;
+                             }
+                             if (m_shared->connections < m_shared->options.maximumConnections) {
+                               ServerConnection::Begin(std::move(aSocket), m_shared, loop);
+                             }
+                             Accept();
+                           });
 }
 
 void
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -72,10 +72,9 @@
     return;
   }
   m_reading = true;
-  m_socket.async_read_some(m_buffer.prepare(kReadBytes),
-                           [self = shared_from_this()](const auto& aError, size_t aLength) {
-                             self->OnRead(aError, aLength);
-                           });
+  m_socket.async_read_some(
+    m_buffer.prepare(kReadBytes),
+    [self = shared_from_this()](const auto& aError, size_t aLength) { self->OnRead(aError, aLength); });
 }
 
 void
@@ -221,8 +220,9 @@
   exchange->m_keepAlive = false;
   AddExchange(exchange);
   const auto& refuser = m_shared->options.refuser;
-  exchange->Respond(refuser ? refuser(aRequest)
-                            : HttpResponse{ .status = aRequest.status, .headers = {}, .body = aRequest.reason + "\n" });
+  exchange->Respond(
+    refuser ? refuser(aRequest)
+            : HttpResponse{ .status = aRequest.status, .headers = {}, .body = aRequest.reason + "\n" });
 }
 
 // --- answers ---------------------------------------------------------------------------------------------
@@ -231,7 +231,7 @@
 ServerConnection::TakeOutput(Exchange& aFirst)
 {
   const bool mayHaveBody = MayHaveBody(aFirst.m_request.method, aFirst.m_head.status);
-  const BodyFraming framing = !mayHaveBody            ? BodyFraming::None
+  const BodyFraming framing = !mayHaveBody           ? BodyFraming::None
                               : aFirst.m_head.length ? BodyFraming::Length
                                                      : BodyFraming::Chunked;
   std::string output;
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -16,8 +16,8 @@
 namespace mimosarun {
 
 /**
- * One connection of a server. It reads on while answers are due, so that pipelined requests are served side by
- * side and a hang-up shows at once; answers leave in the order of the requests.
+ * One connection of a server. It reads on while answers are due, so that pipelined requests are served side
+ * by side and a hang-up shows at once; answers leave in the order of the requests.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
--- a/src/mimosarund/main.cpp
+++ b/src/mimosarund/main.cpp
@@ -112,9 +112,10 @@
 ParseArguments(int aCount, char** aValues)
 {
   cxxopts::Options options("mimosarund", "One process of the service mesh: a node or a control replica");
-  options.add_options()("settings",
-                        "File with the settings, JSON with comments",
-                        cxxopts::value<std::string>())("platform", "Run as the settings file of the infrastructure says")("check", "Check the settings and exit")(
+  options.add_options()(
+    "settings", "File with the settings, JSON with comments", cxxopts::value<std::string>())(
+    "platform", "Run as the settings file of the infrastructure says")("check",
+                                                                       "Check the settings and exit")(
     "balance", "How gates are chosen", cxxopts::value<std::string>()->default_value("expected-time"))(
     "version", "Print the version")("help", "Print this help");
   try {
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -29,7 +29,15 @@
   , m_holder(aHolder)
   , m_table(aTable)
 {
-  SetReplicas(m_settings.replicas);
+  m_seeds = m_settings.replicas;
+  SetReplicas(m_seeds);
+}
+
+void
+ControlLink::SetSeeds(std::vector<ReplicaSettings> aSeeds)
+{
+  const std::lock_guard lock(m_mutex);
+  m_seeds = std::move(aSeeds);
 }
 
 void
@@ -155,7 +163,10 @@
   m_current = (m_current + 1) % m_clients.size();
   if (m_current == 0 && m_settings.discoverReplicas && m_failures >= m_clients.size()) {
     // None of the known replicas answers; those of the settings may know the present ones.
-    SetReplicas(m_settings.replicas);
+    std::unique_lock lock(m_mutex);
+    std::vector<ReplicaSettings> seeds = m_seeds;
+    lock.unlock();
+    SetReplicas(std::move(seeds));
   }
   // The next replica may not know this domain's members yet.
   m_membersDue = Deadline{};
@@ -217,8 +228,7 @@
 bool
 ControlLink::Introduce()
 {
-  const Result<wire::WatchReply> first =
-    IntroduceTo(*m_clients[m_current], m_holder.Current()->version);
+  const Result<wire::WatchReply> first = IntroduceTo(*m_clients[m_current], m_holder.Current()->version);
   NoteReachable(first.has_value());
   if (!first) {
     NextReplica();
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -33,6 +33,9 @@
   void Start();
   void Stop();
 
+  /** Sets the replicas to begin with where none of the known ones answers. */
+  void SetSeeds(std::vector<ReplicaSettings> aSeeds);
+
 private:
   using Client = RpcClient<wire::ControlPeerClient>;
 
@@ -66,6 +69,7 @@
   uint64_t m_reportedGeneration = 0;
   Deadline m_membersDue{};
   std::mutex m_mutex;
+  std::vector<ReplicaSettings> m_seeds;
   std::condition_variable m_wake;
   bool m_stop = false;
   std::thread m_thread;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,8 +39,8 @@
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
   , m_loops(m_options.loops)
-  , m_target({ .lease = m_options.targetLease,
-               .listener = [this](const TargetState& aState) { OnTarget(aState); } })
+  , m_target(
+      { .lease = m_options.targetLease, .listener = [this](const TargetState& aState) { OnTarget(aState); } })
 {
 }
 
@@ -86,9 +86,9 @@
                               .onLoss = [this](const std::string& aTarget) { m_target.Lose(aTarget); },
                               .life = [this] { return m_table.Self().incarnation; } }));
   if (m_settings.targetAddress.port != 0) {
-    MIMOSARUN_TRY(m_agent,
-                  TargetAgent::Start(
-                    { .address = m_settings.targetAddress, .watch = &m_target, .loops = &m_loops }));
+    MIMOSARUN_TRY(
+      m_agent,
+      TargetAgent::Start({ .address = m_settings.targetAddress, .watch = &m_target, .loops = &m_loops }));
   }
   MIMOSARUN_TRY(m_server, StartNodeService(m_settings.peerAddress, m_gossiper, m_holder));
   WatchLease();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -58,6 +58,9 @@
   /** Ends all threads. */
   void Stop();
 
+  /** Sets the control replicas to begin with where none of the known ones answers. */
+  void SetSeeds(std::vector<ReplicaSettings> aSeeds) { m_control.SetSeeds(std::move(aSeeds)); }
+
   TargetWatch& Target() { return m_target; }
   EventLoops& Loops() { return m_loops; }
   Forwarder& Outgoing() { return m_forwarder; }
--- a/src/process/shutdownsignal.cpp
+++ b/src/process/shutdownsignal.cpp
@@ -9,6 +9,7 @@
   sigemptyset(&m_signals);
   sigaddset(&m_signals, SIGTERM);
   sigaddset(&m_signals, SIGINT);
+  sigaddset(&m_signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   // A write past a file size limit then fails like one on a full disk.
@@ -16,10 +17,18 @@
 }
 
 void
-ShutdownSignal::Wait()
+ShutdownSignal::Wait(const std::function<void()>& aReload)
 {
-  int received = 0;
-  sigwait(&m_signals, &received);
+  while (true) {
+    int received = 0;
+    sigwait(&m_signals, &received);
+    if (received != SIGHUP) {
+      return;
+    }
+    if (aReload) {
+      aReload();
+    }
+  }
 }
 
 } // namespace mimosarun
--- a/src/target/admission.h
+++ b/src/target/admission.h
@@ -44,8 +44,9 @@
 /**
  * Decides which calls occupy the slots of one target. Long calls never take the slots reserved for short
  * ones. Waiting calls are served by priority, then those that can still meet their objective, then by
- * deadline: under overload a call that is late already would only make others late too. A call whose deadline can't be met is refused at once, and one
- * that has become hopeless is dropped from the queue. Not thread-safe.
+ * deadline: under overload a call that is late already would only make others late too. A call whose deadline
+ * can't be met is refused at once, and one that has become hopeless is dropped from the queue. Not
+ * thread-safe.
  */
 class Admission
 {
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -175,8 +175,7 @@
     aExchange->Respond({ .status = 400, .headers = {}, .body = "only entries call gates\n" });
     return;
   }
-  const auto call =
-    std::make_shared<GateCall>(*this, ++m_nextCall, aExchange, *hop, std::move(request));
+  const auto call = std::make_shared<GateCall>(*this, ++m_nextCall, aExchange, *hop, std::move(request));
   const bool once = hop->repeat != RepeatPolicy::Idempotent;
   if (const auto before = once ? m_onceCalls.FindOrAdd(hop->call, call, SteadyClock::now()) : nullptr) {
     before->Join(aExchange);
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -23,8 +23,8 @@
 struct HopAnswer;
 
 /**
- * The only sender of calls to the target of this node. It knows slots and queue exactly, turns back early what
- * can't be served in time, and sends nothing to a target that leaves.
+ * The only sender of calls to the target of this node. It knows slots and queue exactly, turns back early
+ * what can't be served in time, and sends nothing to a target that leaves.
  */
 class Gate
 {
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -109,8 +109,8 @@
     Forward();
     return;
   }
-  const bool posted = m_gate.m_workers && m_gate.m_workers->Post(
-                                            [self = shared_from_this()] { self->ClaimThenForward(); });
+  const bool posted =
+    m_gate.m_workers && m_gate.m_workers->Post([self = shared_from_this()] { self->ClaimThenForward(); });
   if (!posted) {
     m_gate.ReleaseUnused(*this);
     Refuse(503, HopOutcome::TurnedBack, "too many claims wait at the gate");
@@ -145,19 +145,15 @@
       RespondWith(aClaim.answer, HopOutcome::Answered);
       return;
     case ClaimVerdict::Taken:
-      Refuse(504,
-             HopOutcome::Unknown,
-             "another attempt holds this idempotency key; its outcome isn't known yet");
+      Refuse(
+        504, HopOutcome::Unknown, "another attempt holds this idempotency key; its outcome isn't known yet");
       return;
     case ClaimVerdict::Mismatch:
-      Refuse(422,
-             HopOutcome::Refused,
-             "this idempotency key was used for another request; choose a new key");
+      Refuse(422, HopOutcome::Refused, "this idempotency key was used for another request; choose a new key");
       return;
     case ClaimVerdict::Unavailable:
-      Refuse(503,
-             HopOutcome::Refused,
-             "the home region's quorum can't be reached to claim the idempotency key");
+      Refuse(
+        503, HopOutcome::Refused, "the home region's quorum can't be reached to claim the idempotency key");
       GiveClaimBack();
       return;
   }
@@ -193,8 +189,7 @@
 void
 GateCall::ReleaseSlot()
 {
-  const auto held =
-    std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - m_admittedAt);
+  const auto held = std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - m_admittedAt);
   m_gate.Release(*this, held);
 }
 
@@ -225,7 +220,8 @@
   HopAnswer hop = m_gate.Load(*this);
   hop.outcome = aOutcome;
   WriteHop(aResponse.headers, hop);
-  const bool final = aOutcome == HopOutcome::Answered || aOutcome == HopOutcome::Unknown || m_hop.sentToLife != 0;
+  const bool final =
+    aOutcome == HopOutcome::Answered || aOutcome == HopOutcome::Unknown || m_hop.sentToLife != 0;
   if (final && m_hop.repeat != RepeatPolicy::Idempotent) {
     m_answer = aResponse;
   }
@@ -370,7 +366,8 @@
     GiveClaimBack();
     return;
   }
-  if (aEnd == ForwardEnd::Complete && m_verdict != TargetVerdict::Answer && m_verdict != TargetVerdict::Damaged) {
+  if (aEnd == ForwardEnd::Complete && m_verdict != TargetVerdict::Answer &&
+      m_verdict != TargetVerdict::Damaged) {
     m_gate.ReleaseUnused(*this);
   } else {
     ReleaseSlot();
--- a/src/target/targetagent.cpp
+++ b/src/target/targetagent.cpp
@@ -69,10 +69,9 @@
     return;
   }
   m_options.watch->Take({ .state = std::move(state.value()) }, SteadyClock::now());
-  aExchange->Respond(
-    { .status = 200,
-      .headers = { { .name = "Content-Type", .value = "application/json" } },
-      .body = std::string("{\"intent\":\"") + Name(m_options.watch->Intent()) + "\"}\n" });
+  aExchange->Respond({ .status = 200,
+                       .headers = { { .name = "Content-Type", .value = "application/json" } },
+                       .body = std::string("{\"intent\":\"") + Name(m_options.watch->Intent()) + "\"}\n" });
 }
 
 } // namespace mimosarun
--- a/src/target/targettrust.h
+++ b/src/target/targettrust.h
@@ -5,9 +5,9 @@
 namespace mimosarun {
 
 /**
- * What the latest calls say of a target that fails some of them while its health check is good. While it fails
- * many, calls that have a better choice are turned back, but for a few that show whether it has recovered. Not
- * thread-safe.
+ * What the latest calls say of a target that fails some of them while its health check is good. While it
+ * fails many, calls that have a better choice are turned back, but for a few that show whether it has
+ * recovered. Not thread-safe.
  */
 class TargetTrust
 {
--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -119,8 +119,8 @@
   const bool noted = before.name != aState.name || before.phase != aState.phase;
   if (noted) {
     const Event event = aState.phase == wire::TargetPhase::Absent ? Event::TargetLost
-                        : before.name == aState.name               ? Event::TargetPhaseChanged
-                                                                   : Event::TargetAnnounced;
+                        : before.name == aState.name              ? Event::TargetPhaseChanged
+                                                                  : Event::TargetAnnounced;
     Log(event,
         { { "target", aState.name },
           { "service", aState.service },
--- a/tests/configuration/snapshottest.cpp
+++ b/tests/configuration/snapshottest.cpp
@@ -40,8 +40,7 @@
   RC_ASSERT(delta.value()->text == to->text && whole.value()->hash == to->hash);
 }
 
-RC_BOOST_PROP(an_update_takes_any_holder_to_the_newest,
-              (std::vector<std::vector<uint8_t>> aDocuments))
+RC_BOOST_PROP(an_update_takes_any_holder_to_the_newest, (std::vector<std::vector<uint8_t>> aDocuments))
 {
   std::vector<SnapshotPointer> versions{ EmptySnapshot() };
   UpdateHistory history;
