Test what was built: policies, HTTP, adapters, and the platform's path with real processes

Cause: the new parts had no tests of their own; the property of the retry budget failed at once: a window that begins within a part could hold repeats that the budget had forgotten.

--- a/src/caller/retrybudget.cpp
+++ b/src/caller/retrybudget.cpp
@@ -26,7 +26,7 @@
 RetryBudget::PartAt(const std::string& aService, Deadline aNow)
 {
   const int64_t number = NumberAt(aNow);
-  Part& part = m_services[aService][static_cast<size_t>(number) % kParts];
+  Part& part = m_services[aService][static_cast<size_t>(number) % kKeptParts];
   if (part.number != number) {
     part = { .number = number };
   }
@@ -48,10 +48,9 @@
   int64_t requests = 0;
   int64_t repeats = 0;
   for (const Part& part : m_services[aService]) {
-    if (part.number > current.number - static_cast<int64_t>(kParts)) {
-      requests += part.requests;
-      repeats += part.repeats;
-    }
+    const int64_t age = current.number - part.number;
+    requests += age < static_cast<int64_t>(kParts) ? part.requests : 0;
+    repeats += age < static_cast<int64_t>(kKeptParts) ? part.repeats : 0;
   }
   const double allowed =
     m_options.share * static_cast<double>(requests) + m_options.extra / static_cast<double>(m_nodes);
--- a/src/caller/retrybudget.h
+++ b/src/caller/retrybudget.h
@@ -43,6 +43,8 @@
 
 private:
   static constexpr size_t kParts = 20;
+  /** One part more is kept, since the window begins within a part. */
+  static constexpr size_t kKeptParts = kParts + 1;
 
   /** What happened in one part of the window. */
   struct Part
@@ -52,7 +54,7 @@
     int64_t repeats = 0;
   };
 
-  using Window = std::array<Part, kParts>;
+  using Window = std::array<Part, kKeptParts>;
 
   int64_t NumberAt(Deadline aNow) const;
   Part& PartAt(const std::string& aService, Deadline aNow);
--- /dev/null
+++ b/tests/caller/balancertest.cpp
@@ -0,0 +1,111 @@
+#define BOOST_TEST_MODULE balancer
+#include "caller/balancer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mimosarun;
+using std::chrono::milliseconds;
+
+static constexpr DistanceCosts kPaidBytes{ .region = milliseconds(3),
+                                           .otherRegion = milliseconds(40),
+                                           .regionShare = 0.15,
+                                           .otherRegionShare = 0.35,
+                                           .comfortShare = 0.5 };
+
+static GateInfo
+Gate(const std::string& aNode, Locality aLocality)
+{
+  return { .node = aNode, .target = "t-" + aNode, .address = {}, .locality = aLocality, .slots = 6 };
+}
+
+static const std::vector<GateInfo> kGates{ Gate("near", Locality::FailureDomain),
+                                           Gate("middle", Locality::Region),
+                                           Gate("far", Locality::OtherRegion) };
+
+static const CallWish kWish{ .kind = "r",
+                             .objective = milliseconds(800),
+                             .objectiveLeft = milliseconds(800) };
+
+static void
+Teach(Balancer& aBalancer, const std::string& aNode, milliseconds aTime, int aCalls = 20)
+{
+  for (int call = 0; call < aCalls; ++call) {
+    const Deadline now = SteadyClock::now();
+    aBalancer.Sent(aNode, CallClass::Short, now - aTime);
+    aBalancer.Ended({ .node = aNode, .kind = "r", .sentAt = now - aTime }, now);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_slower_gate_nearby_is_used_while_the_objective_is_safe)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  Teach(balancer, "near", milliseconds(300));
+  Teach(balancer, "middle", milliseconds(150));
+  Teach(balancer, "far", milliseconds(150));
+  BOOST_TEST(balancer.Choose(kGates, {}, kWish)->gate.node == "near");
+}
+
+BOOST_AUTO_TEST_CASE(
+  a_gate_nearby_that_would_miss_the_objective_is_left_for_the_region_and_then_for_the_other)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  Teach(balancer, "near", milliseconds(1500));
+  Teach(balancer, "middle", milliseconds(200));
+  Teach(balancer, "far", milliseconds(200));
+  BOOST_TEST(balancer.Choose(kGates, {}, kWish)->gate.node == "middle");
+  Teach(balancer, "middle", milliseconds(1500));
+  BOOST_TEST(balancer.Choose(kGates, {}, kWish)->gate.node == "far");
+}
+
+BOOST_AUTO_TEST_CASE(a_call_waits_nearby_only_as_long_as_that_is_the_better_choice)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  for (const GateInfo& gate : kGates) {
+    Teach(balancer, gate.node, milliseconds(200));
+  }
+  const std::optional<GateChoice> choice = balancer.Choose(kGates, {}, kWish);
+  BOOST_TEST(choice->gate.node == "near");
+  // Comfort ends at 400 ms and the region costs 123 ms more.
+  BOOST_TEST(choice->longestWait.count() > milliseconds(250) / std::chrono::microseconds(1));
+  BOOST_TEST(choice->longestWait.count() < milliseconds(400) / std::chrono::microseconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_gate_that_turned_the_call_back_counts_with_the_wait_that_it_named)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  for (const GateInfo& gate : kGates) {
+    Teach(balancer, gate.node, milliseconds(200));
+  }
+  CallExperience experience;
+  experience.turnedBack["near"] = milliseconds(700);
+  BOOST_TEST(balancer.Choose(kGates, experience, kWish)->gate.node == "middle");
+  experience.turnedBack["middle"] = milliseconds(900);
+  experience.turnedBack["far"] = milliseconds(2000);
+  BOOST_TEST(balancer.Choose(kGates, experience, kWish)->gate.node == "near");
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_fails_calls_is_avoided_while_another_is_well)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  for (const GateInfo& gate : kGates) {
+    Teach(balancer, gate.node, milliseconds(200));
+  }
+  balancer.NoteLoad("near", { .slots = 6, .doubt = milliseconds(800) });
+  BOOST_TEST(balancer.Choose(kGates, {}, kWish)->gate.node == "middle");
+}
+
+BOOST_AUTO_TEST_CASE(a_gate_that_is_new_to_the_entry_is_taken_to_be_like_the_others)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  Teach(balancer, "middle", milliseconds(200));
+  Teach(balancer, "far", milliseconds(200));
+  BOOST_TEST(balancer.Choose(kGates, {}, kWish)->gate.node == "near");
+}
+
+BOOST_AUTO_TEST_CASE(excluded_gates_are_not_chosen)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  CallExperience experience;
+  experience.excluded = { "near", "middle", "far" };
+  BOOST_TEST(!balancer.Choose(kGates, experience, kWish).has_value());
+}
--- a/tests/control/journaltest.cpp
+++ b/tests/control/journaltest.cpp
@@ -138,3 +138,28 @@
     RC_ASSERT(content.value().entries[i].index == static_cast<int64_t>(i + 1));
   }
 }
+
+BOOST_AUTO_TEST_CASE(how_far_the_log_is_committed_is_known_after_a_restart)
+{
+  Folder folder;
+  {
+    Journal journal(folder.Path());
+    BOOST_REQUIRE(journal.Open());
+    BOOST_REQUIRE(journal.Append(Entries(1, 5, 1)));
+    BOOST_REQUIRE(journal.SaveCommitted(2));
+    BOOST_REQUIRE(journal.SaveCommitted(4));
+  }
+  {
+    Journal journal(folder.Path());
+    BOOST_TEST(journal.Open().value().committed == 4);
+    // A note that is ahead of the log says nothing that could be trusted.
+    BOOST_REQUIRE(journal.SaveCommitted(9));
+  }
+  {
+    Journal journal(folder.Path());
+    BOOST_TEST(journal.Open().value().committed == 0);
+  }
+  std::ofstream(folder.Path() + "/commit") << "torn";
+  Journal journal(folder.Path());
+  BOOST_TEST(journal.Open().value().committed == 0);
+}
--- a/tests/control/statetest.cpp
+++ b/tests/control/statetest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE states
 #include "common/compression.h"
+#include "common/digest.h"
 #include "control/claimstate.h"
 #include "control/configurationstate.h"
 #include "control/groupplan.h"
@@ -94,6 +95,43 @@
   BOOST_TEST((restored.Current()->configuration.targets.at("t1") == TargetIntent::Draining));
 }
 
+static wire::CommandResult
+Replace(ConfigurationState& aState, int64_t aBase, int64_t aVersion, const std::string& aText)
+{
+  wire::LogEntry entry = Entry(wire::CommandKind::Replace);
+  entry.command.basedOn = aBase;
+  entry.command.version = aVersion;
+  entry.command.hash = Sha256(aText);
+  const SnapshotPointer current = aState.Current();
+  entry.command.delta = current->version == aBase;
+  entry.command.body = entry.command.delta ? CompressAgainst(aText, current->text) : Compress(aText);
+  return aState.Apply(entry);
+}
+
+BOOST_AUTO_TEST_CASE(operators_choose_numbers_and_an_accepted_order_is_acknowledged_again)
+{
+  ConfigurationState state;
+  BOOST_TEST((Replace(state, 0, 5, "five").code == wire::ResultCode::Done));
+  BOOST_TEST((Replace(state, 5, 9, "nine").code == wire::ResultCode::Done));
+  BOOST_TEST(state.Current()->version == 9);
+  // Resent after others were accepted: acknowledged, without effect.
+  BOOST_TEST((Replace(state, 0, 5, "five").code == wire::ResultCode::Done));
+  BOOST_TEST(state.Current()->text == "nine");
+  BOOST_TEST(state.WasAccepted(5, Sha256("five")));
+  BOOST_TEST(!state.WasAccepted(5, Sha256("other")));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_orders_with_one_number_the_second_is_refused)
+{
+  ConfigurationState state;
+  Replace(state, 0, 5, "five");
+  BOOST_TEST((Replace(state, 5, 7, "mine").code == wire::ResultCode::Done));
+  BOOST_TEST((Replace(state, 5, 7, "yours").code == wire::ResultCode::StaleBase));
+  BOOST_TEST((Replace(state, 7, 7, "again").code == wire::ResultCode::Invalid));
+  BOOST_TEST((Replace(state, 7, 6, "lower").code == wire::ResultCode::Invalid));
+  BOOST_TEST(state.Current()->text == "mine");
+}
+
 static wire::LogEntry
 ClaimCommand(wire::CommandKind::type aKind, const std::string& aKey, const std::string& aToken)
 {
--- /dev/null
+++ b/tests/harness/rawserver.cpp
@@ -0,0 +1,125 @@
+#include "harness/rawserver.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace mimosarun {
+
+static constexpr std::chrono::milliseconds kAcceptPoll{ 50 };
+/** Time in which what the server sent arrives before it closes. */
+static constexpr std::chrono::milliseconds kCloseDelay{ 60 };
+static constexpr uint16_t kFirstPort = 33000;
+
+static sockaddr_in
+SocketAddress(const Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port);
+  ::inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
+  return address;
+}
+
+static bool
+WaitReadable(int aSocket, std::chrono::milliseconds aTime)
+{
+  pollfd ready{ .fd = aSocket, .events = POLLIN, .revents = 0 };
+  return ::poll(&ready, 1, static_cast<int>(aTime.count())) > 0;
+}
+
+RawConnection::RawConnection(const Address& aTo)
+  : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const sockaddr_in address = SocketAddress(aTo);
+  static_cast<void>(::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+}
+
+RawConnection::~RawConnection()
+{
+  ::close(m_socket);
+}
+
+void
+RawConnection::Send(const std::string& aBytes) const
+{
+  static_cast<void>(::send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0);
+}
+
+std::string
+RawConnection::Receive(std::chrono::milliseconds aTime) const
+{
+  return ReceiveUntil("", aTime);
+}
+
+std::string
+RawConnection::ReceiveUntil(const std::string& aText, std::chrono::milliseconds aTime) const
+{
+  const auto limit = std::chrono::steady_clock::now() + aTime;
+  std::string received;
+  char bytes[4096];
+  while (true) {
+    const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(limit - std::chrono::steady_clock::now());
+    if (left.count() <= 0 || !WaitReadable(m_socket, left)) {
+      return received;
+    }
+    const ssize_t length = ::recv(m_socket, bytes, sizeof bytes, 0);
+    if (length <= 0) {
+      return received;
+    }
+    received.append(bytes, static_cast<size_t>(length));
+    if (!aText.empty() && received.find(aText) != std::string::npos) {
+      return received;
+    }
+  }
+}
+
+Address
+RawServer::FreeAddress()
+{
+  static std::atomic<uint16_t> s_next{ kFirstPort };
+  const int pid = ::getpid();
+  return { .host = "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(1 + pid % 250) + ".2",
+           .port = ++s_next };
+}
+
+RawServer::RawServer(std::vector<std::string> aScript)
+  : m_script(std::move(aScript))
+  , m_address(FreeAddress())
+  , m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  const sockaddr_in address = SocketAddress(m_address);
+  static_cast<void>(::bind(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  static_cast<void>(::listen(m_socket, 16) == 0);
+  m_thread = std::thread([this] { Run(); });
+}
+
+RawServer::~RawServer()
+{
+  m_stop = true;
+  m_thread.join();
+  ::close(m_socket);
+}
+
+void
+RawServer::Run()
+{
+  while (!m_stop) {
+    if (!WaitReadable(m_socket, kAcceptPoll)) {
+      continue;
+    }
+    const int connection = ::accept(m_socket, nullptr, nullptr);
+    const auto number = static_cast<size_t>(m_connections++);
+    char bytes[4096];
+    if (::recv(connection, bytes, sizeof bytes, 0) > 0 && number < m_script.size()) {
+      const std::string& answer = m_script[number];
+      static_cast<void>(::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
+    }
+    WaitReadable(connection, kCloseDelay);
+    ::close(connection);
+  }
+}
+
+} // namespace mimosarun
--- /dev/null
+++ b/tests/platform/adapterstest.cpp
@@ -0,0 +1,199 @@
+#define BOOST_TEST_MODULE adapters
+#include "platform/callers.h"
+#include "platform/configformat.h"
+#include "platform/heartbeats.h"
+#include "platform/settings.h"
+#include "platform/targets.h"
+#include "platform/values.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace mimosarun;
+using std::chrono::milliseconds;
+
+static const char* const kNodeSettings = R"({
+  "nodeId": "sidecar-1", "role": "node", "machineClass": "sidecar", "serves": ["sidecar"], "ip": "10.1.0.8",
+  "zone": "north", "region": "east", "zones": {"north": "east", "south": "west"}, "unknown": {"x": 1},
+  "listenAddrs": {"inbound": "10.1.0.8:8300", "outbound": "10.1.0.8:8304", "ready": "10.1.0.8:8302",
+                  "control": "10.1.0.8:8306"},
+  "portRange": [7620, 7635], "seeds": ["10.1.0.12:8306", "10.2.0.10:8306"], "bootstrap": true,
+  "dataDir": null, "heartbeat": "1500ms", "bounds": ["grace=6s", "retryBudgetRatio=0.2", "budgetSlack=64"],
+  "appAddr": "10.1.0.8:8301", "service": "books"})";
+
+static std::string
+Replaced(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const size_t place = aText.find(aOld);
+  BOOST_REQUIRE(place != std::string::npos);
+  return aText.replace(place, aOld.size(), aNew);
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_read_into_the_products_terms)
+{
+  const auto settings = platform::ParseSettings(kNodeSettings, "boot.json");
+  BOOST_REQUIRE(settings.has_value());
+  const ProcessSettings& process = settings.value().process;
+  BOOST_TEST((process.role == ProcessRole::Node));
+  BOOST_TEST(process.failureDomain == "north");
+  BOOST_TEST(process.callerAddress.Text() == "10.1.0.8:8304");
+  BOOST_TEST(process.replicas.size() == 2u);
+  BOOST_TEST(process.replicas[1].address.Text() == "10.2.0.10:7620");
+  BOOST_TEST(process.regions.size() == 2u);
+  BOOST_TEST((settings.value().grace == milliseconds(6000)));
+}
+
+BOOST_AUTO_TEST_CASE(wrong_settings_name_the_field_and_the_remedy)
+{
+  const auto messageOf = [](const std::string& aText) {
+    const auto settings = platform::ParseSettings(aText, "boot.json");
+    return settings ? std::string() : settings.error().message;
+  };
+  BOOST_TEST(
+    messageOf(Replaced(kNodeSettings, "\"10.1.0.8:8304\"", "\"nowhere\"")).find("listenAddrs.outbound") !=
+    std::string::npos);
+  BOOST_TEST(
+    messageOf(Replaced(kNodeSettings, "\"nodeId\": \"sidecar-1\", ", "")).find("nodeId: is missing") !=
+    std::string::npos);
+  BOOST_TEST(messageOf(Replaced(kNodeSettings, "[\"sidecar\"]", "[\"other\"]")).find("serves") !=
+             std::string::npos);
+  BOOST_TEST(messageOf("{").find("boot.json") != std::string::npos);
+}
+
+static const std::string kDocument = R"({"version":"r7","routes":[
+  {"name":"a","host":"x.example","pathPrefix":"/a/","kind":"unsafe","timeout":"1200ms","targetLatency":"800ms",
+   "priority":1,"service":"books","maxAttempts":2},
+  {"name":"b","host":"x.example","pathPrefix":"/a/b/","kind":"safe","timeout":"2.5s","targetLatency":"1s",
+   "priority":2,"trafficSplit":[{"service":"books","weight":90},{"service":"desk","weight":10}],"maxAttempts":1}],
+  "services":[{"name":"books","healthPath":"/healthz","maxConnections":130},{"name":"desk"}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}})";
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole)
+{
+  const auto parsed = platform::ConfigFormat::Parse(kDocument);
+  BOOST_REQUIRE(parsed.has_value());
+  const Configuration& configuration = parsed.value();
+  const Route* route = FindRoute(configuration, "x.example", "/a/b/c", "GET");
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST(route->name == "b");
+  BOOST_TEST(route->Idempotent());
+  BOOST_TEST(route->shares.size() == 2u);
+  BOOST_TEST((route->timeout == milliseconds(2500)));
+  const Route* other = FindRoute(configuration, "x.example", "/a/c", "POST");
+  BOOST_REQUIRE(other != nullptr);
+  BOOST_TEST((other->repeat == RepeatPolicy::Once));
+  BOOST_TEST(other->retries == 1);
+  BOOST_TEST(FindRoute(configuration, "y.example", "/a/c", "GET") == nullptr);
+  BOOST_TEST(configuration.callerLimits.maxBodyBytes == 1000);
+  BOOST_TEST(platform::VersionOf(kDocument).value() == 7);
+}
+
+/** A change that makes the document invalid, and what its refusal names. */
+struct BadChange
+{
+  const char* from;
+  const char* to;
+  const char* named;
+};
+
+static std::ostream&
+operator<<(std::ostream& aStream, const BadChange& aChange)
+{
+  return aStream << aChange.to;
+}
+
+static const BadChange kBadChanges[] = {
+  { "\"service\":\"books\",\"maxAttempts\":2", "\"service\":\"gone\",\"maxAttempts\":2", "gone" },
+  { "\"timeout\":\"1200ms\"", "\"timeout\":\"601s\"", "routes[0].timeout" },
+  { "\"timeout\":\"1200ms\",", "", "routes[0].timeout" },
+  { "\"maxAttempts\":2", "\"maxAttempts\":0", "routes[0].maxAttempts" },
+  { "\"pathPrefix\":\"/a/\"", "\"pathPrefix\":\"a/\"", "routes[0].pathPrefix" },
+  { "\"kind\":\"unsafe\"", "\"kind\":\"odd\"", "routes[0].kind" },
+  { "/a/b/", "/a/", "routes[1].pathPrefix" },
+  { "\"weight\":90", "\"weight\":-1", "trafficSplit.weight" },
+  { "{\"service\":\"desk\",\"weight\":10}", "{\"service\":\"lost\",\"weight\":10}", "lost" },
+  { "\"limits\"", "\"lim", "read" },
+};
+
+BOOST_DATA_TEST_CASE(an_invalid_configuration_is_refused_with_its_place, kBadChanges, change)
+{
+  const auto parsed = platform::ConfigFormat::Parse(Replaced(kDocument, change.from, change.to));
+  BOOST_REQUIRE(!parsed.has_value());
+  BOOST_TEST(parsed.error().message.find(change.named) != std::string::npos, parsed.error().message);
+}
+
+BOOST_AUTO_TEST_CASE(what_a_caller_forges_does_not_reach_a_target)
+{
+  HttpHeaders headers{ { .name = "Caller-Service", .value = "forged" },
+                       { .name = "Expected-Instance", .value = "forged" },
+                       { .name = "Request-Id", .value = "1" } };
+  platform::CallerProtocol::PrepareForTarget(headers, "books");
+  BOOST_TEST(FindHeader(headers, "Caller-Service") == "books");
+  BOOST_TEST(!HasHeader(headers, "Expected-Instance"));
+  platform::TargetProtocol::Prepare(headers, { .call = "1", .target = "i-1", .timeLeft = milliseconds(70) });
+  BOOST_TEST(FindHeader(headers, "Expected-Instance") == "i-1");
+  BOOST_TEST(FindHeader(headers, "Timeout-Ms") == "70");
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back_only_where_the_request_did_not_run)
+{
+  const HttpResponse refused = platform::CallerProtocol::Refuse(
+    { .status = 503, .reason = "busy", .call = "1", .retryAfter = milliseconds(250) });
+  BOOST_TEST(FindHeader(refused.headers, "Retry-After") == "0.250");
+  BOOST_TEST(FindHeader(refused.headers, "Request-Id") == "1");
+  const HttpResponse unknown = platform::CallerProtocol::Refuse(
+    { .status = 502, .outcome = CallOutcome::Unknown, .reason = "cut", .retryAfter = milliseconds(250) });
+  BOOST_TEST(!HasHeader(unknown.headers, "Retry-After"));
+}
+
+BOOST_AUTO_TEST_CASE(only_a_signed_answer_to_the_same_call_is_the_targets)
+{
+  const TargetCall call{ .call = "7", .target = "i-1" };
+  const auto judge = [&](int aStatus, HttpHeaders aHeaders) {
+    return platform::TargetProtocol::Judge({ .status = aStatus, .headers = std::move(aHeaders) }, call);
+  };
+  const HttpHeader id{ .name = "Request-Id", .value = "7" };
+  const HttpHeader signature{ .name = "Response-Signature", .value = "s" };
+  BOOST_TEST((judge(200, { id, signature }) == TargetVerdict::Answer));
+  BOOST_TEST((judge(500, { id, signature }) == TargetVerdict::Answer));
+  BOOST_TEST((judge(200, { id }) == TargetVerdict::Damaged));
+  BOOST_TEST((judge(200, { signature }) == TargetVerdict::Damaged));
+  BOOST_TEST((judge(200, { id, signature, { .name = "Content-Encoding", .value = "gzip" } }) ==
+              TargetVerdict::Damaged));
+  BOOST_TEST((judge(200, { { .name = "Request-Id", .value = "8" }, signature }) == TargetVerdict::Foreign));
+  BOOST_TEST((judge(503, { id, { .name = "Not-Executed", .value = "1" } }) == TargetVerdict::NotRun));
+  BOOST_TEST((judge(421, { id }) == TargetVerdict::OtherTarget));
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read_whole_or_not_at_all)
+{
+  const std::string good =
+    R"({"service":"books","address":"10.0.0.9:8080","zone":"z","version":"v1","capacity":6,
+    "state":"ready","warmupLeft":"3s","seq":4,"born":1700000000000})";
+  const auto report = platform::ParseHeartbeat("i-1", good);
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report.value().state.slots == 6);
+  BOOST_TEST(report.value().sequence == 4);
+  BOOST_TEST(report.value().bornMillis == 1700000000000);
+  BOOST_TEST((report.value().state.phase == wire::TargetPhase::Ready));
+  for (const char* bad : { R"("capacity":"6")", R"("capacity":0)" }) {
+    BOOST_TEST(!platform::ParseHeartbeat("i-1", Replaced(good, R"("capacity":6)", bad)).has_value());
+  }
+  BOOST_TEST(!platform::ParseHeartbeat("i-1", Replaced(good, "\"ready\"", "\"asleep\"")).has_value());
+  BOOST_TEST(!platform::ParseHeartbeat("i-1", Replaced(good, "\"seq\":4,", "")).has_value());
+  BOOST_TEST(!platform::ParseHeartbeat("i-1", "\xff\xfe").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(times_and_versions_need_their_marks)
+{
+  BOOST_TEST((platform::ParseDuration("2.5s").value() == milliseconds(2500)));
+  BOOST_TEST((platform::ParseDuration("0ms").value() == milliseconds(0)));
+  for (const char* bad : { "5", "ms", "-1s", "1 s", "1h", "nans" }) {
+    BOOST_TEST(!platform::ParseDuration(bad).has_value(), bad);
+  }
+  BOOST_TEST(platform::ParseVersion("r12").value() == 12);
+  BOOST_TEST(platform::ParseVersion("0").value() == 0);
+  for (const char* bad : { "", "r", "r1x", "v3", "r-1" }) {
+    BOOST_TEST(!platform::ParseVersion(bad).has_value(), bad);
+  }
+}
--- /dev/null
+++ b/tests/platform/platformmesh.cpp
@@ -0,0 +1,243 @@
+#include "platform/platformmesh.h"
+
+#include "harness/mesh.h"
+#include "harness/rawserver.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace mimosarun {
+
+static constexpr size_t kReplicas = 3;
+static constexpr size_t kNodes = 2;
+static constexpr uint16_t kInbound = 24000;
+static constexpr uint16_t kOutbound = 24001;
+static constexpr uint16_t kReady = 24002;
+static constexpr uint16_t kControl = 24003;
+static constexpr uint16_t kTarget = 24004;
+static constexpr uint16_t kPeer = 24010;
+static constexpr const char* kServices[kNodes] = { "books", "desk" };
+
+std::string
+Exchange(const Address& aTo, const std::string& aRequest)
+{
+  RawConnection connection(aTo);
+  connection.Send(aRequest);
+  std::string answer = connection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(4));
+  answer += connection.Receive(std::chrono::milliseconds(30));
+  return answer;
+}
+
+static int
+StatusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12 ? 0 : std::atoi(aAnswer.c_str() + 9);
+}
+
+PlatformTarget::PlatformTarget(Options aOptions)
+  : m_options(std::move(aOptions))
+{
+  m_server = HttpServer::Start({ .address = m_options.address,
+                                 .handler = [this](const ExchangePointer& aExchange) { Handle(aExchange); } })
+               .value();
+}
+
+PlatformTarget::~PlatformTarget() = default;
+
+int
+PlatformTarget::Beat(const std::string& aState)
+{
+  const std::string body =
+    "{\"service\":\"" + m_options.service + "\",\"address\":\"" + m_options.address.Text() +
+    "\",\"zone\":\"north\",\"version\":\"v1\",\"capacity\":4," + "\"state\":\"" + aState +
+    "\",\"warmupLeft\":\"0ms\",\"born\":1000,\"seq\":" + std::to_string(++m_sequence) + "}";
+  return StatusOf(Exchange(m_options.control,
+                           "POST /-/Instances.Heartbeat/" + m_options.id +
+                             " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body));
+}
+
+std::map<std::string, int>
+PlatformTarget::Runs() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_runs;
+}
+
+void
+PlatformTarget::Handle(const ExchangePointer& aExchange)
+{
+  const HttpHeaders& headers = aExchange->Request().headers;
+  const std::string id = FindHeader(headers, "Request-Id");
+  if (aExchange->Request().path == "/healthz") {
+    aExchange->Respond({ .status = 200, .headers = { { .name = "Instance-Id", .value = m_options.id } } });
+    return;
+  }
+  const bool proper = FindHeader(headers, "Expected-Instance") == m_options.id &&
+                      !FindHeader(headers, "Timeout-Ms").empty() &&
+                      !FindHeader(headers, "Caller-Service").empty() && !HasHeader(headers, "M-Q");
+  m_faults += proper ? 0 : 1;
+  if (m_shedding) {
+    aExchange->Respond(
+      { .status = 503,
+        .headers = { { .name = "Request-Id", .value = id }, { .name = "Not-Executed", .value = "1" } } });
+    return;
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    ++m_runs[id];
+  }
+  aExchange->Loop().RunAt(SteadyClock::now() + m_options.work, [aExchange, id, body = m_options.id] {
+    aExchange->Respond({ .status = 200,
+                         .headers = { { .name = "Request-Id", .value = id },
+                                      { .name = "Response-Signature", .value = "signed" } },
+                         .body = body });
+  });
+}
+
+PlatformMesh::PlatformMesh(const std::string& aName)
+  : m_folder(std::filesystem::absolute("run/" + aName).string())
+{
+  std::filesystem::remove_all(m_folder);
+  std::filesystem::create_directories(m_folder);
+  replicas.resize(kReplicas);
+  nodes.resize(kNodes);
+}
+
+std::string
+PlatformMesh::Host(size_t aMachine) const
+{
+  const int pid = ::getpid();
+  return "127." + std::to_string(1 + pid / 250 % 250) + "." + std::to_string(1 + pid % 250) + "." +
+         std::to_string(20 + aMachine);
+}
+
+void
+PlatformMesh::WriteSettings(const std::string& aPath, const std::string& aText) const
+{
+  std::ofstream(aPath) << aText;
+}
+
+std::string
+PlatformMesh::CommonSettings(size_t aMachine) const
+{
+  std::string seeds;
+  for (size_t i = 0; i < kReplicas; ++i) {
+    seeds += (i == 0 ? "\"" : ",\"") + Host(i) + ":" + std::to_string(kControl) + "\"";
+  }
+  return "\"ip\":\"" + Host(aMachine) + "\",\"zone\":\"north\",\"region\":\"east\",\"portRange\":[" +
+         std::to_string(kPeer) + "," + std::to_string(kPeer + 5) + "],\"seeds\":[" + seeds +
+         "],\"heartbeat\":\"1500ms\",\"bounds\":[\"grace=6s\"],\"new\":true";
+}
+
+void
+PlatformMesh::StartReplica(size_t aIndex)
+{
+  const std::string path = m_folder + "/control" + std::to_string(aIndex);
+  WriteSettings(path + ".json",
+                "{\"nodeId\":\"core-" + std::to_string(aIndex) +
+                  "\",\"serves\":[\"control\"],\"listenAddrs\":{\"control\":\"" + Host(aIndex) + ":" +
+                  std::to_string(kControl) + "\"},\"bootstrap\":" + (m_first ? "true" : "false") +
+                  ",\"dataDir\":\"" + path + "\",\"faultTolerance\":{\"machines\":1}," +
+                  CommonSettings(aIndex) + "}");
+  replicas[aIndex] = Process::Start({ BuildFolder() + "/src/mimosarund", "--platform" },
+                                    path + ".out",
+                                    { "MIMOSARUN_SETTINGS=" + path + ".json" });
+}
+
+void
+PlatformMesh::StartNode(size_t aIndex)
+{
+  const size_t machine = kReplicas + aIndex;
+  const std::string host = Host(machine) + ":";
+  const std::string path = m_folder + "/node" + std::to_string(aIndex);
+  WriteSettings(path + ".json",
+                "{\"nodeId\":\"side-" + std::to_string(aIndex) +
+                  "\",\"serves\":[\"sidecar\"],\"listenAddrs\":{\"inbound\":\"" + host +
+                  std::to_string(kInbound) + "\",\"outbound\":\"" + host + std::to_string(kOutbound) +
+                  "\",\"ready\":\"" + host + std::to_string(kReady) + "\",\"control\":\"" + host +
+                  std::to_string(kControl) + "\"},\"bootstrap\":false,\"dataDir\":null,\"appAddr\":\"" +
+                  host + std::to_string(kTarget) + "\",\"service\":\"" + kServices[aIndex] + "\"," +
+                  CommonSettings(machine) + "}");
+  nodes[aIndex] = Process::Start({ BuildFolder() + "/src/mimosarund", "--platform" },
+                                 path + ".out",
+                                 { "MIMOSARUN_SETTINGS=" + path + ".json" });
+}
+
+std::string
+PlatformMesh::Document(int aVersion, const std::string& aKind)
+{
+  return "{\"version\":\"r" + std::to_string(aVersion) +
+         "\",\"routes\":[{\"name\":\"read\",\"host\":\"x\",\"pathPrefix\":\"/read/\",\"kind\":\"safe\","
+         "\"timeout\":\"2s\",\"targetLatency\":\"1s\",\"priority\":2,\"service\":\"books\",\"maxAttempts\":2}"
+         ","
+         "{\"name\":\"book\",\"host\":\"x\",\"pathPrefix\":\"/book/\",\"kind\":\"" +
+         aKind +
+         "\",\"timeout\":\"2s\",\"targetLatency\":\"1s\",\"priority\":1,\"service\":\"desk\",\"maxAttempts\":"
+         "2}],"
+         "\"services\":[{\"name\":\"books\",\"healthPath\":\"/healthz\",\"maxConnections\":20},"
+         "{\"name\":\"desk\",\"healthPath\":\"/healthz\",\"maxConnections\":20}]}";
+}
+
+int
+PlatformMesh::Replace(const std::string& aBase, const std::string& aDocument, size_t aAt)
+{
+  const Address control{ .host = Host(aAt), .port = kControl };
+  return StatusOf(Exchange(control,
+                           "POST /-/Config.Replace HTTP/1.1\r\nHost: x\r\nBase-Version: " + aBase +
+                             "\r\nContent-Length: " + std::to_string(aDocument.size()) + "\r\n\r\n" +
+                             aDocument));
+}
+
+std::string
+PlatformMesh::Read(size_t aAt)
+{
+  const Address control{ .host = Host(aAt), .port = kControl };
+  return Exchange(control, "GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n");
+}
+
+std::string
+PlatformMesh::Call(size_t aNode, const std::string& aPath, const std::string& aId)
+{
+  const Address entry{ .host = Host(kReplicas + aNode), .port = kOutbound };
+  return Exchange(
+    entry,
+    "POST " + aPath + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + aId +
+      "\r\nTimeout-Ms: 2000\r\nCaller-Service: forged\r\nExpected-Instance: forged\r\nM-Q: forged"
+      "\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+bool
+PlatformMesh::IsReady(size_t aNode)
+{
+  const Address ready{ .host = Host(kReplicas + aNode), .port = kReady };
+  return StatusOf(Exchange(ready, "GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")) == 200;
+}
+
+bool
+PlatformMesh::Start()
+{
+  for (size_t i = 0; i < kReplicas; ++i) {
+    StartReplica(i);
+  }
+  for (size_t i = 0; i < kNodes; ++i) {
+    StartNode(i);
+    targets.push_back(std::make_unique<PlatformTarget>(
+      PlatformTarget::Options{ .id = std::string("i-") + kServices[i],
+                               .service = kServices[i],
+                               .address = { .host = Host(kReplicas + i), .port = kTarget },
+                               .control = { .host = Host(kReplicas + i), .port = kControl } }));
+  }
+  m_first = false;
+  const auto limit = std::chrono::seconds(15);
+  return WaitUntil(limit, [this] { return Replace("0", Document(3)) == 200; }) &&
+         WaitUntil(limit, [this] { return IsReady(0) && IsReady(1); }) && WaitUntil(limit, [this] {
+           return targets[0]->Beat("ready") == 200 && targets[1]->Beat("ready") == 200 &&
+                  Call(0, "/book/1", "warm").starts_with("HTTP/1.1 200") &&
+                  Call(1, "/read/1", "warm").starts_with("HTTP/1.1 200");
+         });
+}
+
+} // namespace mimosarun
--- a/tests/target/admissiontest.cpp
+++ b/tests/target/admissiontest.cpp
@@ -130,3 +130,96 @@
     RC_ASSERT(slots == 1 || longOnes < slots);
   }
 }
+
+/** Callers that were refused at the crest come back with little time left. */
+BOOST_AUTO_TEST_CASE(calls_that_are_late_already_go_after_those_that_can_be_in_time)
+{
+  Admission admission({ .slots = 1 });
+  admission.Offer(Request(1, CallClass::Short), kNow);
+  AdmissionRequest late = Request(2, CallClass::Short, 400);
+  late.objective = kNow - milliseconds(100);
+  AdmissionRequest fresh = Request(3, CallClass::Short, 900);
+  fresh.objective = kNow + milliseconds(500);
+  BOOST_TEST((admission.Offer(late, kNow) == AdmissionVerdict::Queued));
+  BOOST_TEST((admission.Offer(fresh, kNow) == AdmissionVerdict::Queued));
+  admission.Release(CallClass::Short, milliseconds(10));
+  BOOST_TEST((admission.TakeAdmitted(kNow) == std::vector<uint64_t>{ 3 }));
+  admission.Release(CallClass::Short, milliseconds(10));
+  BOOST_TEST((admission.TakeAdmitted(kNow) == std::vector<uint64_t>{ 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(urgent_calls_go_first_even_where_they_are_late)
+{
+  Admission admission({ .slots = 1 });
+  admission.Offer(Request(1, CallClass::Short), kNow);
+  AdmissionRequest urgent = Request(2, CallClass::Short);
+  urgent.priority = 1;
+  urgent.objective = kNow;
+  AdmissionRequest other = Request(3, CallClass::Short);
+  other.priority = 2;
+  other.objective = kNow + milliseconds(500);
+  admission.Offer(other, kNow);
+  admission.Offer(urgent, kNow);
+  admission.Release(CallClass::Short, milliseconds(10));
+  BOOST_TEST((admission.TakeAdmitted(kNow) == std::vector<uint64_t>{ 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_would_wait_longer_than_it_allows_is_turned_back)
+{
+  Admission admission({ .slots = 1 });
+  admission.Offer(Request(1, CallClass::Short), kNow);
+  admission.Release(CallClass::Short, milliseconds(200));
+  admission.Offer(Request(2, CallClass::Short), kNow);
+  AdmissionRequest impatient = Request(3, CallClass::Short);
+  impatient.longestWait = milliseconds(50);
+  BOOST_TEST((admission.Offer(impatient, kNow) == AdmissionVerdict::TurnedBack));
+  BOOST_TEST(admission.Waiting() == 0);
+}
+
+/** A crest of twice the capacity: what is served stays in time, and the slots stay busy. */
+BOOST_AUTO_TEST_CASE(a_crest_of_twice_the_capacity_leaves_most_answers_in_time)
+{
+  const milliseconds cost{ 100 };
+  Admission admission({ .slots = 6 });
+  std::map<uint64_t, Deadline> ends;
+  std::map<uint64_t, Deadline> objectives;
+  int inTime = 0;
+  int served = 0;
+  uint64_t number = 0;
+  const auto start = [&](uint64_t aCall, Deadline aNow) { ends[aCall] = aNow + cost; };
+  for (int step = 0; step < 1000; ++step) {
+    const Deadline now = kNow + milliseconds(10 * step);
+    for (auto end = ends.begin(); end != ends.end();) {
+      if (end->second > now) {
+        ++end;
+        continue;
+      }
+      ++served;
+      inTime += end->second <= objectives[end->first] ? 1 : 0;
+      admission.Release(CallClass::Short, cost, "r");
+      end = ends.erase(end);
+    }
+    // 120 arrivals a second, a third of them back after a refusal; 60 can be served.
+    for (int arrival = 0; arrival < (step % 5 == 0 ? 2 : 1); ++arrival) {
+      const uint64_t call = ++number;
+      const bool back = call % 3 == 0;
+      objectives[call] = now + milliseconds(back ? -100 : 400);
+      AdmissionRequest request{ .call = call,
+                                .kind = "r",
+                                .deadline = now + milliseconds(back ? 500 : 1000),
+                                .objective = objectives[call],
+                                .expectedCost = cost,
+                                .giveBackAt = now + milliseconds(300),
+                                .longestWait = milliseconds(back ? 60 : 220) };
+      if (admission.Offer(request, now) == AdmissionVerdict::Admitted) {
+        start(call, now);
+      }
+    }
+    admission.TakeHopeless(now);
+    for (const uint64_t call : admission.TakeAdmitted(now)) {
+      start(call, now);
+    }
+  }
+  BOOST_TEST(served > 550);
+  BOOST_TEST(inTime > served * 9 / 10, inTime << " of " << served);
+}
