Take back the quick first election: the group could stay without a leader

Ruled out: the commit mark (the property's disks hold none), membership steps (it passes with the former timing). Change: a restarted replica again waits an election timeout before it votes or stands. Conclusion: reverted; why exactly the quick vote blocks the group isn't traced.

--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -8,8 +8,6 @@
 static constexpr size_t kEntriesInMessage = 512;
 static constexpr size_t kBytesInMessage = 1024UL * 1024;
 static constexpr int64_t kCaughtUpDistance = 16;
-/** Longest wait for a first election after a start, in heartbeats. */
-static constexpr int64_t kFirstElectionFactor = 3;
 static constexpr std::chrono::milliseconds kSnapshotResend{ 2000 };
 
 using wire::RaftKind;
@@ -23,11 +21,11 @@
   , m_applied(m_log.SnapshotIndex())
 {
   m_persisted = LastIndex();
-  // A leader that still lives is heard within a few heartbeats; without one there is no reason to wait
-  // longer.
-  const auto shortest = m_options.heartbeat.count();
-  m_electionDeadline = aNow + std::chrono::milliseconds(std::uniform_int_distribution<int64_t>(
-                                shortest, kFirstElectionFactor * shortest)(m_random));
+  ResetElection(aNow);
+  if (m_ballot.term > 0) {
+    // A leader heard just before the restart may still count on this replica.
+    m_leaderHeard = aNow;
+  }
 }
 
 // --- state -----------------------------------------------------------------------------------------------
