--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -262,10 +262,10 @@
   2: string sender,
   3: list<Member> members,
   4: i64 version = 0,
-  5: string hash,
-  6: bool full = false,
   7: i64 digest = 0,
   8: bool mesh = false,
+  // Digests of the parts of the sender's table, where it looks for what the two tables don't share.
+  9: list<i64> parts,
 }
 
 struct GossipReply {
@@ -274,6 +274,8 @@
   3: Stamp sentAt,
   4: i64 digest = 0,
   5: string name,
+  // Parts in which the tables differ; their records are among the members.
+  6: list<i32> differing,
 }
 
 // What a relay tells control of its failure domain.
@@ -312,8 +314,8 @@
 }
 
 service ControlPeer {
-  // Hands over messages of replicated logs; the answer is the heartbeat of the connection.
-  Stamp deliver(1: RaftBatch batch),
+  // Hands over messages of replicated logs; the answer carries what this replica has to say to the sender.
+  RaftBatch deliver(1: RaftBatch batch),
   // The state of one group as this replica sees it.
   GroupStatus status(1: string group),
   // Asks to be taken into a group as a learner under a new incarnation.
@@ -324,8 +326,8 @@
   CommandResult submit(1: string group, 2: Command command, 3: i32 waitMillis),
   // Long poll of a relay for a newer configuration; carries its report.
   WatchReply watch(1: WatchRequest request),
-  // The reports of failure domains that this replica holds.
-  list<DomainReport> reports(),
+  // The reports of failure domains that this replica holds, with a few members of each if they are wanted.
+  list<DomainReport> reports(1: bool withMembers),
 }
 
 service NodePeer {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -20,6 +20,8 @@
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
 static constexpr int kExpireRounds = 240;
 static constexpr int64_t kFarElectionDelayFactor = 2;
+/** Long enough for most syncs; what takes longer is sent on its own. */
+static constexpr std::chrono::milliseconds kAnswerWait{ 25 };
 /** A formed replica that hears no leader for this long asks whether it is still a member. */
 static constexpr std::chrono::milliseconds kLeaderless{ 2500 };
 static constexpr std::chrono::milliseconds kLeaderPoll{ 20 };
@@ -43,7 +45,7 @@
   : m_settings(std::move(aSettings))
   , m_plans(PlansOf(m_settings))
   , m_configuration(std::move(aParser))
-  , m_transport(m_settings.name)
+  , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
   , m_seeds(m_settings.replicas)
 {
@@ -65,6 +67,8 @@
     }
   }
   m_server.reset();
+  // The links deliver to the groups, which end after this.
+  m_transport.Stop();
 }
 
 const ReplicaSettings*
@@ -232,6 +236,21 @@
   }
 }
 
+std::vector<wire::RaftMessage>
+Controller::DeliverAndAnswer(const wire::RaftBatch& aBatch)
+{
+  Deliver(aBatch);
+  const auto asksForAnswer = [](const wire::RaftMessage& aMessage) {
+    return aMessage.kind == wire::RaftKind::Append || aMessage.kind == wire::RaftKind::PreVote ||
+           aMessage.kind == wire::RaftKind::Vote;
+  };
+  const auto asking = std::find_if(aBatch.messages.begin(), aBatch.messages.end(), asksForAnswer);
+  if (asking == aBatch.messages.end()) {
+    return {};
+  }
+  return m_transport.TakeForAnswer(asking->sender, SteadyClock::now() + kAnswerWait);
+}
+
 wire::CommandResult
 Controller::Submit(const std::string& aGroup, wire::Command aCommand, Deadline aDeadline)
 {
@@ -655,8 +674,10 @@
     return false;
   }
   std::vector<wire::DomainReport> reports;
-  const Result<void> called = peer->Call(SteadyClock::now() + kStatusTimeout,
-                                         [&](wire::ControlPeerClient& aClient) { aClient.reports(reports); });
+  const bool wantsMembers = !m_board.KnowsMembersOfAll() || !m_board.KnowsOtherRegion(m_settings.region);
+  const Result<void> called =
+    peer->Call(SteadyClock::now() + kStatusTimeout,
+               [&](wire::ControlPeerClient& aClient) { aClient.reports(reports, wantsMembers); });
   if (!called) {
     return false;
   }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -45,6 +45,9 @@
   size_t ClaimCount() const;
 
   void Deliver(const wire::RaftBatch& aBatch);
+
+  /** Delivers messages and gives what this replica has to say to their sender, if that comes soon. */
+  std::vector<wire::RaftMessage> DeliverAndAnswer(const wire::RaftBatch& aBatch);
   wire::CommandResult Submit(const std::string& aGroup, wire::Command aCommand, Deadline aDeadline);
   wire::CommandResult Join(const std::string& aGroup, const wire::Replica& aReplica, Deadline aDeadline);
   wire::GroupStatus Status(const std::string& aGroup) const;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -27,11 +27,11 @@
   {
   }
 
-  void deliver(wire::Stamp& aReturn, const wire::RaftBatch& aBatch) override
+  void deliver(wire::RaftBatch& aReturn, const wire::RaftBatch& aBatch) override
   {
     Observe(aBatch.sentAt);
-    m_controller.Deliver(aBatch);
-    aReturn = StampNow();
+    aReturn.messages = m_controller.DeliverAndAnswer(aBatch);
+    aReturn.sentAt = StampNow();
   }
 
   void status(wire::GroupStatus& aReturn, const std::string& aGroup) override
@@ -82,9 +82,9 @@
     aReturn.sentAt = StampNow();
   }
 
-  void reports(std::vector<wire::DomainReport>& aReturn) override
+  void reports(std::vector<wire::DomainReport>& aReturn, const bool aWithMembers) override
   {
-    aReturn = m_controller.Board().Reports();
+    aReturn = m_controller.Board().Reports(aWithMembers);
   }
 
 private:
--- a/src/control/reportboard.cpp
+++ b/src/control/reportboard.cpp
@@ -1,12 +1,14 @@
 #include "control/reportboard.h"
 
 #include <algorithm>
+#include <set>
 
 namespace mimosarun {
 
 static constexpr std::chrono::minutes kForgetAfter{ 10 };
 static constexpr std::chrono::milliseconds kSampleFreshness{ 60000 };
-static constexpr size_t kSampleOfOtherDomain = 16;
+static constexpr size_t kSampleOfOwnDomain = 12;
+static constexpr size_t kSampleOfOtherDomain = 4;
 /** Until then the reports of a failure domain name a member that introduced itself. */
 static constexpr std::chrono::seconds kIntroductionTime{ 15 };
 
@@ -41,23 +43,34 @@
 }
 
 std::vector<wire::DomainReport>
-ReportBoard::Reports() const
+ReportBoard::Reports(bool aWithMembers) const
 {
   const std::lock_guard lock(m_mutex);
   std::vector<wire::DomainReport> reports;
   for (const auto& [relay, held] : m_reports) {
     reports.push_back(held.report);
+    std::vector<wire::Member>& members = reports.back().sample;
+    members.resize(aWithMembers ? std::min(members.size(), kSampleOfOtherDomain) : 0);
     reports.back().ageMillis =
       std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - held.takenAt).count();
   }
   return reports;
 }
 
+bool
+ReportBoard::KnowsMembersOfAll() const
+{
+  const std::lock_guard lock(m_mutex);
+  return std::all_of(m_reports.begin(), m_reports.end(), [](const auto& aItem) {
+    return !aItem.second.report.sample.empty();
+  });
+}
+
 std::vector<wire::DomainReport>
 ReportBoard::NewestOfEachDomain() const
 {
   std::map<std::string, wire::DomainReport> newest;
-  for (wire::DomainReport& report : Reports()) {
+  for (wire::DomainReport& report : Reports(false)) {
     const auto held = newest.find(report.failureDomain);
     if (held == newest.end() || report.ageMillis < held->second.ageMillis) {
       newest[report.failureDomain] = std::move(report);
@@ -73,9 +86,11 @@
 bool
 ReportBoard::KnowsOtherRegion(const std::string& aRegion) const
 {
-  const std::vector<wire::DomainReport> reports = Reports();
-  return std::any_of(reports.begin(), reports.end(), [&](const wire::DomainReport& aReport) {
-    return aReport.region != aRegion && aReport.ageMillis <= kSampleFreshness.count();
+  const std::lock_guard lock(m_mutex);
+  const Deadline now = SteadyClock::now();
+  return std::any_of(m_reports.begin(), m_reports.end(), [&](const auto& aItem) {
+    const bool fresh = now <= aItem.second.takenAt + kSampleFreshness;
+    return aItem.second.report.region != aRegion && fresh && !aItem.second.report.sample.empty();
   });
 }
 
@@ -83,25 +98,25 @@
 ReportBoard::Sample(const std::string& aFailureDomain) const
 {
   std::vector<wire::Member> sample;
-  std::map<std::string, size_t> taken;
-  for (const wire::DomainReport& report : Reports()) {
-    if (report.ageMillis > kSampleFreshness.count()) {
-      continue;
-    }
-    size_t& count = taken[report.failureDomain];
-    for (const wire::Member& member : report.sample) {
-      if (report.failureDomain == aFailureDomain || count < kSampleOfOtherDomain) {
-        sample.push_back(member);
-        ++count;
-      }
+  std::map<std::string, std::set<std::string>> taken;
+  const auto take = [&](const wire::Member& aMember) {
+    const bool own = aMember.failureDomain == aFailureDomain;
+    std::set<std::string>& names = taken[aMember.failureDomain];
+    const bool room = names.size() < (own ? kSampleOfOwnDomain : kSampleOfOtherDomain);
+    if (room && names.insert(aMember.name).second) {
+      sample.push_back(aMember);
     }
-  }
+  };
   const std::lock_guard lock(m_mutex);
+  // The newest lives first.
   for (const auto& [name, introduced] : m_introduced) {
-    size_t& count = taken[introduced.member.failureDomain];
-    if (introduced.member.failureDomain == aFailureDomain || count < kSampleOfOtherDomain) {
-      sample.push_back(introduced.member);
-      ++count;
+    take(introduced.member);
+  }
+  const Deadline now = SteadyClock::now();
+  for (const auto& [relay, held] : m_reports) {
+    const bool fresh = now <= held.takenAt + kSampleFreshness;
+    for (const wire::Member& member : fresh ? held.report.sample : std::vector<wire::Member>()) {
+      take(member);
     }
   }
   return sample;
--- a/src/control/reportboard.h
+++ b/src/control/reportboard.h
@@ -20,8 +20,11 @@
   /** Takes members that have just started; reports of their relays follow. */
   void Introduce(const std::vector<wire::Member>& aMembers);
 
-  /** All reports with their ages. */
-  std::vector<wire::DomainReport> Reports() const;
+  /** All reports with their ages, and with a few members each if they are wanted. */
+  std::vector<wire::DomainReport> Reports(bool aWithMembers) const;
+
+  /** Whether each report names members to meet. */
+  bool KnowsMembersOfAll() const;
 
   /** The newest report of each failure domain. */
   std::vector<wire::DomainReport> NewestOfEachDomain() const;
@@ -29,7 +32,7 @@
   /** Whether a report of another region is fresh enough to meet its members. */
   bool KnowsOtherRegion(const std::string& aRegion) const;
 
-  /** A sample of live members: all known of one failure domain, a few of each other one. */
+  /** A sample of live members: some of one failure domain, a few of each other one. */
   std::vector<wire::Member> Sample(const std::string& aFailureDomain) const;
 
 private:
--- a/src/control/transport.cpp
+++ b/src/control/transport.cpp
@@ -9,8 +9,9 @@
 static constexpr std::chrono::milliseconds kDeliveryTimeout{ 500 };
 static constexpr std::chrono::milliseconds kSnapshotDeliveryTimeout{ 10000 };
 
-PeerLink::PeerLink(const Address& aAddress)
+PeerLink::PeerLink(const Address& aAddress, MessageTaker aTaker)
   : m_client(aAddress)
+  , m_taker(std::move(aTaker))
   , m_thread([this] { Run(); })
 {
 }
@@ -38,20 +39,40 @@
   m_wake.notify_all();
 }
 
+std::vector<wire::RaftMessage>
+PeerLink::TakeLocked()
+{
+  std::vector<wire::RaftMessage> messages;
+  while (!m_queue.empty() && messages.size() < kBatchLimit) {
+    messages.push_back(std::move(m_queue.front()));
+    m_queue.pop_front();
+  }
+  return messages;
+}
+
+std::vector<wire::RaftMessage>
+PeerLink::TakeForAnswer(Deadline aDeadline)
+{
+  std::unique_lock lock(m_mutex);
+  ++m_answering;
+  m_wake.wait_until(lock, aDeadline, [this] { return m_stop || !m_queue.empty(); });
+  --m_answering;
+  std::vector<wire::RaftMessage> messages = TakeLocked();
+  lock.unlock();
+  m_wake.notify_all();
+  return messages;
+}
+
 void
 PeerLink::Run()
 {
   std::unique_lock lock(m_mutex);
   while (!m_stop) {
-    if (m_queue.empty()) {
+    if (m_queue.empty() || m_answering > 0) {
       m_wake.wait(lock);
       continue;
     }
-    std::vector<wire::RaftMessage> messages;
-    while (!m_queue.empty() && messages.size() < kBatchLimit) {
-      messages.push_back(std::move(m_queue.front()));
-      m_queue.pop_front();
-    }
+    std::vector<wire::RaftMessage> messages = TakeLocked();
     lock.unlock();
     SendBatch(std::move(messages));
     lock.lock();
@@ -69,11 +90,13 @@
   batch.sentAt = StampNow();
   batch.messages = std::move(aMessages);
   const Deadline deadline = SteadyClock::now() + (large ? kSnapshotDeliveryTimeout : kDeliveryTimeout);
-  const Result<void> sent = m_client.Call(deadline, [&](wire::ControlPeerClient& aClient) {
-    wire::Stamp answered;
-    aClient.deliver(answered, batch);
-    Observe(answered);
-  });
+  wire::RaftBatch answer;
+  const Result<void> sent =
+    m_client.Call(deadline, [&](wire::ControlPeerClient& aClient) { aClient.deliver(answer, batch); });
+  if (sent) {
+    Observe(answer.sentAt);
+    m_taker(answer);
+  }
   if (!sent) {
     // Replicated logs resend what matters; old messages would only add to the load after an outage.
     const std::lock_guard lock(m_mutex);
@@ -81,18 +104,48 @@
   }
 }
 
-PeerTransport::PeerTransport(std::string aSelf)
+PeerTransport::PeerTransport(std::string aSelf, MessageTaker aTaker)
   : m_self(std::move(aSelf))
+  , m_taker(std::move(aTaker))
 {
 }
 
+void
+PeerTransport::Stop()
+{
+  std::map<std::string, std::shared_ptr<PeerLink>> links;
+  {
+    const std::lock_guard lock(m_mutex);
+    links.swap(m_links);
+    m_stopped = true;
+  }
+}
+
+std::vector<wire::RaftMessage>
+PeerTransport::TakeForAnswer(const std::string& aName, Deadline aDeadline)
+{
+  std::shared_ptr<PeerLink> link;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_links.find(aName);
+    if (found == m_links.end() || found->second == nullptr) {
+      return {};
+    }
+    link = found->second;
+  }
+  return link->TakeForAnswer(aDeadline);
+}
+
 void
 PeerTransport::AddPeer(const std::string& aName, const Address& aAddress)
 {
   const std::lock_guard lock(m_mutex);
-  std::unique_ptr<PeerLink>& link = m_links[aName];
-  if (link == nullptr && aName != m_self) {
-    link = std::make_unique<PeerLink>(aAddress);
+  if (m_stopped || aName == m_self) {
+    return;
+  }
+  std::shared_ptr<PeerLink>& link = m_links[aName];
+  if (link == nullptr) {
+    link = std::make_shared<PeerLink>(aAddress, m_taker);
   }
 }
 
--- a/src/control/transport.h
+++ b/src/control/transport.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,11 +30,14 @@
   virtual void Learn(const std::vector<wire::Replica>& /*aMembers*/) {}
 };
 
+/** Takes messages that came back as the answer to others. */
+using MessageTaker = std::function<void(const wire::RaftBatch& aBatch)>;
+
 /** Queue, connection and thread for the messages to one other control replica. */
 class PeerLink
 {
 public:
-  explicit PeerLink(const Address& aAddress);
+  PeerLink(const Address& aAddress, MessageTaker aTaker);
   ~PeerLink();
 
   PeerLink(const PeerLink&) = delete;
@@ -42,15 +46,24 @@
   /** Queues a message; the oldest are dropped when the peer doesn't keep up. */
   void Enqueue(wire::RaftMessage aMessage);
 
+  /**
+   * Takes the queued messages as the answer to a call of the peer, which saves a call of this side's own.
+   * Waits for one until the deadline; meanwhile none is sent otherwise.
+   */
+  std::vector<wire::RaftMessage> TakeForAnswer(Deadline aDeadline);
+
 private:
   void Run();
+  std::vector<wire::RaftMessage> TakeLocked();
   void SendBatch(std::vector<wire::RaftMessage> aMessages);
 
   RpcClient<wire::ControlPeerClient> m_client;
   std::mutex m_mutex;
   std::condition_variable m_wake;
   std::deque<wire::RaftMessage> m_queue;
+  int m_answering = 0;
   bool m_stop = false;
+  const MessageTaker m_taker;
   std::thread m_thread;
 };
 
@@ -58,8 +71,17 @@
 class PeerTransport : public Transport
 {
 public:
-  /** @param aSelf name of this replica, which is never sent to */
-  explicit PeerTransport(std::string aSelf);
+  /**
+   * @param aSelf name of this replica, which is never sent to
+   * @param aTaker gets what other replicas answer; called on the threads of the links
+   */
+  PeerTransport(std::string aSelf, MessageTaker aTaker);
+
+  /** Ends all links. */
+  void Stop();
+
+  /** Takes what is to be sent to a replica as the answer to its call; waits for it until the deadline. */
+  std::vector<wire::RaftMessage> TakeForAnswer(const std::string& aName, Deadline aDeadline);
 
   /** Adds a replica whose address is known; a known one keeps its address. */
   void AddPeer(const std::string& aName, const Address& aAddress);
@@ -69,8 +91,10 @@
 
 private:
   const std::string m_self;
+  const MessageTaker m_taker;
   std::mutex m_mutex;
-  std::map<std::string, std::unique_ptr<PeerLink>> m_links;
+  bool m_stopped = false;
+  std::map<std::string, std::shared_ptr<PeerLink>> m_links;
 };
 
 } // namespace mimosarun
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -19,7 +19,7 @@
 static constexpr std::chrono::milliseconds kIdleInterval{ 200 };
 static constexpr std::chrono::seconds kBestAgainInterval{ 10 };
 static constexpr std::chrono::seconds kMembersInterval{ 10 };
-static constexpr size_t kSampleLimit = 32;
+static constexpr size_t kSampleLimit = 12;
 static constexpr size_t kStragglerLimit = 8;
 /** A held version that asks for members only. */
 static constexpr int64_t kMembersOnly = -1;
@@ -210,10 +210,11 @@
 }
 
 Result<wire::WatchReply>
-ControlLink::IntroduceTo(Client& aReplica, int64_t aHeldVersion)
+ControlLink::IntroduceTo(Client& aReplica, int64_t aHeldVersion, bool aWantsMembers)
 {
   wire::WatchRequest request;
   request.heldVersion = aHeldVersion;
+  request.wantsMembers = aWantsMembers;
   request.failureDomain = m_settings.failureDomain;
   request.introduced = { m_table.Self() };
   request.sentAt = StampNow();
@@ -228,7 +229,8 @@
 bool
 ControlLink::Introduce()
 {
-  const Result<wire::WatchReply> first = IntroduceTo(*m_clients[m_current], m_holder.Current()->version);
+  const Result<wire::WatchReply> first =
+    IntroduceTo(*m_clients[m_current], m_holder.Current()->version, true);
   NoteReachable(first.has_value());
   if (!first) {
     NextReplica();
@@ -237,8 +239,10 @@
   TakeUpdate(first.value());
   TakeReplicas(first.value().replicas);
   for (const auto& replica : m_clients) {
+    // Others learn of this node there; what it needs itself it mostly has from the first replica.
     const bool held = m_holder.Current()->version > 0;
-    const Result<wire::WatchReply> reply = IntroduceTo(*replica, held ? kMembersOnly : 0);
+    const bool alone = m_table.Reachable("").empty();
+    const Result<wire::WatchReply> reply = IntroduceTo(*replica, held ? kMembersOnly : 0, alone);
     if (reply) {
       TakeUpdate(reply.value());
     }
--- a/src/node/fetcher.cpp
+++ b/src/node/fetcher.cpp
@@ -5,6 +5,8 @@
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kFetchTimeout{ 1500 };
+/** The time that the relays of the own failure domain have to bring a version that another domain holds. */
+static constexpr std::chrono::milliseconds kDomainPatience{ 900 };
 /** A held version that no update starts from, so that the whole is sent. */
 static constexpr int64_t kNoVersion = -1;
 
@@ -49,6 +51,24 @@
   m_wake.notify_all();
 }
 
+void
+Fetcher::NoticeElsewhere(const std::string& aMember, int64_t aVersion)
+{
+  const Deadline now = SteadyClock::now();
+  {
+    const std::lock_guard lock(m_mutex);
+    if (aVersion <= HeldVersion()) {
+      m_behindSince.reset();
+      return;
+    }
+    m_behindSince = m_behindSince.value_or(now);
+    if (now < *m_behindSince + kDomainPatience) {
+      return;
+    }
+  }
+  Notice(aMember, aVersion);
+}
+
 void
 Fetcher::Run()
 {
--- a/src/node/fetcher.h
+++ b/src/node/fetcher.h
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -24,6 +25,12 @@
   /** Notes that a member holds a version; fetches it if it is newer. Doesn't wait. */
   void Notice(const std::string& aMember, int64_t aVersion);
 
+  /**
+   * Notes a version that a member of another failure domain holds. The own domain is filled by its relays, so
+   * it is fetched from there only where it doesn't come in time.
+   */
+  void NoticeElsewhere(const std::string& aMember, int64_t aVersion);
+
   /** The version held now. */
   int64_t HeldVersion() const;
 
@@ -38,6 +45,8 @@
   std::condition_variable m_wake;
   std::string m_source;
   int64_t m_wanted = 0;
+  /** Since when a newer version is known to be held elsewhere; nothing where this node is up to date. */
+  std::optional<Deadline> m_behindSince;
   bool m_stop = false;
   std::thread m_thread;
 };
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -5,16 +5,22 @@
 #include "wire/codec.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mimosarun {
 
-static constexpr std::chrono::milliseconds kDomainInterval{ 250 };
-static constexpr std::chrono::milliseconds kMeshInterval{ 500 };
-static constexpr int kFarRounds = 4;
+static constexpr std::chrono::milliseconds kDomainInterval{ 400 };
+static constexpr std::chrono::milliseconds kMeshInterval{ 400 };
+/** Without news, other failure domains are only asked now and then whether the tables are still equal. */
+static constexpr std::chrono::milliseconds kQuietInterval{ 2000 };
+static constexpr std::chrono::milliseconds kQuietFarInterval{ 5000 };
 static constexpr std::chrono::milliseconds kProbeTimeout{ 300 };
 static constexpr std::chrono::milliseconds kFarTimeout{ 600 };
-static constexpr std::chrono::milliseconds kFullSyncInterval{ 2000 };
-static constexpr size_t kRecordsInExchange = 96;
+static constexpr std::chrono::milliseconds kCompareInterval{ 1000 };
+/** A node that has just started learns the whole table. */
+static constexpr std::chrono::milliseconds kFirstCompareInterval{ 150 };
+static constexpr size_t kNewsInExchange = 24;
+static constexpr size_t kRecordsInComparison = 160;
 static constexpr size_t kHelpers = 2;
 static constexpr size_t kUrgentPartners = 3;
 
@@ -142,10 +148,8 @@
 void
 Gossiper::RunMesh()
 {
-  int round = 0;
   while (Wait(
     std::chrono::milliseconds(RandomBetween(kMeshInterval.count() * 3 / 4, kMeshInterval.count() * 5 / 4)))) {
-    ++round;
     if (!IsRelay(m_table, m_settings.failureDomain)) {
       continue;
     }
@@ -156,16 +160,29 @@
       }
     }
     for (const auto& [domain, members] : domains) {
-      const bool far = members.front().region != m_settings.region;
-      if (far && round % kFarRounds != 0) {
-        continue;
-      }
       const auto choice = RandomBetween(0, static_cast<int64_t>(members.size()) - 1);
-      Exchange(members[static_cast<size_t>(choice)], GossipScope::Mesh, far ? kFarTimeout : kProbeTimeout);
+      const wire::Member& partner = members[static_cast<size_t>(choice)];
+      const bool far = partner.region != m_settings.region;
+      if (MeshExchangeIsDue(partner, SteadyClock::now())) {
+        Exchange(partner, GossipScope::Mesh, far ? kFarTimeout : kProbeTimeout);
+      }
     }
   }
 }
 
+bool
+Gossiper::MeshExchangeIsDue(const wire::Member& aMember, Deadline aNow)
+{
+  const bool far = aMember.region != m_settings.region;
+  Deadline& last = m_meshExchangedAt[aMember.failureDomain];
+  const bool quiet = !m_table.HasNews(GossipScope::Mesh);
+  if (quiet && aNow < last + (far ? kQuietFarInterval : kQuietInterval)) {
+    return false;
+  }
+  last = aNow;
+  return true;
+}
+
 void
 Gossiper::SpreadNow()
 {
@@ -190,6 +207,12 @@
     std::vector<wire::Member> partners = m_table.Reachable(m_settings.failureDomain);
     std::shuffle(partners.begin(), partners.end(), RandomEngine());
     partners.resize(std::min(partners.size(), kUrgentPartners));
+    // Relays tell other domains, and tell control which versions are held.
+    for (wire::Member& relay : RelaysOf(m_table, m_settings.failureDomain)) {
+      if (std::find(partners.begin(), partners.end(), relay) == partners.end()) {
+        partners.push_back(std::move(relay));
+      }
+    }
     for (const wire::Member& partner : partners) {
       Exchange(partner, GossipScope::Domain, kProbeTimeout);
     }
@@ -200,30 +223,31 @@
 // --- exchanges -------------------------------------------------------------------------------------------
 
 wire::Gossip
-Gossiper::MakeGossip(GossipScope aScope, bool aFull) const
+Gossiper::MakeGossip(GossipScope aScope, bool aCompares) const
 {
   wire::Gossip gossip;
   gossip.sentAt = StampNow();
   gossip.sender = m_settings.name;
-  gossip.full = aFull;
   gossip.mesh = aScope == GossipScope::Mesh;
-  gossip.members = aFull ? m_table.All() : m_table.Recent(aScope, kRecordsInExchange, SteadyClock::now());
+  gossip.members = m_table.TakeNews(aScope, kNewsInExchange);
   gossip.version = m_fetcher.HeldVersion();
   gossip.digest = m_table.Digest();
+  if (aCompares) {
+    gossip.parts = m_table.PartDigests();
+  }
   return gossip;
 }
 
 bool
-Gossiper::TakeFullSync(const std::string& aName)
+Gossiper::TakeComparison(const std::string& aName)
 {
   const std::lock_guard lock(m_mutex);
   const Deadline now = SteadyClock::now();
-  Deadline& again = m_fullSyncAgain[aName];
-  if (!m_wantsFullSync[aName] || now < again) {
+  if (now < m_compareAt || (m_wasEqual && !m_differing.contains(aName))) {
     return false;
   }
-  m_wantsFullSync[aName] = false;
-  again = now + kFullSyncInterval;
+  m_differing.erase(aName);
+  m_compareAt = now + (m_wasEqual ? kCompareInterval : kFirstCompareInterval);
   return true;
 }
 
@@ -234,14 +258,21 @@
   if (!client) {
     return false;
   }
-  const wire::Gossip gossip = MakeGossip(aScope, TakeFullSync(aMember.name));
+  wire::Gossip gossip = MakeGossip(aScope, TakeComparison(aMember.name));
   wire::GossipReply reply;
-  const Result<void> called = client.value()->Call(
-    SteadyClock::now() + aTimeout, [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); });
+  const auto call = [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); };
+  const Result<void> called = client.value()->Call(SteadyClock::now() + aTimeout, call);
   if (!called || reply.name != aMember.name) {
     return false;
   }
+  const std::vector<wire::Member> answer = NewsForReply(reply);
   NoteReply(aMember, reply);
+  if (!answer.empty()) {
+    gossip.members = answer;
+    gossip.parts.clear();
+    // The comparison goes on at another time if this is lost.
+    static_cast<void>(client.value()->Call(SteadyClock::now() + aTimeout, call).has_value());
+  }
   return true;
 }
 
@@ -249,7 +280,7 @@
 Gossiper::ExchangeWithSeed(const Address& aSeed)
 {
   const Result<std::shared_ptr<NodeClient>> client = m_peers.ToNode(aSeed.Text(), aSeed.Text());
-  const wire::Gossip gossip = MakeGossip(GossipScope::Mesh, true);
+  const wire::Gossip gossip = MakeGossip(GossipScope::Domain, true);
   wire::GossipReply reply;
   const bool called =
     client && client.value()->Call(SteadyClock::now() + kProbeTimeout,
@@ -260,18 +291,48 @@
   return called;
 }
 
+std::vector<wire::Member>
+Gossiper::NewsForReply(const wire::GossipReply& aReply) const
+{
+  std::vector<wire::Member> news;
+  for (const int32_t part : aReply.differing) {
+    for (wire::Member& own : m_table.RecordsOfPart(static_cast<size_t>(part))) {
+      const auto theirs = std::find_if(aReply.members.begin(),
+                                       aReply.members.end(),
+                                       [&](const wire::Member& aMember) { return aMember.name == own.name; });
+      if (theirs == aReply.members.end() || Supersedes(own, *theirs)) {
+        news.push_back(std::move(own));
+      }
+    }
+  }
+  return news;
+}
+
+void
+Gossiper::NoteHeld(const wire::Member& aMember, int64_t aVersion)
+{
+  m_table.NoteVersion(aMember.name, aVersion);
+  if (aMember.failureDomain == m_settings.failureDomain) {
+    m_fetcher.Notice(aMember.name, aVersion);
+  } else if (aMember.region == m_settings.region) {
+    // The far region gets its configuration through its own control replicas, not over the link from nodes.
+    m_fetcher.NoticeElsewhere(aMember.name, aVersion);
+  }
+}
+
 void
 Gossiper::NoteReply(const wire::Member& aMember, const wire::GossipReply& aReply)
 {
   Observe(aReply.sentAt);
   m_table.Merge(aReply.members, SteadyClock::now());
-  // The far region gets its configuration through its own control replicas, not over the link from nodes.
-  if (aMember.region == m_settings.region) {
-    m_fetcher.Notice(aMember.name, aReply.version);
-  }
-  if (aReply.digest != m_table.Digest()) {
-    const std::lock_guard lock(m_mutex);
-    m_wantsFullSync[aMember.name] = true;
+  NoteHeld(aMember, aReply.version);
+  const bool equal = aReply.digest == m_table.Digest();
+  const std::lock_guard lock(m_mutex);
+  m_wasEqual = m_wasEqual || equal;
+  if (equal) {
+    m_differing.erase(aMember.name);
+  } else {
+    m_differing.insert(aMember.name);
   }
 }
 
@@ -281,22 +342,44 @@
   return std::find(aMembers.begin(), aMembers.end(), aMember) != aMembers.end();
 }
 
+void
+Gossiper::AddDiffering(const wire::Gossip& aGossip, wire::GossipReply& aReply) const
+{
+  const std::vector<int64_t> own = m_table.PartDigests();
+  if (aGossip.parts.size() != own.size()) {
+    return;
+  }
+  // A different first part each time, so that a large difference is worked off by and by.
+  const auto first = static_cast<size_t>(RandomBetween(0, static_cast<int64_t>(own.size()) - 1));
+  for (size_t step = 0; step < own.size(); ++step) {
+    const size_t part = (first + step) % own.size();
+    if (own[part] == aGossip.parts[part]) {
+      continue;
+    }
+    std::vector<wire::Member> records = m_table.RecordsOfPart(part);
+    if (aReply.members.size() + records.size() > kRecordsInComparison) {
+      return;
+    }
+    std::move(records.begin(), records.end(), std::back_inserter(aReply.members));
+    aReply.differing.push_back(static_cast<int32_t>(part));
+  }
+}
+
 wire::GossipReply
 Gossiper::Answer(const wire::Gossip& aGossip)
 {
   Observe(aGossip.sentAt);
-  const Deadline now = SteadyClock::now();
-  m_table.Merge(aGossip.members, now);
-  const std::optional<wire::Member> sender = m_table.Find(aGossip.sender);
-  if (sender && sender->region == m_settings.region) {
-    m_fetcher.Notice(aGossip.sender, aGossip.version);
+  m_table.Merge(aGossip.members, SteadyClock::now());
+  if (const std::optional<wire::Member> sender = m_table.Find(aGossip.sender)) {
+    NoteHeld(*sender, aGossip.version);
   }
   wire::GossipReply reply;
   reply.name = m_settings.name;
   const GossipScope scope = aGossip.mesh ? GossipScope::Mesh : GossipScope::Domain;
-  reply.members = aGossip.full ? m_table.All() : m_table.Recent(scope, kRecordsInExchange, now);
+  reply.members = m_table.TakeNews(scope, kNewsInExchange);
   std::erase_if(reply.members,
                 [&](const wire::Member& aMember) { return Contains(aGossip.members, aMember); });
+  AddDiffering(aGossip, reply);
   reply.version = m_fetcher.HeldVersion();
   reply.sentAt = StampNow();
   reply.digest = m_table.Digest();
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,8 +16,9 @@
 namespace mimosarun {
 
 /**
- * Spreads member records and versions and finds dead members. Each round exchanges records with one member
- * of the own failure domain; relays also exchange with one member of each other domain.
+ * Spreads news of members and versions and finds dead members. Each round exchanges news with one member of
+ * the own failure domain; relays also exchange with one member of each other domain. Members whose tables
+ * differ compare them part by part, so what travels is in proportion to what changed.
  */
 class Gossiper
 {
@@ -51,9 +53,13 @@
   bool ProbeThroughOthers(const wire::Member& aMember);
   bool Exchange(const wire::Member& aMember, GossipScope aScope, std::chrono::milliseconds aTimeout);
   bool ExchangeWithSeed(const Address& aSeed);
-  wire::Gossip MakeGossip(GossipScope aScope, bool aFull) const;
+  wire::Gossip MakeGossip(GossipScope aScope, bool aCompares) const;
+  void AddDiffering(const wire::Gossip& aGossip, wire::GossipReply& aReply) const;
+  std::vector<wire::Member> NewsForReply(const wire::GossipReply& aReply) const;
   void NoteReply(const wire::Member& aMember, const wire::GossipReply& aReply);
-  bool TakeFullSync(const std::string& aName);
+  void NoteHeld(const wire::Member& aMember, int64_t aVersion);
+  bool TakeComparison(const std::string& aName);
+  bool MeshExchangeIsDue(const wire::Member& aMember, Deadline aNow);
 
   const ProcessSettings& m_settings;
   MemberTable& m_table;
@@ -64,8 +70,14 @@
   bool m_stop = false;
   bool m_urgent = false;
   std::vector<std::string> m_order;
-  std::map<std::string, Deadline> m_fullSyncAgain;
-  std::map<std::string, bool> m_wantsFullSync;
+  /** Members whose table differed from the own one when they were last heard. */
+  std::set<std::string> m_differing;
+  /** No table is compared before. */
+  Deadline m_compareAt{};
+  /** Whether the own table was ever equal to another one. */
+  bool m_wasEqual = false;
+  /** When each other failure domain was last exchanged with; used by the thread of the mesh only. */
+  std::map<std::string, Deadline> m_meshExchangedAt;
   std::vector<std::thread> m_threads;
 };
 
--- a/src/node/membertable.cpp
+++ b/src/node/membertable.cpp
@@ -3,9 +3,18 @@
 #include "common/log.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace mimosarun {
 
+/** Parts of a table that are compared one by one. */
+static constexpr size_t kParts = 32;
+/** Times that a change is told, for each doubling of the number of members. */
+static constexpr int kTellsForDoubling = 2;
+static constexpr int kTellsInMesh = 6;
+/** Times that a change counts as told where another member tells it. */
+static constexpr int kTellsForEcho = 2;
+
 /** Position of a state on the way to the end of a life. */
 static int
 Rank(wire::MemberState::type aState)
@@ -64,15 +73,15 @@
   , m_self(aSelf.name)
 {
   const Deadline now = SteadyClock::now();
-  m_entries[m_self] = {
-    .member = std::move(aSelf), .changedAt = now, .versionChangedAt = now, .suspectUntil = {}
-  };
+  m_entries[m_self] = { .member = std::move(aSelf), .changedAt = now, .suspectUntil = {} };
 }
 
 void
 MemberTable::Touch(Entry& aEntry, Deadline aNow)
 {
   aEntry.changedAt = aNow;
+  aEntry.toldInDomain = 0;
+  aEntry.toldInMesh = 0;
   ++m_generation;
   m_changed.notify_all();
 }
@@ -105,7 +114,6 @@
     }
     Entry& entry = m_entries[aMember.name];
     entry.member = aMember;
-    entry.versionChangedAt = aNow;
     entry.suspectUntil = aNow + m_options.suspicion;
     Touch(entry, aNow);
     Log(Event::MemberJoined, { { "member", aMember.name }, { "domain-of", aMember.failureDomain } });
@@ -115,9 +123,10 @@
   const bool sameLife = aMember.incarnation >= entry.member.incarnation;
   const int64_t version = sameLife ? std::max(entry.member.version, aMember.version) : entry.member.version;
   if (!Supersedes(aMember, entry.member)) {
-    if (version != entry.member.version) {
-      entry.member.version = version;
-      entry.versionChangedAt = aNow;
+    entry.member.version = version;
+    if (!Supersedes(entry.member, aMember)) {
+      // Others tell it too, so it needs to be told less often.
+      entry.toldInDomain += kTellsForEcho;
     }
     return false;
   }
@@ -156,12 +165,13 @@
 }
 
 void
-MemberTable::SetOwnVersion(int64_t aVersion, Deadline aNow)
+MemberTable::NoteVersion(const std::string& aName, int64_t aVersion)
 {
   const std::lock_guard lock(m_mutex);
-  Entry& self = m_entries[m_self];
-  self.member.version = aVersion;
-  self.versionChangedAt = aNow;
+  const auto found = m_entries.find(aName);
+  if (found != m_entries.end()) {
+    found->second.member.version = aVersion;
+  }
 }
 
 void
@@ -238,41 +248,117 @@
   return members;
 }
 
-std::vector<wire::Member>
-MemberTable::Recent(GossipScope aScope, size_t aLimit, Deadline aNow) const
+// --- news ------------------------------------------------------------------------------------------------
+
+int
+MemberTable::TellLimitLocked() const
 {
-  const std::lock_guard lock(m_mutex);
-  std::multimap<Deadline, const wire::Member*, std::greater<>> byAge;
-  for (const auto& [name, entry] : m_entries) {
-    const Deadline at =
-      aScope == GossipScope::Domain ? std::max(entry.changedAt, entry.versionChangedAt) : entry.changedAt;
-    if (aNow < at + m_options.freshness) {
-      byAge.emplace(at, &entry.member);
+  const std::string& domain = m_entries.at(m_self).member.failureDomain;
+  const auto inDomain = std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& aItem) {
+    return aItem.second.member.failureDomain == domain;
+  });
+  return kTellsForDoubling * static_cast<int>(std::bit_width(static_cast<size_t>(inDomain)));
+}
+
+std::vector<MemberTable::Entry*>
+MemberTable::NewsLocked(GossipScope aScope)
+{
+  const int limit = TellLimitLocked();
+  const std::string& domain = m_entries.at(m_self).member.failureDomain;
+  std::vector<Entry*> news;
+  for (auto& [name, entry] : m_entries) {
+    const bool isNews = aScope == GossipScope::Domain
+                          ? entry.toldInDomain < limit
+                          : entry.toldInMesh < kTellsInMesh && entry.member.failureDomain == domain;
+    if (isNews) {
+      news.push_back(&entry);
     }
   }
+  return news;
+}
+
+std::vector<wire::Member>
+MemberTable::TakeNews(GossipScope aScope, size_t aLimit)
+{
+  const std::lock_guard lock(m_mutex);
+  const auto told = [aScope](Entry& aEntry) -> int& {
+    return aScope == GossipScope::Domain ? aEntry.toldInDomain : aEntry.toldInMesh;
+  };
+  std::vector<Entry*> news = NewsLocked(aScope);
+  std::stable_sort(
+    news.begin(), news.end(), [&](Entry* aLeft, Entry* aRight) { return told(*aLeft) < told(*aRight); });
+  news.resize(std::min(news.size(), aLimit));
   std::vector<wire::Member> members;
-  for (const auto& [at, member] : byAge) {
-    if (members.size() < aLimit) {
-      members.push_back(*member);
-    }
+  for (Entry* entry : news) {
+    ++told(*entry);
+    members.push_back(entry->member);
   }
   return members;
 }
 
-int64_t
-MemberTable::Digest() const
+bool
+MemberTable::HasNews(GossipScope aScope)
 {
   const std::lock_guard lock(m_mutex);
-  uint64_t digest = 0;
+  return !NewsLocked(aScope).empty();
+}
+
+// --- comparison ------------------------------------------------------------------------------------------
+
+static size_t
+PartOf(const std::string& aName)
+{
+  return std::hash<std::string>{}(aName) % kParts;
+}
+
+const std::vector<int64_t>&
+MemberTable::PartDigestsLocked() const
+{
+  if (m_digestGeneration == m_generation) {
+    return m_partDigests;
+  }
+  m_partDigests.assign(kParts, 0);
+  m_digestGeneration = m_generation;
   for (const auto& [name, entry] : m_entries) {
     const wire::Member& member = entry.member;
     if (IsReachable(member)) {
       const std::string text = name + "|" + std::to_string(member.incarnation) + "|" +
                                std::to_string(member.state) + "|" + std::to_string(member.revision);
-      digest ^= std::hash<std::string>{}(text);
+      m_partDigests[PartOf(name)] ^= static_cast<int64_t>(std::hash<std::string>{}(text));
+    }
+  }
+  return m_partDigests;
+}
+
+int64_t
+MemberTable::Digest() const
+{
+  const std::lock_guard lock(m_mutex);
+  int64_t digest = 0;
+  for (const int64_t part : PartDigestsLocked()) {
+    digest ^= part;
+  }
+  return digest;
+}
+
+std::vector<int64_t>
+MemberTable::PartDigests() const
+{
+  const std::lock_guard lock(m_mutex);
+  return PartDigestsLocked();
+}
+
+std::vector<wire::Member>
+MemberTable::RecordsOfPart(size_t aPart) const
+{
+  const std::lock_guard lock(m_mutex);
+  std::vector<wire::Member> records;
+  for (const auto& [name, entry] : m_entries) {
+    if (PartOf(name) == aPart) {
+      records.push_back(entry.member);
     }
   }
-  return static_cast<int64_t>(digest);
+  return records;
 }
 
 uint64_t
--- a/src/node/membertable.h
+++ b/src/node/membertable.h
@@ -17,9 +17,9 @@
 /** Whether records travel within a failure domain or between domains. */
 enum class GossipScope
 {
-  /** Everything, with the versions that members hold. */
+  /** All news. */
   Domain,
-  /** Only what callers need: joins, ends and targets. */
+  /** News of members of the own failure domain, told by its relays. */
   Mesh,
 };
 
@@ -35,8 +35,6 @@
   {
     /** A suspect that doesn't object for this long is dead. */
     std::chrono::milliseconds suspicion{ 1500 };
-    /** Records younger than this travel with every exchange. */
-    std::chrono::milliseconds freshness{ 6000 };
     /** Dead members are kept this long, so that old records don't bring them back. */
     std::chrono::milliseconds tombstone{ 60000 };
   };
@@ -49,8 +47,8 @@
   /** Changes the own record and raises its revision. */
   void UpdateSelf(Deadline aNow, const std::function<void(wire::Member&)>& aChange);
 
-  /** Notes the version that this node holds. */
-  void SetOwnVersion(int64_t aVersion, Deadline aNow);
+  /** Notes the version that a member said it holds. */
+  void NoteVersion(const std::string& aName, int64_t aVersion);
 
   /** Marks a member as suspect after failed probes. */
   void Suspect(const std::string& aName, Deadline aNow);
@@ -65,12 +63,25 @@
   /** Members other than this node that are alive or suspect, of one failure domain or of all. */
   std::vector<wire::Member> Reachable(const std::string& aFailureDomain) const;
 
-  /** Records that changed lately, the newest first. */
-  std::vector<wire::Member> Recent(GossipScope aScope, size_t aLimit, Deadline aNow) const;
+  /**
+   * Takes news to tell another member, the least told first. Each change is told a number of times that rises
+   * with the logarithm of the number of members, which is enough to reach all but a few of them; those find
+   * it by comparing the parts of their tables.
+   */
+  std::vector<wire::Member> TakeNews(GossipScope aScope, size_t aLimit);
 
-  /** A hash over all records but their versions; equal tables have equal digests. */
+  /** Whether there is news that wasn't told often enough. */
+  bool HasNews(GossipScope aScope);
+
+  /** A hash over all records of reachable members but their versions; equal tables have equal digests. */
   int64_t Digest() const;
 
+  /** The digests of the parts into which names divide the table. */
+  std::vector<int64_t> PartDigests() const;
+
+  /** All records of a part. */
+  std::vector<wire::Member> RecordsOfPart(size_t aPart) const;
+
   /** Rises with every change that callers notice. */
   uint64_t Generation() const;
 
@@ -83,13 +94,18 @@
   {
     wire::Member member;
     Deadline changedAt;
-    Deadline versionChangedAt;
     Deadline suspectUntil;
+    /** How often the record was told since it changed. */
+    int toldInDomain = 0;
+    int toldInMesh = 0;
   };
 
   bool MergeOne(const wire::Member& aMember, Deadline aNow);
   bool RefuteLocked(const wire::Member& aMember, Deadline aNow);
   void Touch(Entry& aEntry, Deadline aNow);
+  int TellLimitLocked() const;
+  std::vector<Entry*> NewsLocked(GossipScope aScope);
+  const std::vector<int64_t>& PartDigestsLocked() const;
 
   Options m_options;
   std::string m_self;
@@ -97,6 +113,9 @@
   mutable std::condition_variable m_changed;
   std::map<std::string, Entry> m_entries;
   uint64_t m_generation = 1;
+  /** Digests of the parts, valid for one generation. */
+  mutable std::vector<int64_t> m_partDigests;
+  mutable uint64_t m_digestGeneration = 0;
 };
 
 /** Whether the first record takes the place of the second. */
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -132,7 +132,7 @@
   m_entry->SetSnapshot(aSnapshot);
   m_entry->SetDirectory(MakeDirectory(aSnapshot));
   ApplyIntent(aSnapshot);
-  m_table.SetOwnVersion(aSnapshot->version, SteadyClock::now());
+  m_table.NoteVersion(m_settings.name, aSnapshot->version);
   m_gossiper.SpreadNow();
 }
 
--- a/src/node/relays.cpp
+++ b/src/node/relays.cpp
@@ -26,4 +26,21 @@
   return heavier < kRelaysInDomain;
 }
 
+std::vector<wire::Member>
+RelaysOf(const MemberTable& aTable, const std::string& aFailureDomain)
+{
+  std::vector<wire::Member> members = aTable.Reachable(aFailureDomain);
+  std::erase_if(members,
+                [](const wire::Member& aMember) { return aMember.state != wire::MemberState::Alive; });
+  const size_t count = std::min(members.size(), kRelaysInDomain);
+  std::partial_sort(members.begin(),
+                    members.begin() + static_cast<std::ptrdiff_t>(count),
+                    members.end(),
+                    [&](const wire::Member& aLeft, const wire::Member& aRight) {
+                      return Weight(aLeft.name, aFailureDomain) > Weight(aRight.name, aFailureDomain);
+                    });
+  members.resize(count);
+  return members;
+}
+
 } // namespace mimosarun
--- a/src/node/relays.h
+++ b/src/node/relays.h
@@ -3,6 +3,7 @@
 #include "node/membertable.h"
 
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -14,4 +15,8 @@
 bool
 IsRelay(const MemberTable& aTable, const std::string& aFailureDomain);
 
+/** The other nodes of the failure domain that this node takes for its relays. */
+std::vector<wire::Member>
+RelaysOf(const MemberTable& aTable, const std::string& aFailureDomain);
+
 } // namespace mimosarun
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -1218,7 +1218,20 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    xfer += iprot->skip(ftype);
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withMembers);
+          this->__isset.withMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -1232,6 +1245,10 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ControlPeer_reports_args");
 
+  xfer += oprot->writeFieldBegin("withMembers", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->withMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1247,6 +1264,10 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("ControlPeer_reports_pargs");
 
+  xfer += oprot->writeFieldBegin("withMembers", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool((*(this->withMembers)));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1282,14 +1303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _etype239;
-            xfer += iprot->readListBegin(_etype239, _size236);
-            this->success.resize(_size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->success.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += this->success[_i240].read(iprot);
+              xfer += this->success[_i252].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1320,10 +1341,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter241;
-      for (_iter241 = this->success.begin(); _iter241 != this->success.end(); ++_iter241)
+      std::vector<DomainReport> ::const_iterator _iter253;
+      for (_iter253 = this->success.begin(); _iter253 != this->success.end(); ++_iter253)
       {
-        xfer += (*_iter241).write(oprot);
+        xfer += (*_iter253).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1364,14 +1385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            (*(this->success)).resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            (*(this->success)).resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += (*(this->success))[_i246].read(iprot);
+              xfer += (*(this->success))[_i258].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1392,7 +1413,7 @@
   return xfer;
 }
 
-void ControlPeerClient::deliver(Stamp& _return, const RaftBatch& batch)
+void ControlPeerClient::deliver(RaftBatch& _return, const RaftBatch& batch)
 {
   send_deliver(batch);
   recv_deliver(_return);
@@ -1412,7 +1433,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlPeerClient::recv_deliver(Stamp& _return)
+void ControlPeerClient::recv_deliver(RaftBatch& _return)
 {
 
   int32_t rseqid = 0;
@@ -1744,18 +1765,19 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "watch failed: unknown result");
 }
 
-void ControlPeerClient::reports(std::vector<DomainReport> & _return)
+void ControlPeerClient::reports(std::vector<DomainReport> & _return, const bool withMembers)
 {
-  send_reports();
+  send_reports(withMembers);
   recv_reports(_return);
 }
 
-void ControlPeerClient::send_reports()
+void ControlPeerClient::send_reports(const bool withMembers)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("reports", ::apache::thrift::protocol::T_CALL, cseqid);
 
   ControlPeer_reports_pargs args;
+  args.withMembers = &withMembers;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -2167,7 +2189,7 @@
 
   ControlPeer_reports_result result;
   try {
-    iface_->reports(result.success);
+    iface_->reports(result.success, args.withMembers);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
@@ -2205,7 +2227,7 @@
   return processor;
 }
 
-void ControlPeerConcurrentClient::deliver(Stamp& _return, const RaftBatch& batch)
+void ControlPeerConcurrentClient::deliver(RaftBatch& _return, const RaftBatch& batch)
 {
   int32_t seqid = send_deliver(batch);
   recv_deliver(_return, seqid);
@@ -2229,7 +2251,7 @@
   return cseqid;
 }
 
-void ControlPeerConcurrentClient::recv_deliver(Stamp& _return, const int32_t seqid)
+void ControlPeerConcurrentClient::recv_deliver(RaftBatch& _return, const int32_t seqid)
 {
 
   int32_t rseqid = 0;
@@ -2713,19 +2735,20 @@
   } // end while(true)
 }
 
-void ControlPeerConcurrentClient::reports(std::vector<DomainReport> & _return)
+void ControlPeerConcurrentClient::reports(std::vector<DomainReport> & _return, const bool withMembers)
 {
-  int32_t seqid = send_reports();
+  int32_t seqid = send_reports(withMembers);
   recv_reports(_return, seqid);
 }
 
-int32_t ControlPeerConcurrentClient::send_reports()
+int32_t ControlPeerConcurrentClient::send_reports(const bool withMembers)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
   oprot_->writeMessageBegin("reports", ::apache::thrift::protocol::T_CALL, cseqid);
 
   ControlPeer_reports_pargs args;
+  args.withMembers = &withMembers;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/src/wire/gen-cpp/ControlPeer.h
+++ b/src/wire/gen-cpp/ControlPeer.h
@@ -22,13 +22,13 @@
 class ControlPeerIf {
  public:
   virtual ~ControlPeerIf() {}
-  virtual void deliver(Stamp& _return, const RaftBatch& batch) = 0;
+  virtual void deliver(RaftBatch& _return, const RaftBatch& batch) = 0;
   virtual void status(GroupStatus& _return, const std::string& group) = 0;
   virtual void join(CommandResult& _return, const std::string& group, const Replica& replica) = 0;
   virtual void readIndex(ReadIndex& _return, const std::string& group, const int32_t waitMillis) = 0;
   virtual void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) = 0;
   virtual void watch(WatchReply& _return, const WatchRequest& request) = 0;
-  virtual void reports(std::vector<DomainReport> & _return) = 0;
+  virtual void reports(std::vector<DomainReport> & _return, const bool withMembers) = 0;
 };
 
 class ControlPeerIfFactory {
@@ -58,7 +58,7 @@
 class ControlPeerNull : virtual public ControlPeerIf {
  public:
   virtual ~ControlPeerNull() {}
-  void deliver(Stamp& /* _return */, const RaftBatch& /* batch */) override {
+  void deliver(RaftBatch& /* _return */, const RaftBatch& /* batch */) override {
     return;
   }
   void status(GroupStatus& /* _return */, const std::string& /* group */) override {
@@ -76,7 +76,7 @@
   void watch(WatchReply& /* _return */, const WatchRequest& /* request */) override {
     return;
   }
-  void reports(std::vector<DomainReport> & /* _return */) override {
+  void reports(std::vector<DomainReport> & /* _return */, const bool /* withMembers */) override {
     return;
   }
 };
@@ -140,19 +140,19 @@
 class ControlPeer_deliver_result {
  public:
 
-  ControlPeer_deliver_result(const ControlPeer_deliver_result&) noexcept;
+  ControlPeer_deliver_result(const ControlPeer_deliver_result&);
   ControlPeer_deliver_result(ControlPeer_deliver_result&&) noexcept;
-  ControlPeer_deliver_result& operator=(const ControlPeer_deliver_result&) noexcept;
+  ControlPeer_deliver_result& operator=(const ControlPeer_deliver_result&);
   ControlPeer_deliver_result& operator=(ControlPeer_deliver_result&&) noexcept;
   ControlPeer_deliver_result() noexcept {
   }
 
   virtual ~ControlPeer_deliver_result() noexcept;
-  Stamp success;
+  RaftBatch success;
 
   _ControlPeer_deliver_result__isset __isset;
 
-  void __set_success(const Stamp& val);
+  void __set_success(const RaftBatch& val);
 
   bool operator == (const ControlPeer_deliver_result & rhs) const
   {
@@ -181,7 +181,7 @@
 
 
   virtual ~ControlPeer_deliver_presult() noexcept;
-  Stamp* success;
+  RaftBatch* success;
 
   _ControlPeer_deliver_presult__isset __isset;
 
@@ -763,6 +763,10 @@
 
 };
 
+typedef struct _ControlPeer_reports_args__isset {
+  _ControlPeer_reports_args__isset() : withMembers(false) {}
+  bool withMembers :1;
+} _ControlPeer_reports_args__isset;
 
 class ControlPeer_reports_args {
  public:
@@ -771,13 +775,21 @@
   ControlPeer_reports_args(ControlPeer_reports_args&&) noexcept;
   ControlPeer_reports_args& operator=(const ControlPeer_reports_args&) noexcept;
   ControlPeer_reports_args& operator=(ControlPeer_reports_args&&) noexcept;
-  ControlPeer_reports_args() noexcept {
+  ControlPeer_reports_args() noexcept
+                           : withMembers(0) {
   }
 
   virtual ~ControlPeer_reports_args() noexcept;
+  bool withMembers;
 
-  bool operator == (const ControlPeer_reports_args & /* rhs */) const
+  _ControlPeer_reports_args__isset __isset;
+
+  void __set_withMembers(const bool val);
+
+  bool operator == (const ControlPeer_reports_args & rhs) const
   {
+    if (!(withMembers == rhs.withMembers))
+      return false;
     return true;
   }
   bool operator != (const ControlPeer_reports_args &rhs) const {
@@ -797,6 +809,7 @@
 
 
   virtual ~ControlPeer_reports_pargs() noexcept;
+  const bool* withMembers;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -884,9 +897,9 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void deliver(Stamp& _return, const RaftBatch& batch) override;
+  void deliver(RaftBatch& _return, const RaftBatch& batch) override;
   void send_deliver(const RaftBatch& batch);
-  void recv_deliver(Stamp& _return);
+  void recv_deliver(RaftBatch& _return);
   void status(GroupStatus& _return, const std::string& group) override;
   void send_status(const std::string& group);
   void recv_status(GroupStatus& _return);
@@ -902,8 +915,8 @@
   void watch(WatchReply& _return, const WatchRequest& request) override;
   void send_watch(const WatchRequest& request);
   void recv_watch(WatchReply& _return);
-  void reports(std::vector<DomainReport> & _return) override;
-  void send_reports();
+  void reports(std::vector<DomainReport> & _return, const bool withMembers) override;
+  void send_reports(const bool withMembers);
   void recv_reports(std::vector<DomainReport> & _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
@@ -965,7 +978,7 @@
     ifaces_.push_back(iface);
   }
  public:
-  void deliver(Stamp& _return, const RaftBatch& batch) override {
+  void deliver(RaftBatch& _return, const RaftBatch& batch) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -1025,13 +1038,13 @@
     return;
   }
 
-  void reports(std::vector<DomainReport> & _return) override {
+  void reports(std::vector<DomainReport> & _return, const bool withMembers) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->reports(_return);
+      ifaces_[i]->reports(_return, withMembers);
     }
-    ifaces_[i]->reports(_return);
+    ifaces_[i]->reports(_return, withMembers);
     return;
   }
 
@@ -1067,9 +1080,9 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void deliver(Stamp& _return, const RaftBatch& batch) override;
+  void deliver(RaftBatch& _return, const RaftBatch& batch) override;
   int32_t send_deliver(const RaftBatch& batch);
-  void recv_deliver(Stamp& _return, const int32_t seqid);
+  void recv_deliver(RaftBatch& _return, const int32_t seqid);
   void status(GroupStatus& _return, const std::string& group) override;
   int32_t send_status(const std::string& group);
   void recv_status(GroupStatus& _return, const int32_t seqid);
@@ -1085,8 +1098,8 @@
   void watch(WatchReply& _return, const WatchRequest& request) override;
   int32_t send_watch(const WatchRequest& request);
   void recv_watch(WatchReply& _return, const int32_t seqid);
-  void reports(std::vector<DomainReport> & _return) override;
-  int32_t send_reports();
+  void reports(std::vector<DomainReport> & _return, const bool withMembers) override;
+  int32_t send_reports(const bool withMembers);
   void recv_reports(std::vector<DomainReport> & _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -4862,14 +4862,6 @@
   this->version = val;
 }
 
-void Gossip::__set_hash(const std::string& val) {
-  this->hash = val;
-}
-
-void Gossip::__set_full(const bool val) {
-  this->full = val;
-}
-
 void Gossip::__set_digest(const int64_t val) {
   this->digest = val;
 }
@@ -4877,6 +4869,10 @@
 void Gossip::__set_mesh(const bool val) {
   this->mesh = val;
 }
+
+void Gossip::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -4949,22 +4945,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->full);
-          this->__isset.full = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->digest);
@@ -4981,6 +4961,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->parts.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
+            {
+              xfer += iprot->readI64(this->parts[_i175]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5009,10 +5009,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter171;
-    for (_iter171 = this->members.begin(); _iter171 != this->members.end(); ++_iter171)
+    std::vector<Member> ::const_iterator _iter176;
+    for (_iter176 = this->members.begin(); _iter176 != this->members.end(); ++_iter176)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5022,14 +5022,6 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->hash);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("full", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->full);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
@@ -5038,6 +5030,18 @@
   xfer += oprot->writeBool(this->mesh);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter177;
+    for (_iter177 = this->parts.begin(); _iter177 != this->parts.end(); ++_iter177)
+    {
+      xfer += oprot->writeI64((*_iter177));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5049,57 +5053,52 @@
   swap(a.sender, b.sender);
   swap(a.members, b.members);
   swap(a.version, b.version);
-  swap(a.hash, b.hash);
-  swap(a.full, b.full);
   swap(a.digest, b.digest);
   swap(a.mesh, b.mesh);
+  swap(a.parts, b.parts);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other172) {
-  sentAt = other172.sentAt;
-  sender = other172.sender;
-  members = other172.members;
-  version = other172.version;
-  hash = other172.hash;
-  full = other172.full;
-  digest = other172.digest;
-  mesh = other172.mesh;
-  __isset = other172.__isset;
-}
-Gossip::Gossip(Gossip&& other173) noexcept {
-  sentAt = std::move(other173.sentAt);
-  sender = std::move(other173.sender);
-  members = std::move(other173.members);
-  version = other173.version;
-  hash = std::move(other173.hash);
-  full = other173.full;
-  digest = other173.digest;
-  mesh = other173.mesh;
-  __isset = other173.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other174) {
-  sentAt = other174.sentAt;
-  sender = other174.sender;
-  members = other174.members;
-  version = other174.version;
-  hash = other174.hash;
-  full = other174.full;
-  digest = other174.digest;
-  mesh = other174.mesh;
-  __isset = other174.__isset;
+Gossip::Gossip(const Gossip& other178) {
+  sentAt = other178.sentAt;
+  sender = other178.sender;
+  members = other178.members;
+  version = other178.version;
+  digest = other178.digest;
+  mesh = other178.mesh;
+  parts = other178.parts;
+  __isset = other178.__isset;
+}
+Gossip::Gossip(Gossip&& other179) noexcept {
+  sentAt = std::move(other179.sentAt);
+  sender = std::move(other179.sender);
+  members = std::move(other179.members);
+  version = other179.version;
+  digest = other179.digest;
+  mesh = other179.mesh;
+  parts = std::move(other179.parts);
+  __isset = other179.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other180) {
+  sentAt = other180.sentAt;
+  sender = other180.sender;
+  members = other180.members;
+  version = other180.version;
+  digest = other180.digest;
+  mesh = other180.mesh;
+  parts = other180.parts;
+  __isset = other180.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other175) noexcept {
-  sentAt = std::move(other175.sentAt);
-  sender = std::move(other175.sender);
-  members = std::move(other175.members);
-  version = other175.version;
-  hash = std::move(other175.hash);
-  full = other175.full;
-  digest = other175.digest;
-  mesh = other175.mesh;
-  __isset = other175.__isset;
+Gossip& Gossip::operator=(Gossip&& other181) noexcept {
+  sentAt = std::move(other181.sentAt);
+  sender = std::move(other181.sender);
+  members = std::move(other181.members);
+  version = other181.version;
+  digest = other181.digest;
+  mesh = other181.mesh;
+  parts = std::move(other181.parts);
+  __isset = other181.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5109,10 +5108,9 @@
   out << ", " << "sender=" << to_string(sender);
   out << ", " << "members=" << to_string(members);
   out << ", " << "version=" << to_string(version);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "full=" << to_string(full);
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "mesh=" << to_string(mesh);
+  out << ", " << "parts=" << to_string(parts);
   out << ")";
 }
 
@@ -5140,6 +5138,10 @@
 void GossipReply::__set_name(const std::string& val) {
   this->name = val;
 }
+
+void GossipReply::__set_differing(const std::vector<int32_t> & val) {
+  this->differing = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipReply& obj)
 {
   obj.printTo(out);
@@ -5172,14 +5174,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->members.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->members.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->members[_i180].read(iprot);
+              xfer += this->members[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5220,6 +5222,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->differing.clear();
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->differing.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
+            {
+              xfer += iprot->readI32(this->differing[_i191]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.differing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5240,10 +5262,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter181;
-    for (_iter181 = this->members.begin(); _iter181 != this->members.end(); ++_iter181)
+    std::vector<Member> ::const_iterator _iter192;
+    for (_iter192 = this->members.begin(); _iter192 != this->members.end(); ++_iter192)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5265,6 +5287,18 @@
   xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
+    std::vector<int32_t> ::const_iterator _iter193;
+    for (_iter193 = this->differing.begin(); _iter193 != this->differing.end(); ++_iter193)
+    {
+      xfer += oprot->writeI32((*_iter193));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5277,41 +5311,46 @@
   swap(a.sentAt, b.sentAt);
   swap(a.digest, b.digest);
   swap(a.name, b.name);
+  swap(a.differing, b.differing);
   swap(a.__isset, b.__isset);
 }
 
-GossipReply::GossipReply(const GossipReply& other182) {
-  members = other182.members;
-  version = other182.version;
-  sentAt = other182.sentAt;
-  digest = other182.digest;
-  name = other182.name;
-  __isset = other182.__isset;
-}
-GossipReply::GossipReply(GossipReply&& other183) noexcept {
-  members = std::move(other183.members);
-  version = other183.version;
-  sentAt = std::move(other183.sentAt);
-  digest = other183.digest;
-  name = std::move(other183.name);
-  __isset = other183.__isset;
-}
-GossipReply& GossipReply::operator=(const GossipReply& other184) {
-  members = other184.members;
-  version = other184.version;
-  sentAt = other184.sentAt;
-  digest = other184.digest;
-  name = other184.name;
-  __isset = other184.__isset;
+GossipReply::GossipReply(const GossipReply& other194) {
+  members = other194.members;
+  version = other194.version;
+  sentAt = other194.sentAt;
+  digest = other194.digest;
+  name = other194.name;
+  differing = other194.differing;
+  __isset = other194.__isset;
+}
+GossipReply::GossipReply(GossipReply&& other195) noexcept {
+  members = std::move(other195.members);
+  version = other195.version;
+  sentAt = std::move(other195.sentAt);
+  digest = other195.digest;
+  name = std::move(other195.name);
+  differing = std::move(other195.differing);
+  __isset = other195.__isset;
+}
+GossipReply& GossipReply::operator=(const GossipReply& other196) {
+  members = other196.members;
+  version = other196.version;
+  sentAt = other196.sentAt;
+  digest = other196.digest;
+  name = other196.name;
+  differing = other196.differing;
+  __isset = other196.__isset;
   return *this;
 }
-GossipReply& GossipReply::operator=(GossipReply&& other185) noexcept {
-  members = std::move(other185.members);
-  version = other185.version;
-  sentAt = std::move(other185.sentAt);
-  digest = other185.digest;
-  name = std::move(other185.name);
-  __isset = other185.__isset;
+GossipReply& GossipReply::operator=(GossipReply&& other197) noexcept {
+  members = std::move(other197.members);
+  version = other197.version;
+  sentAt = std::move(other197.sentAt);
+  digest = other197.digest;
+  name = std::move(other197.name);
+  differing = std::move(other197.differing);
+  __isset = other197.__isset;
   return *this;
 }
 void GossipReply::printTo(std::ostream& out) const {
@@ -5322,6 +5361,7 @@
   out << ", " << "sentAt=" << to_string(sentAt);
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "name=" << to_string(name);
+  out << ", " << "differing=" << to_string(differing);
   out << ")";
 }
 
@@ -5425,17 +5465,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->nodesAtVersion.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _ktype187;
-            ::apache::thrift::protocol::TType _vtype188;
-            xfer += iprot->readMapBegin(_ktype187, _vtype188, _size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _ktype199;
+            ::apache::thrift::protocol::TType _vtype200;
+            xfer += iprot->readMapBegin(_ktype199, _vtype200, _size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              int64_t _key191;
-              xfer += iprot->readI64(_key191);
-              int32_t& _val192 = this->nodesAtVersion[_key191];
-              xfer += iprot->readI32(_val192);
+              int64_t _key203;
+              xfer += iprot->readI64(_key203);
+              int32_t& _val204 = this->nodesAtVersion[_key203];
+              xfer += iprot->readI32(_val204);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5448,14 +5488,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stragglers.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->stragglers.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->stragglers.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += iprot->readString(this->stragglers[_i197]);
+              xfer += iprot->readString(this->stragglers[_i209]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5468,14 +5508,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->sample.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->sample.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += this->sample[_i202].read(iprot);
+              xfer += this->sample[_i214].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5528,11 +5568,11 @@
   xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter203;
-    for (_iter203 = this->nodesAtVersion.begin(); _iter203 != this->nodesAtVersion.end(); ++_iter203)
+    std::map<int64_t, int32_t> ::const_iterator _iter215;
+    for (_iter215 = this->nodesAtVersion.begin(); _iter215 != this->nodesAtVersion.end(); ++_iter215)
     {
-      xfer += oprot->writeI64(_iter203->first);
-      xfer += oprot->writeI32(_iter203->second);
+      xfer += oprot->writeI64(_iter215->first);
+      xfer += oprot->writeI32(_iter215->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5541,10 +5581,10 @@
   xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
-    std::vector<std::string> ::const_iterator _iter204;
-    for (_iter204 = this->stragglers.begin(); _iter204 != this->stragglers.end(); ++_iter204)
+    std::vector<std::string> ::const_iterator _iter216;
+    for (_iter216 = this->stragglers.begin(); _iter216 != this->stragglers.end(); ++_iter216)
     {
-      xfer += oprot->writeString((*_iter204));
+      xfer += oprot->writeString((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5553,10 +5593,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter205;
-    for (_iter205 = this->sample.begin(); _iter205 != this->sample.end(); ++_iter205)
+    std::vector<Member> ::const_iterator _iter217;
+    for (_iter217 = this->sample.begin(); _iter217 != this->sample.end(); ++_iter217)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter217).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5584,50 +5624,50 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainReport::DomainReport(const DomainReport& other206) {
-  failureDomain = other206.failureDomain;
-  region = other206.region;
-  relay = other206.relay;
-  alive = other206.alive;
-  nodesAtVersion = other206.nodesAtVersion;
-  stragglers = other206.stragglers;
-  sample = other206.sample;
-  ageMillis = other206.ageMillis;
-  __isset = other206.__isset;
-}
-DomainReport::DomainReport(DomainReport&& other207) noexcept {
-  failureDomain = std::move(other207.failureDomain);
-  region = std::move(other207.region);
-  relay = std::move(other207.relay);
-  alive = other207.alive;
-  nodesAtVersion = std::move(other207.nodesAtVersion);
-  stragglers = std::move(other207.stragglers);
-  sample = std::move(other207.sample);
-  ageMillis = other207.ageMillis;
-  __isset = other207.__isset;
-}
-DomainReport& DomainReport::operator=(const DomainReport& other208) {
-  failureDomain = other208.failureDomain;
-  region = other208.region;
-  relay = other208.relay;
-  alive = other208.alive;
-  nodesAtVersion = other208.nodesAtVersion;
-  stragglers = other208.stragglers;
-  sample = other208.sample;
-  ageMillis = other208.ageMillis;
-  __isset = other208.__isset;
+DomainReport::DomainReport(const DomainReport& other218) {
+  failureDomain = other218.failureDomain;
+  region = other218.region;
+  relay = other218.relay;
+  alive = other218.alive;
+  nodesAtVersion = other218.nodesAtVersion;
+  stragglers = other218.stragglers;
+  sample = other218.sample;
+  ageMillis = other218.ageMillis;
+  __isset = other218.__isset;
+}
+DomainReport::DomainReport(DomainReport&& other219) noexcept {
+  failureDomain = std::move(other219.failureDomain);
+  region = std::move(other219.region);
+  relay = std::move(other219.relay);
+  alive = other219.alive;
+  nodesAtVersion = std::move(other219.nodesAtVersion);
+  stragglers = std::move(other219.stragglers);
+  sample = std::move(other219.sample);
+  ageMillis = other219.ageMillis;
+  __isset = other219.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other220) {
+  failureDomain = other220.failureDomain;
+  region = other220.region;
+  relay = other220.relay;
+  alive = other220.alive;
+  nodesAtVersion = other220.nodesAtVersion;
+  stragglers = other220.stragglers;
+  sample = other220.sample;
+  ageMillis = other220.ageMillis;
+  __isset = other220.__isset;
   return *this;
 }
-DomainReport& DomainReport::operator=(DomainReport&& other209) noexcept {
-  failureDomain = std::move(other209.failureDomain);
-  region = std::move(other209.region);
-  relay = std::move(other209.relay);
-  alive = other209.alive;
-  nodesAtVersion = std::move(other209.nodesAtVersion);
-  stragglers = std::move(other209.stragglers);
-  sample = std::move(other209.sample);
-  ageMillis = other209.ageMillis;
-  __isset = other209.__isset;
+DomainReport& DomainReport::operator=(DomainReport&& other221) noexcept {
+  failureDomain = std::move(other221.failureDomain);
+  region = std::move(other221.region);
+  relay = std::move(other221.relay);
+  alive = other221.alive;
+  nodesAtVersion = std::move(other221.nodesAtVersion);
+  stragglers = std::move(other221.stragglers);
+  sample = std::move(other221.sample);
+  ageMillis = other221.ageMillis;
+  __isset = other221.__isset;
   return *this;
 }
 void DomainReport::printTo(std::ostream& out) const {
@@ -5756,14 +5796,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->introduced.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->introduced.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->introduced.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->introduced[_i214].read(iprot);
+              xfer += this->introduced[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5816,10 +5856,10 @@
   xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
-    std::vector<Member> ::const_iterator _iter215;
-    for (_iter215 = this->introduced.begin(); _iter215 != this->introduced.end(); ++_iter215)
+    std::vector<Member> ::const_iterator _iter227;
+    for (_iter227 = this->introduced.begin(); _iter227 != this->introduced.end(); ++_iter227)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5842,46 +5882,46 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other216) {
-  heldVersion = other216.heldVersion;
-  waitMillis = other216.waitMillis;
-  report = other216.report;
-  sentAt = other216.sentAt;
-  failureDomain = other216.failureDomain;
-  wantsMembers = other216.wantsMembers;
-  introduced = other216.introduced;
-  __isset = other216.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other217) noexcept {
-  heldVersion = other217.heldVersion;
-  waitMillis = other217.waitMillis;
-  report = std::move(other217.report);
-  sentAt = std::move(other217.sentAt);
-  failureDomain = std::move(other217.failureDomain);
-  wantsMembers = other217.wantsMembers;
-  introduced = std::move(other217.introduced);
-  __isset = other217.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other218) {
-  heldVersion = other218.heldVersion;
-  waitMillis = other218.waitMillis;
-  report = other218.report;
-  sentAt = other218.sentAt;
-  failureDomain = other218.failureDomain;
-  wantsMembers = other218.wantsMembers;
-  introduced = other218.introduced;
-  __isset = other218.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other228) {
+  heldVersion = other228.heldVersion;
+  waitMillis = other228.waitMillis;
+  report = other228.report;
+  sentAt = other228.sentAt;
+  failureDomain = other228.failureDomain;
+  wantsMembers = other228.wantsMembers;
+  introduced = other228.introduced;
+  __isset = other228.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other229) noexcept {
+  heldVersion = other229.heldVersion;
+  waitMillis = other229.waitMillis;
+  report = std::move(other229.report);
+  sentAt = std::move(other229.sentAt);
+  failureDomain = std::move(other229.failureDomain);
+  wantsMembers = other229.wantsMembers;
+  introduced = std::move(other229.introduced);
+  __isset = other229.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other230) {
+  heldVersion = other230.heldVersion;
+  waitMillis = other230.waitMillis;
+  report = other230.report;
+  sentAt = other230.sentAt;
+  failureDomain = other230.failureDomain;
+  wantsMembers = other230.wantsMembers;
+  introduced = other230.introduced;
+  __isset = other230.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other219) noexcept {
-  heldVersion = other219.heldVersion;
-  waitMillis = other219.waitMillis;
-  report = std::move(other219.report);
-  sentAt = std::move(other219.sentAt);
-  failureDomain = std::move(other219.failureDomain);
-  wantsMembers = other219.wantsMembers;
-  introduced = std::move(other219.introduced);
-  __isset = other219.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other231) noexcept {
+  heldVersion = other231.heldVersion;
+  waitMillis = other231.waitMillis;
+  report = std::move(other231.report);
+  sentAt = std::move(other231.sentAt);
+  failureDomain = std::move(other231.failureDomain);
+  wantsMembers = other231.wantsMembers;
+  introduced = std::move(other231.introduced);
+  __isset = other231.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -5965,14 +6005,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->sample.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->sample.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->sample[_i224].read(iprot);
+              xfer += this->sample[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6009,14 +6049,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->replicas.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->replicas.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += this->replicas[_i229].read(iprot);
+              xfer += this->replicas[_i241].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6049,10 +6089,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter230;
-    for (_iter230 = this->sample.begin(); _iter230 != this->sample.end(); ++_iter230)
+    std::vector<Member> ::const_iterator _iter242;
+    for (_iter242 = this->sample.begin(); _iter242 != this->sample.end(); ++_iter242)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter242).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6073,10 +6113,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter231;
-    for (_iter231 = this->replicas.begin(); _iter231 != this->replicas.end(); ++_iter231)
+    std::vector<Replica> ::const_iterator _iter243;
+    for (_iter243 = this->replicas.begin(); _iter243 != this->replicas.end(); ++_iter243)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6098,42 +6138,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other232) {
-  update = other232.update;
-  sample = other232.sample;
-  sentAt = other232.sentAt;
-  unchanged = other232.unchanged;
-  current = other232.current;
-  replicas = other232.replicas;
-  __isset = other232.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other233) noexcept {
-  update = std::move(other233.update);
-  sample = std::move(other233.sample);
-  sentAt = std::move(other233.sentAt);
-  unchanged = other233.unchanged;
-  current = other233.current;
-  replicas = std::move(other233.replicas);
-  __isset = other233.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other234) {
-  update = other234.update;
-  sample = other234.sample;
-  sentAt = other234.sentAt;
-  unchanged = other234.unchanged;
-  current = other234.current;
-  replicas = other234.replicas;
-  __isset = other234.__isset;
+WatchReply::WatchReply(const WatchReply& other244) {
+  update = other244.update;
+  sample = other244.sample;
+  sentAt = other244.sentAt;
+  unchanged = other244.unchanged;
+  current = other244.current;
+  replicas = other244.replicas;
+  __isset = other244.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other245) noexcept {
+  update = std::move(other245.update);
+  sample = std::move(other245.sample);
+  sentAt = std::move(other245.sentAt);
+  unchanged = other245.unchanged;
+  current = other245.current;
+  replicas = std::move(other245.replicas);
+  __isset = other245.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other246) {
+  update = other246.update;
+  sample = other246.sample;
+  sentAt = other246.sentAt;
+  unchanged = other246.unchanged;
+  current = other246.current;
+  replicas = other246.replicas;
+  __isset = other246.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other235) noexcept {
-  update = std::move(other235.update);
-  sample = std::move(other235.sample);
-  sentAt = std::move(other235.sentAt);
-  unchanged = other235.unchanged;
-  current = other235.current;
-  replicas = std::move(other235.replicas);
-  __isset = other235.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other247) noexcept {
+  update = std::move(other247.update);
+  sample = std::move(other247.sample);
+  sentAt = std::move(other247.sentAt);
+  unchanged = other247.unchanged;
+  current = other247.current;
+  replicas = std::move(other247.replicas);
+  __isset = other247.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -1817,15 +1817,14 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : sentAt(false), sender(false), members(false), version(true), hash(false), full(true), digest(true), mesh(true) {}
+  _Gossip__isset() : sentAt(false), sender(false), members(false), version(true), digest(true), mesh(true), parts(false) {}
   bool sentAt :1;
   bool sender :1;
   bool members :1;
   bool version :1;
-  bool hash :1;
-  bool full :1;
   bool digest :1;
   bool mesh :1;
+  bool parts :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1838,8 +1837,6 @@
   Gossip() noexcept
          : sender(),
            version(0LL),
-           hash(),
-           full(false),
            digest(0LL),
            mesh(false) {
   }
@@ -1849,10 +1846,9 @@
   std::string sender;
   std::vector<Member>  members;
   int64_t version;
-  std::string hash;
-  bool full;
   int64_t digest;
   bool mesh;
+  std::vector<int64_t>  parts;
 
   _Gossip__isset __isset;
 
@@ -1864,14 +1860,12 @@
 
   void __set_version(const int64_t val);
 
-  void __set_hash(const std::string& val);
-
-  void __set_full(const bool val);
-
   void __set_digest(const int64_t val);
 
   void __set_mesh(const bool val);
 
+  void __set_parts(const std::vector<int64_t> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(sentAt == rhs.sentAt))
@@ -1882,14 +1876,12 @@
       return false;
     if (!(version == rhs.version))
       return false;
-    if (!(hash == rhs.hash))
-      return false;
-    if (!(full == rhs.full))
-      return false;
     if (!(digest == rhs.digest))
       return false;
     if (!(mesh == rhs.mesh))
       return false;
+    if (!(parts == rhs.parts))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
@@ -1909,12 +1901,13 @@
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _GossipReply__isset {
-  _GossipReply__isset() : members(false), version(true), sentAt(false), digest(true), name(false) {}
+  _GossipReply__isset() : members(false), version(true), sentAt(false), digest(true), name(false), differing(false) {}
   bool members :1;
   bool version :1;
   bool sentAt :1;
   bool digest :1;
   bool name :1;
+  bool differing :1;
 } _GossipReply__isset;
 
 class GossipReply : public virtual ::apache::thrift::TBase {
@@ -1936,6 +1929,7 @@
   Stamp sentAt;
   int64_t digest;
   std::string name;
+  std::vector<int32_t>  differing;
 
   _GossipReply__isset __isset;
 
@@ -1949,6 +1943,8 @@
 
   void __set_name(const std::string& val);
 
+  void __set_differing(const std::vector<int32_t> & val);
+
   bool operator == (const GossipReply & rhs) const
   {
     if (!(members == rhs.members))
@@ -1961,6 +1957,8 @@
       return false;
     if (!(name == rhs.name))
       return false;
+    if (!(differing == rhs.differing))
+      return false;
     return true;
   }
   bool operator != (const GossipReply &rhs) const {
