Take gates not heard from to be like the others; ask five gates at most

With 29 gates an entry hears from few of them lately and took all others to be free and sound; a fault that all targets share made each gate turn calls away. Ruled out: processor time (0.017 of 0.1 core), capacity before the fault (about 60% used). Change: wait and doubt of gates not heard from lately are the mean of those that were, with a little weight on none; the entry tells which doubt it tolerates; after four gates a call waits at the best one that turned it back.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -36,14 +36,6 @@
   return m_shards[std::hash<std::string>{}(aNode) % m_shards.size()];
 }
 
-Balancer::Stats
-Balancer::Read(const std::string& aNode)
-{
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  return shard.stats[aNode];
-}
-
 static std::chrono::microseconds
 Part(std::chrono::microseconds aTime, double aShare)
 {
@@ -83,50 +75,104 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(aNow - middle);
 }
 
+Balancer::View
+Balancer::Read(const std::string& aNode, const std::string& aKind, Deadline aNow)
+{
+  Shard& shard = ShardOf(aNode);
+  const std::lock_guard lock(shard.mutex);
+  const Stats& stats = shard.stats[aNode];
+  const auto ofKind = stats.meanOfKind.find(aKind);
+  return { .open = stats.open.size(),
+           .age = TypicalAge(stats.open, aNow),
+           .mean = stats.mean,
+           .meanOfKind = ofKind == stats.meanOfKind.end() ? std::chrono::microseconds(0) : ofKind->second,
+           .load = stats.load,
+           .loadAt = stats.loadAt,
+           .leftOutUntil = stats.leftOutUntil };
+}
+
 Balancer::Candidate
 Balancer::Look(const GateInfo& aGate, const CallExperience& aExperience, const CallWish& aWish, Deadline aNow)
 {
-  const Stats stats = Read(aGate.node);
-  const auto ofKind = stats.meanOfKind.find(aWish.kind);
-  const auto age = TypicalAge(stats.open, aNow);
-  const bool fresh = aNow < stats.loadAt + kLoadFreshness;
-  const int slots = std::max(1, fresh ? stats.load.slots : aGate.slots);
-  const auto own = static_cast<int>(stats.open.size());
+  const View view = Read(aGate.node, aWish.kind, aNow);
+  const bool fresh = aNow < view.loadAt + kLoadFreshness;
+  const int slots = std::max(1, fresh ? view.load.slots : aGate.slots);
+  const auto own = static_cast<int>(view.open);
   Candidate candidate{ .gate = &aGate };
-  candidate.wait = std::max(stats.mean, age) * std::max(0, own + 1 - slots) / slots;
+  candidate.wait = std::max(view.mean, view.age) * std::max(0, own + 1 - slots) / slots;
+  candidate.loadKnown = fresh;
   if (fresh) {
-    candidate.wait = std::max(candidate.wait, stats.load.wait);
+    candidate.wait = std::max(candidate.wait, view.load.wait);
   }
-  if (aNow < stats.loadAt + kDoubtFreshness) {
-    candidate.doubt = stats.load.doubt;
+  candidate.doubtKnown = aNow < view.loadAt + kDoubtFreshness;
+  if (candidate.doubtKnown) {
+    candidate.doubt = view.load.doubt;
   }
   if (const auto named = aExperience.turnedBack.find(aGate.node); named != aExperience.turnedBack.end()) {
     candidate.wait = std::max(candidate.wait, named->second);
+    candidate.loadKnown = true;
   }
-  if (ofKind != stats.meanOfKind.end()) {
+  if (view.meanOfKind.count() > 0) {
     // Attempts that are open for longer than usual tell of trouble before they end.
-    const bool troubled = age > kTroubleFactor * stats.mean;
-    candidate.time = std::max(ofKind->second, troubled ? age : std::chrono::microseconds(0));
+    const bool troubled = view.age > kTroubleFactor * view.mean;
+    candidate.time = std::max(view.meanOfKind, troubled ? view.age : std::chrono::microseconds(0));
     candidate.time += candidate.time * own / (slots * kSmoothing);
   }
   return candidate;
 }
 
-void
-Balancer::Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const
+/** A mean of times, with a little weight on none at all: what one gate says need not hold for all. */
+struct Mean
 {
   std::chrono::microseconds sum{ 0 };
-  int known = 0;
+  int count = 0;
+
+  void Add(std::chrono::microseconds aTime)
+  {
+    sum += aTime;
+    ++count;
+  }
+
+  std::chrono::microseconds Value() const { return 2 * sum / (2 * count + 1); }
+};
+
+/** Takes gates that haven't told something lately to be like those that have. */
+void
+Balancer::FillIn(std::vector<Candidate>& aCandidates)
+{
+  std::chrono::microseconds times{ 0 };
+  int timesKnown = 0;
+  Mean wait;
+  Mean doubt;
   for (const Candidate& candidate : aCandidates) {
-    sum += candidate.time;
-    known += candidate.time.count() > 0 ? 1 : 0;
+    times += candidate.time;
+    timesKnown += candidate.time.count() > 0 ? 1 : 0;
+    if (candidate.loadKnown) {
+      wait.Add(candidate.wait);
+    }
+    if (candidate.doubtKnown) {
+      doubt.Add(candidate.doubt);
+    }
   }
-  const auto comfort = Part(aWish.objectiveLeft, m_options.distance.comfortShare);
   for (Candidate& candidate : aCandidates) {
-    if (candidate.time.count() == 0 && known > 0) {
-      // A gate that is new to this entry is taken to be like the others.
-      candidate.time = sum / known;
+    if (candidate.time.count() == 0) {
+      candidate.time = times / std::max(1, timesKnown);
     }
+    if (!candidate.loadKnown) {
+      candidate.wait = std::max(candidate.wait, wait.Value());
+    }
+    if (!candidate.doubtKnown) {
+      candidate.doubt = doubt.Value();
+    }
+  }
+}
+
+void
+Balancer::Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const
+{
+  FillIn(aCandidates);
+  const auto comfort = Part(aWish.objectiveLeft, m_options.distance.comfortShare);
+  for (Candidate& candidate : aCandidates) {
     candidate.distance = DistanceCost(candidate.gate->locality, aWish);
     candidate.cost = candidate.distance + candidate.doubt +
                      LatenessCost(candidate.time + candidate.wait, comfort) +
@@ -144,7 +190,7 @@
       continue;
     }
     all.push_back(&gate);
-    if (aNow >= Read(gate.node).leftOutUntil) {
+    if (aNow >= Read(gate.node, {}, aNow).leftOutUntil) {
       trusted.push_back(&gate);
     }
   }
@@ -167,7 +213,9 @@
     return aLeft.cost < aRight.cost;
   });
   const Candidate& best = candidates.front();
-  GateChoice choice{ .gate = *best.gate, .longestWait = std::chrono::microseconds::max() };
+  GateChoice choice{ .gate = *best.gate,
+                     .longestWait = std::chrono::microseconds::max(),
+                     .toleratedDoubt = std::chrono::microseconds::max() };
   if (candidates.size() > 1) {
     // The wait after which the next best gate costs less.
     const auto comfort = Part(aWish.objectiveLeft, m_options.distance.comfortShare);
@@ -175,6 +223,7 @@
     choice.longestWait = std::max(std::chrono::microseconds(0),
                                   spare + candidates[1].cost - best.distance - best.doubt -
                                     LatenessCost(best.time + spare, comfort));
+    choice.toleratedDoubt = best.doubt + candidates[1].cost - best.cost;
   }
   return choice;
 }
@@ -189,8 +238,8 @@
   if (usable.empty()) {
     return std::nullopt;
   }
-  const auto fewest = [this](const GateInfo* aLeft, const GateInfo* aRight) {
-    return Read(aLeft->node).open.size() < Read(aRight->node).open.size();
+  const auto fewest = [this, now](const GateInfo* aLeft, const GateInfo* aRight) {
+    return Read(aLeft->node, {}, now).open < Read(aRight->node, {}, now).open;
   };
   switch (m_options.policy) {
     case BalancePolicy::Random: {
@@ -264,13 +313,14 @@
 std::chrono::microseconds
 Balancer::Patience(const std::string& aNode)
 {
-  return std::max<std::chrono::microseconds>(kLeastPatience, kPatienceFactor * Read(aNode).mean);
+  return std::max<std::chrono::microseconds>(kLeastPatience,
+                                             kPatienceFactor * Read(aNode, {}, SteadyClock::now()).mean);
 }
 
 bool
 Balancer::HeardSince(const std::string& aNode, Deadline aTime)
 {
-  return Read(aNode).loadAt > aTime;
+  return Read(aNode, {}, aTime).loadAt > aTime;
 }
 
 void
@@ -284,7 +334,9 @@
 uint32_t
 Balancer::ConnectionGeneration(const std::string& aNode)
 {
-  return Read(aNode).generation;
+  Shard& shard = ShardOf(aNode);
+  const std::lock_guard lock(shard.mutex);
+  return shard.stats[aNode].generation;
 }
 
 } // namespace mimosarun
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -87,6 +87,8 @@
 {
   GateInfo gate;
   std::chrono::microseconds longestWait{ 0 };
+  /** What the failures of the gate's target may cost before the next best gate is the better choice. */
+  std::chrono::microseconds toleratedDoubt{ 0 };
   /** Whether the call comes back to a gate that turned it back before. */
   bool last = false;
 };
@@ -165,14 +167,31 @@
     std::map<std::string, Stats> stats;
   };
 
+  /** What a choice needs to know of one gate. */
+  struct View
+  {
+    size_t open = 0;
+    /** The age that half of the open attempts have reached; zero where there are too few to tell. */
+    std::chrono::microseconds age{ 0 };
+    std::chrono::microseconds mean{ 0 };
+    /** Of the kind of the call; zero where the gate hasn't shown it yet. */
+    std::chrono::microseconds meanOfKind{ 0 };
+    GateLoad load;
+    Deadline loadAt{};
+    Deadline leftOutUntil{};
+  };
+
   Shard& ShardOf(const std::string& aNode);
-  Stats Read(const std::string& aNode);
+  View Read(const std::string& aNode, const std::string& aKind, Deadline aNow);
   /** A gate with the parts of its cost. */
   struct Candidate
   {
     const GateInfo* gate = nullptr;
     std::chrono::microseconds wait{ 0 };
     std::chrono::microseconds doubt{ 0 };
+    /** Whether the gate has told its load and its doubt lately. */
+    bool loadKnown = false;
+    bool doubtKnown = false;
     /** Time until an answer without the wait for a slot; zero where the gate hasn't shown it yet. */
     std::chrono::microseconds time{ 0 };
     std::chrono::microseconds distance{ 0 };
@@ -184,6 +203,7 @@
                  const CallExperience& aExperience,
                  const CallWish& aWish,
                  Deadline aNow);
+  static void FillIn(std::vector<Candidate>& aCandidates);
   void Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const;
   std::vector<const GateInfo*> Usable(const std::vector<GateInfo>& aGates,
                                       const std::set<std::string>& aExcluded,
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -14,7 +14,9 @@
 /** Usual times that a short call may take before its connection is doubted. */
 static constexpr int kSilenceFactor = 10;
 /** Gates that one call may ask. */
-static constexpr int kHopLimit = 12;
+static constexpr int kHopLimit = 5;
+/** Time that stands for "any" in a message. */
+static constexpr std::chrono::hours kAnyTime{ 1 };
 /** Part of the time left until the objective that a call may wait for a slot. */
 static constexpr double kWaitShare = 0.75;
 /** A call that misses its objective anyway waits for at most one part in this many of its time. */
@@ -180,8 +182,7 @@
   if (now >= m_options.deadline || m_hops >= kHopLimit) {
     return false;
   }
-  std::optional<GateChoice> choice =
-    m_entry.m_balancer.Choose(m_entry.GatesOf(m_service), m_experience, WishAt(now));
+  std::optional<GateChoice> choice = ChooseGate(now);
   if (!choice) {
     return false;
   }
@@ -200,6 +201,22 @@
   return true;
 }
 
+std::optional<GateChoice>
+EntryCall::ChooseGate(Deadline aNow)
+{
+  std::vector<GateInfo> gates = m_entry.GatesOf(m_service);
+  if (m_hops == kHopLimit - 1) {
+    // Enough gates were asked, so the call waits at the best one of them.
+    const auto asked = [this](const GateInfo& aGate) {
+      return m_experience.turnedBack.contains(aGate.node) && !m_experience.excluded.contains(aGate.node);
+    };
+    if (std::any_of(gates.begin(), gates.end(), asked)) {
+      std::erase_if(gates, [&](const GateInfo& aGate) { return !asked(aGate); });
+    }
+  }
+  return m_entry.m_balancer.Choose(gates, m_experience, WishAt(aNow));
+}
+
 HttpRequest
 EntryCall::GateRequest(Deadline aNow, const GateChoice& aChoice) const
 {
@@ -222,6 +239,8 @@
                   .timeLeft = TimeLeft(m_options.deadline, aNow),
                   .objectiveLeft = std::chrono::floor<milliseconds>(m_options.objective - aNow),
                   .longestWait = std::chrono::ceil<milliseconds>(aChoice.longestWait),
+                  .toleratedDoubt = std::chrono::ceil<milliseconds>(
+                    std::min<std::chrono::microseconds>(aChoice.toleratedDoubt, kAnyTime)),
                   .lastChoice = aChoice.last,
                   .sentToLife = m_asksAgain ? aChoice.gate.life : 0 };
   if (route.repeat == RepeatPolicy::Keyed) {
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -48,6 +48,7 @@
   void StartTimers();
   /** Sends the call to the best gate that is left; false if there is none that would serve it. */
   bool SendNext();
+  std::optional<GateChoice> ChooseGate(Deadline aNow);
   bool MayRunAgain();
   CallWish WishAt(Deadline aNow) const;
   /** Sends a second attempt to a gate that has none, while the first goes on. */
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -41,8 +41,8 @@
   text << Word(aHop.call) << ' ' << Word(aHop.service) << ' ' << Word(aHop.route) << ' '
        << static_cast<int>(aHop.repeat) << ' ' << static_cast<int>(aHop.callClass) << ' ' << aHop.priority
        << ' ' << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' '
-       << aHop.objectiveLeft.count() << ' ' << aHop.longestWait.count() << ' ' << aHop.lastChoice << ' '
-       << aHop.sentToLife;
+       << aHop.objectiveLeft.count() << ' ' << aHop.longestWait.count() << ' ' << aHop.toleratedDoubt.count()
+       << ' ' << aHop.lastChoice << ' ' << aHop.sentToLife;
   if (!aHop.homeRegion.empty()) {
     text << ' ' << aHop.homeRegion;
   }
@@ -64,8 +64,9 @@
   int64_t left = 0;
   int64_t objective = 0;
   int64_t wait = 0;
+  int64_t doubt = 0;
   text >> hop.call >> hop.service >> hop.route >> repeat >> callClass >> hop.priority >> cost >> left >>
-    objective >> wait >> hop.lastChoice >> hop.sentToLife;
+    objective >> wait >> doubt >> hop.lastChoice >> hop.sentToLife;
   if (!text || repeat < 0 || repeat > static_cast<int>(RepeatPolicy::Once)) {
     return std::nullopt;
   }
@@ -78,6 +79,7 @@
   hop.timeLeft = std::chrono::milliseconds(left);
   hop.objectiveLeft = std::chrono::milliseconds(objective);
   hop.longestWait = std::chrono::milliseconds(wait);
+  hop.toleratedDoubt = std::chrono::milliseconds(doubt);
   text >> hop.homeRegion;
   return hop;
 }
--- a/src/hop/hopheaders.h
+++ b/src/hop/hopheaders.h
@@ -27,6 +27,8 @@
   std::chrono::milliseconds objectiveLeft{ 0 };
   /** Longest wait for a slot for which the call is to stay at this gate. */
   std::chrono::milliseconds longestWait{ 0 };
+  /** What the failures of the target may cost the call for it to stay at this gate. */
+  std::chrono::milliseconds toleratedDoubt{ 0 };
   /** Whether the entry knows no better gate, so that doubts about the target are no reason to turn it back.
    */
   bool lastChoice = false;
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -163,7 +163,7 @@
 Gate::IsDoubtful(const GateCall& aCall)
 {
   const std::lock_guard lock(m_mutex);
-  return !aCall.Hop().lastChoice && m_trust.TurnsBack(aCall.Hop().longestWait, SteadyClock::now());
+  return !aCall.Hop().lastChoice && m_trust.TurnsBack(aCall.Hop().toleratedDoubt, SteadyClock::now());
 }
 
 void
--- a/src/target/targettrust.cpp
+++ b/src/target/targettrust.cpp
@@ -31,9 +31,9 @@
 }
 
 bool
-TargetTrust::TurnsBack(std::chrono::milliseconds aLongestWait, Deadline aNow)
+TargetTrust::TurnsBack(std::chrono::milliseconds aTolerated, Deadline aNow)
 {
-  if (Doubt(aNow) <= aLongestWait || aNow >= m_nextTrial) {
+  if (Doubt(aNow) <= aTolerated || aNow >= m_nextTrial) {
     m_nextTrial = std::max(m_nextTrial, aNow) + kTrialInterval;
     return false;
   }
--- a/src/target/targettrust.h
+++ b/src/target/targettrust.h
@@ -24,8 +24,8 @@
   /** What a call risks here, as time that it may rather wait elsewhere; zero while all is well. */
   std::chrono::milliseconds Doubt(Deadline aNow) const;
 
-  /** Whether a call that would wait for so long at most is better off elsewhere. */
-  bool TurnsBack(std::chrono::milliseconds aLongestWait, Deadline aNow);
+  /** Whether a call that tolerates so much doubt at most is better off elsewhere. */
+  bool TurnsBack(std::chrono::milliseconds aTolerated, Deadline aNow);
 
 private:
   double m_failureShare = 0;
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -109,3 +109,50 @@
   experience.excluded = { "near", "middle", "far" };
   BOOST_TEST(!balancer.Choose(kGates, experience, kWish).has_value());
 }
+
+static std::vector<GateInfo>
+ManyGates(int aCount)
+{
+  std::vector<GateInfo> gates;
+  for (int number = 0; number < aCount; ++number) {
+    gates.push_back(Gate("g" + std::to_string(number), Locality::FailureDomain));
+  }
+  return gates;
+}
+
+BOOST_AUTO_TEST_CASE(a_fault_that_the_gates_heard_from_share_is_expected_of_the_others_and_tolerated)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  const std::vector<GateInfo> gates = ManyGates(18);
+  for (int number = 0; number < 6; ++number) {
+    balancer.NoteLoad(gates[static_cast<size_t>(number)].node,
+                      { .slots = 6, .doubt = milliseconds(800 + 10 * number) });
+  }
+  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kWish);
+  BOOST_TEST(choice->toleratedDoubt.count() >= milliseconds(700) / std::chrono::microseconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_crest_that_the_gates_heard_from_share_lets_a_call_wait_where_it_comes_first)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  const std::vector<GateInfo> gates = ManyGates(18);
+  for (const GateInfo& gate : gates) {
+    Teach(balancer, gate.node, milliseconds(200));
+  }
+  for (int number = 0; number < 6; ++number) {
+    balancer.NoteLoad(gates[static_cast<size_t>(number)].node,
+                      { .inUse = 6, .slots = 6, .waiting = 12, .wait = milliseconds(600) });
+  }
+  // Others would not serve it sooner, so asking one after the other only costs time and bytes.
+  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kWish);
+  BOOST_TEST(choice->longestWait.count() >= milliseconds(550) / std::chrono::microseconds(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_gate_that_told_of_free_slots_goes_before_those_not_heard_from_under_a_crest)
+{
+  Balancer balancer({ .distance = kPaidBytes });
+  const std::vector<GateInfo> gates = ManyGates(18);
+  balancer.NoteLoad("g4", { .inUse = 6, .slots = 6, .waiting = 12, .wait = milliseconds(900) });
+  balancer.NoteLoad("g9", { .inUse = 1, .slots = 6 });
+  BOOST_TEST(balancer.Choose(gates, {}, kWish)->gate.node == "g9");
+}
