Introduce nodes without the configuration; quick first rounds of gossip

Cause: after a loss of power of everything on the grown site nodes reached control 2 s after they had started: each introduction carried the whole configuration (33 KB, 190 ms at 1.4 Mbit/s) and was given up after 150 ms. Ruled out: the election (nodes take the committed prefix without a leader). Change: introductions carry members only; the configuration comes with the poll that follows; tables that were equal to no other yet are compared every 90 ms.

--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -14,7 +14,7 @@
 static constexpr std::chrono::milliseconds kStartJitter{ 150 };
 static constexpr std::chrono::milliseconds kPollTime{ 800 };
 static constexpr std::chrono::milliseconds kAnswerTime{ 700 };
-static constexpr std::chrono::milliseconds kIntroductionTimeout{ 150 };
+static constexpr std::chrono::milliseconds kIntroductionTimeout{ 250 };
 static constexpr std::chrono::milliseconds kLongestBackoff{ 400 };
 static constexpr std::chrono::milliseconds kIdleInterval{ 200 };
 static constexpr std::chrono::seconds kBestAgainInterval{ 10 };
@@ -128,12 +128,16 @@
 {
   Backoff backoff({ .limit = kLongestBackoff });
   bool introduced = false;
+  bool introducedToOthers = false;
   bool going = Wait(std::chrono::milliseconds(RandomBetween(0, kStartJitter.count())));
   while (going) {
     bool reached = true;
     if (!introduced) {
       introduced = Introduce();
       reached = introduced;
+    } else if (!introducedToOthers && m_holder.Current()->version > 0) {
+      introducedToOthers = true;
+      IntroduceToOthers();
     } else if (IsRelay(m_table, m_settings.failureDomain) || m_holder.Current()->version == 0) {
       if (!m_relay) {
         m_relay = true;
@@ -210,10 +214,11 @@
 }
 
 Result<wire::WatchReply>
-ControlLink::IntroduceTo(Client& aReplica, int64_t aHeldVersion, bool aWantsMembers)
+ControlLink::IntroduceTo(Client& aReplica, bool aWantsMembers)
 {
   wire::WatchRequest request;
-  request.heldVersion = aHeldVersion;
+  // A whole configuration may take longer than an introduction should on a slow link.
+  request.heldVersion = kMembersOnly;
   request.wantsMembers = aWantsMembers;
   request.failureDomain = m_settings.failureDomain;
   request.introduced = { m_table.Self() };
@@ -229,25 +234,24 @@
 bool
 ControlLink::Introduce()
 {
-  const Result<wire::WatchReply> first =
-    IntroduceTo(*m_clients[m_current], m_holder.Current()->version, true);
+  const Result<wire::WatchReply> first = IntroduceTo(*m_clients[m_current], true);
   NoteReachable(first.has_value());
   if (!first) {
     NextReplica();
     return false;
   }
-  TakeUpdate(first.value());
   TakeReplicas(first.value().replicas);
+  return true;
+}
+
+void
+ControlLink::IntroduceToOthers()
+{
   for (const auto& replica : m_clients) {
     // Others learn of this node there; what it needs itself it mostly has from the first replica.
-    const bool held = m_holder.Current()->version > 0;
     const bool alone = m_table.Reachable("").empty();
-    const Result<wire::WatchReply> reply = IntroduceTo(*replica, held ? kMembersOnly : 0, alone);
-    if (reply) {
-      TakeUpdate(reply.value());
-    }
+    static_cast<void>(IntroduceTo(*replica, alone).has_value());
   }
-  return true;
 }
 
 bool
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -42,7 +42,8 @@
   void Run();
   bool Wait(std::chrono::milliseconds aTime);
   bool Introduce();
-  Result<wire::WatchReply> IntroduceTo(Client& aReplica, int64_t aHeldVersion, bool aWantsMembers);
+  void IntroduceToOthers();
+  Result<wire::WatchReply> IntroduceTo(Client& aReplica, bool aWantsMembers);
   bool Watch();
   Result<wire::WatchReply> Call(const wire::WatchRequest& aRequest);
   void SetReplicas(std::vector<ReplicaSettings> aReplicas);
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -11,6 +11,8 @@
 
 static constexpr std::chrono::milliseconds kDomainInterval{ 400 };
 static constexpr std::chrono::milliseconds kMeshInterval{ 400 };
+/** Until the table was once equal to another one. */
+static constexpr std::chrono::milliseconds kFirstInterval{ 100 };
 /** Without news, other failure domains are only asked now and then whether the tables are still equal. */
 static constexpr std::chrono::milliseconds kQuietInterval{ 2000 };
 static constexpr std::chrono::milliseconds kQuietFarInterval{ 5000 };
@@ -18,7 +20,7 @@
 static constexpr std::chrono::milliseconds kFarTimeout{ 600 };
 static constexpr std::chrono::milliseconds kCompareInterval{ 1000 };
 /** A node that has just started learns the whole table. */
-static constexpr std::chrono::milliseconds kFirstCompareInterval{ 150 };
+static constexpr std::chrono::milliseconds kFirstCompareInterval{ 90 };
 static constexpr size_t kNewsInExchange = 24;
 static constexpr size_t kRecordsInComparison = 160;
 static constexpr size_t kHelpers = 2;
@@ -68,13 +70,25 @@
   return !m_stop;
 }
 
+bool
+Gossiper::IsFresh()
+{
+  const std::lock_guard lock(m_mutex);
+  return !m_wasEqual;
+}
+
+static std::chrono::milliseconds
+Jittered(std::chrono::milliseconds aTime)
+{
+  return std::chrono::milliseconds(RandomBetween(aTime.count() * 3 / 4, aTime.count() * 5 / 4));
+}
+
 // --- rounds ----------------------------------------------------------------------------------------------
 
 void
 Gossiper::RunDomain()
 {
-  while (Wait(std::chrono::milliseconds(
-    RandomBetween(kDomainInterval.count() * 3 / 4, kDomainInterval.count() * 5 / 4)))) {
+  while (Wait(Jittered(IsFresh() ? kFirstInterval : kDomainInterval))) {
     m_table.Expire(SteadyClock::now());
     if (const std::optional<wire::Member> partner = NextPartner()) {
       ProbeMember(*partner);
@@ -148,8 +162,7 @@
 void
 Gossiper::RunMesh()
 {
-  while (Wait(
-    std::chrono::milliseconds(RandomBetween(kMeshInterval.count() * 3 / 4, kMeshInterval.count() * 5 / 4)))) {
+  while (Wait(Jittered(IsFresh() ? kFirstInterval : kMeshInterval))) {
     if (!IsRelay(m_table, m_settings.failureDomain)) {
       continue;
     }
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -48,6 +48,8 @@
   void RunMesh();
   void RunUrgent();
   bool Wait(std::chrono::milliseconds aTime);
+  /** Whether the own table was equal to no other one yet. */
+  bool IsFresh();
   std::optional<wire::Member> NextPartner();
   void ProbeMember(const wire::Member& aMember);
   bool ProbeThroughOthers(const wire::Member& aMember);
