Weigh distance by the bytes of a call; look at each gate once for a choice

Each choice read the state of every gate twice and copied it with all open attempts, and copied the list of gates.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -50,9 +50,9 @@
     case Locality::FailureDomain:
       return std::chrono::microseconds(0);
     case Locality::Region:
-      return costs.region + Part(aWish.objective, costs.regionShare);
+      return costs.region + Part(aWish.objective, costs.regionShare * aWish.kilobytes);
     case Locality::OtherRegion:
-      return costs.otherRegion + Part(aWish.objective, costs.otherRegionShare);
+      return costs.otherRegion + Part(aWish.objective, costs.otherRegionShare * aWish.kilobytes);
   }
   return costs.otherRegion;
 }
@@ -92,13 +92,14 @@
 }
 
 Balancer::Candidate
-Balancer::Look(const GateInfo& aGate, const CallExperience& aExperience, const CallWish& aWish, Deadline aNow)
+Balancer::Look(const Seen& aSeen, const CallExperience& aExperience, Deadline aNow)
 {
-  const View view = Read(aGate.node, aWish.kind, aNow);
+  const GateInfo& gate = *aSeen.gate;
+  const View& view = aSeen.view;
   const bool fresh = aNow < view.loadAt + kLoadFreshness;
-  const int slots = std::max(1, fresh ? view.load.slots : aGate.slots);
+  const int slots = std::max(1, fresh ? view.load.slots : gate.slots);
   const auto own = static_cast<int>(view.open);
-  Candidate candidate{ .gate = &aGate };
+  Candidate candidate{ .gate = &gate };
   candidate.wait = std::max(view.mean, view.age) * std::max(0, own + 1 - slots) / slots;
   candidate.loadKnown = fresh;
   if (fresh) {
@@ -108,7 +109,7 @@
   if (candidate.doubtKnown) {
     candidate.doubt = view.load.doubt;
   }
-  if (const auto named = aExperience.turnedBack.find(aGate.node); named != aExperience.turnedBack.end()) {
+  if (const auto named = aExperience.turnedBack.find(gate.node); named != aExperience.turnedBack.end()) {
     candidate.wait = std::max(candidate.wait, named->second);
     candidate.loadKnown = true;
   }
@@ -180,38 +181,45 @@
   }
 }
 
-std::vector<const GateInfo*>
-Balancer::Usable(const std::vector<GateInfo>& aGates, const std::set<std::string>& aExcluded, Deadline aNow)
+std::vector<Balancer::Seen>
+Balancer::Usable(const std::vector<GateInfo>& aGates,
+                 const CallExperience& aExperience,
+                 const std::string& aKind,
+                 Deadline aNow)
 {
-  std::vector<const GateInfo*> all;
-  std::vector<const GateInfo*> trusted;
+  std::vector<Seen> seen;
+  seen.reserve(aGates.size());
   for (const GateInfo& gate : aGates) {
-    if (aExcluded.contains(gate.node)) {
-      continue;
-    }
-    all.push_back(&gate);
-    if (aNow >= Read(gate.node, {}, aNow).leftOutUntil) {
-      trusted.push_back(&gate);
+    if (!aExperience.excluded.contains(gate.node)) {
+      seen.push_back({ .gate = &gate, .view = Read(gate.node, aKind, aNow) });
     }
   }
+  const auto leftOut = [aNow](const Seen& aSeen) { return aNow < aSeen.view.leftOutUntil; };
+  const auto trusted = seen.size() - static_cast<size_t>(std::count_if(seen.begin(), seen.end(), leftOut));
   // A fault that most gates share says nothing about any one of them.
-  return trusted.size() * 2 >= all.size() && !trusted.empty() ? trusted : all;
+  if (trusted * 2 >= seen.size() && trusted > 0) {
+    std::erase_if(seen, leftOut);
+  }
+  return seen;
 }
 
 GateChoice
-Balancer::Cheapest(const std::vector<const GateInfo*>& aGates,
+Balancer::Cheapest(const std::vector<Seen>& aSeen,
                    const CallExperience& aExperience,
-                   const CallWish& aWish,
-                   Deadline aNow)
+                   const CallWish& aWish) const
 {
   std::vector<Candidate> candidates;
-  for (const GateInfo* gate : aGates) {
-    candidates.push_back(Look(*gate, aExperience, aWish, aNow));
+  candidates.reserve(aSeen.size());
+  const Deadline now = SteadyClock::now();
+  for (const Seen& seen : aSeen) {
+    candidates.push_back(Look(seen, aExperience, now));
   }
   Weigh(candidates, aWish);
-  std::sort(candidates.begin(), candidates.end(), [](const Candidate& aLeft, const Candidate& aRight) {
-    return aLeft.cost < aRight.cost;
-  });
+  const size_t compared = std::min<size_t>(2, candidates.size());
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(compared),
+                    candidates.end(),
+                    [](const Candidate& aLeft, const Candidate& aRight) { return aLeft.cost < aRight.cost; });
   const Candidate& best = candidates.front();
   GateChoice choice{ .gate = *best.gate,
                      .longestWait = std::chrono::microseconds::max(),
@@ -233,25 +241,26 @@
                  const CallExperience& aExperience,
                  const CallWish& aWish)
 {
-  const Deadline now = SteadyClock::now();
-  const std::vector<const GateInfo*> usable = Usable(aGates, aExperience.excluded, now);
+  const std::vector<Seen> usable = Usable(aGates, aExperience, aWish.kind, SteadyClock::now());
   if (usable.empty()) {
     return std::nullopt;
   }
-  const auto fewest = [this, now](const GateInfo* aLeft, const GateInfo* aRight) {
-    return Read(aLeft->node, {}, now).open < Read(aRight->node, {}, now).open;
+  const auto fewest = [](const Seen& aLeft, const Seen& aRight) {
+    return aLeft.view.open < aRight.view.open;
   };
   switch (m_options.policy) {
     case BalancePolicy::Random: {
       const auto last = static_cast<int64_t>(usable.size()) - 1;
-      return GateChoice{ .gate = *usable[static_cast<size_t>(RandomBetween(0, last))],
-                         .longestWait = std::chrono::microseconds::max() };
+      return GateChoice{ .gate = *usable[static_cast<size_t>(RandomBetween(0, last))].gate,
+                         .longestWait = std::chrono::microseconds::max(),
+                         .toleratedDoubt = std::chrono::microseconds::max() };
     }
     case BalancePolicy::LeastInFlight:
-      return GateChoice{ .gate = **std::min_element(usable.begin(), usable.end(), fewest),
-                         .longestWait = std::chrono::microseconds::max() };
+      return GateChoice{ .gate = *std::min_element(usable.begin(), usable.end(), fewest)->gate,
+                         .longestWait = std::chrono::microseconds::max(),
+                         .toleratedDoubt = std::chrono::microseconds::max() };
     case BalancePolicy::ExpectedTime:
-      return Cheapest(usable, aExperience, aWish, now);
+      return Cheapest(usable, aExperience, aWish);
   }
   return std::nullopt;
 }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -54,7 +54,10 @@
 {
   std::chrono::microseconds region{ 1500 };
   std::chrono::microseconds otherRegion{ 40000 };
-  /** Added parts of a call's latency objective, where bytes between domains cost more than a later answer. */
+  /**
+   * Added parts of a call's latency objective for each kilobyte of the call and its answer, where bytes
+   * between domains cost more than a later answer.
+   */
   double regionShare = 0;
   double otherRegionShare = 0;
   /** Part of the objective within which a later answer costs next to nothing. */
@@ -70,6 +73,8 @@
   std::chrono::microseconds objective{ 0 };
   /** What is left of that time. */
   std::chrono::microseconds objectiveLeft{ 0 };
+  /** Size of the call and its answer together, with their heads. */
+  double kilobytes = 1;
 };
 
 /** An attempt that has ended. */
@@ -199,19 +204,23 @@
   };
 
   std::chrono::microseconds DistanceCost(Locality aLocality, const CallWish& aWish) const;
-  Candidate Look(const GateInfo& aGate,
-                 const CallExperience& aExperience,
-                 const CallWish& aWish,
-                 Deadline aNow);
+  /** A gate that may be chosen. */
+  struct Seen
+  {
+    const GateInfo* gate = nullptr;
+    View view;
+  };
+
+  static Candidate Look(const Seen& aSeen, const CallExperience& aExperience, Deadline aNow);
   static void FillIn(std::vector<Candidate>& aCandidates);
   void Weigh(std::vector<Candidate>& aCandidates, const CallWish& aWish) const;
-  std::vector<const GateInfo*> Usable(const std::vector<GateInfo>& aGates,
-                                      const std::set<std::string>& aExcluded,
-                                      Deadline aNow);
-  GateChoice Cheapest(const std::vector<const GateInfo*>& aGates,
+  std::vector<Seen> Usable(const std::vector<GateInfo>& aGates,
+                           const CallExperience& aExperience,
+                           const std::string& aKind,
+                           Deadline aNow);
+  GateChoice Cheapest(const std::vector<Seen>& aSeen,
                       const CallExperience& aExperience,
-                      const CallWish& aWish,
-                      Deadline aNow);
+                      const CallWish& aWish) const;
 
   const Options m_options;
   std::array<Shard, 16> m_shards;
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -15,6 +15,10 @@
 static constexpr int kFullPatiencePart = 50;
 static constexpr double kPatienceSmoothing = 32;
 static constexpr double kMostlyFull = 0.5;
+static constexpr double kSizeSmoothing = 16;
+static constexpr double kBytesInKilobyte = 1024;
+/** About the size of the heads of a call and its answer between two nodes. */
+static constexpr double kHeadBytes = 700;
 /** About the time that a node needs from its start to its first configuration. */
 static constexpr std::chrono::milliseconds kRetryWithoutConfiguration{ 600 };
 
@@ -119,12 +123,29 @@
   return m_calls;
 }
 
-std::vector<GateInfo>
-Entry::GatesOf(const std::string& aService) const
+DirectoryPointer
+Entry::Gates() const
 {
   const std::lock_guard lock(m_mutex);
-  const auto found = m_directory->gates.find(aService);
-  return found == m_directory->gates.end() ? std::vector<GateInfo>() : found->second;
+  return m_directory;
+}
+
+void
+Entry::NoteSize(const Route& aRoute, size_t aBytes)
+{
+  const std::lock_guard lock(m_timesMutex);
+  double& bytes = m_times[aRoute.name].bytes;
+  const auto size = static_cast<double>(aBytes);
+  bytes += bytes == 0 ? size : (size - bytes) / kSizeSmoothing;
+}
+
+double
+Entry::UsualKilobytes(const Route& aRoute) const
+{
+  const std::lock_guard lock(m_timesMutex);
+  const auto times = m_times.find(aRoute.name);
+  const double bytes = times == m_times.end() ? 0 : times->second.bytes;
+  return (bytes + kHeadBytes) / kBytesInKilobyte;
 }
 
 std::chrono::microseconds
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -88,7 +88,11 @@
   std::chrono::milliseconds TimeSpent(const Route& aRoute, std::chrono::milliseconds aPatience);
   bool TakeLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void GiveLimitBack(const std::string& aLimit);
-  std::vector<GateInfo> GatesOf(const std::string& aService) const;
+  DirectoryPointer Gates() const;
+  /** Notes the bytes of a call and its answer. */
+  void NoteSize(const Route& aRoute, size_t aBytes);
+  /** The size that calls of a route usually have, with their answers and heads. */
+  double UsualKilobytes(const Route& aRoute) const;
 
   /** What is known of the calls of a route. */
   struct RouteTimes
@@ -98,6 +102,8 @@
     std::chrono::milliseconds longestPatience{ 0 };
     /** Share of the calls that come with about the longest patience, smoothed. */
     double fullPatienceShare = 1;
+    /** Mean bytes of a call and its answer, smoothed; zero before the first one. */
+    double bytes = 0;
   };
 
   Options m_options;
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -40,6 +40,7 @@
 bool
 EntryAttempt::OnBody(std::string_view aBytes)
 {
+  m_bodyBytes += aBytes.size();
   if (m_call->m_winner == this) {
     return m_call->m_exchange->Write(aBytes);
   }
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -34,6 +34,7 @@
   std::optional<HopAnswer> m_hop;
   HttpHead m_head;
   std::string m_body;
+  size_t m_bodyBytes = 0;
   /** Whether the attempt took a repeated send from the budget. */
   bool m_paid = false;
 };
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -172,7 +172,8 @@
   const Route& route = *m_options.route;
   return { .kind = route.name,
            .objective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout,
-           .objectiveLeft = std::max(left, std::chrono::microseconds(0)) };
+           .objectiveLeft = std::max(left, std::chrono::microseconds(0)),
+           .kilobytes = m_entry.UsualKilobytes(route) };
 }
 
 bool
@@ -204,17 +205,20 @@
 std::optional<GateChoice>
 EntryCall::ChooseGate(Deadline aNow)
 {
-  std::vector<GateInfo> gates = m_entry.GatesOf(m_service);
-  if (m_hops == kHopLimit - 1) {
-    // Enough gates were asked, so the call waits at the best one of them.
-    const auto asked = [this](const GateInfo& aGate) {
-      return m_experience.turnedBack.contains(aGate.node) && !m_experience.excluded.contains(aGate.node);
-    };
-    if (std::any_of(gates.begin(), gates.end(), asked)) {
-      std::erase_if(gates, [&](const GateInfo& aGate) { return !asked(aGate); });
-    }
+  const DirectoryPointer directory = m_entry.Gates();
+  const auto gates = directory->gates.find(m_service);
+  if (gates == directory->gates.end()) {
+    return std::nullopt;
+  }
+  if (m_hops < kHopLimit - 1) {
+    return m_entry.m_balancer.Choose(gates->second, m_experience, WishAt(aNow));
   }
-  return m_entry.m_balancer.Choose(gates, m_experience, WishAt(aNow));
+  // Enough gates were asked, so the call waits at the best one of them.
+  std::vector<GateInfo> asked = gates->second;
+  std::erase_if(asked, [this](const GateInfo& aGate) {
+    return !m_experience.turnedBack.contains(aGate.node) || m_experience.excluded.contains(aGate.node);
+  });
+  return m_entry.m_balancer.Choose(asked.empty() ? gates->second : asked, m_experience, WishAt(aNow));
 }
 
 HttpRequest
@@ -425,6 +429,7 @@
 {
   const int status = aAttempt.m_head.status;
   const bool failed = status >= 500;
+  m_entry.NoteSize(*m_options.route, m_exchange->Request().body.size() + aAttempt.m_bodyBytes);
   Remove(aAttempt, failed ? AttemptEnd::Failed : AttemptEnd::Answered, "complete");
   ++m_runs;
   if (m_winner == &aAttempt) {
