--- a/tests/membership/membertabletest.cpp
+++ b/tests/membership/membertabletest.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <memory>
 #include <random>
 
 using namespace mimosarun;
@@ -106,3 +107,129 @@
   BOOST_TEST(table.Find("m")->version == 4);
   BOOST_TEST(table.Digest() == digest);
 }
+
+static std::unique_ptr<MemberTable>
+MakeTable(int aMembers, const std::string& aSelf = "self")
+{
+  auto table =
+    std::make_unique<MemberTable>(MakeMember(aSelf, 1, wire::MemberState::Alive), MemberTable::Options{});
+  std::vector<wire::Member> members;
+  for (int number = 0; number < aMembers; ++number) {
+    members.push_back(MakeMember("m" + std::to_string(number), 1, wire::MemberState::Alive));
+  }
+  table->Merge(members, kNow);
+  return table;
+}
+
+static int
+TellsUntilQuiet(MemberTable& aTable, GossipScope aScope)
+{
+  int tells = 0;
+  while (aTable.HasNews(aScope)) {
+    tells += static_cast<int>(aTable.TakeNews(aScope, 24).size());
+  }
+  return tells;
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_told_a_bounded_number_of_times_and_then_costs_nothing)
+{
+  const auto tableHeld = MakeTable(89);
+  MemberTable& table = *tableHeld;
+  TellsUntilQuiet(table, GossipScope::Domain);
+  BOOST_TEST(table.TakeNews(GossipScope::Domain, 24).empty());
+  table.Merge({ MakeMember("m7", 2, wire::MemberState::Alive) }, kNow);
+  const int tells = TellsUntilQuiet(table, GossipScope::Domain);
+  // Enough for an epidemic among 90 members, far from one for each member.
+  BOOST_TEST(tells >= 7);
+  BOOST_TEST(tells <= 21);
+}
+
+BOOST_AUTO_TEST_CASE(the_version_that_a_member_holds_is_no_news)
+{
+  const auto tableHeld = MakeTable(20);
+  MemberTable& table = *tableHeld;
+  TellsUntilQuiet(table, GossipScope::Domain);
+  for (int64_t version = 1; version <= 300; ++version) {
+    table.NoteVersion("m3", version);
+    table.NoteVersion("self", version);
+  }
+  BOOST_TEST(!table.HasNews(GossipScope::Domain));
+  BOOST_TEST(table.Find("m3")->version == 300);
+}
+
+BOOST_AUTO_TEST_CASE(what_others_tell_already_is_told_less_often)
+{
+  const auto quietHeld = MakeTable(40);
+  MemberTable& quiet = *quietHeld;
+  const auto echoedHeld = MakeTable(40);
+  MemberTable& echoed = *echoedHeld;
+  for (MemberTable* table : { &quiet, &echoed }) {
+    TellsUntilQuiet(*table, GossipScope::Domain);
+    table->Merge({ MakeMember("m7", 2, wire::MemberState::Alive) }, kNow);
+  }
+  for (int echo = 0; echo < 4; ++echo) {
+    echoed.Merge({ MakeMember("m7", 2, wire::MemberState::Alive) }, kNow);
+  }
+  BOOST_TEST(TellsUntilQuiet(echoed, GossipScope::Domain) < TellsUntilQuiet(quiet, GossipScope::Domain));
+}
+
+BOOST_AUTO_TEST_CASE(only_members_of_the_own_domain_are_news_for_other_domains)
+{
+  const auto tableHeld = MakeTable(3);
+  MemberTable& table = *tableHeld;
+  wire::Member elsewhere = MakeMember("far", 1, wire::MemberState::Alive);
+  elsewhere.failureDomain = "e";
+  table.Merge({ elsewhere }, kNow);
+  for (int round = 0; round < 50; ++round) {
+    for (const wire::Member& member : table.TakeNews(GossipScope::Mesh, 24)) {
+      BOOST_TEST(member.failureDomain == "d");
+    }
+  }
+}
+
+static std::vector<size_t>
+DifferingParts(const MemberTable& aLeft, const MemberTable& aRight)
+{
+  const std::vector<int64_t> left = aLeft.PartDigests();
+  const std::vector<int64_t> right = aRight.PartDigests();
+  std::vector<size_t> differing;
+  for (size_t part = 0; part < left.size(); ++part) {
+    if (left[part] != right[part]) {
+      differing.push_back(part);
+    }
+  }
+  return differing;
+}
+
+BOOST_AUTO_TEST_CASE(tables_that_differ_in_one_record_differ_in_one_part_that_mends_them)
+{
+  const auto leftHeld = MakeTable(1000, "self");
+  MemberTable& left = *leftHeld;
+  const auto rightHeld = MakeTable(1000, "self");
+  MemberTable& right = *rightHeld;
+  left.Merge({ MakeMember("m421", 1, wire::MemberState::Dead) }, kNow);
+  const std::vector<size_t> differing = DifferingParts(left, right);
+  BOOST_TEST(differing.size() == 1);
+  const std::vector<wire::Member> records = left.RecordsOfPart(differing.front());
+  BOOST_TEST(records.size() < 100);
+  right.Merge(records, kNow);
+  BOOST_TEST(left.Digest() == right.Digest());
+  BOOST_TEST(right.Find("m421")->state == wire::MemberState::Dead);
+}
+
+RC_BOOST_PROP(comparing_parts_makes_any_two_tables_equal,
+              (std::vector<uint8_t> aLeft, std::vector<uint8_t> aRight))
+{
+  const auto leftHeld = MakeTable(4, "self");
+  MemberTable& left = *leftHeld;
+  const auto rightHeld = MakeTable(4, "self");
+  MemberTable& right = *rightHeld;
+  left.Merge(MakeRecords(aLeft), kNow);
+  right.Merge(MakeRecords(aRight), kNow);
+  for (const size_t part : DifferingParts(left, right)) {
+    const std::vector<wire::Member> records = left.RecordsOfPart(part);
+    left.Merge(right.RecordsOfPart(part), kNow);
+    right.Merge(records, kNow);
+  }
+  RC_ASSERT(left.Digest() == right.Digest());
+}
