--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -197,3 +197,13 @@
     BOOST_TEST(!platform::ParseVersion(bad).has_value(), bad);
   }
 }
+
+BOOST_AUTO_TEST_CASE(deep_nesting_and_bytes_that_are_no_text_are_errors)
+{
+  const std::string deep = "{\"routes\":" + std::string(1000000, '[');
+  BOOST_TEST(!platform::ConfigFormat::Parse(deep).has_value());
+  BOOST_TEST(
+    !platform::ConfigFormat::Parse("{\"version\":\"r1\xff\",\"routes\":[],\"services\":[]}").has_value());
+  BOOST_TEST(
+    !platform::ConfigFormat::Parse("{\"version\":\"r1\",\"routes\":[],\"services\":[]} x").has_value());
+}
