--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -31,6 +31,9 @@
 
   void Start();
 
+  /** Ends the rounds without waiting for one that is under way. */
+  void BeginStop();
+
   /** Stops the rounds. */
   void Stop();
 
