--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -102,19 +102,13 @@
 }
 
 void
-ControlLink::BeginStop()
+ControlLink::Stop()
 {
   {
     const std::lock_guard lock(m_mutex);
     m_stop = true;
   }
   m_wake.notify_all();
-}
-
-void
-ControlLink::Stop()
-{
-  BeginStop();
   if (m_thread.joinable()) {
     m_thread.join();
   }
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -31,9 +31,6 @@
   ControlLink& operator=(const ControlLink&) = delete;
 
   void Start();
-  /** Ends the polls without waiting for one that is under way. */
-  void BeginStop();
-
   void Stop();
 
   /** Sets the replicas to begin with where none of the known ones answers. */
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -31,9 +31,6 @@
 
   void Start();
 
-  /** Ends the rounds without waiting for one that is under way. */
-  void BeginStop();
-
   /** Stops the rounds. */
   void Stop();
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -248,9 +248,6 @@
   std::this_thread::sleep_until(now + m_options.entryLeaveTime);
   m_gate->BeginDrain();
   m_entry->BeginDrain();
-  // A poll under way may last longer than what is left after the last call.
-  m_control.BeginStop();
-  m_gossiper.BeginStop();
   const bool finished = WaitForCalls(end);
   Log(Event::GateDrained, { { "finished", finished ? "yes" : "no" } });
 }
