Read downloads as idempotent, bound each stream's memory and endless answers

Besides, a stream could hold 560 KB of a node's memory at each hop (200 streams to callers that don't read: 112 MB), and a target could send chunk extensions, interim heads or skipped responses without end; the body of a response that isn't passed on was read until the deadline.

Ruled out: a crash seen in httptest, streamtest and answers came from a build that ran while headers were edited (old objects with newer times); rebuilt, all three pass.

Change: 'download' is idempotent. Reads of 16 KB, buffers of 32 KB, the output of an idle connection is freed: under 256 KB a stream and hop. Bytes that are no answer end the request as broken after 1 MB, unparsed elements after 128 KB, a discarded body after 64 KB. Whether a response is buffered or streamed is decided in one place (responsebuffering.h).

The test of endless bytes was not run against the old code.

--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -2,12 +2,10 @@
 
 #include "caller/entry.h"
 #include "caller/entrycall.h"
+#include "http/responsebuffering.h"
 
 namespace mimosarun {
 
-/** Responses up to this size are buffered, so that another attempt can replace a broken one. */
-static constexpr size_t kBufferLimitBytes = 64UL * 1024;
-
 EntryAttempt::EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate)
   : m_call(std::move(aCall))
   , m_gate(std::move(aGate))
@@ -31,10 +29,7 @@
                                           .queueLength = m_hopResponse->queueLength,
                                           .queueWait = m_hopResponse->queueWait,
                                           .failurePenalty = m_hopResponse->failurePenalty });
-  if (m_hopResponse->outcome == HopOutcome::Answered &&
-      m_head.contentLength.value_or(0) > kBufferLimitBytes) {
-    m_call->BeginStreaming(*this);
-  }
+  BeginStreamingIfLarge();
   return HeadAction::Accept;
 }
 
@@ -46,10 +41,16 @@
     return m_call->m_exchange->Write(aBytes);
   }
   m_body.append(aBytes);
-  if (m_hopResponse->outcome == HopOutcome::Answered && m_body.size() > kBufferLimitBytes) {
+  BeginStreamingIfLarge();
+  return true;
+}
+
+void
+EntryAttempt::BeginStreamingIfLarge()
+{
+  if (m_hopResponse->outcome == HopOutcome::Answered && MustStream(m_head, m_body.size())) {
     m_call->BeginStreaming(*this);
   }
-  return true;
 }
 
 void
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -26,6 +26,8 @@
 private:
   friend class EntryCall;
 
+  void BeginStreamingIfLarge();
+
   std::shared_ptr<EntryCall> m_call;
   const GateInfo m_gate;
   const Deadline m_sentAt;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -6,7 +6,7 @@
 
 namespace mimosarun {
 
-static constexpr size_t kBufferLimitBytes = 256UL * 1024;
+static constexpr size_t kBufferLimitBytes = 32UL * 1024;
 
 Exchange::Exchange(HttpRequest aRequest, EventLoop& aLoop)
   : m_request(std::move(aRequest))
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -17,8 +17,13 @@
 namespace http = boost::beast::http;
 
 static constexpr size_t kFirstReadBytes = 8UL * 1024;
-static constexpr size_t kLargestReadBytes = 128UL * 1024;
+static constexpr size_t kLargestReadBytes = 16UL * 1024;
 static constexpr uint32_t kHeadLimitBytes = 64U * 1024;
+/** Bytes without a complete element, such as a chunk header, that are kept before the response is invalid. */
+static constexpr size_t kUnparsedLimitBytes = 128UL * 1024;
+/** Interim and skipped responses before the awaited one; a late copy of a large response may be among them.
+ */
+static constexpr size_t kSkippedLimitBytes = 1024UL * 1024;
 /** Subtracted from the time after which a peer closes an idle connection by its Keep-Alive header. */
 static constexpr std::chrono::milliseconds kKeepAliveMargin{ 500 };
 static constexpr int kFirstFinalStatus = 200;
@@ -172,6 +177,9 @@
     boost::system::error_code error;
     const size_t parsedBytes = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(parsedBytes);
+    if (!m_headHandled || m_skipping) {
+      m_skippedBytes += parsedBytes;
+    }
     if (error == http::error::need_more) {
       break;
     }
@@ -196,6 +204,9 @@
       break;
     }
   }
+  if (!m_ended && (m_buffer.size() > kUnparsedLimitBytes || m_skippedBytes > kSkippedLimitBytes)) {
+    End(ForwardResult::Broken);
+  }
   if (!m_ended && !m_paused) {
     Read();
   }
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -63,6 +63,8 @@
   bool m_receivedAnyByte = false;
   bool m_headHandled = false;
   bool m_skipping = false;
+  /** Received before the head of the response that the listener accepted. */
+  size_t m_skippedBytes = 0;
   bool m_paused = false;
   /** Keeps the transfer alive while it is paused. */
   std::shared_ptr<ForwardTransfer> m_selfWhilePaused;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -294,6 +294,8 @@
 ServerConnection::OnWritten(const boost::system::error_code& aError)
 {
   m_writing = false;
+  // Many connections are idle after a large response, so its memory is returned.
+  m_output = {};
   if (m_closed) {
     return;
   }
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -4,14 +4,15 @@
 #include "common/log.h"
 #include "common/random.h"
 #include "http/meshheaders.h"
+#include "http/responsebuffering.h"
 #include "target/gate.h"
 
 #include <algorithm>
 
 namespace mimosarun {
 
-/** Responses up to this size are buffered and passed on whole; larger ones are streamed. */
-static constexpr size_t kBufferedResponseLimitBytes = 64UL * 1024;
+/** A response that isn't passed on may have a body of this size; it breaks off if it has more. */
+static constexpr size_t kDiscardedBodyLimitBytes = 64UL * 1024;
 /** A call with a claim may run this long even if its caller gives up, so that its response is stored. */
 static constexpr std::chrono::milliseconds kClaimedCallTimeout{ 30000 };
 /** Part of a call's time that is reserved for sending an error response before the entry gives up. */
@@ -319,8 +320,7 @@
     m_responseKind == TargetResponseKind::Usable && aHead.status < kFirstServerErrorStatus;
   m_gate.RecordOutcome(succeeded ? TargetFailureTracker::Outcome::Succeeded
                                  : TargetFailureTracker::Outcome::Failed);
-  if (m_responseKind == TargetResponseKind::Usable &&
-      aHead.contentLength.value_or(0) > kBufferedResponseLimitBytes) {
+  if (m_responseKind == TargetResponseKind::Usable && MustStream(aHead, 0)) {
     StartStreaming();
   }
   return HeadAction::Accept;
@@ -349,18 +349,30 @@
 GateCall::OnBody(std::string_view aBytes)
 {
   if (m_responseKind != TargetResponseKind::Usable) {
+    Discard(aBytes.size());
     return true;
   }
   if (m_streaming) {
     return m_exchange->Write(aBytes);
   }
   m_bufferedBody.append(aBytes);
-  if (m_bufferedBody.size() > kBufferedResponseLimitBytes) {
+  if (MustStream(m_responseHead, m_bufferedBody.size())) {
     StartStreaming();
   }
   return true;
 }
 
+void
+GateCall::Discard(size_t aBytes)
+{
+  m_discardedBytes += aBytes;
+  if (m_discardedBytes > kDiscardedBodyLimitBytes) {
+    // The body may never end.
+    m_forwardHandle.Cancel();
+    OnEnd(ForwardResult::Broken);
+  }
+}
+
 void
 GateCall::OnEnd(ForwardResult aResult)
 {
@@ -386,6 +398,9 @@
   } else {
     ReleaseSlot();
   }
+  if (aResult == ForwardResult::Broken) {
+    m_gate.RecordOutcome(TargetFailureTracker::Outcome::Failed);
+  }
   if (m_streaming) {
     m_stage = Stage::Ended;
     m_exchange->Finish(aResult == ForwardResult::Complete);
@@ -395,9 +410,6 @@
     OnResponseComplete();
     return;
   }
-  if (aResult == ForwardResult::Broken) {
-    m_gate.RecordOutcome(TargetFailureTracker::Outcome::Failed);
-  }
   const bool timedOut = aResult == ForwardResult::TimedOut;
   const std::string reason = aResult == ForwardResult::Complete ? "the target's response can't be passed on"
                              : timedOut ? "the target gave no answer before the deadline"
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -71,6 +71,7 @@
   void RespondWithError(int aStatus, HopOutcome aOutcome, const std::string& aReason);
   void RespondWith(HttpResponse aResponse, HopOutcome aOutcome);
   void StartStreaming();
+  void Discard(size_t aBytes);
   void OnResponseComplete();
   void StoreThenRespond();
   void ReleaseClaim();
@@ -94,6 +95,7 @@
   ForwardHandle m_forwardHandle;
   TargetResponseKind m_responseKind = TargetResponseKind::Unusable;
   bool m_streaming = false;
+  size_t m_discardedBytes = 0;
   HttpResponseHead m_responseHead;
   std::string m_bufferedBody;
   /** Kept for an entry that sends the call again. */
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -11,6 +11,8 @@
 /** Delay before closing a connection, so that the peer receives the sent bytes first. */
 static constexpr std::chrono::milliseconds kCloseDelay{ 60 };
 static constexpr uint16_t kFirstPort = 33000;
+static constexpr int kListenBacklog = 256;
+static constexpr std::chrono::milliseconds kWritePoll{ 50 };
 
 static sockaddr_in
 SocketAddress(const Address& aAddress)
@@ -85,14 +87,21 @@
            .port = ++s_next };
 }
 
+static int
+Listen(const Address& aAddress)
+{
+  const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = SocketAddress(aAddress);
+  static_cast<void>(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  static_cast<void>(::listen(listener, kListenBacklog) == 0);
+  return listener;
+}
+
 RawServer::RawServer(std::vector<std::string> aScript)
   : m_script(std::move(aScript))
   , m_address(FreeAddress())
-  , m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  , m_socket(Listen(m_address))
 {
-  const sockaddr_in address = SocketAddress(m_address);
-  static_cast<void>(::bind(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-  static_cast<void>(::listen(m_socket, 16) == 0);
   m_thread = std::thread([this] { Run(); });
 }
 
@@ -122,4 +131,58 @@
   }
 }
 
+EndlessServer::EndlessServer(std::string aPrefix, std::string aPiece)
+  : m_prefix(std::move(aPrefix))
+  , m_piece(std::move(aPiece))
+  , m_address(RawServer::FreeAddress())
+  , m_socket(Listen(m_address))
+{
+  m_thread = std::thread([this] { Run(); });
+}
+
+EndlessServer::~EndlessServer()
+{
+  m_stop = true;
+  m_thread.join();
+  for (std::thread& connection : m_connections) {
+    connection.join();
+  }
+  ::close(m_socket);
+}
+
+void
+EndlessServer::Run()
+{
+  while (!m_stop) {
+    if (WaitReadable(m_socket, kAcceptPoll)) {
+      const int connection = ::accept(m_socket, nullptr, nullptr);
+      m_connections.emplace_back([this, connection] { Serve(connection); });
+    }
+  }
+}
+
+void
+EndlessServer::Serve(int aConnection)
+{
+  char request[4096];
+  std::string output = ::recv(aConnection, request, sizeof request, 0) > 0 ? m_prefix : std::string();
+  while (!m_stop) {
+    pollfd writable{ .fd = aConnection, .events = POLLOUT, .revents = 0 };
+    if (::poll(&writable, 1, static_cast<int>(kWritePoll.count())) == 0) {
+      continue;
+    }
+    if (output.empty()) {
+      output = m_piece;
+    }
+    const ssize_t length = ::send(aConnection, output.data(), output.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (length <= 0) {
+      m_peerGone = true;
+      break;
+    }
+    m_sentBytes += static_cast<size_t>(length);
+    output.erase(0, static_cast<size_t>(length));
+  }
+  ::close(aConnection);
+}
+
 } // namespace mimosarun
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -63,4 +63,34 @@
   std::thread m_thread;
 };
 
+/** TCP server that answers a request with a prefix and then repeats a piece until the peer closes. */
+class EndlessServer
+{
+public:
+  EndlessServer(std::string aPrefix, std::string aPiece);
+  ~EndlessServer();
+
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  const Address& ListenAddress() const { return m_address; }
+  size_t SentBytes() const { return m_sentBytes; }
+  /** Returns whether the peer has closed a connection. */
+  bool IsPeerGone() const { return m_peerGone; }
+
+private:
+  void Run();
+  void Serve(int aConnection);
+
+  const std::string m_prefix;
+  const std::string m_piece;
+  Address m_address;
+  int m_socket = -1;
+  std::atomic<size_t> m_sentBytes{ 0 };
+  std::atomic<bool> m_peerGone{ false };
+  std::atomic<bool> m_stop{ false };
+  std::vector<std::thread> m_connections;
+  std::thread m_thread;
+};
+
 } // namespace mimosarun
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -218,3 +218,29 @@
   BOOST_TEST((result == ForwardResult::NotSent));
   loop.Stop();
 }
+
+BOOST_AUTO_TEST_CASE(bytes_without_end_that_are_no_answer_break_the_request_soon)
+{
+  const std::string filler(4096, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::pair<std::string, std::string>> streams{
+    { "", filler },
+    { head + "A: ", filler },
+    { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    { "", "HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: 3\r\n\r\nabc" },
+    { head + "Foreign: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n" },
+    { head + "Transfer-Encoding: chunked\r\n\r\n5;", filler },
+    { head + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", filler },
+  };
+  for (const auto& [prefix, piece] : streams) {
+    EndlessServer peer(prefix, piece);
+    EventLoop loop;
+    Forwarder forwarder;
+    ForwardResult result = ForwardResult::Complete;
+    const auto recorder = SendTo(loop, forwarder, peer.ListenAddress(), result);
+    BOOST_TEST((result == ForwardResult::Broken), prefix + piece.substr(0, 60));
+    BOOST_TEST(recorder->body.empty());
+    BOOST_TEST(WaitUntil(std::chrono::seconds(3), [&] { return peer.IsPeerGone(); }));
+    loop.Stop();
+  }
+}
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -88,6 +88,14 @@
   BOOST_TEST(platform::ParseDocumentVersion(kConfigurationDocument).value() == 7);
 }
 
+BOOST_AUTO_TEST_CASE(a_download_is_idempotent)
+{
+  const auto parsed = platform::ConfigFormat::Parse(
+    ReplaceText(kConfigurationDocument, "\"kind\":\"unsafe\"", "\"kind\":\"download\""));
+  BOOST_REQUIRE(parsed.has_value());
+  BOOST_TEST(FindRoute(parsed.value(), "x.example", "/a/c", "GET")->Idempotent());
+}
+
 /** A change that makes the document invalid, and a text that the error message must contain. */
 struct InvalidChange
 {
