Leaving nodes take only calls that can end, and end by their grace time

Processes outlived the grace time because Stop() waited in turn for threads whose calls to peers last up to 1.5 s each.

Entry and gate refuse others before anything is sent.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -21,6 +21,8 @@
 static constexpr double kHeaderBytes = 700;
 /** Approximate time from the start of a node to its first configuration. */
 static constexpr std::chrono::milliseconds kRetryAfterWithoutConfiguration{ 600 };
+/** Short, since another entry may serve the call at once. */
+static constexpr std::chrono::milliseconds kRetryAfterWhileStopping{ 50 };
 
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
@@ -103,18 +105,16 @@
 }
 
 void
-Entry::BeginDrain()
+Entry::BeginDrain(const DrainSchedule& aSchedule)
 {
-  {
-    const std::lock_guard lock(m_mutex);
-    m_draining = true;
-  }
-  m_server->StopListening();
+  const std::lock_guard lock(m_mutex);
+  m_drainSchedule = aSchedule;
 }
 
 void
-Entry::CloseAfterResponses()
+Entry::StopListening()
 {
+  m_server->StopListening();
   m_server->CloseAfterResponses();
 }
 
@@ -158,11 +158,16 @@
   if (aRoute.hedgeAfter.count() > 0) {
     return aRoute.hedgeAfter;
   }
+  return kHedgeFactor * P95CallTime(aRoute);
+}
+
+std::chrono::microseconds
+Entry::P95CallTime(const Route& aRoute) const
+{
   const std::lock_guard lock(m_routeStatsMutex);
   const auto stats = m_routeStats.find(aRoute.name);
   const bool isKnown = stats != m_routeStats.end() && stats->second.p95Time.Value().count() > 0;
-  return kHedgeFactor *
-         (isKnown ? stats->second.p95Time.Value() : std::chrono::microseconds(aRoute.expectedCost));
+  return isKnown ? stats->second.p95Time.Value() : std::chrono::microseconds(aRoute.expectedCost);
 }
 
 void
@@ -243,17 +248,11 @@
     options.callId = m_options.node + "-" + RandomIdentifier().substr(0, kCallIdSuffixLength);
   }
   SnapshotPointer snapshot;
-  bool draining = false;
+  std::optional<DrainSchedule> drainSchedule;
   {
     const std::lock_guard lock(m_mutex);
     snapshot = m_snapshot;
-    draining = m_draining;
-  }
-  if (draining) {
-    RefuseImmediately(
-      aExchange,
-      { .status = 503, .reason = "the entry is shutting down; use another", .callId = options.callId });
-    return;
+    drainSchedule = m_drainSchedule;
   }
   if (snapshot->version == 0) {
     RefuseImmediately(aExchange,
@@ -270,6 +269,14 @@
                       { .status = 404, .reason = "no route matches the request", .callId = options.callId });
     return;
   }
+  if (drainSchedule && !drainSchedule->Accepts(aExchange->ReceivedAt(), P95CallTime(*route))) {
+    RefuseImmediately(aExchange,
+                      { .status = 503,
+                        .reason = "the entry is shutting down; use another",
+                        .callId = options.callId,
+                        .retryAfter = kRetryAfterWhileStopping });
+    return;
+  }
   if (!TryAcquireLimit(configuration, route->limit)) {
     RefuseImmediately(
       aExchange,
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -5,6 +5,7 @@
 #include "caller/callhistory.h"
 #include "caller/retrybudget.h"
 #include "caller/sharesplitter.h"
+#include "common/drainschedule.h"
 #include "common/quantileestimate.h"
 #include "common/ratelimit.h"
 #include "configuration/snapshot.h"
@@ -17,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace mimosarun {
@@ -59,11 +61,11 @@
   /** Sets the number of nodes that share the base retries of the retry budget. */
   void SetNodeCount(size_t aCount);
 
-  /** Stops accepting connections and refuses new calls on open ones as not run. */
-  void BeginDrain();
+  /** From now on, refuses calls that the schedule doesn't accept as not run. */
+  void BeginDrain(const DrainSchedule& aSchedule);
 
-  /** Continues to serve calls, but closes each connection after its last response. */
-  void CloseAfterResponses();
+  /** Stops accepting connections, and closes each open one after its last response. */
+  void StopListening();
 
   /** Returns the number of calls without a complete response. */
   int OpenCalls() const;
@@ -84,6 +86,8 @@
   /** Returns the delay after which a short idempotent call may be hedged; zero means never. */
   std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
   void RecordCallTime(const Route& aRoute, std::chrono::microseconds aTime);
+  /** Returns the time within which nearly all calls of a route end, or the configured cost if unknown. */
+  std::chrono::microseconds P95CallTime(const Route& aRoute) const;
   /** Returns the median time of a route's calls, or the configured cost before the first one. */
   std::chrono::microseconds MedianCallTime(const Route& aRoute) const;
   /**
@@ -124,7 +128,8 @@
   SnapshotPointer m_snapshot;
   GateDirectoryPointer m_directory;
   std::string m_localService;
-  bool m_draining = false;
+  /** Set once the node is stopping. */
+  std::optional<DrainSchedule> m_drainSchedule;
   mutable std::mutex m_routeStatsMutex;
   std::map<std::string, RouteStats> m_routeStats;
   std::mutex m_limitMutex;
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -13,6 +13,7 @@
   PortRefused = 103,
   SettingsReloaded = 104,
   SettingsRefused = 105,
+  ProcessEndedAtDeadline = 106,
 
   GroupFormed = 200,
   LeaderElected = 201,
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -106,13 +106,19 @@
 }
 
 void
-ControlLink::Stop()
+ControlLink::BeginStop()
 {
   {
     const std::lock_guard lock(m_mutex);
     m_stop = true;
   }
   m_wake.notify_all();
+}
+
+void
+ControlLink::Stop()
+{
+  BeginStop();
   if (m_thread.joinable()) {
     m_thread.join();
   }
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -31,6 +31,8 @@
   ControlLink& operator=(const ControlLink&) = delete;
 
   void Start();
+  /** Requests the end of all threads without waiting for it. */
+  void BeginStop();
   void Stop();
 
   /** Sets the replicas that are contacted when none of the known replicas answers. Thread-safe. */
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -54,13 +54,19 @@
 }
 
 void
-Gossiper::Stop()
+Gossiper::BeginStop()
 {
   {
     const std::lock_guard lock(m_mutex);
     m_stop = true;
   }
   m_wake.notify_all();
+}
+
+void
+Gossiper::Stop()
+{
+  BeginStop();
   for (std::thread& thread : m_threads) {
     thread.join();
   }
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -34,6 +34,9 @@
 
   void Start();
 
+  /** Requests the end of all exchanges without waiting for it. */
+  void BeginStop();
+
   /** Stops all exchanges and waits for their threads. */
   void Stop();
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -225,6 +225,14 @@
   m_gossiper.SpreadNow();
 }
 
+void
+Node::BeginStoppingBackground()
+{
+  m_stop = true;
+  m_control.BeginStop();
+  m_gossiper.BeginStop();
+}
+
 bool
 Node::WaitForCallsToEnd(Deadline aDeadline) const
 {
@@ -242,13 +250,17 @@
 {
   const Deadline now = SteadyClock::now();
   const Deadline end = now + m_settings.drainTimeout;
+  const Deadline acceptUntil = now + m_options.acceptTime;
   m_leaving = true;
+  const DrainSchedule schedule({ .acceptUntil = acceptUntil, .endsAt = end });
+  m_entry->BeginDrain(schedule);
+  m_gate->BeginDrain(schedule);
   // Other entries learn with a delay that the gate leaves, so it still accepts their calls for a while.
   std::this_thread::sleep_until(now + m_options.leaveDelay);
   LeaveMesh();
-  std::this_thread::sleep_until(now + m_options.drainDelay);
-  m_gate->BeginDrain();
-  m_entry->BeginDrain();
+  std::this_thread::sleep_until(acceptUntil);
+  m_entry->StopListening();
+  BeginStoppingBackground();
   const bool finished = WaitForCallsToEnd(end);
   Log(Event::GateDrained, { { "finished", finished ? "yes" : "no" } });
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,8 +39,8 @@
     double hedgesPerCall = 0.05;
     unsigned int loopCount = 2;
     std::chrono::milliseconds targetLease{ 3000 };
-    /** Delay from Shutdown() until entry and gate stop accepting calls, so that callers can switch over. */
-    std::chrono::milliseconds drainDelay{ 1200 };
+    /** Time from Shutdown() for which entry and gate accept calls, so that callers can switch over. */
+    std::chrono::milliseconds acceptTime{ 1200 };
     /** Delay from Shutdown() until the node announces that it leaves, and other entries avoid its gate. */
     std::chrono::milliseconds leaveDelay{ 0 };
   };
@@ -89,6 +89,8 @@
   GateDirectoryPointer MakeDirectory(const SnapshotPointer& aSnapshot) const;
   void LeaveMesh();
   void ScheduleLeaseCheck();
+  /** Stops the exchange with members and control, which may wait for slow peers, without blocking. */
+  void BeginStoppingBackground();
   /** Returns whether all calls have ended before the deadline. */
   bool WaitForCallsToEnd(Deadline aDeadline) const;
   Answer ShowInForce() const;
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -10,6 +10,8 @@
 static constexpr std::chrono::milliseconds kSweepInterval{ 10 };
 /** How long new calls are rejected after a connection to the target failed. */
 static constexpr std::chrono::milliseconds kConnectBackoff{ 200 };
+/** Nearly all calls of a route end within its median slot time multiplied by this. */
+static constexpr int kDrainTimeFactor = 3;
 static constexpr size_t kHopMessageLimitBytes = 64UL * 1024 * 1024;
 static constexpr std::chrono::milliseconds kHopIdleTimeout{ 60000 };
 
@@ -88,10 +90,10 @@
 }
 
 void
-Gate::BeginDrain()
+Gate::BeginDrain(const DrainSchedule& aSchedule)
 {
   const std::lock_guard lock(m_mutex);
-  m_draining = true;
+  m_drainSchedule = aSchedule;
 }
 
 int
@@ -125,10 +127,12 @@
 }
 
 std::string
-Gate::RejectionReason(const std::string& aService) const
+Gate::RejectionReason(const HopRequest& aHop) const
 {
   const std::lock_guard lock(m_mutex);
-  if (m_draining) {
+  const Deadline now = SteadyClock::now();
+  const auto expectedTime = kDrainTimeFactor * m_admission.MedianSlotTime(aHop.route);
+  if (m_drainSchedule && !m_drainSchedule->Accepts(now, expectedTime)) {
     return "the node is shutting down";
   }
   if (m_target.phase != wire::TargetPhase::Ready) {
@@ -137,10 +141,10 @@
   if (m_intent != TargetIntent::Serving) {
     return "the target is being drained";
   }
-  if (m_target.service != aService) {
+  if (m_target.service != aHop.service) {
     return "the target here serves another service";
   }
-  if (SteadyClock::now() < m_connectBackoffUntil) {
+  if (now < m_connectBackoffUntil) {
     return "the target accepts no connections";
   }
   return {};
@@ -192,7 +196,7 @@
     call->Reject(HopOutcome::Unknown, "the gate was restarted after the call was sent to it");
     return;
   }
-  const std::string reason = RejectionReason(hop->service);
+  const std::string reason = RejectionReason(*hop);
   if (!reason.empty()) {
     call->Reject(HopOutcome::Rejected, reason);
     return;
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "common/drainschedule.h"
 #include "common/workers.h"
+#include "hop/hopheaders.h"
 #include "http/forwarder.h"
 #include "http/server.h"
 #include "process/metrics.h"
@@ -15,12 +17,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace mimosarun {
 
 class GateCall;
-struct HopResponse;
 
 /**
  * Sends all calls that reach the target of this node, so it knows exactly which slots are in use. Calls that
@@ -58,8 +60,8 @@
   /** Sets the state that operators want the target to be in. */
   void SetIntent(TargetIntent aIntent);
 
-  /** Rejects all new calls from now on. */
-  void BeginDrain();
+  /** From now on, rejects new calls that the schedule doesn't accept. */
+  void BeginDrain(const DrainSchedule& aSchedule);
 
   /** Stops listening and ends the gate's own threads; open calls get no response. */
   void Stop();
@@ -73,7 +75,7 @@
   explicit Gate(Options aOptions);
 
   void Handle(const ExchangePointer& aExchange);
-  std::string RejectionReason(const std::string& aService) const;
+  std::string RejectionReason(const HopRequest& aHop) const;
   void RequestSlot(const std::shared_ptr<GateCall>& aCall);
   void Withdraw(GateCall& aCall);
   void Release(GateCall& aCall, std::chrono::microseconds aHeldFor);
@@ -92,7 +94,8 @@
   mutable std::mutex m_mutex;
   TargetState m_target;
   TargetIntent m_intent = TargetIntent::Serving;
-  bool m_draining = false;
+  /** Set once the node is stopping. */
+  std::optional<DrainSchedule> m_drainSchedule;
   bool m_sweepScheduled = false;
   /** After a failed connection to the target, new calls are rejected until this time. */
   Deadline m_connectBackoffUntil{};
