Control and membership traffic that doesn't grow with the square of the fleet

Change: a read round asks the voters only; learners without news get every second heartbeat; a replica asks 3 random ones for reports, which pass on those of others; a node introduces itself to 7 replicas at most, over connections that are used once; it exchanges gossip with 8 members of its domain (2 successors on a hash ring, 6 by rendezvous hashing) and with 2 of each other.

Tests without a network: probepartnerstest, and in raftproperties the messages of read rounds and idle learners.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -17,6 +17,8 @@
 static constexpr std::chrono::milliseconds kFirstOtherRegionReportInterval{ 1000 };
 static constexpr std::chrono::milliseconds kOtherRegionReportInterval{ 30000 };
 static constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
+/** Random replicas of the own region that are asked for reports in a round; they pass on those of others. */
+static constexpr size_t kReportPartners = 3;
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
 static constexpr int kWatchRoundsPerExpiry = 240;
 static constexpr int64_t kOtherRegionElectionDelayFactor = 2;
@@ -691,6 +693,17 @@
   return true;
 }
 
+std::vector<wire::Replica>
+Controller::ReportPartners() const
+{
+  std::vector<wire::Replica> replicas = OtherReplicas();
+  std::erase_if(replicas,
+                [&](const wire::Replica& aReplica) { return aReplica.region != m_settings.region; });
+  std::shuffle(replicas.begin(), replicas.end(), RandomEngine());
+  replicas.resize(std::min(replicas.size(), kReportPartners));
+  return replicas;
+}
+
 void
 Controller::CollectReportsOfOtherRegions()
 {
@@ -707,10 +720,8 @@
 {
   Deadline nextOtherRegionsAt = SteadyClock::now();
   while (!m_stop) {
-    for (const wire::Replica& replica : OtherReplicas()) {
-      if (replica.region == m_settings.region) {
-        CollectReportsFrom(replica.name);
-      }
+    for (const wire::Replica& replica : ReportPartners()) {
+      CollectReportsFrom(replica.name);
     }
     const Deadline now = SteadyClock::now();
     if (now >= nextOtherRegionsAt) {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -77,6 +77,8 @@
   bool WaitUntilCaughtUp(Deadline aDeadline);
 
   /** Fetches the reports of the other regions, which cross the link only on demand and at long intervals. */
+  /** Returns a few random replicas of the own region. */
+  std::vector<wire::Replica> ReportPartners() const;
   void CollectReportsOfOtherRegions();
 
   /** Removes a replica from all groups. */
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -5,6 +5,8 @@
 
 namespace mimosarun {
 
+/** Learners without news get a heartbeat after this many intervals, well within the election timeout. */
+static constexpr int kLearnerHeartbeatFactor = 2;
 static constexpr size_t kMaxEntriesPerMessage = 512;
 static constexpr size_t kMaxBytesPerMessage = 1024UL * 1024;
 static constexpr int64_t kMaxCaughtUpLagEntries = 16;
@@ -362,6 +364,8 @@
   message.logIndex = progress.nextIndex - 1;
   message.logTerm = m_log.TermAt(message.logIndex);
   message.commit = m_commitIndex;
+  progress.sentCommitIndex = m_commitIndex;
+  progress.lastSentAt = aNow;
   message.round = std::chrono::duration_cast<std::chrono::microseconds>(aNow.time_since_epoch()).count();
   size_t bytes = 0;
   while (progress.nextIndex <= LastIndex() && message.entries.size() < kMaxEntriesPerMessage &&
@@ -378,12 +382,24 @@
 {
   m_heartbeatDeadline = aNow + m_options.heartbeatInterval;
   for (const wire::Replica& member : m_log.Members()) {
-    if (member.name != m_options.name) {
+    if (member.name != m_options.name && (member.voter || IsLearnerDue(member, aNow))) {
       SendAppend(member, aNow);
     }
   }
 }
 
+bool
+RaftCore::IsLearnerDue(const wire::Replica& aLearner, Deadline aNow) const
+{
+  const auto found = m_progress.find(aLearner.name);
+  if (found == m_progress.end()) {
+    return true;
+  }
+  const Progress& progress = found->second;
+  const bool hasNews = progress.nextIndex <= LastIndex() || progress.sentCommitIndex < m_commitIndex;
+  return hasNews || aNow >= progress.lastSentAt + kLearnerHeartbeatFactor * m_options.heartbeatInterval;
+}
+
 void
 RaftCore::AppendFromLeader(const std::vector<wire::LogEntry>& aEntries)
 {
@@ -528,8 +544,14 @@
 void
 RaftCore::StartHeartbeatRound(Deadline aNow)
 {
-  if (m_role == RaftRole::Leader) {
-    Broadcast(aNow);
+  if (m_role != RaftRole::Leader) {
+    return;
+  }
+  // Learners have no say in who leads.
+  for (const wire::Replica& member : m_log.Members()) {
+    if (member.voter && member.name != m_options.name) {
+      SendAppend(member, aNow);
+    }
   }
 }
 
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -88,7 +88,8 @@
    */
   std::optional<int64_t> ProposeMembers(std::vector<wire::Replica> aMembers, Deadline aNow);
 
-  /** On the leader: sends heartbeats immediately, so that LeadershipConfirmedSince() can become true. */
+  /** On the leader: sends heartbeats to the voters immediately, so that LeadershipConfirmedSince() can become
+   * true. */
   void StartHeartbeatRound(Deadline aNow);
 
   /**
@@ -139,6 +140,9 @@
     /** Send time of the newest heartbeat round that the member answered. */
     Deadline answeredRoundSentAt{};
     Deadline nextSnapshotAt{};
+    Deadline lastSentAt{};
+    /** Commit index that was last sent to the member. */
+    int64_t sentCommitIndex = 0;
   };
 
   const wire::Replica* FindMember(const std::string& aName) const;
@@ -165,6 +169,8 @@
   void SendAppend(const wire::Replica& aMember, Deadline aNow);
   void SendSnapshot(const wire::Replica& aMember, Progress& aProgress, Deadline aNow);
   void Broadcast(Deadline aNow);
+  /** Whether a learner needs entries, the commit index, or a heartbeat. */
+  bool IsLearnerDue(const wire::Replica& aLearner, Deadline aNow) const;
   void RequestVotes(wire::RaftKind::type aKind, int64_t aTerm);
   void AdvanceCommitIndex();
   bool HasQuorumOfRecentReplies(Deadline aNow) const;
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -3,6 +3,7 @@
 #include "common/backoff.h"
 #include "common/log.h"
 #include "common/random.h"
+#include "node/introductions.h"
 #include "node/relays.h"
 #include "wire/codec.h"
 
@@ -138,16 +139,16 @@
 {
   Backoff backoff({ .maximumDelay = kMaximumBackoff });
   bool introduced = false;
-  bool introducedToAll = false;
+  bool introducedWidely = false;
   bool running = WaitUnlessStopped(std::chrono::milliseconds(RandomBetween(0, kStartJitter.count())));
   while (running) {
     bool reached = true;
     if (!introduced) {
       introduced = IntroduceToCurrentReplica();
       reached = introduced;
-    } else if (!introducedToAll && m_holder.Current()->version > 0) {
-      introducedToAll = true;
-      IntroduceToAllReplicas();
+    } else if (!introducedWidely && m_holder.Current()->version > 0) {
+      introducedWidely = true;
+      IntroduceWidely();
     } else if (IsRelay(m_table, m_settings.failureDomain) || m_holder.Current()->version == 0) {
       if (!m_isRelay) {
         m_isRelay = true;
@@ -255,12 +256,13 @@
 }
 
 void
-ControlLink::IntroduceToAllReplicas()
+ControlLink::IntroduceWidely()
 {
-  for (const auto& replica : m_clients) {
-    // This makes the node known to all replicas. It usually has members from the first replica already.
+  for (const ReplicaSettings& target : IntroductionTargets(m_replicas, m_settings.failureDomain)) {
+    // The connection is used once. The node usually has members from the first replica already.
+    Client replica(target.address);
     const bool knowsNoMember = m_table.Reachable("").empty();
-    static_cast<void>(IntroduceTo(*replica, knowsNoMember).has_value());
+    static_cast<void>(IntroduceTo(replica, knowsNoMember).has_value());
   }
 }
 
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -46,7 +46,8 @@
   bool WaitUnlessStopped(std::chrono::milliseconds aDuration);
   /** Introduces this node to the current replica and gets members from it; returns whether it answered. */
   bool IntroduceToCurrentReplica();
-  void IntroduceToAllReplicas();
+  /** Introduces this node to the replicas from which other starting nodes learn of it. */
+  void IntroduceWidely();
   Result<wire::WatchReply> IntroduceTo(Client& aReplica, bool aWantsMembers);
   /** Sends one long poll; returns false if the replica didn't answer or may hold an old configuration. */
   bool Watch();
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -1,6 +1,7 @@
 #include "node/gossiper.h"
 
 #include "common/random.h"
+#include "node/probepartners.h"
 #include "node/relays.h"
 #include "wire/codec.h"
 
@@ -26,6 +27,7 @@
 static constexpr size_t kRecordsPerComparison = 160;
 /** Members that are asked to probe a member that doesn't answer this node. */
 static constexpr size_t kIndirectProbes = 2;
+static constexpr size_t kMeshPartnersPerDomain = 2;
 /** Random partners of an immediate exchange; the relays are added to them. */
 static constexpr size_t kImmediatePartners = 3;
 
@@ -117,9 +119,7 @@
   const std::lock_guard lock(m_mutex);
   while (true) {
     if (m_probeOrder.empty()) {
-      for (const wire::Member& member : m_table.Reachable(m_settings.failureDomain)) {
-        m_probeOrder.push_back(member.name);
-      }
+      m_probeOrder = DomainPartners();
       if (m_probeOrder.empty()) {
         return std::nullopt;
       }
@@ -135,6 +135,16 @@
   }
 }
 
+std::vector<std::string>
+Gossiper::DomainPartners() const
+{
+  std::vector<std::string> names;
+  for (const wire::Member& member : m_table.Reachable(m_settings.failureDomain)) {
+    names.push_back(member.name);
+  }
+  return ProbePartners(m_settings.name, names);
+}
+
 void
 Gossiper::ProbeMember(const wire::Member& aMember)
 {
@@ -185,8 +195,7 @@
       }
     }
     for (const auto& [domain, members] : domains) {
-      const auto choice = RandomBetween(0, static_cast<int64_t>(members.size()) - 1);
-      const wire::Member& partner = members[static_cast<size_t>(choice)];
+      const wire::Member& partner = ChooseMeshPartner(members);
       const bool isOtherRegion = partner.region != m_settings.region;
       if (StartMeshExchangeIfDue(partner, SteadyClock::now())) {
         Exchange(partner, GossipScope::Mesh, isOtherRegion ? kCrossRegionTimeout : kProbeTimeout);
@@ -195,6 +204,21 @@
   }
 }
 
+const wire::Member&
+Gossiper::ChooseMeshPartner(const std::vector<wire::Member>& aMembers) const
+{
+  std::vector<std::string> names;
+  for (const wire::Member& member : aMembers) {
+    names.push_back(member.name);
+  }
+  // Always the same few, so that the connections to them stay in use.
+  const std::vector<std::string> partners = PreferredMembers(m_settings.name, names, kMeshPartnersPerDomain);
+  const auto choice = RandomBetween(0, static_cast<int64_t>(partners.size()) - 1);
+  const std::string& name = partners[static_cast<size_t>(choice)];
+  return *std::find_if(
+    aMembers.begin(), aMembers.end(), [&](const wire::Member& aMember) { return aMember.name == name; });
+}
+
 bool
 Gossiper::StartMeshExchangeIfDue(const wire::Member& aMember, Deadline aNow)
 {
@@ -229,9 +253,15 @@
     }
     m_immediateRequested = false;
     lock.unlock();
-    std::vector<wire::Member> partners = m_table.Reachable(m_settings.failureDomain);
-    std::shuffle(partners.begin(), partners.end(), RandomEngine());
-    partners.resize(std::min(partners.size(), kImmediatePartners));
+    std::vector<wire::Member> partners;
+    std::vector<std::string> names = DomainPartners();
+    std::shuffle(names.begin(), names.end(), RandomEngine());
+    names.resize(std::min(names.size(), kImmediatePartners));
+    for (const std::string& name : names) {
+      if (std::optional<wire::Member> partner = m_table.Find(name)) {
+        partners.push_back(std::move(*partner));
+      }
+    }
     // Relays forward updates to other domains, and report the held versions to control.
     for (wire::Member& relay : RelaysOf(m_table, m_settings.failureDomain)) {
       if (std::find(partners.begin(), partners.end(), relay) == partners.end()) {
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -57,6 +57,10 @@
   bool WaitUnlessStopped(std::chrono::milliseconds aDuration);
   /** Whether the own table has never yet been equal to that of another member. */
   bool HasNeverConverged();
+  /** Returns the names of the members of the own domain with which this node exchanges. */
+  std::vector<std::string> DomainPartners() const;
+  /** Returns the member of another domain, given by its reachable members, with which to exchange next. */
+  const wire::Member& ChooseMeshPartner(const std::vector<wire::Member>& aMembers) const;
   /** Returns the next member of the own domain to probe; random order, each member once per cycle. */
   std::optional<wire::Member> NextPartner();
   /** Exchanges with a member; marks it as suspect if neither this node nor others reach it. */
--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -356,3 +356,49 @@
   replica.Receive(vote, now);
   BOOST_TEST(replica.TakeOutput().messages.empty());
 }
+
+/** Returns the messages of a given kind in a leader's output by receiver, and clears the output. */
+static std::map<std::string, int>
+SentAppends(RaftCore& aLeader)
+{
+  std::map<std::string, int> counts;
+  for (const wire::RaftMessage& message : aLeader.TakeOutput().messages) {
+    counts[message.receiver] += message.kind == wire::RaftKind::Append ? 1 : 0;
+  }
+  return counts;
+}
+
+BOOST_AUTO_TEST_CASE(a_read_round_asks_voters_only_and_idle_learners_get_half_of_the_heartbeats)
+{
+  wire::SnapshotFile initial;
+  for (const char* name : { "voter", "learner" }) {
+    wire::Replica replica;
+    replica.name = name;
+    replica.incarnation = 1;
+    replica.voter = std::string(name) == "voter";
+    initial.members.push_back(replica);
+  }
+  Deadline now{ std::chrono::hours(1) };
+  RaftCore leader(
+    { .group = "g", .name = "voter", .incarnation = 1, .seed = 1 }, { .snapshot = initial }, now);
+  while (leader.Role() != RaftRole::Leader) {
+    now += std::chrono::milliseconds(20);
+    leader.Tick(now);
+  }
+  leader.MarkPersisted(leader.LastIndex());
+  leader.Tick(now);
+  SentAppends(leader);
+  leader.StartHeartbeatRound(now);
+  BOOST_TEST(SentAppends(leader)["learner"] == 0);
+  int heartbeats = 0;
+  for (int tick = 0; tick < 150; ++tick) {
+    now += std::chrono::milliseconds(20);
+    leader.Tick(now);
+    heartbeats += SentAppends(leader)["learner"];
+  }
+  // 3 s at an interval of 150 ms.
+  BOOST_TEST(heartbeats >= 8);
+  BOOST_TEST(heartbeats <= 11);
+  leader.Propose(wire::Command{}, now);
+  BOOST_TEST(SentAppends(leader)["learner"] == 1);
+}
