A download leaves a failure domain in which it would miss its objective

Change: the cost is at most 1 objective in the region and 1.5 beyond it. Calls of up to 6.6 KB are chosen as before. The test fails without the change.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -50,11 +50,14 @@
     case Locality::FailureDomain:
       return std::chrono::microseconds(0);
     case Locality::Region:
-      return costs.region +
-             Fraction(aRequirements.latencyObjective, costs.regionSharePerKilobyte * aRequirements.kilobytes);
+      return costs.region + Fraction(aRequirements.latencyObjective,
+                                     std::min(costs.regionSharePerKilobyte * aRequirements.kilobytes,
+                                              costs.regionShareLimit));
     case Locality::OtherRegion:
-      return costs.otherRegion + Fraction(aRequirements.latencyObjective,
-                                          costs.otherRegionSharePerKilobyte * aRequirements.kilobytes);
+      return costs.otherRegion +
+             Fraction(aRequirements.latencyObjective,
+                      std::min(costs.otherRegionSharePerKilobyte * aRequirements.kilobytes,
+                               costs.otherRegionShareLimit));
   }
   return costs.otherRegion;
 }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -60,6 +60,9 @@
    */
   double regionSharePerKilobyte = 0;
   double otherRegionSharePerKilobyte = 0;
+  /** Limits of these shares: a large response that would miss its objective nearby is served elsewhere. */
+  double regionShareLimit = 1.0;
+  double otherRegionShareLimit = 1.5;
   /** Share of the time left until the objective within which a later response costs little. */
   double onTimeShare = 0;
 };
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -157,3 +157,16 @@
   balancer.RecordLoad("g9", { .slotsInUse = 1, .slots = 6 });
   BOOST_TEST(balancer.Choose(gates, {}, kRequirements)->gate.node == "g9");
 }
+
+BOOST_AUTO_TEST_CASE(a_download_leaves_an_overloaded_failure_domain_but_not_one_that_is_in_time)
+{
+  CallRequirements download = kRequirements;
+  download.kilobytes = 90;
+  Balancer balancer({ .distance = kTrafficCosts });
+  RecordCalls(balancer, "near", milliseconds(600));
+  RecordCalls(balancer, "middle", milliseconds(200));
+  RecordCalls(balancer, "far", milliseconds(200));
+  BOOST_TEST(balancer.Choose(kGates, {}, download)->gate.node == "near");
+  RecordCalls(balancer, "near", milliseconds(2500), 60);
+  BOOST_TEST(balancer.Choose(kGates, {}, download)->gate.node == "middle");
+}
