A delayed report doesn't revive a target that left a restarted gate

Cause, from the log of sidecar-amman-b-3: the node restarted at 23.06 and knew its target only from a health check, so without its start. The target deregistered at 23.60 (phase 3); at 26.38 a heartbeat from before that arrived and made it ready again (phase 2), since the ended incarnation was remembered with start 0 and the heartbeat names a later one. Ruled out: the order of numbered heartbeats, which was kept; the gate's check of the phase.

Change: where the start is unknown, reports of incarnations that had started when the target left are ignored, for a minute, since clocks differ.

--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -6,16 +6,35 @@
 
 namespace mimosarun {
 
+/** Reports of an ended incarnation arrive within this time. */
+static constexpr std::chrono::milliseconds kDelayedReportLimit{ 60000 };
+
+static int64_t
+WallMillis()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(WallNow().time_since_epoch()).count();
+}
+
 TargetWatch::TargetWatch(Options aOptions)
   : m_options(std::move(aOptions))
 {
 }
 
 bool
-TargetWatch::IsOutdated(const TargetReport& aReport) const
+TargetWatch::HasEnded(const TargetReport& aReport, Deadline aNow) const
+{
+  const EndedIncarnation& ended = m_endedIncarnation;
+  if (aReport.state.name != ended.name) {
+    return false;
+  }
+  const bool isAssumed = ended.startedAtMillis == 0 && aNow < ended.assumedUntil;
+  return aReport.startedAtMillis <= (isAssumed ? ended.endedAtMillis : ended.startedAtMillis);
+}
+
+bool
+TargetWatch::IsOutdated(const TargetReport& aReport, Deadline aNow) const
 {
-  if (aReport.state.name == m_endedIncarnation.name &&
-      aReport.startedAtMillis <= m_endedIncarnation.startedAtMillis) {
+  if (HasEnded(aReport, aNow)) {
     return true;
   }
   if (aReport.startedAtMillis != m_latestReport.startedAtMillis) {
@@ -31,7 +50,7 @@
   const std::lock_guard changeLock(m_changeMutex);
   {
     const std::lock_guard lock(m_mutex);
-    if (IsOutdated(aReport)) {
+    if (IsOutdated(aReport, aNow)) {
       return false;
     }
     m_leaseExpiresAt = aNow + m_options.lease;
@@ -55,7 +74,10 @@
     if (isCurrent && startedAtMillis < m_latestReport.startedAtMillis) {
       return;
     }
-    m_endedIncarnation = { .name = aName, .startedAtMillis = startedAtMillis };
+    m_endedIncarnation = { .name = aName,
+                           .startedAtMillis = startedAtMillis,
+                           .endedAtMillis = WallMillis(),
+                           .assumedUntil = aNow + kDelayedReportLimit };
     if (!isCurrent) {
       return;
     }
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -84,10 +84,16 @@
   struct EndedIncarnation
   {
     std::string name;
+    /** Start of the incarnation; zero if unknown. */
     int64_t startedAtMillis = 0;
+    /** Where the start is unknown: it isn't later than this. */
+    int64_t endedAtMillis = 0;
+    /** From then on endedAtMillis isn't relied on, since clocks differ. */
+    Deadline assumedUntil{};
   };
 
-  bool IsOutdated(const TargetReport& aReport) const;
+  bool IsOutdated(const TargetReport& aReport, Deadline aNow) const;
+  bool HasEnded(const TargetReport& aReport, Deadline aNow) const;
   void SetState(const TargetState& aState);
 
   Options m_options;
--- a/tests/target/targetwatchtest.cpp
+++ b/tests/target/targetwatchtest.cpp
@@ -58,6 +58,29 @@
   BOOST_TEST(watch.ApplyReport(Report("a", 6, 1, wire::TargetPhase::Ready), kNow));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_delayed_report_does_not_revive_a_target_whose_start_was_unknown_when_it_left,
+                        Fixture)
+{
+  const int64_t wallMillis = std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch()).count();
+  // After a restart the gate knows the target only from a health check, and the deregistration has no start.
+  watch.Observe({ .name = "a", .phase = wire::TargetPhase::Ready }, kNow);
+  watch.EndIncarnation("a", 0, kNow);
+  BOOST_TEST(!watch.ApplyReport(Report("a", wallMillis - 5000, 9, wire::TargetPhase::Ready), kNow));
+  BOOST_TEST((watch.State().phase == wire::TargetPhase::Draining));
+  // A target that starts again under its identifier is a new incarnation.
+  BOOST_TEST(watch.ApplyReport(Report("a", wallMillis + 5000, 1, wire::TargetPhase::Ready), kNow));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_target_that_ends_before_the_gate_knows_it_stays_ended, Fixture)
+{
+  const int64_t wallMillis = std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch()).count();
+  watch.EndIncarnation("a", 0, kNow);
+  BOOST_TEST(!watch.ApplyReport(Report("a", wallMillis - 5000, 9, wire::TargetPhase::Ready), kNow));
+  // Clocks differ, so an incarnation isn't ignored for good.
+  BOOST_TEST(watch.ApplyReport(Report("a", wallMillis - 5000, 40, wire::TargetPhase::Ready),
+                               kNow + std::chrono::seconds(61)));
+}
+
 BOOST_FIXTURE_TEST_CASE(the_end_of_a_former_incarnation_leaves_the_current_one_ready, Fixture)
 {
   watch.ApplyReport(Report("b", 9, 1, wire::TargetPhase::Ready), kNow);
