Refusals tell why the entry stopped, and how many gates it never tried

Callers of a large fleet were refused while targets had slots, and the log couldn't tell refusals of full services from those of entries that gave up too early: a refusal named the last gate's reason only.

No decision changes.

--- a/src/caller/callhistory.h
+++ b/src/caller/callhistory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/stopreason.h"
 #include "common/clock.h"
 
 #include <array>
@@ -28,6 +29,10 @@
   int status = 0;
   std::string outcome;
   std::string reason;
+  /** Why the entry sent the call to no further gate. */
+  StopReason stopReason = StopReason::None;
+  /** Gates of the service that the call was never sent to. */
+  size_t untriedGates = 0;
   std::chrono::microseconds duration{ 0 };
   std::vector<AttemptRecord> attempts;
 };
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -201,6 +201,17 @@
   return stats.fullTimeoutShare > kMinFullTimeoutShare ? timeSpent : std::chrono::milliseconds(0);
 }
 
+void
+Entry::CountRefusal(const CallRecord& aRecord) const
+{
+  m_options.metrics
+    ->Counter("mimosarun_entry_refusals_total",
+              "Calls that didn't run, by why no further gate was tried",
+              { { "stopped", Name(aRecord.stopReason) },
+                { "gates_left", aRecord.untriedGates > 0 ? "yes" : "no" } })
+    .Increment();
+}
+
 bool
 Entry::TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit)
 {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -96,6 +96,8 @@
    * timeouts vary.
    */
   std::chrono::milliseconds EstimateTimeSpent(const Route& aRoute, std::chrono::milliseconds aTimeout);
+  /** Counts a call that was sent to gates and didn't run, by why it was sent to no further one. */
+  void CountRefusal(const CallRecord& aRecord) const;
   bool TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void ReleaseLimit(const std::string& aLimit);
   GateDirectoryPointer CurrentDirectory() const;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -154,18 +154,23 @@
   return std::max(microseconds(0), std::min(toDeadline - medianTime, toDeadline / kLateQueueWaitDivisor));
 }
 
-bool
-EntryCall::TryReserveAttempt()
+StopReason
+EntryCall::ReserveAttempt()
 {
   // An open attempt may still reach a target, so it counts too.
   const int64_t attempts = m_targetAttempts + static_cast<int64_t>(m_attempts.size());
   if (attempts == 0) {
-    return true;
+    return StopReason::None;
   }
   const Route& route = *m_options.route;
   const Deadline now = SteadyClock::now();
-  const bool hasTime = now + m_entry.MedianCallTime(route) / 2 < m_options.deadline;
-  return attempts <= route.retries && hasTime && m_entry.m_retryBudget.TrySpend(m_service, now);
+  if (attempts > route.retries) {
+    return StopReason::RetryLimit;
+  }
+  if (now + m_entry.MedianCallTime(route) / 2 >= m_options.deadline) {
+    return StopReason::NoTime;
+  }
+  return m_entry.m_retryBudget.TrySpend(m_service, now) ? StopReason::None : StopReason::RetryBudget;
 }
 
 CallRequirements
@@ -184,21 +189,24 @@
 EntryCall::SendNext()
 {
   const Deadline now = SteadyClock::now();
-  if (now >= m_options.deadline || m_gateAttempts >= kMaxGateAttempts) {
-    return false;
+  if (now >= m_options.deadline) {
+    return StopSending(StopReason::NoTime);
+  }
+  if (m_gateAttempts >= kMaxGateAttempts) {
+    return StopSending(StopReason::GateAttemptLimit);
   }
   std::optional<GateChoice> choice = ChooseGate(now);
   if (!choice) {
-    return false;
+    return StopSending(StopReason::NoGate);
   }
   const std::chrono::microseconds longestWait = LongestAllowedWait(now);
   const auto rejection = m_triedGates.rejectionWaits.find(choice->gate.node);
   const bool wasRejected = rejection != m_triedGates.rejectionWaits.end();
   if (wasRejected && rejection->second > longestWait) {
-    return false;
+    return StopSending(StopReason::WaitTooLong);
   }
-  if (!TryReserveAttempt()) {
-    return false;
+  if (const StopReason reason = ReserveAttempt(); reason != StopReason::None) {
+    return StopSending(reason);
   }
   choice->isLastResort = wasRejected;
   choice->longestWait = wasRejected ? longestWait : std::min(choice->longestWait, longestWait);
@@ -206,6 +214,28 @@
   return true;
 }
 
+bool
+EntryCall::StopSending(StopReason aReason)
+{
+  m_record.stopReason = aReason;
+  return false;
+}
+
+size_t
+EntryCall::CountUntriedGates() const
+{
+  const GateDirectoryPointer directory = m_entry.CurrentDirectory();
+  const auto gates = directory->gates.find(m_service);
+  if (gates == directory->gates.end()) {
+    return 0;
+  }
+  return static_cast<size_t>(
+    std::count_if(gates->second.begin(), gates->second.end(), [this](const GateInfo& aGate) {
+      return !m_triedGates.excluded.contains(aGate.node) &&
+             !m_triedGates.rejectionWaits.contains(aGate.node);
+    }));
+}
+
 std::optional<GateChoice>
 EntryCall::ChooseGate(Deadline aNow)
 {
@@ -654,12 +684,16 @@
     m_entry.RecordCallTime(*m_options.route, m_record.duration);
   } else if (aOutcome == "not-run") {
     m_entry.m_notRunCounter->Increment();
+    m_record.untriedGates = CountUntriedGates();
+    m_entry.CountRefusal(m_record);
     if (m_entry.m_refusalLogLimit.Allow()) {
       Log(Event::CallRefused,
           { { "call", m_options.callId },
             { "route", m_record.route },
             { "status", aStatus },
             { "reason", aReason },
+            { "stopped", Name(m_record.stopReason) },
+            { "untried", m_record.untriedGates },
             { "version", m_record.version },
             { "attempts", AttemptsText(m_record.attempts) },
             { "micros", m_record.duration.count() } });
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -52,8 +52,14 @@
   /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
   bool SendNext();
   std::optional<GateChoice> ChooseGate(Deadline aNow);
-  /** Returns whether another attempt is allowed; every one after the first uses a retry of the budget. */
-  bool TryReserveAttempt();
+  /** Notes why the call is sent to no further gate; returns false. */
+  bool StopSending(StopReason aReason);
+  size_t CountUntriedGates() const;
+  /**
+   * Returns why no other attempt is allowed, or StopReason::None; every attempt after the first uses a retry
+   * of the budget.
+   */
+  StopReason ReserveAttempt();
   CallRequirements RequirementsAt(Deadline aNow) const;
   /** Sends a further attempt beside the open ones, if possible to another gate; returns whether it did. */
   bool SendParallel();
--- /dev/null
+++ b/src/caller/stopreason.h
@@ -0,0 +1,28 @@
+#pragma once
+
+namespace mimosarun {
+
+/** Why an entry sends a call to no further gate. */
+enum class StopReason
+{
+  /** The call could still be sent to another gate. */
+  None,
+  /** The deadline is too near. */
+  NoTime,
+  /** The call was sent to as many gates as it may be. */
+  GateAttemptLimit,
+  /** No gate is left that hasn't failed or finally rejected the call. */
+  NoGate,
+  /** The best gate has rejected the call before, and the wait there is too long. */
+  WaitTooLong,
+  /** The call reached as many targets as its route allows. */
+  RetryLimit,
+  /** The service's retry budget is used up. */
+  RetryBudget,
+};
+
+/** Returns the name for logs and metrics. */
+const char*
+Name(StopReason aReason);
+
+} // namespace mimosarun
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -325,6 +325,10 @@
                    std::to_string(record->status) + ", " + record->outcome + ", " +
                    std::to_string(record->duration.count()) + " us" +
                    (record->reason.empty() ? "" : ": " + record->reason);
+  if (record->stopReason != StopReason::None) {
+    answer.message += "; sent to no further gate: " + std::string(Name(record->stopReason)) + ", " +
+                      std::to_string(record->untriedGates) + " never tried";
+  }
   for (const AttemptRecord& attempt : record->attempts) {
     answer.rows.push_back({ std::to_string(answer.rows.size() + 1),
                             attempt.node,
