A call goes on to gates that haven't rejected it, instead of being refused

Cause: an entry ranks gates by cost, in which the bytes of a call between failure domains count like hundreds of milliseconds of waiting. After a rejection the same nearby gate was still the cheapest; the call couldn't wait there, and the entry gave the call up without looking at the next gate. The class of fault: a limit that rules a candidate out was checked after the choice instead of before it.

Change: gates that the call can't wait at are no candidates. The new case of balancertest fails without it (near instead of middle and far).

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -191,17 +191,28 @@
   }
 }
 
+/** Returns whether a gate may take a call that it hasn't taken before. */
+static bool
+MayAccept(const std::string& aNode, const TriedGates& aTriedGates, std::chrono::microseconds aLongestWait)
+{
+  if (aTriedGates.excluded.contains(aNode)) {
+    return false;
+  }
+  const auto rejection = aTriedGates.rejectionWaits.find(aNode);
+  return rejection == aTriedGates.rejectionWaits.end() || rejection->second <= aLongestWait;
+}
+
 std::vector<Balancer::ObservedGate>
 Balancer::UsableGates(const std::vector<GateInfo>& aGates,
                       const TriedGates& aTriedGates,
-                      const std::string& aCostGroup,
+                      const CallRequirements& aRequirements,
                       Deadline aNow)
 {
   std::vector<ObservedGate> gates;
   gates.reserve(aGates.size());
   for (const GateInfo& gate : aGates) {
-    if (!aTriedGates.excluded.contains(gate.node)) {
-      gates.push_back({ .gate = &gate, .view = ViewOf(gate.node, aCostGroup, aNow) });
+    if (MayAccept(gate.node, aTriedGates, aRequirements.longestWait)) {
+      gates.push_back({ .gate = &gate, .view = ViewOf(gate.node, aRequirements.costGroup, aNow) });
     }
   }
   const auto isEjected = [aNow](const ObservedGate& aGate) { return aNow < aGate.view.ejectedUntil; };
@@ -254,7 +265,7 @@
                  const CallRequirements& aRequirements)
 {
   const std::vector<ObservedGate> usable =
-    UsableGates(aGates, aTriedGates, aRequirements.costGroup, SteadyClock::now());
+    UsableGates(aGates, aTriedGates, aRequirements, SteadyClock::now());
   if (usable.empty()) {
     return std::nullopt;
   }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -78,6 +78,8 @@
   std::chrono::microseconds timeToObjective{ 0 };
   /** Size of the request and its response together, including headers. */
   double kilobytes = 1;
+  /** Longest time that the call can wait for a slot. */
+  std::chrono::microseconds longestWait = std::chrono::microseconds::max();
 };
 
 /** Result of a completed attempt. */
@@ -129,7 +131,8 @@
 
   /**
    * Returns the best gate that isn't excluded, or nothing if there is none. A gate that rejected the call is
-   * assumed to have at least the queue wait that it reported then.
+   * assumed to have at least the queue wait that it reported then, and isn't chosen if the call can't wait
+   * that long.
    */
   std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates,
                                    const TriedGates& aTriedGates,
@@ -225,7 +228,7 @@
   void ComputeCosts(std::vector<Candidate>& aCandidates, const CallRequirements& aRequirements) const;
   std::vector<ObservedGate> UsableGates(const std::vector<GateInfo>& aGates,
                                         const TriedGates& aTriedGates,
-                                        const std::string& aCostGroup,
+                                        const CallRequirements& aRequirements,
                                         Deadline aNow);
   GateChoice ChooseCheapest(const std::vector<ObservedGate>& aGates,
                             const TriedGates& aTriedGates,
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -182,7 +182,8 @@
   return { .costGroup = route.name,
            .latencyObjective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout,
            .timeToObjective = std::max(timeToObjective, std::chrono::microseconds(0)),
-           .kilobytes = m_entry.MeanCallKilobytes(route) };
+           .kilobytes = m_entry.MeanCallKilobytes(route),
+           .longestWait = LongestAllowedWait(aNow) };
 }
 
 bool
@@ -197,14 +198,10 @@
   }
   std::optional<GateChoice> choice = ChooseGate(now);
   if (!choice) {
-    return StopSending(StopReason::NoGate);
+    return StopSending(m_triedGates.rejectionWaits.empty() ? StopReason::NoGate : StopReason::WaitTooLong);
   }
   const std::chrono::microseconds longestWait = LongestAllowedWait(now);
-  const auto rejection = m_triedGates.rejectionWaits.find(choice->gate.node);
-  const bool wasRejected = rejection != m_triedGates.rejectionWaits.end();
-  if (wasRejected && rejection->second > longestWait) {
-    return StopSending(StopReason::WaitTooLong);
-  }
+  const bool wasRejected = m_triedGates.rejectionWaits.contains(choice->gate.node);
   if (const StopReason reason = ReserveAttempt(); reason != StopReason::None) {
     return StopSending(reason);
   }
@@ -244,16 +241,18 @@
   if (gates == directory->gates.end()) {
     return std::nullopt;
   }
-  if (m_gateAttempts < kMaxGateAttempts - 1) {
-    return m_entry.m_balancer.Choose(gates->second, m_triedGates, RequirementsAt(aNow));
+  const CallRequirements requirements = RequirementsAt(aNow);
+  if (m_gateAttempts == kMaxGateAttempts - 1) {
+    // This is the last attempt, so the call waits at the best of the gates that rejected it.
+    std::vector<GateInfo> rejecting = gates->second;
+    std::erase_if(rejecting, [this](const GateInfo& aGate) {
+      return !m_triedGates.rejectionWaits.contains(aGate.node);
+    });
+    if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements)) {
+      return choice;
+    }
   }
-  // This is the last attempt, so the call waits at the best of the gates that rejected it.
-  std::vector<GateInfo> rejecting = gates->second;
-  std::erase_if(rejecting, [this](const GateInfo& aGate) {
-    return !m_triedGates.rejectionWaits.contains(aGate.node) || m_triedGates.excluded.contains(aGate.node);
-  });
-  return m_entry.m_balancer.Choose(
-    rejecting.empty() ? gates->second : rejecting, m_triedGates, RequirementsAt(aNow));
+  return m_entry.m_balancer.Choose(gates->second, m_triedGates, requirements);
 }
 
 HttpRequest
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -13,7 +13,7 @@
   GateAttemptLimit,
   /** No gate is left that hasn't failed or finally rejected the call. */
   NoGate,
-  /** The best gate has rejected the call before, and the wait there is too long. */
+  /** Every gate that is left has rejected the call before, and the wait there is too long. */
   WaitTooLong,
   /** The call reached as many targets as its route allows. */
   RetryLimit,
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -70,6 +70,27 @@
   BOOST_TEST(choice->longestWait.count() < milliseconds(400) / std::chrono::microseconds(1));
 }
 
+// Guards against: a call is refused although only the gates nearby are full (docs/incidents/005).
+BOOST_AUTO_TEST_CASE(a_call_that_cannot_wait_where_it_was_rejected_goes_to_a_gate_that_has_not_seen_it)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  for (const GateInfo& gate : kGates) {
+    RecordCalls(balancer, gate.node, milliseconds(200));
+  }
+  TriedGates triedGates;
+  triedGates.rejectionWaits["near"] = milliseconds(500);
+  CallRequirements requirements = kRequirements;
+  requirements.kilobytes = 5;
+  // By cost alone, waiting nearby is better than the bytes of the call between failure domains.
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "near");
+  requirements.longestWait = milliseconds(450);
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "middle");
+  triedGates.rejectionWaits["middle"] = milliseconds(500);
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "far");
+  triedGates.rejectionWaits["far"] = milliseconds(500);
+  BOOST_TEST(!balancer.Choose(kGates, triedGates, requirements));
+}
+
 BOOST_AUTO_TEST_CASE(a_gate_that_rejected_the_call_has_the_queue_wait_that_it_reported)
 {
   Balancer balancer({ .distance = kTrafficCosts });
