Waits of full gates nearby no longer stand for those of other failure domains

Cause: for a gate without a recent report the balancer assumed the mean wait of all gates that it had heard of, and an entry hears only of its own domain while that one serves it. So a full domain made all others look full, and the costs of distance decided.

Change: the mean is taken over gates at the same distance, and gates whose wait is probably too long for the call come after all others. The new case of balancertest fails without it (near-3 instead of middle).

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <utility>
 
 namespace mimosarun {
 
@@ -147,19 +148,22 @@
   std::chrono::microseconds Value() const { return 2 * sum / (2 * count + 1); }
 };
 
-/** Assumes the mean of the other gates for each value that a gate hasn't reported recently. */
+/**
+ * Assumes the mean of the other gates for each value that a gate hasn't reported recently. Load differs
+ * between failure domains, so the waits of gates nearby say nothing of those further away.
+ */
 void
 Balancer::FillInUnknowns(std::vector<Candidate>& aCandidates)
 {
   std::chrono::microseconds timeSum{ 0 };
   int knownTimes = 0;
-  DampedMean meanWait;
+  std::map<Locality, DampedMean> meanWaits;
   DampedMean meanPenalty;
   for (const Candidate& candidate : aCandidates) {
     timeSum += candidate.responseTime;
     knownTimes += candidate.responseTime.count() > 0 ? 1 : 0;
     if (candidate.isLoadKnown) {
-      meanWait.Add(candidate.queueWait);
+      meanWaits[candidate.gate->locality].Add(candidate.queueWait);
     }
     if (candidate.isFailurePenaltyKnown) {
       meanPenalty.Add(candidate.failurePenalty);
@@ -170,7 +174,7 @@
       candidate.responseTime = timeSum / std::max(1, knownTimes);
     }
     if (!candidate.isLoadKnown) {
-      candidate.queueWait = std::max(candidate.queueWait, meanWait.Value());
+      candidate.queueWait = std::max(candidate.queueWait, meanWaits[candidate.gate->locality].Value());
     }
     if (!candidate.isFailurePenaltyKnown) {
       candidate.failurePenalty = meanPenalty.Value();
@@ -237,17 +241,23 @@
     candidates.push_back(MakeCandidate(gate, aTriedGates, now));
   }
   ComputeCosts(candidates, aRequirements);
+  // A gate with a longer wait would probably reject the call.
+  const auto waitsTooLong = [&](const Candidate& aCandidate) {
+    return aCandidate.queueWait > aRequirements.longestWait;
+  };
   const size_t compared = std::min<size_t>(2, candidates.size());
-  std::partial_sort(
-    candidates.begin(),
-    candidates.begin() + static_cast<std::ptrdiff_t>(compared),
-    candidates.end(),
-    [](const Candidate& aLeft, const Candidate& aRight) { return aLeft.totalCost < aRight.totalCost; });
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(compared),
+                    candidates.end(),
+                    [&](const Candidate& aLeft, const Candidate& aRight) {
+                      return std::make_pair(waitsTooLong(aLeft), aLeft.totalCost) <
+                             std::make_pair(waitsTooLong(aRight), aRight.totalCost);
+                    });
   const Candidate& best = candidates.front();
   GateChoice choice{ .gate = *best.gate,
                      .longestWait = std::chrono::microseconds::max(),
                      .maxFailurePenalty = std::chrono::microseconds::max() };
-  if (candidates.size() > 1) {
+  if (candidates.size() > 1 && waitsTooLong(best) == waitsTooLong(candidates[1])) {
     // The queue wait from which the next best gate costs less.
     const auto onTimeLimit = Fraction(aRequirements.timeToObjective, m_options.distance.onTimeShare);
     const auto slack = std::max(std::chrono::microseconds(0), onTimeLimit - best.responseTime);
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -91,6 +91,28 @@
   BOOST_TEST(!balancer.Choose(kGates, triedGates, requirements));
 }
 
+// Guards against: all attempts of a call end in one full failure domain (docs/incidents/005).
+BOOST_AUTO_TEST_CASE(a_full_failure_domain_does_not_make_the_other_ones_look_full)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  std::vector<GateInfo> gates = kGates;
+  TriedGates triedGates;
+  for (int index = 0; index < 4; ++index) {
+    gates.push_back(MakeGate("near-" + std::to_string(index), Locality::FailureDomain));
+  }
+  for (const GateInfo& gate : gates) {
+    RecordCalls(balancer, gate.node, milliseconds(200));
+  }
+  CallRequirements requirements = kRequirements;
+  requirements.longestWait = milliseconds(300);
+  triedGates.rejectionWaits["near"] = milliseconds(900);
+  triedGates.rejectionWaits["near-0"] = milliseconds(900);
+  balancer.RecordLoad("near-1", { .slots = 6, .queueWait = milliseconds(900) });
+  balancer.RecordLoad("near-2", { .slots = 6, .queueWait = milliseconds(900) });
+  // Nothing is known of the load of near-3, but the other gates nearby are full.
+  BOOST_TEST(balancer.Choose(gates, triedGates, requirements)->gate.node == "middle");
+}
+
 BOOST_AUTO_TEST_CASE(a_gate_that_rejected_the_call_has_the_queue_wait_that_it_reported)
 {
   Balancer balancer({ .distance = kTrafficCosts });
