A call is rejected for a target's failures by one gate only

What callers saw: while all targets of a service refused half of their calls, calls to the services that need it were refused too, after five gates that each said 'the target fails too many calls', with slots free (SHORT).

Cause: each gate rejects a call if its target fails more than the next best gate's, by what the entry believes. When all targets fail alike, the differences are chance, so gate after gate sent the call on, until its attempts or its time were used up.

Change: the first rejection for failures already shows that the fault may be shared, so later gates are told to accept any. What a rejection means for the next choice now stands in TriedGates, where balancertest reaches it; the new case fails without the change.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -26,6 +26,18 @@
 /** Open attempts older than this many times the mean time indicate a fault. */
 static constexpr int kOverdueFactor = 3;
 
+void
+TriedGates::RecordRejection(const GateRejection& aRejection)
+{
+  const bool mayAcceptLater = aRejection.queueWait.count() > 0 || aRejection.failurePenalty.count() > 0;
+  if (rejectionWaits.contains(aRejection.node) || !mayAcceptLater) {
+    // Waiting wouldn't help, or the gate has rejected the call twice.
+    excluded.insert(aRejection.node);
+  }
+  rejectionWaits[aRejection.node] = aRejection.queueWait;
+  wasRejectedForFailures = wasRejectedForFailures || aRejection.failurePenalty > aRejection.maxFailurePenalty;
+}
+
 Balancer::Balancer(Options aOptions)
   : m_options(aOptions)
 {
@@ -264,7 +276,9 @@
     choice.longestWait = std::max(std::chrono::microseconds(0),
                                   slack + candidates[1].totalCost - best.distanceCost - best.failurePenalty -
                                     LatenessCost(best.responseTime + slack, onTimeLimit));
-    choice.maxFailurePenalty = best.failurePenalty + candidates[1].totalCost - best.totalCost;
+    if (!aTriedGates.wasRejectedForFailures) {
+      choice.maxFailurePenalty = best.failurePenalty + candidates[1].totalCost - best.totalCost;
+    }
   }
   return choice;
 }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -104,13 +104,30 @@
   bool isLastResort = false;
 };
 
+/** A gate's rejection of a call, with what the gate reported. */
+struct GateRejection
+{
+  std::string node;
+  std::chrono::microseconds queueWait{ 0 };
+  std::chrono::microseconds failurePenalty{ 0 };
+  /** Highest failure penalty that the call had accepted. */
+  std::chrono::microseconds maxFailurePenalty = std::chrono::microseconds::max();
+};
+
 /** Gates that failed or rejected a call. */
 struct TriedGates
 {
+  void RecordRejection(const GateRejection& aRejection);
+
   /** Gates that must not be chosen again. */
   std::set<std::string> excluded;
   /** Gates that rejected the call, with the queue wait that they reported. */
   std::map<std::string, std::chrono::microseconds> rejectionWaits;
+  /**
+   * Whether a gate rejected the call because its target fails calls. The next gate mustn't: if its target
+   * fails calls too, the fault is probably a common one.
+   */
+  bool wasRejectedForFailures = false;
 };
 
 /**
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -205,10 +205,10 @@
 Entry::CountRefusal(const CallRecord& aRecord) const
 {
   m_options.metrics
-    ->Counter("mimosarun_entry_refusals_total",
-              "Calls that didn't run, by why no further gate was tried",
-              { { "stopped", Name(aRecord.stopReason) },
-                { "gates_left", aRecord.untriedGates > 0 ? "yes" : "no" } })
+    ->Counter(
+      "mimosarun_entry_refusals_total",
+      "Calls that didn't run, by why no further gate was tried",
+      { { "stopped", Name(aRecord.stopReason) }, { "gates_left", aRecord.untriedGates > 0 ? "yes" : "no" } })
     .Increment();
 }
 
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -6,9 +6,10 @@
 
 namespace mimosarun {
 
-EntryAttempt::EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate)
+EntryAttempt::EntryAttempt(std::shared_ptr<EntryCall> aCall, const GateChoice& aChoice)
   : m_call(std::move(aCall))
-  , m_gate(std::move(aGate))
+  , m_gate(aChoice.gate)
+  , m_maxFailurePenalty(aChoice.maxFailurePenalty)
   , m_sentAt(SteadyClock::now())
 {
 }
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/balancer.h"
 #include "common/clock.h"
 #include "hop/hopheaders.h"
 #include "http/forwarder.h"
@@ -17,7 +18,7 @@
 class EntryAttempt : public ForwardListener
 {
 public:
-  EntryAttempt(std::shared_ptr<EntryCall> aCall, GateInfo aGate);
+  EntryAttempt(std::shared_ptr<EntryCall> aCall, const GateChoice& aChoice);
 
   HeadAction OnHead(const HttpResponseHead& aHead) override;
   bool OnBody(std::string_view aBytes) override;
@@ -30,6 +31,8 @@
 
   std::shared_ptr<EntryCall> m_call;
   const GateInfo m_gate;
+  /** Highest failure penalty of the gate's target that the call accepts. */
+  const std::chrono::microseconds m_maxFailurePenalty;
   const Deadline m_sentAt;
   ForwardHandle m_forwardHandle;
   /** The gate's report on the call, once the response has begun. */
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -228,8 +228,7 @@
   }
   return static_cast<size_t>(
     std::count_if(gates->second.begin(), gates->second.end(), [this](const GateInfo& aGate) {
-      return !m_triedGates.excluded.contains(aGate.node) &&
-             !m_triedGates.rejectionWaits.contains(aGate.node);
+      return !m_triedGates.excluded.contains(aGate.node) && !m_triedGates.rejectionWaits.contains(aGate.node);
     }));
 }
 
@@ -245,9 +244,8 @@
   if (m_gateAttempts == kMaxGateAttempts - 1) {
     // This is the last attempt, so the call waits at the best of the gates that rejected it.
     std::vector<GateInfo> rejecting = gates->second;
-    std::erase_if(rejecting, [this](const GateInfo& aGate) {
-      return !m_triedGates.rejectionWaits.contains(aGate.node);
-    });
+    std::erase_if(
+      rejecting, [this](const GateInfo& aGate) { return !m_triedGates.rejectionWaits.contains(aGate.node); });
     if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements)) {
       return choice;
     }
@@ -291,7 +289,7 @@
 void
 EntryCall::Send(const GateChoice& aChoice)
 {
-  const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice.gate);
+  const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice);
   const std::string& node = aChoice.gate.node;
   attempt->m_usedRetryBudget = m_targetAttempts > 0 || !m_attempts.empty();
   m_attempts.push_back(attempt);
@@ -317,7 +315,9 @@
     const auto self = weak.lock();
     if (self && !self->m_decided) {
       // The gate recognises the call and attaches this attempt to the first one.
-      self->Send({ .gate = aGate, .longestWait = self->LongestAllowedWait(SteadyClock::now()) });
+      self->Send({ .gate = aGate,
+                   .longestWait = self->LongestAllowedWait(SteadyClock::now()),
+                   .maxFailurePenalty = kUnlimitedPenalty });
     }
   });
 }
@@ -501,14 +501,10 @@
   if (m_decided) {
     return;
   }
-  const std::string& node = aAttempt.m_gate.node;
-  const bool mayAcceptLater =
-    aAttempt.m_hopResponse->queueWait.count() > 0 || aAttempt.m_hopResponse->failurePenalty.count() > 0;
-  if (m_triedGates.rejectionWaits.contains(node) || !mayAcceptLater) {
-    // Waiting wouldn't help, or the gate has rejected the call twice.
-    m_triedGates.excluded.insert(node);
-  }
-  m_triedGates.rejectionWaits[node] = aAttempt.m_hopResponse->queueWait;
+  m_triedGates.RecordRejection({ .node = aAttempt.m_gate.node,
+                                 .queueWait = aAttempt.m_hopResponse->queueWait,
+                                 .failurePenalty = aAttempt.m_hopResponse->failurePenalty,
+                                 .maxFailurePenalty = aAttempt.m_maxFailurePenalty });
   // If the call was resent, the gate has confirmed that it never arrived, so another gate may take it.
   m_mayHaveRun = m_mayHaveRun && !m_isResending;
   m_isResending = false;
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -113,6 +113,24 @@
   BOOST_TEST(balancer.Choose(gates, triedGates, requirements)->gate.node == "middle");
 }
 
+// Guards against: a fault of all targets makes every gate reject the call (docs/incidents/005).
+BOOST_AUTO_TEST_CASE(only_one_gate_rejects_a_call_because_its_target_fails_calls)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  for (const GateInfo& gate : kGates) {
+    RecordCalls(balancer, gate.node, milliseconds(200));
+    balancer.RecordLoad(gate.node, { .slots = 6, .failurePenalty = milliseconds(600) });
+  }
+  TriedGates triedGates;
+  const GateChoice first = *balancer.Choose(kGates, triedGates, kRequirements);
+  BOOST_TEST((first.maxFailurePenalty < milliseconds(1500)));
+  triedGates.RecordRejection({ .node = first.gate.node,
+                               .failurePenalty = milliseconds(1500),
+                               .maxFailurePenalty = first.maxFailurePenalty });
+  const GateChoice second = *balancer.Choose(kGates, triedGates, kRequirements);
+  BOOST_TEST((second.maxFailurePenalty == std::chrono::microseconds::max()));
+}
+
 BOOST_AUTO_TEST_CASE(a_gate_that_rejected_the_call_has_the_queue_wait_that_it_reported)
 {
   Balancer balancer({ .distance = kTrafficCosts });
