A target gets no more requests than the limit that it names

Cause: the gate passed the target's header on and didn't read it; slots were its only limit. Class of fault: a statement of the peer that the protocol defines and nobody acts on.

Change: a TargetProtocol reads what a target says of itself in a response (TargetNotice). The gate is the only sender to its target, so a token bucket there holds the limit for all nodes; it allows bursts of a fifth of a second. The wait for a token is part of the expected wait, so calls go to other gates or are rejected at once. The limit ends with a response that doesn't name it, or with the incarnation. Event 510 records both.

--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -48,6 +48,7 @@
   EventDescription{ Event::ClaimRepeated, Severity::Info, "claim-repeated" },
   EventDescription{ Event::ClaimReleased, Severity::Info, "claim-released" },
   EventDescription{ Event::GateDrained, Severity::Info, "gate-drained" },
+  EventDescription{ Event::TargetRateLimitChanged, Severity::Warning, "target-rate-limit-changed" },
 };
 
 std::span<const EventDescription>
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -54,6 +54,7 @@
   ClaimRepeated = 507,
   ClaimReleased = 508,
   GateDrained = 509,
+  TargetRateLimitChanged = 510,
 };
 
 enum class Severity
--- a/src/http/meshheaders.h
+++ b/src/http/meshheaders.h
@@ -10,6 +10,8 @@
 inline constexpr const char* kIdempotencyHeader = "Idempotency-Key";
 inline constexpr const char* kRetryAfterHeader = "Retry-After";
 
+inline constexpr const char* kTargetLimitHeader = "Mimosarun-Target-Limit";
+
 inline constexpr const char* kOutcomeComplete = "complete";
 inline constexpr const char* kOutcomeNotRun = "not-run";
 inline constexpr const char* kOutcomeUnknown = "unknown";
--- a/src/target/admission.cpp
+++ b/src/target/admission.cpp
@@ -78,6 +78,16 @@
 
 std::chrono::microseconds
 Admission::ExpectedWait(const AdmissionRequest& aRequest, Deadline aNow) const
+{
+  const auto goesBefore = [&](const AdmissionRequest& aWaiting) {
+    return GoesBefore(aWaiting, aRequest, aNow);
+  };
+  const auto callsAhead = static_cast<int>(std::count_if(m_queue.begin(), m_queue.end(), goesBefore));
+  return std::max(WaitForSlot(aRequest, aNow), m_rate.WaitBehind(callsAhead, aNow));
+}
+
+std::chrono::microseconds
+Admission::WaitForSlot(const AdmissionRequest& aRequest, Deadline aNow) const
 {
   const CallClass callClass = aRequest.callClass;
   if (HasFreeSlot(callClass) && m_queue.empty()) {
@@ -107,7 +117,7 @@
   if (aNow >= aRequest.deadline) {
     return AdmissionDecision::DeadlineUnreachable;
   }
-  if (noneAhead && HasFreeSlot(aRequest.callClass)) {
+  if (noneAhead && HasFreeSlot(aRequest.callClass) && m_rate.TryTake(aNow)) {
     OccupySlot(aRequest.callClass);
     return AdmissionDecision::Admitted;
   }
@@ -158,7 +168,7 @@
         next = waiting;
       }
     }
-    if (next == m_queue.end()) {
+    if (next == m_queue.end() || !m_rate.TryTake(aNow)) {
       return admitted;
     }
     OccupySlot(next->callClass);
--- a/src/target/admission.h
+++ b/src/target/admission.h
@@ -3,10 +3,12 @@
 #include "common/clock.h"
 #include "common/quantileestimate.h"
 #include "configuration/configuration.h"
+#include "target/requestrate.h"
 
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,8 +45,8 @@
 };
 
 /**
- * Decides which calls get the slots of a target; a call whose deadline can't be met is rejected at once or
- * removed from the queue. Not thread-safe.
+ * Decides which calls get the slots of a target, within the rate that the target accepts; a call whose
+ * deadline can't be met is rejected at once or removed from the queue. Not thread-safe.
  */
 class Admission
 {
@@ -79,6 +81,8 @@
    */
   std::vector<uint64_t> RemoveExpired(Deadline aNow);
 
+  std::optional<double> RateLimit() const { return m_rate.Limit(); }
+
   /** Returns how long a call that arrives now would wait for a slot. */
   std::chrono::microseconds ExpectedWait(const AdmissionRequest& aRequest, Deadline aNow) const;
 
@@ -86,6 +90,9 @@
   std::chrono::microseconds MedianSlotTime(const std::string& aCostGroup) const;
 
   void SetSlots(int aSlots);
+
+  /** Sets how many requests a second the target accepts; nothing means any number. */
+  void SetRateLimit(std::optional<double> aPerSecond, Deadline aNow) { m_rate.SetLimit(aPerSecond, aNow); }
   int Slots() const;
   int SlotsInUse() const;
   int WaitingCalls() const;
@@ -96,6 +103,8 @@
   bool HasFreeSlot(CallClass aClass) const;
   void OccupySlot(CallClass aClass);
   std::chrono::microseconds EstimatedCost(const AdmissionRequest& aRequest) const;
+  /** Returns how long a call would wait for a slot, whatever rate the target accepts. */
+  std::chrono::microseconds WaitForSlot(const AdmissionRequest& aRequest, Deadline aNow) const;
   std::chrono::microseconds MedianSlotTimeOfClass(CallClass aClass) const;
   bool MissesObjective(const AdmissionRequest& aRequest, Deadline aNow) const;
   /**
@@ -106,6 +115,7 @@
   bool GoesBefore(const AdmissionRequest& aLeft, const AdmissionRequest& aRight, Deadline aNow) const;
 
   Options m_options;
+  RequestRate m_rate;
   int m_inUseShort = 0;
   int m_inUseLong = 0;
   /** Median time for which a call holds a slot; a few very long calls hardly change it. */
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -67,6 +67,7 @@
     const std::lock_guard lock(m_mutex);
     if (aState.name != m_target.name) {
       m_failureTracker = {};
+      m_admission.SetRateLimit(std::nullopt, SteadyClock::now());
     }
     m_target = aState;
     m_admission.SetSlots(aState.slots);
@@ -164,6 +165,32 @@
   m_failureTracker.RecordOutcome(aOutcome, SteadyClock::now());
 }
 
+void
+Gate::ApplyNotice(const std::string& aTarget, const TargetNotice& aNotice)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_target.name != aTarget || m_target.phase != wire::TargetPhase::Ready) {
+      return;
+    }
+  }
+  SetRateLimit(aNotice.requestsPerSecond);
+}
+
+void
+Gate::SetRateLimit(std::optional<double> aPerSecond)
+{
+  const std::lock_guard lock(m_mutex);
+  const bool wasLimited = m_admission.RateLimit().has_value();
+  m_admission.SetRateLimit(aPerSecond, SteadyClock::now());
+  if (wasLimited != aPerSecond.has_value()) {
+    Log(Event::TargetRateLimitChanged,
+        { { "target", m_target.name },
+          { "per-second", aPerSecond ? std::to_string(*aPerSecond) : std::string("any") },
+          { "waiting", m_admission.WaitingCalls() } });
+  }
+}
+
 bool
 Gate::ShouldRejectForFailures(const GateCall& aCall)
 {
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -88,6 +88,9 @@
   std::optional<TargetState> ReadyTarget(const std::string& aService) const;
   void RecordConnectResult(bool aConnected);
   void RecordOutcome(TargetFailureTracker::Outcome aOutcome);
+  /** Applies what a target said of itself in a response. */
+  void ApplyNotice(const std::string& aTarget, const TargetNotice& aNotice);
+  void SetRateLimit(std::optional<double> aPerSecond);
   bool ShouldRejectForFailures(const GateCall& aCall);
 
   Options m_options;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -316,6 +316,9 @@
     return HeadAction::Skip;
   }
   m_responseHead = aHead;
+  if (m_responseKind == TargetResponseKind::Usable || m_responseKind == TargetResponseKind::NotRun) {
+    m_gate.ApplyNotice(m_targetName, m_gate.m_options.codec.readNotice(aHead));
+  }
   const bool succeeded =
     m_responseKind == TargetResponseKind::Usable && aHead.status < kFirstServerErrorStatus;
   m_gate.RecordOutcome(succeeded ? TargetFailureTracker::Outcome::Succeeded
--- a/src/target/targetprotocol.cpp
+++ b/src/target/targetprotocol.cpp
@@ -2,8 +2,20 @@
 
 #include "http/meshheaders.h"
 
+#include <cmath>
+#include <cstdlib>
+
 namespace mimosarun {
 
+std::optional<double>
+ParseRate(const std::string& aText)
+{
+  char* end = nullptr;
+  const double rate = std::strtod(aText.c_str(), &end);
+  const bool isNumber = !aText.empty() && *end == '\0' && std::isfinite(rate) && rate >= 0;
+  return isNumber ? std::optional(rate) : std::nullopt;
+}
+
 void
 NativeTargetProtocol::Prepare(HttpHeaders& aHeaders, const TargetCall& aCall)
 {
@@ -26,4 +38,10 @@
   return isEmpty || hasFraming ? TargetResponseKind::Usable : TargetResponseKind::Unusable;
 }
 
+TargetNotice
+NativeTargetProtocol::ReadNotice(const HttpResponseHead& aHead)
+{
+  return { .requestsPerSecond = ParseRate(FindHeader(aHead.headers, kTargetLimitHeader)) };
+}
+
 } // namespace mimosarun
--- a/src/target/targetprotocol.h
+++ b/src/target/targetprotocol.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace mimosarun {
@@ -33,6 +34,17 @@
   Unusable,
 };
 
+/** What a target says of itself in its responses, beside the response to the call. */
+struct TargetNotice
+{
+  /** Requests a second that the target accepts from all gates, until a response doesn't say so any more. */
+  std::optional<double> requestsPerSecond;
+};
+
+/** Reads a rate of requests a second; returns nothing if the text isn't a number of zero or more. */
+std::optional<double>
+ParseRate(const std::string& aText);
+
 /** Protocol between gates and targets, on top of HTTP. */
 template<typename Protocol>
 concept TargetProtocol = requires(HttpHeaders& aHeaders,
@@ -45,6 +57,9 @@
   {
     Protocol::ClassifyResponse(aHead, aCall)
     } -> std::same_as<TargetResponseKind>;
+  {
+    Protocol::ReadNotice(aHead)
+    } -> std::same_as<TargetNotice>;
 };
 
 /** Functions of the TargetProtocol that is chosen when the process starts. */
@@ -52,13 +67,16 @@
 {
   std::function<void(HttpHeaders&, const TargetCall&)> prepare;
   std::function<TargetResponseKind(const HttpResponseHead&, const TargetCall&)> classifyResponse;
+  std::function<TargetNotice(const HttpResponseHead&)> readNotice;
 };
 
 template<TargetProtocol Protocol>
 TargetCodec
 TargetCodecOf()
 {
-  return { .prepare = &Protocol::Prepare, .classifyResponse = &Protocol::ClassifyResponse };
+  return { .prepare = &Protocol::Prepare,
+           .classifyResponse = &Protocol::ClassifyResponse,
+           .readNotice = &Protocol::ReadNotice };
 }
 
 /** The native protocol of the mesh; docs/INTERFACE.md describes it. */
@@ -66,6 +84,7 @@
 {
   static void Prepare(HttpHeaders& aHeaders, const TargetCall& aCall);
   static TargetResponseKind ClassifyResponse(const HttpResponseHead& aHead, const TargetCall& aCall);
+  static TargetNotice ReadNotice(const HttpResponseHead& aHead);
 };
 
 } // namespace mimosarun
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -220,3 +220,17 @@
   BOOST_TEST(
     !platform::ConfigFormat::Parse("{\"version\":\"r1\",\"routes\":[],\"services\":[]} x").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_target_names_the_rate_that_it_accepts)
+{
+  const auto rateOf = [](const std::string& aText) {
+    const HttpResponseHead head{ .status = 200, .headers = { { .name = "Server-Limit", .value = aText } } };
+    return platform::TargetProtocol::ReadNotice(head).requestsPerSecond;
+  };
+  BOOST_TEST((rateOf("7.4") == 7.4));
+  BOOST_TEST((rateOf("12") == 12.0));
+  for (const char* const unreadable : { "", "-1", "nan", "inf", "7.4x", "many" }) {
+    BOOST_TEST(!rateOf(unreadable).has_value(), unreadable);
+  }
+  BOOST_TEST(!platform::TargetProtocol::ReadNotice({ .status = 200, .headers = {} }).requestsPerSecond);
+}
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -85,16 +85,24 @@
         .headers = { { .name = "Request-Id", .value = id }, { .name = "Not-Executed", .value = "1" } } });
     return;
   }
+  HttpResponse response{ .status = 200,
+                         .headers = { { .name = "Request-Id", .value = id },
+                                      { .name = "Response-Signature", .value = "signed" } },
+                         .body = m_options.id };
   {
     const std::lock_guard lock(m_mutex);
     ++m_runCounts[id];
+    response.headers.insert(response.headers.end(), m_responseHeaders.begin(), m_responseHeaders.end());
   }
-  aExchange->Loop().RunAt(SteadyClock::now() + m_options.workTime, [aExchange, id, body = m_options.id] {
-    aExchange->Respond({ .status = 200,
-                         .headers = { { .name = "Request-Id", .value = id },
-                                      { .name = "Response-Signature", .value = "signed" } },
-                         .body = body });
-  });
+  aExchange->Loop().RunAt(SteadyClock::now() + m_options.workTime,
+                          [aExchange, response] { aExchange->Respond(response); });
+}
+
+void
+PlatformTarget::SetResponseHeaders(HttpHeaders aHeaders)
+{
+  const std::lock_guard lock(m_mutex);
+  m_responseHeaders = std::move(aHeaders);
 }
 
 PlatformMesh::PlatformMesh(const std::string& aName)
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -39,6 +39,9 @@
   /** Sets whether all requests are rejected with status 503 and Not-Executed. */
   void SetShedding(bool aShedding) { m_shedding = aShedding; }
 
+  /** Sets headers that all responses bear. */
+  void SetResponseHeaders(HttpHeaders aHeaders);
+
   /** Returns how often each request ran, by its identifier. */
   std::map<std::string, int> RunCounts() const;
 
@@ -54,6 +57,7 @@
   std::atomic<int> m_invalidRequestCount{ 0 };
   mutable std::mutex m_mutex;
   std::map<std::string, int> m_runCounts;
+  HttpHeaders m_responseHeaders;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -62,6 +62,36 @@
     WaitUntil(kWaitLimit, [&] { return mesh.Call(0, "/book/1", "back").starts_with("HTTP/1.1 200"); }));
 }
 
+// Guards against: a target gets far more requests than the limit that it has named (docs/incidents/006).
+BOOST_AUTO_TEST_CASE(a_target_that_names_a_limit_gets_no_more_requests)
+{
+  static constexpr int kLimitPerSecond = 3;
+  static constexpr std::chrono::seconds kWindow{ 4 };
+  PlatformMesh& mesh = SharedMesh();
+  PlatformTarget& target = *mesh.targets[1];
+  target.SetResponseHeaders({ { .name = "Server-Limit", .value = std::to_string(kLimitPerSecond) } });
+  BOOST_TEST(mesh.Call(0, "/book/1", "limit-named").starts_with("HTTP/1.1 200"));
+  const size_t runsBefore = target.RunCounts().size();
+  const Deadline end = SteadyClock::now() + kWindow;
+  int served = 0;
+  for (int call = 0; SteadyClock::now() < end; ++call) {
+    const std::string response = mesh.Call(call % 2, "/book/1", "limited-" + std::to_string(call));
+    served += response.starts_with("HTTP/1.1 200") ? 1 : 0;
+    BOOST_TEST((response.starts_with("HTTP/1.1 200") || response.starts_with("HTTP/1.1 503")), response);
+  }
+  const size_t runs = target.RunCounts().size() - runsBefore;
+  target.SetResponseHeaders({});
+  BOOST_TEST(runs <= kLimitPerSecond * kWindow.count() * 3 / 2 + 5);
+  BOOST_TEST(served >= kLimitPerSecond * kWindow.count() / 2);
+  BOOST_TEST(WaitUntil(kWaitLimit, [&] {
+    const Deadline begin = SteadyClock::now();
+    for (int call = 0; call < 5; ++call) {
+      mesh.Call(0, "/book/1", "unlimited-" + std::to_string(begin.time_since_epoch().count() + call));
+    }
+    return SteadyClock::now() < begin + std::chrono::seconds(1);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_its_target_sheds_fails_with_retry_after)
 {
   PlatformMesh& mesh = SharedMesh();
--- a/tests/target/admissiontest.cpp
+++ b/tests/target/admissiontest.cpp
@@ -227,3 +227,21 @@
   BOOST_TEST(served > 550);
   BOOST_TEST(inTime > served * 9 / 10, inTime << " of " << served);
 }
+
+// Guards against: a target gets far more requests than the limit that it has named (docs/incidents/006).
+BOOST_AUTO_TEST_CASE(calls_beyond_the_rate_of_the_target_wait_although_slots_are_free)
+{
+  Admission admission({ .slots = 6 });
+  admission.SetRateLimit(5, kNow);
+  const Deadline later = kNow + milliseconds(200);
+  BOOST_TEST((admission.RequestSlot(Request(1, CallClass::Short), later) == AdmissionDecision::Admitted));
+  BOOST_TEST((admission.RequestSlot(Request(2, CallClass::Short), later) == AdmissionDecision::Queued));
+  BOOST_TEST((admission.ExpectedWait(Request(3, CallClass::Short), later) == milliseconds(400)));
+  AdmissionRequest impatient = Request(3, CallClass::Short);
+  impatient.longestWait = milliseconds(100);
+  BOOST_TEST((admission.RequestSlot(impatient, later) == AdmissionDecision::WaitTooLong));
+  BOOST_TEST(admission.AdmitWaiting(later + milliseconds(100)).empty());
+  BOOST_TEST((admission.AdmitWaiting(later + milliseconds(200)) == std::vector<uint64_t>{ 2 }));
+  admission.SetRateLimit(std::nullopt, later);
+  BOOST_TEST((admission.RequestSlot(Request(4, CallClass::Short), later) == AdmissionDecision::Admitted));
+}
