A target whose response says that it leaves gets no further call

Cause: only heartbeats and deregistrations were read, and the header was just passed on.

Change: TargetNotice has isLeaving, and the gate ends the target's incarnation with the first such response, as a deregistration does: waiting calls go back to their entries as not run, and heartbeats that were sent earlier don't revive it. As the gate is the only sender, this holds for all nodes at once.

--- a/src/http/meshheaders.h
+++ b/src/http/meshheaders.h
@@ -11,6 +11,9 @@
 inline constexpr const char* kRetryAfterHeader = "Retry-After";
 
 inline constexpr const char* kTargetLimitHeader = "Mimosarun-Target-Limit";
+inline constexpr const char* kTargetStateHeader = "Mimosarun-Target-State";
+
+inline constexpr const char* kTargetStateDraining = "draining";
 
 inline constexpr const char* kOutcomeComplete = "complete";
 inline constexpr const char* kOutcomeNotRun = "not-run";
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,14 +78,17 @@
                                .hedgesPerCall = m_options.hedgesPerCall }));
   MIMOSARUN_TRY(
     m_gate,
-    Gate::Start({ .address = m_settings.gateAddress,
-                  .loops = &m_loops,
-                  .forwarder = &m_forwarder,
-                  .claims = m_settings.discoverReplicas ? nullptr : &m_claims,
-                  .metrics = &m_metrics,
-                  .codec = m_options.targetCodec,
-                  .onTargetLost = [this](const std::string& aTarget) { m_target.MarkLost(aTarget); },
-                  .incarnation = [this] { return m_table.Self().incarnation; } }));
+    Gate::Start(
+      { .address = m_settings.gateAddress,
+        .loops = &m_loops,
+        .forwarder = &m_forwarder,
+        .claims = m_settings.discoverReplicas ? nullptr : &m_claims,
+        .metrics = &m_metrics,
+        .codec = m_options.targetCodec,
+        .onTargetLost = [this](const std::string& aTarget) { m_target.MarkLost(aTarget); },
+        .onTargetLeaving =
+          [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
+        .incarnation = [this] { return m_table.Self().incarnation; } }));
   if (m_settings.targetAddress.port != 0) {
     MIMOSARUN_TRY(m_announcementServer,
                   AnnouncementServer::Start(
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -174,6 +174,10 @@
       return;
     }
   }
+  if (aNotice.isLeaving) {
+    m_options.onTargetLeaving(aTarget);
+    return;
+  }
   SetRateLimit(aNotice.requestsPerSecond);
 }
 
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -34,6 +34,9 @@
   /** Called when a response shows that the known incarnation of the target has ended. */
   using TargetLostListener = std::function<void(const std::string& aTarget)>;
 
+  /** Called when a response says that the target is leaving. */
+  using TargetLeavingListener = std::function<void(const std::string& aTarget)>;
+
   struct Options
   {
     Address address;
@@ -44,6 +47,7 @@
     Metrics* metrics = nullptr;
     TargetCodec codec;
     TargetLostListener onTargetLost;
+    TargetLeavingListener onTargetLeaving;
     /** Returns the incarnation of this process that entries know. */
     std::function<int64_t()> incarnation;
   };
--- a/src/target/targetprotocol.cpp
+++ b/src/target/targetprotocol.cpp
@@ -41,7 +41,8 @@
 TargetNotice
 NativeTargetProtocol::ReadNotice(const HttpResponseHead& aHead)
 {
-  return { .requestsPerSecond = ParseRate(FindHeader(aHead.headers, kTargetLimitHeader)) };
+  return { .requestsPerSecond = ParseRate(FindHeader(aHead.headers, kTargetLimitHeader)),
+           .isLeaving = FindHeader(aHead.headers, kTargetStateHeader) == kTargetStateDraining };
 }
 
 } // namespace mimosarun
--- a/src/target/targetprotocol.h
+++ b/src/target/targetprotocol.h
@@ -39,6 +39,8 @@
 {
   /** Requests a second that the target accepts from all gates, until a response doesn't say so any more. */
   std::optional<double> requestsPerSecond;
+  /** Whether the target is leaving, and should get no further calls. */
+  bool isLeaving = false;
 };
 
 /** Reads a rate of requests a second; returns nothing if the text isn't a number of zero or more. */
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -234,3 +234,13 @@
   }
   BOOST_TEST(!platform::TargetProtocol::ReadNotice({ .status = 200, .headers = {} }).requestsPerSecond);
 }
+
+BOOST_AUTO_TEST_CASE(a_target_says_that_it_leaves)
+{
+  const auto isLeaving = [](const HttpHeaders& aHeaders) {
+    return platform::TargetProtocol::ReadNotice({ .status = 200, .headers = aHeaders }).isLeaving;
+  };
+  BOOST_TEST(isLeaving({ { .name = "server-leaving", .value = "1" } }));
+  BOOST_TEST(!isLeaving({ { .name = "Server-Leaving", .value = "0" } }));
+  BOOST_TEST(!isLeaving({}));
+}
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -52,13 +52,21 @@
   const std::string body =
     "{\"service\":\"" + m_options.service + "\",\"address\":\"" + m_options.address.Text() +
     "\",\"zone\":\"north\",\"version\":\"v1\",\"capacity\":4," + "\"state\":\"" + aState +
-    "\",\"warmupLeft\":\"0ms\",\"born\":1000,\"seq\":" + std::to_string(++m_sequence) + "}";
+    "\",\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(m_startedAtMillis) +
+    ",\"seq\":" + std::to_string(++m_sequence) + "}";
   return StatusOf(SendRawRequest(m_options.heartbeatAddress,
                                  "POST /-/Instances.Heartbeat/" + m_options.id +
                                    " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
                                    "\r\n\r\n" + body));
 }
 
+void
+PlatformTarget::BeginIncarnation()
+{
+  ++m_startedAtMillis;
+  m_sequence = 0;
+}
+
 std::map<std::string, int>
 PlatformTarget::RunCounts() const
 {
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -39,6 +39,9 @@
   /** Sets whether all requests are rejected with status 503 and Not-Executed. */
   void SetShedding(bool aShedding) { m_shedding = aShedding; }
 
+  /** Begins a new incarnation with the same identifier. */
+  void BeginIncarnation();
+
   /** Sets headers that all responses bear. */
   void SetResponseHeaders(HttpHeaders aHeaders);
 
@@ -52,6 +55,7 @@
   void Handle(const ExchangePointer& aExchange);
 
   Options m_options;
+  int64_t m_startedAtMillis = 1000;
   int64_t m_sequence = 0;
   std::atomic<bool> m_shedding{ false };
   std::atomic<int> m_invalidRequestCount{ 0 };
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -62,6 +62,27 @@
     WaitUntil(kWaitLimit, [&] { return mesh.Call(0, "/book/1", "back").starts_with("HTTP/1.1 200"); }));
 }
 
+// Guards against: requests reach a target that has said in its responses that it leaves (docs/incidents/006).
+BOOST_AUTO_TEST_CASE(no_request_reaches_a_target_whose_response_says_that_it_leaves)
+{
+  PlatformMesh& mesh = SharedMesh();
+  PlatformTarget& target = *mesh.targets[1];
+  target.SetResponseHeaders({ { .name = "Server-Leaving", .value = "1" } });
+  BOOST_TEST(mesh.Call(0, "/book/1", "leaving-named").starts_with("HTTP/1.1 200"));
+  // This heartbeat may have been sent before the target decided to leave.
+  BOOST_TEST(target.SendHeartbeat("ready") == 200);
+  const auto runsBeforeCalls = target.RunCounts();
+  for (int call = 0; call < 5; ++call) {
+    BOOST_TEST(mesh.Call(call % 2, "/book/1", "leaving-" + std::to_string(call)).starts_with("HTTP/1.1 503"));
+  }
+  BOOST_TEST((target.RunCounts() == runsBeforeCalls));
+  target.SetResponseHeaders({});
+  target.BeginIncarnation();
+  BOOST_TEST(target.SendHeartbeat("ready") == 200);
+  BOOST_TEST(
+    WaitUntil(kWaitLimit, [&] { return mesh.Call(0, "/book/1", "restarted").starts_with("HTTP/1.1 200"); }));
+}
+
 // Guards against: a target gets far more requests than the limit that it has named (docs/incidents/006).
 BOOST_AUTO_TEST_CASE(a_target_that_names_a_limit_gets_no_more_requests)
 {
