A refusal counts as 'not run' only for the call that it names

Here a copy with the identifier of the earlier call was skipped already. But a refusal without an identifier was taken for the answer to the call that was open on the connection, and so 'not run'.

--- a/src/target/targetprotocol.cpp
+++ b/src/target/targetprotocol.cpp
@@ -31,7 +31,8 @@
     return TargetResponseKind::OtherCall;
   }
   if (FindHeader(aHead.headers, kOutcomeHeader) == kOutcomeNotRun) {
-    return TargetResponseKind::NotRun;
+    // Without the identifier it may be a late copy of the response to an earlier call on the connection.
+    return callId.empty() ? TargetResponseKind::Unusable : TargetResponseKind::NotRun;
   }
   const bool isEmpty = aHead.status == 204 || aHead.status == 304 || aHead.contentLength == 0;
   const bool hasFraming = aHead.contentLength || HasHeader(aHead.headers, "Transfer-Encoding");
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -178,6 +178,26 @@
   BOOST_TEST((classify(421, { id }) == TargetResponseKind::OtherTarget));
 }
 
+// Guards against: a caller is told "not run" because a late copy of an earlier refusal was taken for its own.
+BOOST_AUTO_TEST_CASE(a_refusal_counts_only_for_the_call_that_it_names)
+{
+  const TargetCall call{ .callId = "7", .targetName = "i-1" };
+  const HttpHeader notRun{ .name = "Not-Executed", .value = "1" };
+  for (const int status : { 503, 429, 421, 400 }) {
+    const HttpResponseHead ofOtherCall{ .status = status,
+                                        .headers = { { .name = "Request-Id", .value = "6" }, notRun } };
+    BOOST_TEST(
+      (platform::TargetProtocol::ClassifyResponse(ofOtherCall, call) == TargetResponseKind::OtherCall));
+    const HttpResponseHead ofNoCall{ .status = status, .headers = { notRun } };
+    BOOST_TEST((platform::TargetProtocol::ClassifyResponse(ofNoCall, call) == TargetResponseKind::Unusable));
+  }
+  HttpResponseHead native{ .status = 503,
+                           .headers = { { .name = "Mimosarun-Outcome", .value = "not-run" } } };
+  BOOST_TEST((NativeTargetProtocol::ClassifyResponse(native, call) == TargetResponseKind::Unusable));
+  native.headers.push_back({ .name = "Mimosarun-Call", .value = "7" });
+  BOOST_TEST((NativeTargetProtocol::ClassifyResponse(native, call) == TargetResponseKind::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_heartbeat_is_rejected)
 {
   const std::string valid =
