Tests: an answer's head that breaks off, and requests that come late in a planned stop

Two reports of other operators, looked for here and not found: - An answer whose head breaks off and closes. httptest cuts a head after each of its bytes; the request ends as broken every time, so no caller gets a status with an empty or short body. - A planned stop in which late requests are passed on and cut at the end of the grace time. platformtest stops a node with SIGTERM while four callers keep using its connections with requests of 900 ms that may not be repeated: each request that ran was answered, none ran twice, and the process ended within its grace time.

--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -198,6 +198,26 @@
   }
 }
 
+// Guards against: an answer whose head breaks off reaches the caller as a complete one without a body.
+BOOST_AUTO_TEST_CASE(a_response_whose_head_breaks_off_anywhere_is_broken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 4\r\n\r\n";
+  std::vector<std::string> script;
+  for (size_t length = 1; length <= head.size(); ++length) {
+    script.push_back(head.substr(0, length));
+  }
+  RawServer peer(script);
+  EventLoop loop;
+  Forwarder forwarder;
+  for (const std::string& cutHead : script) {
+    ForwardResult result = ForwardResult::Complete;
+    const auto recorder = SendTo(loop, forwarder, peer.ListenAddress(), result);
+    BOOST_TEST((result == ForwardResult::Broken), cutHead);
+    BOOST_TEST(recorder->body.empty());
+  }
+  loop.Stop();
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_response_is_broken)
 {
   RawServer peer({ "\x01\x02 nonsense\r\n\r\n" });
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -97,15 +97,24 @@
                          .headers = { { .name = "Request-Id", .value = id },
                                       { .name = "Response-Signature", .value = "signed" } },
                          .body = m_options.id };
+  std::chrono::milliseconds workTime{ 0 };
   {
     const std::lock_guard lock(m_mutex);
     ++m_runCounts[id];
     response.headers.insert(response.headers.end(), m_responseHeaders.begin(), m_responseHeaders.end());
+    workTime = m_options.workTime;
   }
-  aExchange->Loop().RunAt(SteadyClock::now() + m_options.workTime,
+  aExchange->Loop().RunAt(SteadyClock::now() + workTime,
                           [aExchange, response] { aExchange->Respond(response); });
 }
 
+void
+PlatformTarget::SetWorkTime(std::chrono::milliseconds aTime)
+{
+  const std::lock_guard lock(m_mutex);
+  m_options.workTime = aTime;
+}
+
 void
 PlatformTarget::SetResponseHeaders(HttpHeaders aHeaders)
 {
@@ -214,12 +223,17 @@
   return SendRawRequest(control, "GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n");
 }
 
+Address
+PlatformMesh::EntryAddress(size_t aNode) const
+{
+  return { .host = Host(kReplicas + aNode), .port = kOutbound };
+}
+
 std::string
 PlatformMesh::Call(size_t aNode, const std::string& aPath, const std::string& aId)
 {
-  const Address entry{ .host = Host(kReplicas + aNode), .port = kOutbound };
   return SendRawRequest(
-    entry,
+    EntryAddress(aNode),
     "POST " + aPath + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + aId +
       "\r\nTimeout-Ms: 2000\r\nCaller-Service: forged\r\nExpected-Instance: forged\r\nM-Q: forged"
       "\r\nContent-Length: 4\r\n\r\nbody");
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -42,6 +42,9 @@
   /** Begins a new incarnation with the same identifier. */
   void BeginIncarnation();
 
+  /** Sets how long later requests run. */
+  void SetWorkTime(std::chrono::milliseconds aTime);
+
   /** Sets headers that all responses bear. */
   void SetResponseHeaders(HttpHeaders aHeaders);
 
@@ -93,6 +96,8 @@
   void StartReplica(size_t aIndex);
   void StartNode(size_t aIndex);
   bool IsReady(size_t aNode);
+  /** Returns the address at which a node accepts calls. */
+  Address EntryAddress(size_t aNode) const;
 
 private:
   std::string Host(size_t aVm) const;
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -1,9 +1,16 @@
 #define BOOST_TEST_MODULE platformpath
 #include "platform/platformmesh.h"
 
+#include "harness/rawserver.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
+#include <set>
+#include <thread>
+#include <vector>
 
 using namespace mimosarun;
 
@@ -166,3 +173,88 @@
     BOOST_TEST(process.Running());
   }
 }
+
+/** Sends requests one after the other, each on the connection of the one before as long as it lasts. */
+class PersistentCaller
+{
+public:
+  PersistentCaller(const Address& aEntry, const std::string& aName)
+    : m_entry(aEntry)
+    , m_name(aName)
+  {
+  }
+
+  void CallUntil(const std::atomic<bool>& aStop)
+  {
+    while (!aStop) {
+      RawConnection connection(m_entry);
+      bool isOpen = true;
+      while (isOpen) {
+        isOpen = SendNext(connection);
+      }
+      PauseBetweenChecks();
+    }
+  }
+
+  /** Returns the requests to which a complete response came, whatever its status. */
+  const std::set<std::string>& Answered() const { return m_answered; }
+
+private:
+  bool SendNext(const RawConnection& aConnection)
+  {
+    const std::string id = m_name + "-" + std::to_string(++m_lastNumber);
+    aConnection.Send("POST /book/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id +
+                     "\r\nTimeout-Ms: 2000\r\nContent-Length: 4\r\n\r\nbody");
+    const std::string response = aConnection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(4));
+    if (response.find("\r\n\r\n") == std::string::npos) {
+      return false;
+    }
+    m_answered.insert(id);
+    aConnection.Receive(std::chrono::milliseconds(10));
+    return response.find("Connection: close") == std::string::npos;
+  }
+
+  const Address m_entry;
+  const std::string m_name;
+  int m_lastNumber = 0;
+  std::set<std::string> m_answered;
+};
+
+// Guards against: a request that comes late in a planned stop is sent to its target and then cut off.
+BOOST_AUTO_TEST_CASE(each_request_that_ran_during_a_planned_stop_was_answered)
+{
+  static constexpr std::chrono::seconds kGracePeriod{ 6 };
+  PlatformMesh& mesh = SharedMesh();
+  PlatformTarget& target = *mesh.targets[1];
+  target.SetWorkTime(std::chrono::milliseconds(900));
+  std::vector<PersistentCaller> callers;
+  for (int caller = 0; caller < 4; ++caller) {
+    callers.emplace_back(mesh.EntryAddress(0), "stop" + std::to_string(caller));
+  }
+  Process& node = mesh.nodes[0];
+  std::atomic<bool> hasEnded{ false };
+  std::vector<std::thread> threads;
+  for (PersistentCaller& caller : callers) {
+    threads.emplace_back([&] { caller.CallUntil(hasEnded); });
+  }
+  BOOST_TEST(WaitUntil(kWaitLimit, [&] { return target.RunCounts().contains("stop0-2"); }));
+  node.Signal(SIGTERM);
+  int status = -1;
+  BOOST_TEST(node.WaitForEnd(kGracePeriod, status));
+  BOOST_TEST(status == 0);
+  hasEnded = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  target.SetWorkTime(std::chrono::milliseconds(20));
+  for (const auto& [id, runs] : target.RunCounts()) {
+    const bool isOfStop = id.starts_with("stop");
+    BOOST_TEST((!isOfStop || runs == 1), id);
+    const auto answered = [&id = id](const PersistentCaller& aCaller) {
+      return aCaller.Answered().contains(id);
+    };
+    BOOST_TEST((!isOfStop || std::any_of(callers.begin(), callers.end(), answered)), id);
+  }
+  mesh.StartNode(0);
+  BOOST_TEST(WaitUntil(kWaitLimit, [&] { return mesh.IsReady(0); }));
+}
