Member records travel compressed, so that they leave slow links to calls

Cause: each change of a member reaches each of 276 nodes several times, with records of about 150 bytes that share most of their text, over links of 1.4 Mbit/s. Full links made probes late, live nodes were suspected and declared dead, and these changes were gossiped too. Calls waited behind them.

--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -257,6 +257,11 @@
   14: i32 warmUpMillis = 0,
 }
 
+// Members that are sent together.
+struct MemberBatch {
+  1: list<Member> members,
+}
+
 struct Gossip {
   1: Stamp sentAt,
   2: string sender,
@@ -266,6 +271,8 @@
   8: bool mesh = false,
   // Digests of the parts of the sender's table, where it looks for what the two tables don't share.
   9: list<i64> parts,
+  // A compressed MemberBatch, in place of the members where there are several.
+  10: binary packedMembers,
 }
 
 struct GossipReply {
@@ -276,6 +283,8 @@
   5: string name,
   // Parts in which the tables differ; their records are among the members.
   6: list<i32> differing,
+  // A compressed MemberBatch, in place of the members where there are several.
+  7: binary packedMembers,
 }
 
 // What a relay tells control of its failure domain.
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -1,6 +1,7 @@
 #include "node/gossiper.h"
 
 #include "common/random.h"
+#include "node/memberpacking.h"
 #include "node/probepartners.h"
 #include "node/relays.h"
 #include "wire/codec.h"
@@ -314,17 +315,20 @@
     return false;
   }
   wire::Gossip gossip = MakeGossip(aScope, StartComparisonIfDue(aMember.name));
+  PackMembers(gossip);
   wire::GossipReply reply;
   const auto call = [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); };
   const Result<void> called = client.value()->Call(SteadyClock::now() + aTimeout, call);
-  if (!called || reply.name != aMember.name) {
+  if (!called || reply.name != aMember.name || !UnpackMembers(reply)) {
     return false;
   }
   const std::vector<wire::Member> ownRecords = RecordsNewerThan(reply);
   HandleReply(aMember, reply);
   if (!ownRecords.empty()) {
     gossip.members = ownRecords;
+    gossip.packedMembers.clear();
     gossip.parts.clear();
+    PackMembers(gossip);
     // If this message is lost, a later comparison finds the same differences.
     static_cast<void>(client.value()->Call(SteadyClock::now() + aTimeout, call).has_value());
   }
@@ -335,12 +339,13 @@
 Gossiper::ExchangeWithSeed(const Address& aSeed)
 {
   const Result<std::shared_ptr<NodeClient>> client = m_peers.ClientFor(aSeed.Text(), aSeed.Text());
-  const wire::Gossip gossip = MakeGossip(GossipScope::Domain, true);
+  wire::Gossip gossip = MakeGossip(GossipScope::Domain, true);
+  PackMembers(gossip);
   wire::GossipReply reply;
   const bool called =
     client && client.value()->Call(SteadyClock::now() + kProbeTimeout,
                                    [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); });
-  if (called) {
+  if (called && UnpackMembers(reply)) {
     m_table.Merge(reply.members, SteadyClock::now());
   }
   return called;
@@ -422,9 +427,13 @@
 }
 
 wire::GossipReply
-Gossiper::HandleExchange(const wire::Gossip& aGossip)
+Gossiper::HandleExchange(wire::Gossip aGossip)
 {
   ObserveStamp(aGossip.sentAt);
+  if (!UnpackMembers(aGossip)) {
+    // A later exchange brings the records again.
+    aGossip.members.clear();
+  }
   m_table.Merge(aGossip.members, SteadyClock::now());
   if (const std::optional<wire::Member> sender = m_table.Find(aGossip.sender)) {
     HandleHeldVersion(*sender, aGossip.version);
@@ -439,6 +448,7 @@
   reply.version = m_fetcher.HeldVersion();
   reply.sentAt = StampNow();
   reply.digest = m_table.Digest();
+  PackMembers(reply);
   return reply;
 }
 
--- a/src/node/gossiper.h
+++ b/src/node/gossiper.h
@@ -44,7 +44,7 @@
   void SpreadNow();
 
   /** Merges the gossip of another node and returns the reply. */
-  wire::GossipReply HandleExchange(const wire::Gossip& aGossip);
+  wire::GossipReply HandleExchange(wire::Gossip aGossip);
 
   /** Probes a node on behalf of another one; returns whether it answered. */
   bool Probe(const std::string& aName, const std::string& aAddress);
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -1303,14 +1303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size248;
-            ::apache::thrift::protocol::TType _etype251;
-            xfer += iprot->readListBegin(_etype251, _size248);
-            this->success.resize(_size248);
-            uint32_t _i252;
-            for (_i252 = 0; _i252 < _size248; ++_i252)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->success.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->success[_i252].read(iprot);
+              xfer += this->success[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,10 +1341,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter253;
-      for (_iter253 = this->success.begin(); _iter253 != this->success.end(); ++_iter253)
+      std::vector<DomainReport> ::const_iterator _iter263;
+      for (_iter263 = this->success.begin(); _iter263 != this->success.end(); ++_iter263)
       {
-        xfer += (*_iter253).write(oprot);
+        xfer += (*_iter263).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1385,14 +1385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            (*(this->success)).resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            (*(this->success)).resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += (*(this->success))[_i258].read(iprot);
+              xfer += (*(this->success))[_i268].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -4842,6 +4842,127 @@
 }
 
 
+MemberBatch::~MemberBatch() noexcept {
+}
+
+
+void MemberBatch::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+std::ostream& operator<<(std::ostream& out, const MemberBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MemberBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->members.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->members[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MemberBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MemberBatch");
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter171;
+    for (_iter171 = this->members.begin(); _iter171 != this->members.end(); ++_iter171)
+    {
+      xfer += (*_iter171).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MemberBatch &a, MemberBatch &b) {
+  using ::std::swap;
+  swap(a.members, b.members);
+  swap(a.__isset, b.__isset);
+}
+
+MemberBatch::MemberBatch(const MemberBatch& other172) {
+  members = other172.members;
+  __isset = other172.__isset;
+}
+MemberBatch::MemberBatch(MemberBatch&& other173) noexcept {
+  members = std::move(other173.members);
+  __isset = other173.__isset;
+}
+MemberBatch& MemberBatch::operator=(const MemberBatch& other174) {
+  members = other174.members;
+  __isset = other174.__isset;
+  return *this;
+}
+MemberBatch& MemberBatch::operator=(MemberBatch&& other175) noexcept {
+  members = std::move(other175.members);
+  __isset = other175.__isset;
+  return *this;
+}
+void MemberBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MemberBatch(";
+  out << "members=" << to_string(members);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -4873,6 +4994,10 @@
 void Gossip::__set_parts(const std::vector<int64_t> & val) {
   this->parts = val;
 }
+
+void Gossip::__set_packedMembers(const std::string& val) {
+  this->packedMembers = val;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -4921,14 +5046,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->members.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->members.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->members[_i170].read(iprot);
+              xfer += this->members[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4965,14 +5090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->parts.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->parts.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += iprot->readI64(this->parts[_i175]);
+              xfer += iprot->readI64(this->parts[_i185]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4981,6 +5106,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedMembers);
+          this->__isset.packedMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5009,10 +5142,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter176;
-    for (_iter176 = this->members.begin(); _iter176 != this->members.end(); ++_iter176)
+    std::vector<Member> ::const_iterator _iter186;
+    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
     {
-      xfer += (*_iter176).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5033,15 +5166,19 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter177;
-    for (_iter177 = this->parts.begin(); _iter177 != this->parts.end(); ++_iter177)
+    std::vector<int64_t> ::const_iterator _iter187;
+    for (_iter187 = this->parts.begin(); _iter187 != this->parts.end(); ++_iter187)
     {
-      xfer += oprot->writeI64((*_iter177));
+      xfer += oprot->writeI64((*_iter187));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeBinary(this->packedMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5056,49 +5193,54 @@
   swap(a.digest, b.digest);
   swap(a.mesh, b.mesh);
   swap(a.parts, b.parts);
+  swap(a.packedMembers, b.packedMembers);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other178) {
-  sentAt = other178.sentAt;
-  sender = other178.sender;
-  members = other178.members;
-  version = other178.version;
-  digest = other178.digest;
-  mesh = other178.mesh;
-  parts = other178.parts;
-  __isset = other178.__isset;
-}
-Gossip::Gossip(Gossip&& other179) noexcept {
-  sentAt = std::move(other179.sentAt);
-  sender = std::move(other179.sender);
-  members = std::move(other179.members);
-  version = other179.version;
-  digest = other179.digest;
-  mesh = other179.mesh;
-  parts = std::move(other179.parts);
-  __isset = other179.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other180) {
-  sentAt = other180.sentAt;
-  sender = other180.sender;
-  members = other180.members;
-  version = other180.version;
-  digest = other180.digest;
-  mesh = other180.mesh;
-  parts = other180.parts;
-  __isset = other180.__isset;
+Gossip::Gossip(const Gossip& other188) {
+  sentAt = other188.sentAt;
+  sender = other188.sender;
+  members = other188.members;
+  version = other188.version;
+  digest = other188.digest;
+  mesh = other188.mesh;
+  parts = other188.parts;
+  packedMembers = other188.packedMembers;
+  __isset = other188.__isset;
+}
+Gossip::Gossip(Gossip&& other189) noexcept {
+  sentAt = std::move(other189.sentAt);
+  sender = std::move(other189.sender);
+  members = std::move(other189.members);
+  version = other189.version;
+  digest = other189.digest;
+  mesh = other189.mesh;
+  parts = std::move(other189.parts);
+  packedMembers = std::move(other189.packedMembers);
+  __isset = other189.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other190) {
+  sentAt = other190.sentAt;
+  sender = other190.sender;
+  members = other190.members;
+  version = other190.version;
+  digest = other190.digest;
+  mesh = other190.mesh;
+  parts = other190.parts;
+  packedMembers = other190.packedMembers;
+  __isset = other190.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other181) noexcept {
-  sentAt = std::move(other181.sentAt);
-  sender = std::move(other181.sender);
-  members = std::move(other181.members);
-  version = other181.version;
-  digest = other181.digest;
-  mesh = other181.mesh;
-  parts = std::move(other181.parts);
-  __isset = other181.__isset;
+Gossip& Gossip::operator=(Gossip&& other191) noexcept {
+  sentAt = std::move(other191.sentAt);
+  sender = std::move(other191.sender);
+  members = std::move(other191.members);
+  version = other191.version;
+  digest = other191.digest;
+  mesh = other191.mesh;
+  parts = std::move(other191.parts);
+  packedMembers = std::move(other191.packedMembers);
+  __isset = other191.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5111,6 +5253,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "mesh=" << to_string(mesh);
   out << ", " << "parts=" << to_string(parts);
+  out << ", " << "packedMembers=" << to_string(packedMembers);
   out << ")";
 }
 
@@ -5142,6 +5285,10 @@
 void GossipReply::__set_differing(const std::vector<int32_t> & val) {
   this->differing = val;
 }
+
+void GossipReply::__set_packedMembers(const std::string& val) {
+  this->packedMembers = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipReply& obj)
 {
   obj.printTo(out);
@@ -5174,14 +5321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->members.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->members.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->members[_i186].read(iprot);
+              xfer += this->members[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5226,14 +5373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->differing.clear();
-            uint32_t _size187;
-            ::apache::thrift::protocol::TType _etype190;
-            xfer += iprot->readListBegin(_etype190, _size187);
-            this->differing.resize(_size187);
-            uint32_t _i191;
-            for (_i191 = 0; _i191 < _size187; ++_i191)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->differing.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += iprot->readI32(this->differing[_i191]);
+              xfer += iprot->readI32(this->differing[_i201]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5242,6 +5389,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedMembers);
+          this->__isset.packedMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5262,10 +5417,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter192;
-    for (_iter192 = this->members.begin(); _iter192 != this->members.end(); ++_iter192)
+    std::vector<Member> ::const_iterator _iter202;
+    for (_iter202 = this->members.begin(); _iter202 != this->members.end(); ++_iter202)
     {
-      xfer += (*_iter192).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5290,15 +5445,19 @@
   xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
-    std::vector<int32_t> ::const_iterator _iter193;
-    for (_iter193 = this->differing.begin(); _iter193 != this->differing.end(); ++_iter193)
+    std::vector<int32_t> ::const_iterator _iter203;
+    for (_iter203 = this->differing.begin(); _iter203 != this->differing.end(); ++_iter203)
     {
-      xfer += oprot->writeI32((*_iter193));
+      xfer += oprot->writeI32((*_iter203));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->packedMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5312,45 +5471,50 @@
   swap(a.digest, b.digest);
   swap(a.name, b.name);
   swap(a.differing, b.differing);
+  swap(a.packedMembers, b.packedMembers);
   swap(a.__isset, b.__isset);
 }
 
-GossipReply::GossipReply(const GossipReply& other194) {
-  members = other194.members;
-  version = other194.version;
-  sentAt = other194.sentAt;
-  digest = other194.digest;
-  name = other194.name;
-  differing = other194.differing;
-  __isset = other194.__isset;
-}
-GossipReply::GossipReply(GossipReply&& other195) noexcept {
-  members = std::move(other195.members);
-  version = other195.version;
-  sentAt = std::move(other195.sentAt);
-  digest = other195.digest;
-  name = std::move(other195.name);
-  differing = std::move(other195.differing);
-  __isset = other195.__isset;
-}
-GossipReply& GossipReply::operator=(const GossipReply& other196) {
-  members = other196.members;
-  version = other196.version;
-  sentAt = other196.sentAt;
-  digest = other196.digest;
-  name = other196.name;
-  differing = other196.differing;
-  __isset = other196.__isset;
+GossipReply::GossipReply(const GossipReply& other204) {
+  members = other204.members;
+  version = other204.version;
+  sentAt = other204.sentAt;
+  digest = other204.digest;
+  name = other204.name;
+  differing = other204.differing;
+  packedMembers = other204.packedMembers;
+  __isset = other204.__isset;
+}
+GossipReply::GossipReply(GossipReply&& other205) noexcept {
+  members = std::move(other205.members);
+  version = other205.version;
+  sentAt = std::move(other205.sentAt);
+  digest = other205.digest;
+  name = std::move(other205.name);
+  differing = std::move(other205.differing);
+  packedMembers = std::move(other205.packedMembers);
+  __isset = other205.__isset;
+}
+GossipReply& GossipReply::operator=(const GossipReply& other206) {
+  members = other206.members;
+  version = other206.version;
+  sentAt = other206.sentAt;
+  digest = other206.digest;
+  name = other206.name;
+  differing = other206.differing;
+  packedMembers = other206.packedMembers;
+  __isset = other206.__isset;
   return *this;
 }
-GossipReply& GossipReply::operator=(GossipReply&& other197) noexcept {
-  members = std::move(other197.members);
-  version = other197.version;
-  sentAt = std::move(other197.sentAt);
-  digest = other197.digest;
-  name = std::move(other197.name);
-  differing = std::move(other197.differing);
-  __isset = other197.__isset;
+GossipReply& GossipReply::operator=(GossipReply&& other207) noexcept {
+  members = std::move(other207.members);
+  version = other207.version;
+  sentAt = std::move(other207.sentAt);
+  digest = other207.digest;
+  name = std::move(other207.name);
+  differing = std::move(other207.differing);
+  packedMembers = std::move(other207.packedMembers);
+  __isset = other207.__isset;
   return *this;
 }
 void GossipReply::printTo(std::ostream& out) const {
@@ -5362,6 +5526,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "name=" << to_string(name);
   out << ", " << "differing=" << to_string(differing);
+  out << ", " << "packedMembers=" << to_string(packedMembers);
   out << ")";
 }
 
@@ -5465,17 +5630,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->nodesAtVersion.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _ktype199;
-            ::apache::thrift::protocol::TType _vtype200;
-            xfer += iprot->readMapBegin(_ktype199, _vtype200, _size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _ktype209;
+            ::apache::thrift::protocol::TType _vtype210;
+            xfer += iprot->readMapBegin(_ktype209, _vtype210, _size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              int64_t _key203;
-              xfer += iprot->readI64(_key203);
-              int32_t& _val204 = this->nodesAtVersion[_key203];
-              xfer += iprot->readI32(_val204);
+              int64_t _key213;
+              xfer += iprot->readI64(_key213);
+              int32_t& _val214 = this->nodesAtVersion[_key213];
+              xfer += iprot->readI32(_val214);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5488,14 +5653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stragglers.clear();
-            uint32_t _size205;
-            ::apache::thrift::protocol::TType _etype208;
-            xfer += iprot->readListBegin(_etype208, _size205);
-            this->stragglers.resize(_size205);
-            uint32_t _i209;
-            for (_i209 = 0; _i209 < _size205; ++_i209)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->stragglers.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              xfer += iprot->readString(this->stragglers[_i209]);
+              xfer += iprot->readString(this->stragglers[_i219]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5508,14 +5673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size210;
-            ::apache::thrift::protocol::TType _etype213;
-            xfer += iprot->readListBegin(_etype213, _size210);
-            this->sample.resize(_size210);
-            uint32_t _i214;
-            for (_i214 = 0; _i214 < _size210; ++_i214)
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->sample.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
             {
-              xfer += this->sample[_i214].read(iprot);
+              xfer += this->sample[_i224].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5568,11 +5733,11 @@
   xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter215;
-    for (_iter215 = this->nodesAtVersion.begin(); _iter215 != this->nodesAtVersion.end(); ++_iter215)
+    std::map<int64_t, int32_t> ::const_iterator _iter225;
+    for (_iter225 = this->nodesAtVersion.begin(); _iter225 != this->nodesAtVersion.end(); ++_iter225)
     {
-      xfer += oprot->writeI64(_iter215->first);
-      xfer += oprot->writeI32(_iter215->second);
+      xfer += oprot->writeI64(_iter225->first);
+      xfer += oprot->writeI32(_iter225->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5581,10 +5746,10 @@
   xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
-    std::vector<std::string> ::const_iterator _iter216;
-    for (_iter216 = this->stragglers.begin(); _iter216 != this->stragglers.end(); ++_iter216)
+    std::vector<std::string> ::const_iterator _iter226;
+    for (_iter226 = this->stragglers.begin(); _iter226 != this->stragglers.end(); ++_iter226)
     {
-      xfer += oprot->writeString((*_iter216));
+      xfer += oprot->writeString((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5593,10 +5758,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter217;
-    for (_iter217 = this->sample.begin(); _iter217 != this->sample.end(); ++_iter217)
+    std::vector<Member> ::const_iterator _iter227;
+    for (_iter227 = this->sample.begin(); _iter227 != this->sample.end(); ++_iter227)
     {
-      xfer += (*_iter217).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5624,50 +5789,50 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainReport::DomainReport(const DomainReport& other218) {
-  failureDomain = other218.failureDomain;
-  region = other218.region;
-  relay = other218.relay;
-  alive = other218.alive;
-  nodesAtVersion = other218.nodesAtVersion;
-  stragglers = other218.stragglers;
-  sample = other218.sample;
-  ageMillis = other218.ageMillis;
-  __isset = other218.__isset;
-}
-DomainReport::DomainReport(DomainReport&& other219) noexcept {
-  failureDomain = std::move(other219.failureDomain);
-  region = std::move(other219.region);
-  relay = std::move(other219.relay);
-  alive = other219.alive;
-  nodesAtVersion = std::move(other219.nodesAtVersion);
-  stragglers = std::move(other219.stragglers);
-  sample = std::move(other219.sample);
-  ageMillis = other219.ageMillis;
-  __isset = other219.__isset;
-}
-DomainReport& DomainReport::operator=(const DomainReport& other220) {
-  failureDomain = other220.failureDomain;
-  region = other220.region;
-  relay = other220.relay;
-  alive = other220.alive;
-  nodesAtVersion = other220.nodesAtVersion;
-  stragglers = other220.stragglers;
-  sample = other220.sample;
-  ageMillis = other220.ageMillis;
-  __isset = other220.__isset;
+DomainReport::DomainReport(const DomainReport& other228) {
+  failureDomain = other228.failureDomain;
+  region = other228.region;
+  relay = other228.relay;
+  alive = other228.alive;
+  nodesAtVersion = other228.nodesAtVersion;
+  stragglers = other228.stragglers;
+  sample = other228.sample;
+  ageMillis = other228.ageMillis;
+  __isset = other228.__isset;
+}
+DomainReport::DomainReport(DomainReport&& other229) noexcept {
+  failureDomain = std::move(other229.failureDomain);
+  region = std::move(other229.region);
+  relay = std::move(other229.relay);
+  alive = other229.alive;
+  nodesAtVersion = std::move(other229.nodesAtVersion);
+  stragglers = std::move(other229.stragglers);
+  sample = std::move(other229.sample);
+  ageMillis = other229.ageMillis;
+  __isset = other229.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other230) {
+  failureDomain = other230.failureDomain;
+  region = other230.region;
+  relay = other230.relay;
+  alive = other230.alive;
+  nodesAtVersion = other230.nodesAtVersion;
+  stragglers = other230.stragglers;
+  sample = other230.sample;
+  ageMillis = other230.ageMillis;
+  __isset = other230.__isset;
   return *this;
 }
-DomainReport& DomainReport::operator=(DomainReport&& other221) noexcept {
-  failureDomain = std::move(other221.failureDomain);
-  region = std::move(other221.region);
-  relay = std::move(other221.relay);
-  alive = other221.alive;
-  nodesAtVersion = std::move(other221.nodesAtVersion);
-  stragglers = std::move(other221.stragglers);
-  sample = std::move(other221.sample);
-  ageMillis = other221.ageMillis;
-  __isset = other221.__isset;
+DomainReport& DomainReport::operator=(DomainReport&& other231) noexcept {
+  failureDomain = std::move(other231.failureDomain);
+  region = std::move(other231.region);
+  relay = std::move(other231.relay);
+  alive = other231.alive;
+  nodesAtVersion = std::move(other231.nodesAtVersion);
+  stragglers = std::move(other231.stragglers);
+  sample = std::move(other231.sample);
+  ageMillis = other231.ageMillis;
+  __isset = other231.__isset;
   return *this;
 }
 void DomainReport::printTo(std::ostream& out) const {
@@ -5796,14 +5961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->introduced.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->introduced.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->introduced.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->introduced[_i226].read(iprot);
+              xfer += this->introduced[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5856,10 +6021,10 @@
   xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
-    std::vector<Member> ::const_iterator _iter227;
-    for (_iter227 = this->introduced.begin(); _iter227 != this->introduced.end(); ++_iter227)
+    std::vector<Member> ::const_iterator _iter237;
+    for (_iter237 = this->introduced.begin(); _iter237 != this->introduced.end(); ++_iter237)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5882,46 +6047,46 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other228) {
-  heldVersion = other228.heldVersion;
-  waitMillis = other228.waitMillis;
-  report = other228.report;
-  sentAt = other228.sentAt;
-  failureDomain = other228.failureDomain;
-  wantsMembers = other228.wantsMembers;
-  introduced = other228.introduced;
-  __isset = other228.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other229) noexcept {
-  heldVersion = other229.heldVersion;
-  waitMillis = other229.waitMillis;
-  report = std::move(other229.report);
-  sentAt = std::move(other229.sentAt);
-  failureDomain = std::move(other229.failureDomain);
-  wantsMembers = other229.wantsMembers;
-  introduced = std::move(other229.introduced);
-  __isset = other229.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other230) {
-  heldVersion = other230.heldVersion;
-  waitMillis = other230.waitMillis;
-  report = other230.report;
-  sentAt = other230.sentAt;
-  failureDomain = other230.failureDomain;
-  wantsMembers = other230.wantsMembers;
-  introduced = other230.introduced;
-  __isset = other230.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other238) {
+  heldVersion = other238.heldVersion;
+  waitMillis = other238.waitMillis;
+  report = other238.report;
+  sentAt = other238.sentAt;
+  failureDomain = other238.failureDomain;
+  wantsMembers = other238.wantsMembers;
+  introduced = other238.introduced;
+  __isset = other238.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other239) noexcept {
+  heldVersion = other239.heldVersion;
+  waitMillis = other239.waitMillis;
+  report = std::move(other239.report);
+  sentAt = std::move(other239.sentAt);
+  failureDomain = std::move(other239.failureDomain);
+  wantsMembers = other239.wantsMembers;
+  introduced = std::move(other239.introduced);
+  __isset = other239.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other240) {
+  heldVersion = other240.heldVersion;
+  waitMillis = other240.waitMillis;
+  report = other240.report;
+  sentAt = other240.sentAt;
+  failureDomain = other240.failureDomain;
+  wantsMembers = other240.wantsMembers;
+  introduced = other240.introduced;
+  __isset = other240.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other231) noexcept {
-  heldVersion = other231.heldVersion;
-  waitMillis = other231.waitMillis;
-  report = std::move(other231.report);
-  sentAt = std::move(other231.sentAt);
-  failureDomain = std::move(other231.failureDomain);
-  wantsMembers = other231.wantsMembers;
-  introduced = std::move(other231.introduced);
-  __isset = other231.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other241) noexcept {
+  heldVersion = other241.heldVersion;
+  waitMillis = other241.waitMillis;
+  report = std::move(other241.report);
+  sentAt = std::move(other241.sentAt);
+  failureDomain = std::move(other241.failureDomain);
+  wantsMembers = other241.wantsMembers;
+  introduced = std::move(other241.introduced);
+  __isset = other241.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -6005,14 +6170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->sample.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->sample.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->sample[_i236].read(iprot);
+              xfer += this->sample[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6049,14 +6214,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->replicas.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->replicas.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
             {
-              xfer += this->replicas[_i241].read(iprot);
+              xfer += this->replicas[_i251].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6089,10 +6254,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter242;
-    for (_iter242 = this->sample.begin(); _iter242 != this->sample.end(); ++_iter242)
+    std::vector<Member> ::const_iterator _iter252;
+    for (_iter252 = this->sample.begin(); _iter252 != this->sample.end(); ++_iter252)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter252).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6113,10 +6278,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter243;
-    for (_iter243 = this->replicas.begin(); _iter243 != this->replicas.end(); ++_iter243)
+    std::vector<Replica> ::const_iterator _iter253;
+    for (_iter253 = this->replicas.begin(); _iter253 != this->replicas.end(); ++_iter253)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6138,42 +6303,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other244) {
-  update = other244.update;
-  sample = other244.sample;
-  sentAt = other244.sentAt;
-  unchanged = other244.unchanged;
-  current = other244.current;
-  replicas = other244.replicas;
-  __isset = other244.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other245) noexcept {
-  update = std::move(other245.update);
-  sample = std::move(other245.sample);
-  sentAt = std::move(other245.sentAt);
-  unchanged = other245.unchanged;
-  current = other245.current;
-  replicas = std::move(other245.replicas);
-  __isset = other245.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other246) {
-  update = other246.update;
-  sample = other246.sample;
-  sentAt = other246.sentAt;
-  unchanged = other246.unchanged;
-  current = other246.current;
-  replicas = other246.replicas;
-  __isset = other246.__isset;
+WatchReply::WatchReply(const WatchReply& other254) {
+  update = other254.update;
+  sample = other254.sample;
+  sentAt = other254.sentAt;
+  unchanged = other254.unchanged;
+  current = other254.current;
+  replicas = other254.replicas;
+  __isset = other254.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other255) noexcept {
+  update = std::move(other255.update);
+  sample = std::move(other255.sample);
+  sentAt = std::move(other255.sentAt);
+  unchanged = other255.unchanged;
+  current = other255.current;
+  replicas = std::move(other255.replicas);
+  __isset = other255.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other256) {
+  update = other256.update;
+  sample = other256.sample;
+  sentAt = other256.sentAt;
+  unchanged = other256.unchanged;
+  current = other256.current;
+  replicas = other256.replicas;
+  __isset = other256.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other247) noexcept {
-  update = std::move(other247.update);
-  sample = std::move(other247.sample);
-  sentAt = std::move(other247.sentAt);
-  unchanged = other247.unchanged;
-  current = other247.current;
-  replicas = std::move(other247.replicas);
-  __isset = other247.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other257) noexcept {
+  update = std::move(other257.update);
+  sample = std::move(other257.sample);
+  sentAt = std::move(other257.sentAt);
+  unchanged = other257.unchanged;
+  current = other257.current;
+  replicas = std::move(other257.replicas);
+  __isset = other257.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -163,6 +163,8 @@
 
 class Member;
 
+class MemberBatch;
+
 class Gossip;
 
 class GossipReply;
@@ -1816,8 +1818,52 @@
 
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
+typedef struct _MemberBatch__isset {
+  _MemberBatch__isset() : members(false) {}
+  bool members :1;
+} _MemberBatch__isset;
+
+class MemberBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  MemberBatch(const MemberBatch&);
+  MemberBatch(MemberBatch&&) noexcept;
+  MemberBatch& operator=(const MemberBatch&);
+  MemberBatch& operator=(MemberBatch&&) noexcept;
+  MemberBatch() noexcept {
+  }
+
+  virtual ~MemberBatch() noexcept;
+  std::vector<Member>  members;
+
+  _MemberBatch__isset __isset;
+
+  void __set_members(const std::vector<Member> & val);
+
+  bool operator == (const MemberBatch & rhs) const
+  {
+    if (!(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const MemberBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MemberBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MemberBatch &a, MemberBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const MemberBatch& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : sentAt(false), sender(false), members(false), version(true), digest(true), mesh(true), parts(false) {}
+  _Gossip__isset() : sentAt(false), sender(false), members(false), version(true), digest(true), mesh(true), parts(false), packedMembers(false) {}
   bool sentAt :1;
   bool sender :1;
   bool members :1;
@@ -1825,6 +1871,7 @@
   bool digest :1;
   bool mesh :1;
   bool parts :1;
+  bool packedMembers :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1838,7 +1885,8 @@
          : sender(),
            version(0LL),
            digest(0LL),
-           mesh(false) {
+           mesh(false),
+           packedMembers() {
   }
 
   virtual ~Gossip() noexcept;
@@ -1849,6 +1897,7 @@
   int64_t digest;
   bool mesh;
   std::vector<int64_t>  parts;
+  std::string packedMembers;
 
   _Gossip__isset __isset;
 
@@ -1866,6 +1915,8 @@
 
   void __set_parts(const std::vector<int64_t> & val);
 
+  void __set_packedMembers(const std::string& val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(sentAt == rhs.sentAt))
@@ -1882,6 +1933,8 @@
       return false;
     if (!(parts == rhs.parts))
       return false;
+    if (!(packedMembers == rhs.packedMembers))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
@@ -1901,13 +1954,14 @@
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _GossipReply__isset {
-  _GossipReply__isset() : members(false), version(true), sentAt(false), digest(true), name(false), differing(false) {}
+  _GossipReply__isset() : members(false), version(true), sentAt(false), digest(true), name(false), differing(false), packedMembers(false) {}
   bool members :1;
   bool version :1;
   bool sentAt :1;
   bool digest :1;
   bool name :1;
   bool differing :1;
+  bool packedMembers :1;
 } _GossipReply__isset;
 
 class GossipReply : public virtual ::apache::thrift::TBase {
@@ -1920,7 +1974,8 @@
   GossipReply() noexcept
               : version(0LL),
                 digest(0LL),
-                name() {
+                name(),
+                packedMembers() {
   }
 
   virtual ~GossipReply() noexcept;
@@ -1930,6 +1985,7 @@
   int64_t digest;
   std::string name;
   std::vector<int32_t>  differing;
+  std::string packedMembers;
 
   _GossipReply__isset __isset;
 
@@ -1945,6 +2001,8 @@
 
   void __set_differing(const std::vector<int32_t> & val);
 
+  void __set_packedMembers(const std::string& val);
+
   bool operator == (const GossipReply & rhs) const
   {
     if (!(members == rhs.members))
@@ -1959,6 +2017,8 @@
       return false;
     if (!(differing == rhs.differing))
       return false;
+    if (!(packedMembers == rhs.packedMembers))
+      return false;
     return true;
   }
   bool operator != (const GossipReply &rhs) const {
