--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -44,7 +44,7 @@
 };
 
 static int
-Soak(std::chrono::minutes aTime, uint64_t aSeed)
+Soak(std::chrono::seconds aTime, uint64_t aSeed)
 {
   MeshOptions options = SmallMesh("soak");
   options.targetsPerDomain = 1;
@@ -102,12 +102,15 @@
 main(int aCount, char** aValues)
 {
   cxxopts::Options options("soak", "Injects random faults and checks ledgers, versions and outcomes");
-  options.add_options()("minutes", "", cxxopts::value<int>()->default_value("5"))(
-    "seed", "", cxxopts::value<uint64_t>()->default_value("1"))("help", "Print help");
+  options.add_options()("minutes", "Time of the run", cxxopts::value<int>()->default_value("5"))(
+    "seconds", "Time of the run in place of --minutes", cxxopts::value<int>())(
+    "seed", "Seed of the faults", cxxopts::value<uint64_t>()->default_value("1"))("help", "Print help");
   const auto parsed = options.parse(aCount, aValues);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return 0;
   }
-  return Soak(std::chrono::minutes(parsed["minutes"].as<int>()), parsed["seed"].as<uint64_t>());
+  const auto time = parsed.count("seconds") > 0 ? std::chrono::seconds(parsed["seconds"].as<int>())
+                                                : std::chrono::minutes(parsed["minutes"].as<int>());
+  return Soak(time, parsed["seed"].as<uint64_t>());
 }
