Records that can't be read are logged, and a limit is set for the target that named it

A target could be replaced between the check of its name and the setting of its limit; both happen under one lock now.

--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -38,6 +38,7 @@
   EventDescription{ Event::RelayChanged, Severity::Info, "relay-changed" },
   EventDescription{ Event::ControlUnreachable, Severity::Warning, "control-unreachable" },
   EventDescription{ Event::ControlReached, Severity::Info, "control-reached" },
+  EventDescription{ Event::MembersRefused, Severity::Warning, "members-refused" },
   EventDescription{ Event::TargetAnnounced, Severity::Info, "target-announced" },
   EventDescription{ Event::TargetLost, Severity::Warning, "target-lost" },
   EventDescription{ Event::TargetPhaseChanged, Severity::Info, "target-phase-changed" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -43,6 +43,7 @@
   RelayChanged = 404,
   ControlUnreachable = 405,
   ControlReached = 406,
+  MembersRefused = 407,
 
   TargetAnnounced = 500,
   TargetLost = 501,
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -1,5 +1,6 @@
 #include "node/gossiper.h"
 
+#include "common/log.h"
 #include "common/random.h"
 #include "node/memberpacking.h"
 #include "node/probepartners.h"
@@ -307,6 +308,15 @@
   return true;
 }
 
+/** Logs a batch of records that can't be read; a later exchange brings the records again. */
+static void
+LogIfRefused(const Result<void>& aUnpacked, const std::string& aSender)
+{
+  if (!aUnpacked) {
+    Log(Event::MembersRefused, { { "member", aSender }, { "reason", aUnpacked.error().message } });
+  }
+}
+
 bool
 Gossiper::Exchange(const wire::Member& aMember, GossipScope aScope, std::chrono::milliseconds aTimeout)
 {
@@ -319,9 +329,10 @@
   wire::GossipReply reply;
   const auto call = [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); };
   const Result<void> called = client.value()->Call(SteadyClock::now() + aTimeout, call);
-  if (!called || reply.name != aMember.name || !UnpackMembers(reply)) {
+  if (!called || reply.name != aMember.name) {
     return false;
   }
+  LogIfRefused(UnpackMembers(reply), aMember.name);
   const std::vector<wire::Member> ownRecords = RecordsNewerThan(reply);
   HandleReply(aMember, reply);
   if (!ownRecords.empty()) {
@@ -345,7 +356,8 @@
   const bool called =
     client && client.value()->Call(SteadyClock::now() + kProbeTimeout,
                                    [&](wire::NodePeerClient& aClient) { aClient.exchange(reply, gossip); });
-  if (called && UnpackMembers(reply)) {
+  if (called) {
+    LogIfRefused(UnpackMembers(reply), aSeed.Text());
     m_table.Merge(reply.members, SteadyClock::now());
   }
   return called;
@@ -430,10 +442,7 @@
 Gossiper::HandleExchange(wire::Gossip aGossip)
 {
   ObserveStamp(aGossip.sentAt);
-  if (!UnpackMembers(aGossip)) {
-    // A later exchange brings the records again.
-    aGossip.members.clear();
-  }
+  LogIfRefused(UnpackMembers(aGossip), aGossip.sender);
   m_table.Merge(aGossip.members, SteadyClock::now());
   if (const std::optional<wire::Member> sender = m_table.Find(aGossip.sender)) {
     HandleHeldVersion(*sender, aGossip.version);
--- a/src/node/memberpacking.h
+++ b/src/node/memberpacking.h
@@ -14,7 +14,7 @@
 void
 PackMembers(wire::GossipReply& aReply);
 
-/** Reverses PackMembers(); returns an error if the batch is damaged, and leaves the members as they are. */
+/** Reverses PackMembers(); if the batch is damaged, returns an error and the message has no members. */
 Result<void>
 UnpackMembers(wire::Gossip& aGossip);
 Result<void>
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -173,18 +173,18 @@
     if (m_target.name != aTarget || m_target.phase != wire::TargetPhase::Ready) {
       return;
     }
+    if (!aNotice.isLeaving) {
+      SetRateLimitLocked(aNotice.requestsPerSecond);
+      return;
+    }
   }
-  if (aNotice.isLeaving) {
-    m_options.onTargetLeaving(aTarget);
-    return;
-  }
-  SetRateLimit(aNotice.requestsPerSecond);
+  // This calls SetTarget().
+  m_options.onTargetLeaving(aTarget);
 }
 
 void
-Gate::SetRateLimit(std::optional<double> aPerSecond)
+Gate::SetRateLimitLocked(std::optional<double> aPerSecond)
 {
-  const std::lock_guard lock(m_mutex);
   const bool wasLimited = m_admission.RateLimit().has_value();
   m_admission.SetRateLimit(aPerSecond, SteadyClock::now());
   if (wasLimited != aPerSecond.has_value()) {
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -94,7 +94,7 @@
   void RecordOutcome(TargetFailureTracker::Outcome aOutcome);
   /** Applies what a target said of itself in a response. */
   void ApplyNotice(const std::string& aTarget, const TargetNotice& aNotice);
-  void SetRateLimit(std::optional<double> aPerSecond);
+  void SetRateLimitLocked(std::optional<double> aPerSecond);
   bool ShouldRejectForFailures(const GateCall& aCall);
 
   Options m_options;
