--- a/tests/mesh/answers.cpp
+++ b/tests/mesh/answers.cpp
@@ -75,6 +75,14 @@
   BOOST_TEST(response.outcome == "not-run");
 }
 
+// Guards against: a caller is told "not run" because a late copy of an earlier refusal was taken for its own.
+BOOST_AUTO_TEST_CASE(a_rejection_that_names_no_request_results_in_unknown)
+{
+  const TestResponse response = Send(EntryAddress(), { .path = "/books/item?shed=2" });
+  BOOST_TEST(response.status == 502);
+  BOOST_TEST(response.outcome == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(a_request_without_a_route_is_not_run)
 {
   const TestResponse response = Send(EntryAddress(), { .path = "/elsewhere" });
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -104,10 +104,13 @@
       held->cancelled = true;
     }
   });
-  if (QueryNumber(request, "shed", 0) != 0) {
-    aExchange->Respond({ .status = 503,
-                         .headers = { { .name = kOutcomeHeader, .value = kOutcomeNotRun } },
-                         .body = "{\"reason\":\"shed\"}\n" });
+  if (const int shed = QueryNumber(request, "shed", 0); shed != 0) {
+    HttpHeaders headers{ { .name = kOutcomeHeader, .value = kOutcomeNotRun } };
+    const bool isNamed = shed == 1;
+    if (isNamed) {
+      headers.push_back({ .name = kCallHeader, .value = FindHeader(request.headers, kCallHeader) });
+    }
+    aExchange->Respond({ .status = 503, .headers = headers, .body = "{\"reason\":\"shed\"}\n" });
     return;
   }
   {
