--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -218,6 +218,7 @@
     SwitchToNextReplica();
     return boost::outcome_v2::failure(called.error());
   }
+  m_lastReplier = m_replicas[m_currentReplica].name;
   ObserveStamp(reply.sentAt);
   m_table.Merge(reply.sample, SteadyClock::now());
   UpdateReplicas(reply.replicas);
@@ -295,7 +296,7 @@
   if (aReply.unchanged) {
     return;
   }
-  const Result<void> applied = m_holder.Apply(aReply.update);
+  const Result<void> applied = m_holder.Apply(aReply.update, m_lastReplier);
   if (applied || applied.error().kind == ErrorKind::Conflict) {
     return;
   }
@@ -305,7 +306,7 @@
   request.sentAt = StampNow();
   const Result<wire::WatchReply> fullReply = CallCurrentReplica(request);
   if (fullReply && !fullReply.value().unchanged) {
-    static_cast<void>(m_holder.Apply(fullReply.value().update).has_value());
+    static_cast<void>(m_holder.Apply(fullReply.value().update, m_lastReplier).has_value());
   }
 }
 
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -75,6 +75,8 @@
   std::vector<std::unique_ptr<Client>> m_clients;
   /** Index into m_replicas and m_clients; 0 is the preferred replica. */
   size_t m_currentReplica = 0;
+  /** Name of the replica that sent the last reply of a long poll. */
+  std::string m_lastReplier;
   size_t m_consecutiveFailures = 0;
   bool m_isReachable = true;
   bool m_isRelay = false;
--- a/src/node/fetcher.cpp
+++ b/src/node/fetcher.cpp
@@ -106,7 +106,7 @@
     if (!fetched || update.toVersion <= HeldVersion()) {
       return false;
     }
-    if (m_holder.Apply(update)) {
+    if (m_holder.Apply(update, aMember)) {
       return true;
     }
   }
--- a/src/node/holder.cpp
+++ b/src/node/holder.cpp
@@ -28,7 +28,7 @@
 }
 
 Result<void>
-ConfigurationHolder::Apply(const wire::ConfigurationUpdate& aUpdate)
+ConfigurationHolder::Apply(const wire::ConfigurationUpdate& aUpdate, const std::string& aSender)
 {
   const std::lock_guard applyLock(m_applyMutex);
   Result<SnapshotPointer> applied = ApplyUpdate(*Current(), aUpdate, m_parser);
@@ -46,7 +46,8 @@
   Log(Event::VersionApplied,
       { { "version", aUpdate.toVersion },
         { "bytes", aUpdate.payload.size() },
-        { "whole", aUpdate.whole ? "yes" : "no" } });
+        { "whole", aUpdate.whole ? "yes" : "no" },
+        { "sender", aSender } });
   if (m_listener) {
     m_listener(applied.value());
   }
--- a/src/node/holder.h
+++ b/src/node/holder.h
@@ -20,8 +20,11 @@
 
   SnapshotPointer Current() const;
 
-  /** Applies an update. Changes nothing on an error; Conflict means that the version isn't newer. */
-  Result<void> Apply(const wire::ConfigurationUpdate& aUpdate);
+  /**
+   * Applies an update that a process sent. Changes nothing on an error; Conflict means that the version isn't
+   * newer.
+   */
+  Result<void> Apply(const wire::ConfigurationUpdate& aUpdate, const std::string& aSender);
 
   /** Returns the update from a version that another process holds to the current version. */
   wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
