A failing test: a node must get changes while its domain's relays are suspended

Seven of the eight nodes of a failure domain are suspended, both relays among them, and a change is made. The eighth node must have it within the 2.5 s that the users' platform allows; on this code it doesn't.

--- a/tests/mesh/distribution.cpp
+++ b/tests/mesh/distribution.cpp
@@ -1,10 +1,15 @@
 #define BOOST_TEST_MODULE distribution
 #include "harness/running.h"
 
+#include <algorithm>
 #include <csignal>
+#include <fstream>
 
 using namespace mimosarun;
 
+/** The users' platform allows this time between the acknowledgement of a change and its effect. */
+static constexpr std::chrono::milliseconds kPlatformInForceLimit{ 2500 };
+
 static constexpr PathFault kDropAll{ .dropAll = true };
 static constexpr PathFault kNoFault{};
 
@@ -58,6 +63,45 @@
   BOOST_TEST_MESSAGE("link bytes while catching up: " << mesh.Proxy().LinkBytes("regions") - bytesBefore);
 }
 
+/** Whether a node is a relay, according to the last record about it in its log. */
+static bool
+LogsThatItIsRelay(Mesh& aMesh, const std::string& aNode)
+{
+  std::ifstream log(aMesh.ProcessOf(aNode).logFile);
+  std::string line;
+  bool isRelay = false;
+  while (std::getline(log, line)) {
+    if (line.find("\"relay-changed\"") != std::string::npos) {
+      isRelay = line.find("\"relay\":\"yes\"") != std::string::npos;
+    }
+  }
+  return isRelay;
+}
+
+// A change that was acknowledged wasn't in force in time on nodes whose relays had just stopped responding.
+BOOST_AUTO_TEST_CASE(a_node_gets_a_change_while_the_relays_and_most_nodes_of_its_domain_are_suspended)
+{
+  MeshOptions options = SmallMesh("norelays");
+  options.targetsPerDomain = 4;
+  RunningMesh mesh(options);
+  const std::vector<std::string> nodes = mesh.Nodes("west-1");
+  const auto survivor = std::find_if(
+    nodes.begin(), nodes.end(), [&](const std::string& aNode) { return !LogsThatItIsRelay(mesh, aNode); });
+  BOOST_REQUIRE((survivor != nodes.end()));
+  for (const std::string& node : nodes) {
+    if (node != *survivor) {
+      mesh.ProcessOf(node).process.Signal(SIGSTOP);
+    }
+  }
+  const int64_t version = mesh.Install(mesh.Document("norelays"));
+  BOOST_REQUIRE(version > 0);
+  BOOST_TEST(mesh.WaitInForce(version, kPlatformInForceLimit, { *survivor }));
+  for (const std::string& node : nodes) {
+    mesh.ProcessOf(node).process.Signal(SIGCONT);
+  }
+  BOOST_TEST(mesh.WaitInForce(version, kInForceLimit));
+}
+
 BOOST_AUTO_TEST_CASE(open_connections_that_stall_are_replaced)
 {
   RunningMesh mesh(SmallMesh("silence"));
