Every node polls control for changes itself; relays are no longer the only way in

Cause: a node that was no relay had no contact with control after its start. If both relays of its failure domain stopped responding, it learned nothing until the domain's members had suspected them one by one, which takes some seconds when many nodes are gone. Class of fault: delivery hangs on a few peers chosen by a failure detector that is slower than the bound on the delivery.

The mesh test, which suspends the relays and most of a domain, failed.

Change: every node long-polls a replica, preferably of its own failure domain. Another node is asked only while control doesn't answer, or after the longest time of a poll, so that a large update doesn't cross a slow link twice. Updates are made once for all that hold the same version. Only relays still report on their domain.

--- a/src/configuration/snapshot.cpp
+++ b/src/configuration/snapshot.cpp
@@ -7,6 +7,8 @@
 
 namespace mimosarun {
 
+/** Stands for all held versions whose text isn't stored. */
+static constexpr int64_t kUnknownVersion = -1;
 static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
 
 SnapshotPointer
@@ -94,6 +96,7 @@
 void
 UpdateHistory::Add(const Snapshot& aSnapshot)
 {
+  m_madeUpdates.clear();
   m_versions.push_back({ .version = aSnapshot.version, .text = aSnapshot.text });
   if (m_versions.size() > m_limit) {
     m_versions.pop_front();
@@ -103,6 +106,7 @@
 void
 UpdateHistory::Clear()
 {
+  m_madeUpdates.clear();
   m_versions.clear();
 }
 
@@ -118,12 +122,23 @@
 wire::ConfigurationUpdate
 UpdateHistory::UpdateFrom(int64_t aHeldVersion, const Snapshot& aCurrent) const
 {
-  wire::ConfigurationUpdate full = MakeFullUpdate(aCurrent);
   const std::string* held = aHeldVersion == 0 ? &EmptySnapshot()->text : TextOf(aHeldVersion);
-  if (held == nullptr) {
+  const int64_t key = held == nullptr ? kUnknownVersion : aHeldVersion;
+  auto made = m_madeUpdates.find(key);
+  if (made == m_madeUpdates.end() || made->second.toVersion != aCurrent.version) {
+    made = m_madeUpdates.insert_or_assign(key, MakeUpdate(held, aHeldVersion, aCurrent)).first;
+  }
+  return made->second;
+}
+
+wire::ConfigurationUpdate
+UpdateHistory::MakeUpdate(const std::string* aHeldText, int64_t aHeldVersion, const Snapshot& aCurrent) const
+{
+  wire::ConfigurationUpdate full = MakeFullUpdate(aCurrent);
+  if (aHeldText == nullptr) {
     return full;
   }
-  wire::ConfigurationUpdate update = MakeTextDelta(aHeldVersion, *held, aCurrent.version, aCurrent.text);
+  wire::ConfigurationUpdate update = MakeTextDelta(aHeldVersion, *aHeldText, aCurrent.version, aCurrent.text);
   update.hash = aCurrent.hash;
   return update.payload.size() < full.payload.size() ? update : full;
 }
@@ -151,7 +166,7 @@
 Result<void>
 UpdateHistory::Restore(const std::vector<wire::ConfigurationUpdate>& aImage)
 {
-  m_versions.clear();
+  Clear();
   for (const wire::ConfigurationUpdate& update : aImage) {
     MIMOSARUN_TRY(std::string text,
                   DecompressText(update, m_versions.empty() ? std::string() : m_versions.back().text));
--- a/src/configuration/snapshot.h
+++ b/src/configuration/snapshot.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -94,8 +95,14 @@
 private:
   static constexpr size_t kHistoryLimit = 64;
 
+  wire::ConfigurationUpdate MakeUpdate(const std::string* aHeldText,
+                                       int64_t aHeldVersion,
+                                       const Snapshot& aCurrent) const;
+
   size_t m_limit;
   std::deque<VersionText> m_versions;
+  /** Updates to the newest version by the held version, as many receivers ask for the same one. */
+  mutable std::map<int64_t, wire::ConfigurationUpdate> m_madeUpdates;
 };
 
 } // namespace mimosarun
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -10,6 +10,8 @@
 
 static constexpr std::chrono::milliseconds kMaxWait{ 10000 };
 static constexpr std::chrono::milliseconds kJoinWait{ 1200 };
+/** Enough for the nodes of a region that has one replica left. */
+static constexpr int64_t kMaximumConnections = 1024;
 
 static Deadline
 DeadlineAfter(int32_t aMilliseconds)
@@ -96,7 +98,8 @@
 {
   return RpcServer::Start({ .address = aController.Settings().peerAddress,
                             .processor = std::make_shared<wire::ControlPeerProcessor>(
-                              std::make_shared<ControlService>(aController)) });
+                              std::make_shared<ControlService>(aController)),
+                            .maximumConnections = kMaximumConnections });
 }
 
 } // namespace mimosarun
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -18,8 +18,6 @@
 static constexpr std::chrono::milliseconds kReplyAllowance{ 700 };
 static constexpr std::chrono::milliseconds kIntroductionTimeout{ 250 };
 static constexpr std::chrono::milliseconds kMaximumBackoff{ 400 };
-/** Time between checks of whether this node has become a relay. */
-static constexpr std::chrono::milliseconds kRelayCheckInterval{ 200 };
 /** Time between attempts to return to the preferred replica. */
 static constexpr std::chrono::seconds kPreferredReplicaInterval{ 10 };
 static constexpr std::chrono::seconds kMemberExchangeInterval{ 10 };
@@ -29,10 +27,14 @@
 /** A value of heldVersion that requests members without a configuration. */
 static constexpr int64_t kMembersOnlyVersion = -1;
 
-ControlLink::ControlLink(const ProcessSettings& aSettings, ConfigurationHolder& aHolder, MemberTable& aTable)
+ControlLink::ControlLink(const ProcessSettings& aSettings,
+                         ConfigurationHolder& aHolder,
+                         MemberTable& aTable,
+                         ConfigurationFetcher& aFetcher)
   : m_settings(aSettings)
   , m_holder(aHolder)
   , m_table(aTable)
+  , m_fetcher(aFetcher)
 {
   m_seeds = m_settings.replicas;
   SetReplicas(m_seeds);
@@ -149,19 +151,9 @@
     } else if (!introducedWidely && m_holder.Current()->version > 0) {
       introducedWidely = true;
       IntroduceWidely();
-    } else if (IsRelay(m_table, m_settings.failureDomain) || m_holder.Current()->version == 0) {
-      if (!m_isRelay) {
-        m_isRelay = true;
-        Log(Event::RelayChanged, { { "relay", "yes" } });
-      }
-      reached = Watch();
     } else {
-      if (m_isRelay) {
-        m_isRelay = false;
-        Log(Event::RelayChanged, { { "relay", "no" } });
-      }
-      running = WaitUnlessStopped(kRelayCheckInterval);
-      continue;
+      UpdateRelayRole();
+      reached = Watch();
     }
     if (reached) {
       backoff.Reset();
@@ -172,6 +164,16 @@
   }
 }
 
+void
+ControlLink::UpdateRelayRole()
+{
+  const bool isRelay = IsRelay(m_table, m_settings.failureDomain);
+  if (isRelay != m_isRelay) {
+    m_isRelay = isRelay;
+    Log(Event::RelayChanged, { { "relay", isRelay ? "yes" : "no" } });
+  }
+}
+
 void
 ControlLink::SwitchToNextReplica()
 {
@@ -191,6 +193,7 @@
 ControlLink::RecordReachability(bool aReachable)
 {
   m_consecutiveFailures = aReachable ? 0 : m_consecutiveFailures + 1;
+  m_fetcher.SetControlAnswers(aReachable);
   const bool reachable = aReachable || m_consecutiveFailures < m_clients.size();
   if (reachable != m_isReachable) {
     m_isReachable = reachable;
@@ -274,7 +277,9 @@
   request.heldVersion = m_holder.Current()->version;
   request.waitMillis = static_cast<int32_t>(kLongPollTime.count());
   request.wantsMembers = StartMemberExchangeIfDue(SteadyClock::now());
-  request.report = MakeReport(request.wantsMembers);
+  if (m_isRelay) {
+    request.report = MakeReport(request.wantsMembers);
+  }
   request.failureDomain = m_settings.failureDomain;
   request.sentAt = StampNow();
   const Result<wire::WatchReply> reply = CallCurrentReplica(request);
@@ -284,6 +289,7 @@
   ApplyReply(reply.value());
   if (!reply.value().current) {
     // This replica has no contact to a leader. Another one may have it and know newer versions.
+    m_fetcher.SetControlAnswers(false);
     SwitchToNextReplica();
     return false;
   }
@@ -326,7 +332,8 @@
 ControlLink::StartMemberExchangeIfDue(Deadline aNow)
 {
   const uint64_t generation = m_table.Generation();
-  if (generation == m_reportedGeneration && aNow < m_nextMemberExchange && KnowsAllRegions()) {
+  const bool hasNothingToReport = !m_isRelay || (generation == m_reportedGeneration && KnowsAllRegions());
+  if (hasNothingToReport && aNow < m_nextMemberExchange) {
     return false;
   }
   m_reportedGeneration = generation;
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/fetcher.h"
 #include "node/holder.h"
 #include "node/membertable.h"
 #include "settings/processsettings.h"
@@ -17,14 +18,17 @@
 namespace mimosarun {
 
 /**
- * Connects a node to the control replicas. A relay, or a node without a configuration, long-polls one of
- * them, preferably in its own failure domain or region, for new configurations, and reports on its failure
- * domain. Other nodes contact control only at the start, to introduce themselves and to get members.
+ * Connects a node to the control replicas: it introduces itself at the start, then long-polls one of them,
+ * preferably in its own failure domain or region, for new configurations. A relay also reports on its failure
+ * domain.
  */
 class ControlLink
 {
 public:
-  ControlLink(const ProcessSettings& aSettings, ConfigurationHolder& aHolder, MemberTable& aTable);
+  ControlLink(const ProcessSettings& aSettings,
+              ConfigurationHolder& aHolder,
+              MemberTable& aTable,
+              ConfigurationFetcher& aFetcher);
   ~ControlLink();
 
   ControlLink(const ControlLink&) = delete;
@@ -49,6 +53,7 @@
   /** Introduces this node to the replicas from which other starting nodes learn of it. */
   void IntroduceWidely();
   Result<wire::WatchReply> IntroduceTo(Client& aReplica, bool aWantsMembers);
+  void UpdateRelayRole();
   /** Sends one long poll; returns false if the replica didn't answer or may hold an old configuration. */
   bool Watch();
   /** Calls the current replica, or the preferred one if its retry is due; switches replicas on failure. */
@@ -70,6 +75,7 @@
   const ProcessSettings& m_settings;
   ConfigurationHolder& m_holder;
   MemberTable& m_table;
+  ConfigurationFetcher& m_fetcher;
   /** Replicas by preference: the own failure domain first, then the own region, then the others. */
   std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
--- a/src/node/fetcher.cpp
+++ b/src/node/fetcher.cpp
@@ -1,12 +1,15 @@
 #include "node/fetcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kFetchTimeout{ 1500 };
-/** Time for the own failure domain's relays to deliver a version before it is fetched from another domain. */
-static constexpr std::chrono::milliseconds kRelayGracePeriod{ 900 };
+/** Time for the own failure domain to deliver a version before it is fetched from another domain. */
+static constexpr std::chrono::milliseconds kOwnDomainGracePeriod{ 900 };
+/** Longest time of a long poll; after it, control has delivered a version or counts as silent. */
+static constexpr std::chrono::milliseconds kControlGracePeriod{ 1500 };
 /** A held version that no update is based on, so that the full configuration is sent. */
 static constexpr int64_t kNoVersion = -1;
 
@@ -39,36 +42,61 @@
 void
 ConfigurationFetcher::FetchIfNewer(const std::string& aMember, int64_t aVersion)
 {
-  if (aVersion <= HeldVersion()) {
-    return;
-  }
+  Propose({ .member = aMember, .version = aVersion, .isInOwnDomain = true });
+}
+
+void
+ConfigurationFetcher::FetchFromOtherDomainIfNewer(const std::string& aMember, int64_t aVersion)
+{
+  Propose({ .member = aMember, .version = aVersion, .isInOwnDomain = false });
+}
+
+void
+ConfigurationFetcher::SetControlAnswers(bool aAnswers)
+{
   {
     const std::lock_guard lock(m_mutex);
-    if (aVersion < m_wantedVersion && !m_sourceMember.empty()) {
-      return;
-    }
-    m_sourceMember = aMember;
-    m_wantedVersion = aVersion;
+    m_controlAnswers = aAnswers;
   }
   m_wake.notify_all();
 }
 
 void
-ConfigurationFetcher::FetchFromOtherDomainIfLate(const std::string& aMember, int64_t aVersion)
+ConfigurationFetcher::Propose(Source aSource)
 {
-  const Deadline now = SteadyClock::now();
+  const int64_t heldVersion = HeldVersion();
+  if (aSource.version <= heldVersion) {
+    return;
+  }
   {
     const std::lock_guard lock(m_mutex);
-    if (aVersion <= HeldVersion()) {
-      m_behindSince.reset();
+    if (heldVersion != m_outdatedVersion) {
+      m_outdatedVersion = heldVersion;
+      m_outdatedSince = SteadyClock::now();
+    }
+    if (m_source && aSource.version < m_source->version) {
       return;
     }
-    m_behindSince = m_behindSince.value_or(now);
-    if (now < *m_behindSince + kRelayGracePeriod) {
+    const bool isSameVersion = m_source && aSource.version == m_source->version;
+    if (isSameVersion && m_source->isInOwnDomain && !aSource.isInOwnDomain) {
       return;
     }
+    m_source = std::move(aSource);
   }
-  FetchIfNewer(aMember, aVersion);
+  m_wake.notify_all();
+}
+
+Deadline
+ConfigurationFetcher::FetchTime(const Source& aSource) const
+{
+  Deadline time = m_outdatedSince;
+  if (!aSource.isInOwnDomain) {
+    time += kOwnDomainGracePeriod;
+  }
+  if (m_controlAnswers) {
+    time = std::max(time, m_outdatedSince + kControlGracePeriod);
+  }
+  return time;
 }
 
 void
@@ -76,27 +104,37 @@
 {
   std::unique_lock lock(m_mutex);
   while (!m_stop) {
-    if (m_sourceMember.empty()) {
+    if (!m_source) {
       m_wake.wait(lock);
       continue;
     }
-    const std::string source = std::exchange(m_sourceMember, "");
+    if (m_source->version <= HeldVersion()) {
+      m_source.reset();
+      continue;
+    }
+    const Deadline fetchTime = FetchTime(*m_source);
+    if (SteadyClock::now() < fetchTime) {
+      m_wake.wait_until(lock, fetchTime);
+      continue;
+    }
+    const std::string member = m_source->member;
+    m_source.reset();
     lock.unlock();
-    FetchFrom(source);
+    FetchFrom(member);
     lock.lock();
   }
 }
 
-bool
+void
 ConfigurationFetcher::FetchFrom(const std::string& aMember)
 {
   const std::optional<wire::Member> member = m_table.Find(aMember);
   if (!member) {
-    return false;
+    return;
   }
   const Result<std::shared_ptr<NodeClient>> client = m_peers.ClientFor(member->name, member->peerAddress);
   if (!client) {
-    return false;
+    return;
   }
   for (const int64_t heldVersion : { HeldVersion(), kNoVersion }) {
     wire::ConfigurationUpdate update;
@@ -104,13 +142,12 @@
       client.value()->Call(SteadyClock::now() + kFetchTimeout,
                            [&](wire::NodePeerClient& aClient) { aClient.fetch(update, heldVersion); });
     if (!fetched || update.toVersion <= HeldVersion()) {
-      return false;
+      return;
     }
     if (m_holder.Apply(update, aMember)) {
-      return true;
+      return;
     }
   }
-  return false;
 }
 
 } // namespace mimosarun
--- a/src/node/fetcher.h
+++ b/src/node/fetcher.h
@@ -12,7 +12,10 @@
 
 namespace mimosarun {
 
-/** Fetches newer configurations from other nodes that are known to hold them. */
+/**
+ * Fetches newer configurations from other nodes where control doesn't deliver them. While control answers, a
+ * large update may still be on its way from there, and a second copy would only delay it on a slow link.
+ */
 class ConfigurationFetcher
 {
 public:
@@ -22,33 +25,47 @@
   ConfigurationFetcher(const ConfigurationFetcher&) = delete;
   ConfigurationFetcher& operator=(const ConfigurationFetcher&) = delete;
 
-  /** Starts to fetch a version from a member that holds it if it is newer than the own. Doesn't block. */
+  /** Fetches a version from a member of the own failure domain if it is still newer when due. Doesn't block.
+   */
   void FetchIfNewer(const std::string& aMember, int64_t aVersion);
 
-  /**
-   * Fetches a version from a member of another failure domain only if this node has known of newer versions
-   * for longer than the relays of its own domain normally need to deliver them. Doesn't block.
-   */
-  void FetchFromOtherDomainIfLate(const std::string& aMember, int64_t aVersion);
+  /** Same as FetchIfNewer(), but gives the members of the own domain time to deliver the version first. */
+  void FetchFromOtherDomainIfNewer(const std::string& aMember, int64_t aVersion);
+
+  /** Says whether control answered the last long poll of this node. */
+  void SetControlAnswers(bool aAnswers);
 
   /** Returns the version of the configuration that this node holds. */
   int64_t HeldVersion() const;
 
 private:
+  /** A member that holds a newer version. */
+  struct Source
+  {
+    std::string member;
+    int64_t version = 0;
+    bool isInOwnDomain = true;
+  };
+
+  void Propose(Source aSource);
+  /** Returns when a version is to be fetched from a source, given since when the held one is outdated. */
+  Deadline FetchTime(const Source& aSource) const;
   void Run();
-  /** Fetches and applies an update from a member; returns whether a newer version was applied. */
-  bool FetchFrom(const std::string& aMember);
+  /** Fetches and applies an update from a member. */
+  void FetchFrom(const std::string& aMember);
 
   ConfigurationHolder& m_holder;
   MemberTable& m_table;
   PeerConnections& m_peers;
   std::mutex m_mutex;
   std::condition_variable m_wake;
-  /** Member to fetch from next; empty if nothing is to be fetched. */
-  std::string m_sourceMember;
-  int64_t m_wantedVersion = 0;
-  /** Time since which another failure domain is known to hold a newer version; empty if none does. */
-  std::optional<Deadline> m_behindSince;
+  /** Empty if nothing is to be fetched. */
+  std::optional<Source> m_source;
+  /** The held version when another node was last found to hold a newer one. */
+  int64_t m_outdatedVersion = -1;
+  /** Time when that version was first found to be outdated. */
+  Deadline m_outdatedSince{};
+  bool m_controlAnswers = false;
   bool m_stop = false;
   std::thread m_thread;
 };
--- a/src/node/gossiper.cpp
+++ b/src/node/gossiper.cpp
@@ -389,7 +389,7 @@
     m_fetcher.FetchIfNewer(aMember.name, aVersion);
   } else if (aMember.region == m_settings.region) {
     // Configurations reach another region through its own control replicas, not through nodes over the link.
-    m_fetcher.FetchFromOtherDomainIfLate(aMember.name, aVersion);
+    m_fetcher.FetchFromOtherDomainIfNewer(aMember.name, aVersion);
   }
 }
 
