A call that broke on a kept connection isn't refused as not run

What callers saw: 503 and 'not run' for a request that had run and ended its target, and further targets ended by the same call, since the entry took it for one that no target had got and tried up to five gates.

Cause: where a kept connection closes without an answer, the gate forwards an idempotent call again over a new one. If that can't be opened, the gate answered that the call hadn't been sent; the first time was forgotten. Class: an outcome that is judged by the last step of several.

Change: a call that is forwarded again counts as sent, whatever happens the second time.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -390,6 +390,9 @@
   }
   if (aResult == ForwardResult::NotSent) {
     m_gate.RecordConnectResult(false);
+  }
+  // A call that is forwarded again may have run the first time.
+  if (aResult == ForwardResult::NotSent && !m_retried) {
     m_gate.ReleaseUnused(*this);
     RespondWithError(503, HopOutcome::Rejected, "the target accepts no connections");
     ReleaseClaim();
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -128,6 +128,9 @@
 StandinTarget::Run(const CallPointer& aCall)
 {
   WriteLedger(aCall->exchange->Request());
+  if (QueryNumber(aCall->exchange->Request(), "crash", 0) != 0) {
+    ::_exit(EXIT_FAILURE);
+  }
   m_timers->RunAt(SteadyClock::now() + aCall->cost, [this, aCall] { Finish(aCall); });
 }
 
