--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -299,6 +299,26 @@
   8: i64 ageMillis = 0,
 }
 
+// The end of a target's process, and the requests that ran on the target then.
+struct TargetCrash {
+  1: string identifier,
+  2: string target,
+  3: list<string> fingerprints,
+}
+
+// A request that no target may run, since targets ended whenever they ran it.
+struct QuarantinedRequest {
+  1: string fingerprint,
+  2: i64 millisLeft = 0,
+}
+
+// A state of a replica's list of quarantined requests.
+struct QuarantineMark {
+  // Names one life of the replica's process.
+  1: i64 epoch = 0,
+  2: i64 revision = 0,
+}
+
 struct WatchRequest {
   1: i64 heldVersion = 0,
   2: i32 waitMillis = 0,
@@ -309,6 +329,10 @@
   6: bool wantsMembers = true,
   // A node that has just started says who it is, so that others learn of it.
   7: list<Member> introduced,
+  // The state of the replica's list that the node has seen.
+  8: QuarantineMark quarantineSeen,
+  // What the node knows, for a replica that it has just turned to.
+  9: list<QuarantinedRequest> quarantined,
 }
 
 struct WatchReply {
@@ -320,6 +344,9 @@
   5: bool current = true,
   // The replicas of the configuration's log with their addresses.
   6: list<Replica> replicas,
+  7: QuarantineMark quarantineMark,
+  // The whole list, if the node hasn't seen its newest state.
+  8: list<QuarantinedRequest> quarantined,
 }
 
 service ControlPeer {
@@ -337,6 +364,8 @@
   WatchReply watch(1: WatchRequest request),
   // The reports of failure domains that this replica holds, with a few members of each if they are wanted.
   list<DomainReport> reports(1: bool withMembers),
+  // Reports the end of a target's process; each replica gets the report.
+  void reportCrash(1: TargetCrash crash),
 }
 
 service NodePeer {
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/entrycall.h"
 #include "common/random.h"
+#include "hop/fingerprint.h"
 #include "http/refusal.h"
 
 #include <algorithm>
@@ -39,6 +40,8 @@
   m_notRunCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "not-run" } });
   m_unknownCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "unknown" } });
   m_retryCounter = &metrics.Counter("mimosarun_entry_retries_total", "Attempts after the first", {});
+  m_quarantinedCounter =
+    &metrics.Counter("mimosarun_entry_quarantined_total", "Calls refused as they are quarantined", {});
   m_callTimeHistogram =
     &metrics.SecondsHistogram("mimosarun_entry_call_seconds", "Time of calls from arrival to the end", {});
 }
@@ -236,6 +239,15 @@
   }
 }
 
+std::optional<Deadline>
+Entry::QuarantinedUntil(const Route& aRoute, const HttpRequest& aRequest, Deadline aNow) const
+{
+  if (m_options.quarantine == nullptr || !m_options.quarantine->MayListRequests()) {
+    return std::nullopt;
+  }
+  return m_options.quarantine->ListedUntil(RequestFingerprint(aRoute.name, aRequest), aNow);
+}
+
 void
 Entry::RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal)
 {
@@ -288,6 +300,16 @@
                         .retryAfter = kRetryAfterWhileStopping });
     return;
   }
+  if (const auto until = QuarantinedUntil(*route, request, aExchange->ReceivedAt())) {
+    m_quarantinedCounter->Increment();
+    RefuseImmediately(
+      aExchange,
+      { .status = 503,
+        .reason = "targets ended whenever they ran this request; report it to the authors of the service",
+        .callId = options.callId,
+        .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*until - aExchange->ReceivedAt()) });
+    return;
+  }
   if (!TryAcquireLimit(configuration, route->limit)) {
     RefuseImmediately(
       aExchange,
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -13,6 +13,7 @@
 #include "http/server.h"
 #include "node/directory.h"
 #include "process/metrics.h"
+#include "quarantine/quarantine.h"
 
 #include <atomic>
 #include <map>
@@ -42,6 +43,8 @@
     CallerCodec codec;
     Balancer::Options balancer;
     RetryBudget::Options retryBudget;
+    /** Null where no requests are quarantined. */
+    const Quarantine* quarantine = nullptr;
     /** Hedged attempts allowed per call, for short idempotent calls; zero disables hedging. */
     double hedgesPerCall = 0;
   };
@@ -82,6 +85,10 @@
   explicit Entry(Options aOptions);
 
   void Handle(const ExchangePointer& aExchange);
+  /** Returns until when no target may run a request, if it is quarantined. */
+  std::optional<Deadline> QuarantinedUntil(const Route& aRoute,
+                                           const HttpRequest& aRequest,
+                                           Deadline aNow) const;
   void RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal);
   /** Returns the delay after which a short idempotent call may be hedged; zero means never. */
   std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
@@ -141,6 +148,7 @@
   prometheus::Counter* m_notRunCounter = nullptr;
   prometheus::Counter* m_unknownCounter = nullptr;
   prometheus::Counter* m_retryCounter = nullptr;
+  prometheus::Counter* m_quarantinedCounter = nullptr;
   prometheus::Histogram* m_callTimeHistogram = nullptr;
   std::unique_ptr<HttpServer> m_server;
 };
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -193,6 +193,9 @@
   if (now >= m_options.deadline) {
     return StopSending(StopReason::NoTime);
   }
+  if (m_entry.QuarantinedUntil(*m_options.route, m_exchange->Request(), now)) {
+    return StopSending(StopReason::Quarantined);
+  }
   if (m_gateAttempts >= kMaxGateAttempts) {
     return StopSending(StopReason::GateAttemptLimit);
   }
--- a/src/caller/stopreason.cpp
+++ b/src/caller/stopreason.cpp
@@ -20,6 +20,8 @@
       return "retry-limit";
     case StopReason::RetryBudget:
       return "retry-budget";
+    case StopReason::Quarantined:
+      return "quarantined";
   }
   return "none";
 }
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -19,6 +19,8 @@
   RetryLimit,
   /** The service's retry budget is used up. */
   RetryBudget,
+  /** Targets ended whenever they ran the request. */
+  Quarantined,
 };
 
 /** Returns the name for logs and metrics. */
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -50,6 +50,8 @@
   EventDescription{ Event::ClaimReleased, Severity::Info, "claim-released" },
   EventDescription{ Event::GateDrained, Severity::Info, "gate-drained" },
   EventDescription{ Event::TargetRateLimitChanged, Severity::Warning, "target-rate-limit-changed" },
+  EventDescription{ Event::TargetCrashed, Severity::Warning, "target-crashed" },
+  EventDescription{ Event::RequestQuarantined, Severity::Error, "request-quarantined" },
 };
 
 std::span<const EventDescription>
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -56,6 +56,8 @@
   ClaimReleased = 508,
   GateDrained = 509,
   TargetRateLimitChanged = 510,
+  TargetCrashed = 511,
+  RequestQuarantined = 512,
 };
 
 enum class Severity
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -293,13 +293,24 @@
 }
 
 SnapshotPointer
-ConfigurationState::WaitForNewer(int64_t aHeldVersion, Deadline aDeadline) const
+ConfigurationState::WaitForNewer(int64_t aHeldVersion,
+                                 Deadline aDeadline,
+                                 const std::function<bool()>& aIsInterrupted) const
 {
   std::unique_lock lock(m_mutex);
-  m_changed.wait_until(lock, aDeadline, [&] { return m_current->version > aHeldVersion; });
+  m_changed.wait_until(
+    lock, aDeadline, [&] { return m_current->version > aHeldVersion || aIsInterrupted(); });
   return m_current;
 }
 
+void
+ConfigurationState::WakeWaiters() const
+{
+  // A waiter that has just found that it isn't interrupted holds the lock until it waits.
+  const std::lock_guard lock(m_mutex);
+  m_changed.notify_all();
+}
+
 wire::ConfigurationUpdate
 ConfigurationState::UpdateFrom(int64_t aHeldVersion) const
 {
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -6,6 +6,7 @@
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -39,8 +40,16 @@
   /** Returns the version accepted last. */
   SnapshotPointer Current() const;
 
-  /** Waits until a version newer than aHeldVersion is accepted or the deadline; returns the current one. */
-  SnapshotPointer WaitForNewer(int64_t aHeldVersion, Deadline aDeadline) const;
+  /**
+   * Waits until a version newer than aHeldVersion is accepted, the deadline, or WakeWaiters() while
+   * aIsInterrupted returns true; returns the current version.
+   */
+  SnapshotPointer WaitForNewer(int64_t aHeldVersion,
+                               Deadline aDeadline,
+                               const std::function<bool()>& aIsInterrupted) const;
+
+  /** Lets WaitForNewer() ask again whether it is interrupted. */
+  void WakeWaiters() const;
 
   /** Returns the update from aHeldVersion to the current version. */
   wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -8,6 +8,7 @@
 #include "control/groupplan.h"
 #include "control/reportstore.h"
 #include "control/transport.h"
+#include "quarantine/crashledger.h"
 #include "settings/processsettings.h"
 #include "wire/rpcserver.h"
 
@@ -39,6 +40,7 @@
   const ProcessSettings& Settings() const { return m_settings; }
   const ConfigurationState& Configuration() const { return m_configuration; }
   ReportStore& DomainReports() { return m_domainReports; }
+  CrashLedger& Crashes() { return m_crashes; }
   GroupClient& Client() { return m_client; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
@@ -117,6 +119,7 @@
   ConfigurationState m_configuration;
   std::map<std::string, std::unique_ptr<ClaimState>> m_claims;
   ReportStore m_domainReports;
+  CrashLedger m_crashes;
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -66,9 +66,17 @@
       m_controller.DomainReports().AddReport(aRequest.report, std::chrono::milliseconds(0));
     }
     m_controller.DomainReports().AddStartedMembers(aRequest.introduced);
+    CrashLedger& crashes = m_controller.Crashes();
+    crashes.Add(aRequest.quarantined, SteadyClock::now());
     const ConfigurationState& configuration = m_controller.Configuration();
     const SnapshotPointer current =
-      configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis));
+      configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis), [&] {
+        return crashes.Mark() != aRequest.quarantineSeen;
+      });
+    aReturn.quarantineMark = crashes.Mark();
+    if (aReturn.quarantineMark != aRequest.quarantineSeen) {
+      aReturn.quarantined = crashes.Quarantined(SteadyClock::now());
+    }
     if (aRequest.heldVersion >= 0 && current->version > aRequest.heldVersion) {
       aReturn.update = configuration.UpdateFrom(aRequest.heldVersion);
       aReturn.unchanged = false;
@@ -89,6 +97,11 @@
     aReturn = m_controller.DomainReports().AllReports(aWithMembers);
   }
 
+  void reportCrash(const wire::TargetCrash& aCrash) override
+  {
+    m_controller.Crashes().Record(aCrash, SteadyClock::now());
+  }
+
 private:
   Controller& m_controller;
 };
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace mimosarun {
 
@@ -30,11 +31,13 @@
 ControlLink::ControlLink(const ProcessSettings& aSettings,
                          ConfigurationHolder& aHolder,
                          MemberTable& aTable,
-                         ConfigurationFetcher& aFetcher)
+                         ConfigurationFetcher& aFetcher,
+                         Quarantine& aQuarantine)
   : m_settings(aSettings)
   , m_holder(aHolder)
   , m_table(aTable)
   , m_fetcher(aFetcher)
+  , m_quarantine(aQuarantine)
 {
   m_seeds = m_settings.replicas;
   SetReplicas(m_seeds);
@@ -47,6 +50,13 @@
   m_seeds = std::move(aSeeds);
 }
 
+std::vector<ReplicaSettings>
+ControlLink::Replicas() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_replicas;
+}
+
 void
 ControlLink::SetReplicas(std::vector<ReplicaSettings> aReplicas)
 {
@@ -54,7 +64,10 @@
   std::stable_sort(aReplicas.begin(), aReplicas.end(), [this](const auto& aLeft, const auto& aRight) {
     return DistanceTo(aLeft) < DistanceTo(aRight);
   });
-  m_replicas = std::move(aReplicas);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_replicas = std::move(aReplicas);
+  }
   m_clients.clear();
   m_currentReplica = 0;
   for (const ReplicaSettings& replica : m_replicas) {
@@ -281,11 +294,16 @@
     request.report = MakeReport(request.wantsMembers);
   }
   request.failureDomain = m_settings.failureDomain;
+  request.quarantineSeen = m_quarantineSeen;
+  if (std::exchange(m_offersQuarantined, false)) {
+    request.quarantined = m_quarantine.All(SteadyClock::now());
+  }
   request.sentAt = StampNow();
   const Result<wire::WatchReply> reply = CallCurrentReplica(request);
   if (!reply) {
     return false;
   }
+  AddQuarantined(reply.value());
   ApplyReply(reply.value());
   if (!reply.value().current) {
     // This replica has no contact to a leader. Another one may have it and know newer versions.
@@ -296,6 +314,14 @@
   return true;
 }
 
+void
+ControlLink::AddQuarantined(const wire::WatchReply& aReply)
+{
+  m_quarantine.Add(aReply.quarantined, SteadyClock::now());
+  m_offersQuarantined = aReply.quarantineMark.epoch != m_quarantineSeen.epoch;
+  m_quarantineSeen = aReply.quarantineMark;
+}
+
 void
 ControlLink::ApplyReply(const wire::WatchReply& aReply)
 {
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -3,6 +3,7 @@
 #include "node/fetcher.h"
 #include "node/holder.h"
 #include "node/membertable.h"
+#include "quarantine/quarantine.h"
 #include "settings/processsettings.h"
 #include "wire/gen-cpp/ControlPeer.h"
 #include "wire/rpcclient.h"
@@ -28,7 +29,8 @@
   ControlLink(const ProcessSettings& aSettings,
               ConfigurationHolder& aHolder,
               MemberTable& aTable,
-              ConfigurationFetcher& aFetcher);
+              ConfigurationFetcher& aFetcher,
+              Quarantine& aQuarantine);
   ~ControlLink();
 
   ControlLink(const ControlLink&) = delete;
@@ -42,6 +44,9 @@
   /** Sets the replicas that are contacted when none of the known replicas answers. Thread-safe. */
   void SetSeeds(std::vector<ReplicaSettings> aSeeds);
 
+  /** Returns the known replicas. Thread-safe. */
+  std::vector<ReplicaSettings> Replicas() const;
+
 private:
   using Client = RpcClient<wire::ControlPeerClient>;
 
@@ -64,6 +69,7 @@
   /** Adopts the replicas of a reply if they are to be discovered and differ from the known ones. */
   void UpdateReplicas(const std::vector<wire::Replica>& aReplicas);
   void SwitchToNextReplica();
+  void AddQuarantined(const wire::WatchReply& aReply);
   /** Applies the update of a reply; fetches the full configuration if the update can't be applied. */
   void ApplyReply(const wire::WatchReply& aReply);
   wire::DomainReport MakeReport(bool aWithMembers);
@@ -76,6 +82,7 @@
   ConfigurationHolder& m_holder;
   MemberTable& m_table;
   ConfigurationFetcher& m_fetcher;
+  Quarantine& m_quarantine;
   /** Replicas by preference: the own failure domain first, then the own region, then the others. */
   std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
@@ -90,8 +97,12 @@
   /** Generation of the member table at the last exchange of members with control. */
   uint64_t m_reportedGeneration = 0;
   Deadline m_nextMemberExchange{};
-  /** Guards m_seeds and m_stop. */
-  std::mutex m_mutex;
+  /** State of the list of quarantined requests that the last reply carried. */
+  wire::QuarantineMark m_quarantineSeen;
+  /** Whether the current replica may lack quarantined requests that this node knows. */
+  bool m_offersQuarantined = false;
+  /** Guards m_seeds, m_stop, and changes of m_replicas, which only the thread of this object makes. */
+  mutable std::mutex m_mutex;
   std::vector<ReplicaSettings> m_seeds;
   std::condition_variable m_wake;
   bool m_stop = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,7 +35,8 @@
   , m_holder(m_options.parser)
   , m_fetcher(m_holder, m_table, m_peers)
   , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
-  , m_control(m_settings, m_holder, m_table, m_fetcher)
+  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine)
+  , m_crashReporter([this] { return m_control.Replicas(); })
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
   , m_loops(m_options.loopCount)
@@ -57,6 +58,7 @@
     m_directoryThread.join();
   }
   m_control.Stop();
+  m_crashReporter.Stop();
   m_gossiper.Stop();
   m_server.reset();
   // This closes all connections, so that none of them uses entry or gate afterwards.
@@ -75,6 +77,7 @@
                                .codec = m_options.callerCodec,
                                .balancer = m_options.balancer,
                                .retryBudget = m_options.retryBudget,
+                               .quarantine = &m_quarantine,
                                .hedgesPerCall = m_options.hedgesPerCall }));
   MIMOSARUN_TRY(
     m_gate,
@@ -88,6 +91,7 @@
         .onTargetLost = [this](const std::string& aTarget) { m_target.MarkLost(aTarget); },
         .onTargetLeaving =
           [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
+        .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { m_crashReporter.Report(aCrash); },
         .incarnation = [this] { return m_table.Self().incarnation; } }));
   if (m_settings.targetAddress.port != 0) {
     MIMOSARUN_TRY(m_announcementServer,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 #include "control/groupclient.h"
 #include "http/forwarder.h"
 #include "node/controllink.h"
+#include "node/crashreporter.h"
 #include "node/fetcher.h"
 #include "node/gossiper.h"
 #include "node/holder.h"
@@ -104,7 +105,9 @@
   ConfigurationHolder m_holder;
   ConfigurationFetcher m_fetcher;
   Gossiper m_gossiper;
+  Quarantine m_quarantine;
   ControlLink m_control;
+  CrashReporter m_crashReporter;
   GroupClient m_groups;
   ClaimClient m_claims;
   EventLoops m_loops;
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -18,6 +18,7 @@
 Gate::Gate(Options aOptions)
   : m_options(std::move(aOptions))
   , m_admission({ .slots = 1 })
+  , m_crashWatch(*m_options.loops, m_options.onTargetCrashed)
 {
   if (m_options.claims != nullptr) {
     m_workers = std::make_unique<WorkerPool>(
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -8,6 +8,7 @@
 #include "process/metrics.h"
 #include "target/admission.h"
 #include "target/claimclient.h"
+#include "target/crashwatch.h"
 #include "target/nonidempotentcalls.h"
 #include "target/targetfailuretracker.h"
 #include "target/targetprotocol.h"
@@ -48,6 +49,7 @@
     TargetCodec codec;
     TargetLostListener onTargetLost;
     TargetLeavingListener onTargetLeaving;
+    CrashWatch::Listener onTargetCrashed;
     /** Returns the incarnation of this process that entries know. */
     std::function<int64_t()> incarnation;
   };
@@ -110,6 +112,7 @@
   Admission m_admission;
   std::map<uint64_t, std::shared_ptr<GateCall>> m_waitingCalls;
   NonIdempotentCalls m_nonIdempotentCalls;
+  CrashWatch m_crashWatch;
   std::atomic<uint64_t> m_lastCallNumber{ 0 };
   prometheus::Counter* m_admitted = nullptr;
   prometheus::Counter* m_refused = nullptr;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -3,6 +3,7 @@
 #include "common/digest.h"
 #include "common/log.h"
 #include "common/random.h"
+#include "hop/fingerprint.h"
 #include "http/meshheaders.h"
 #include "http/responsebuffering.h"
 #include "target/gate.h"
@@ -177,6 +178,7 @@
     return;
   }
   m_targetName = target->name;
+  m_targetAddress = target->address;
   HttpRequest request = m_request;
   m_gate.m_options.codec.prepare(
     request.headers,
@@ -407,6 +409,11 @@
   if (aResult == ForwardResult::Broken) {
     m_gate.RecordOutcome(TargetFailureTracker::Outcome::Failed);
   }
+  if (aResult == ForwardResult::Broken || aResult == ForwardResult::ReusedConnectionClosed ||
+      aResult == ForwardResult::NotSent) {
+    m_gate.m_crashWatch.RecordBreak(
+      m_targetName, m_targetAddress, RequestFingerprint(m_hop.route, m_request));
+  }
   if (m_streaming) {
     m_stage = Stage::Ended;
     m_exchange->Finish(aResult == ForwardResult::Complete);
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -92,6 +92,7 @@
   bool m_retried = false;
   Deadline m_admittedAt{};
   std::string m_targetName;
+  Address m_targetAddress;
   ForwardHandle m_forwardHandle;
   TargetResponseKind m_responseKind = TargetResponseKind::Unusable;
   bool m_streaming = false;
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -1303,14 +1303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->success.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->success.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->success[_i262].read(iprot);
+              xfer += this->success[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,10 +1341,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter263;
-      for (_iter263 = this->success.begin(); _iter263 != this->success.end(); ++_iter263)
+      std::vector<DomainReport> ::const_iterator _iter293;
+      for (_iter293 = this->success.begin(); _iter293 != this->success.end(); ++_iter293)
       {
-        xfer += (*_iter263).write(oprot);
+        xfer += (*_iter293).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1385,14 +1385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _etype267;
-            xfer += iprot->readListBegin(_etype267, _size264);
-            (*(this->success)).resize(_size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size294;
+            ::apache::thrift::protocol::TType _etype297;
+            xfer += iprot->readListBegin(_etype297, _size294);
+            (*(this->success)).resize(_size294);
+            uint32_t _i298;
+            for (_i298 = 0; _i298 < _size294; ++_i298)
             {
-              xfer += (*(this->success))[_i268].read(iprot);
+              xfer += (*(this->success))[_i298].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1413,6 +1413,162 @@
   return xfer;
 }
 
+
+ControlPeer_reportCrash_args::~ControlPeer_reportCrash_args() noexcept {
+}
+
+
+uint32_t ControlPeer_reportCrash_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash.read(iprot);
+          this->__isset.crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_reportCrash_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_reportCrash_args");
+
+  xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->crash.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_reportCrash_pargs::~ControlPeer_reportCrash_pargs() noexcept {
+}
+
+
+uint32_t ControlPeer_reportCrash_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_reportCrash_pargs");
+
+  xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->crash)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_reportCrash_result::~ControlPeer_reportCrash_result() noexcept {
+}
+
+
+uint32_t ControlPeer_reportCrash_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_reportCrash_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ControlPeer_reportCrash_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_reportCrash_presult::~ControlPeer_reportCrash_presult() noexcept {
+}
+
+
+uint32_t ControlPeer_reportCrash_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void ControlPeerClient::deliver(RaftBatch& _return, const RaftBatch& batch)
 {
   send_deliver(batch);
@@ -1823,6 +1979,59 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "reports failed: unknown result");
 }
 
+void ControlPeerClient::reportCrash(const TargetCrash& crash)
+{
+  send_reportCrash(crash);
+  recv_reportCrash();
+}
+
+void ControlPeerClient::send_reportCrash(const TargetCrash& crash)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_reportCrash_pargs args;
+  args.crash = &crash;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlPeerClient::recv_reportCrash()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("reportCrash") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ControlPeer_reportCrash_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
 bool ControlPeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -2220,6 +2429,59 @@
   }
 }
 
+void ControlPeerProcessor::process_reportCrash(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ControlPeer.reportCrash", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ControlPeer.reportCrash");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ControlPeer.reportCrash");
+  }
+
+  ControlPeer_reportCrash_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ControlPeer.reportCrash", bytes);
+  }
+
+  ControlPeer_reportCrash_result result;
+  try {
+    iface_->reportCrash(args.crash);
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ControlPeer.reportCrash");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ControlPeer.reportCrash");
+  }
+
+  oprot->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ControlPeer.reportCrash", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > ControlPeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< ControlPeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< ControlPeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -2819,5 +3081,83 @@
   } // end while(true)
 }
 
+void ControlPeerConcurrentClient::reportCrash(const TargetCrash& crash)
+{
+  int32_t seqid = send_reportCrash(crash);
+  recv_reportCrash(seqid);
+}
+
+int32_t ControlPeerConcurrentClient::send_reportCrash(const TargetCrash& crash)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_reportCrash_pargs args;
+  args.crash = &crash;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlPeerConcurrentClient::recv_reportCrash(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("reportCrash") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ControlPeer_reportCrash_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/wire/gen-cpp/ControlPeer.h
+++ b/src/wire/gen-cpp/ControlPeer.h
@@ -29,6 +29,7 @@
   virtual void submit(CommandResult& _return, const std::string& group, const Command& command, const int32_t waitMillis) = 0;
   virtual void watch(WatchReply& _return, const WatchRequest& request) = 0;
   virtual void reports(std::vector<DomainReport> & _return, const bool withMembers) = 0;
+  virtual void reportCrash(const TargetCrash& crash) = 0;
 };
 
 class ControlPeerIfFactory {
@@ -79,6 +80,9 @@
   void reports(std::vector<DomainReport> & /* _return */, const bool /* withMembers */) override {
     return;
   }
+  void reportCrash(const TargetCrash& /* crash */) override {
+    return;
+  }
 };
 
 typedef struct _ControlPeer_deliver_args__isset {
@@ -872,6 +876,96 @@
 
 };
 
+typedef struct _ControlPeer_reportCrash_args__isset {
+  _ControlPeer_reportCrash_args__isset() : crash(false) {}
+  bool crash :1;
+} _ControlPeer_reportCrash_args__isset;
+
+class ControlPeer_reportCrash_args {
+ public:
+
+  ControlPeer_reportCrash_args(const ControlPeer_reportCrash_args&);
+  ControlPeer_reportCrash_args(ControlPeer_reportCrash_args&&) noexcept;
+  ControlPeer_reportCrash_args& operator=(const ControlPeer_reportCrash_args&);
+  ControlPeer_reportCrash_args& operator=(ControlPeer_reportCrash_args&&) noexcept;
+  ControlPeer_reportCrash_args() noexcept {
+  }
+
+  virtual ~ControlPeer_reportCrash_args() noexcept;
+  TargetCrash crash;
+
+  _ControlPeer_reportCrash_args__isset __isset;
+
+  void __set_crash(const TargetCrash& val);
+
+  bool operator == (const ControlPeer_reportCrash_args & rhs) const
+  {
+    if (!(crash == rhs.crash))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_reportCrash_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_reportCrash_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_reportCrash_pargs {
+ public:
+
+
+  virtual ~ControlPeer_reportCrash_pargs() noexcept;
+  const TargetCrash* crash;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_reportCrash_result {
+ public:
+
+  ControlPeer_reportCrash_result(const ControlPeer_reportCrash_result&) noexcept;
+  ControlPeer_reportCrash_result(ControlPeer_reportCrash_result&&) noexcept;
+  ControlPeer_reportCrash_result& operator=(const ControlPeer_reportCrash_result&) noexcept;
+  ControlPeer_reportCrash_result& operator=(ControlPeer_reportCrash_result&&) noexcept;
+  ControlPeer_reportCrash_result() noexcept {
+  }
+
+  virtual ~ControlPeer_reportCrash_result() noexcept;
+
+  bool operator == (const ControlPeer_reportCrash_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const ControlPeer_reportCrash_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_reportCrash_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_reportCrash_presult {
+ public:
+
+
+  virtual ~ControlPeer_reportCrash_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class ControlPeerClient : virtual public ControlPeerIf {
  public:
   ControlPeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -918,6 +1012,9 @@
   void reports(std::vector<DomainReport> & _return, const bool withMembers) override;
   void send_reports(const bool withMembers);
   void recv_reports(std::vector<DomainReport> & _return);
+  void reportCrash(const TargetCrash& crash) override;
+  void send_reportCrash(const TargetCrash& crash);
+  void recv_reportCrash();
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -940,6 +1037,7 @@
   void process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_watch(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reports(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_reportCrash(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlPeerProcessor(::std::shared_ptr<ControlPeerIf> iface) :
     iface_(iface) {
@@ -950,6 +1048,7 @@
     processMap_["submit"] = &ControlPeerProcessor::process_submit;
     processMap_["watch"] = &ControlPeerProcessor::process_watch;
     processMap_["reports"] = &ControlPeerProcessor::process_reports;
+    processMap_["reportCrash"] = &ControlPeerProcessor::process_reportCrash;
   }
 
   virtual ~ControlPeerProcessor() {}
@@ -1048,6 +1147,15 @@
     return;
   }
 
+  void reportCrash(const TargetCrash& crash) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->reportCrash(crash);
+    }
+    ifaces_[i]->reportCrash(crash);
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1101,6 +1209,9 @@
   void reports(std::vector<DomainReport> & _return, const bool withMembers) override;
   int32_t send_reports(const bool withMembers);
   void recv_reports(std::vector<DomainReport> & _return, const int32_t seqid);
+  void reportCrash(const TargetCrash& crash) override;
+  int32_t send_reportCrash(const TargetCrash& crash);
+  void recv_reportCrash(const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -5850,6 +5850,417 @@
 }
 
 
+TargetCrash::~TargetCrash() noexcept {
+}
+
+
+void TargetCrash::__set_identifier(const std::string& val) {
+  this->identifier = val;
+}
+
+void TargetCrash::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetCrash::__set_fingerprints(const std::vector<std::string> & val) {
+  this->fingerprints = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->identifier);
+          this->__isset.identifier = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fingerprints.clear();
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->fingerprints.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
+            {
+              xfer += iprot->readString(this->fingerprints[_i236]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fingerprints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetCrash");
+
+  xfer += oprot->writeFieldBegin("identifier", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->identifier);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->fingerprints.size()));
+    std::vector<std::string> ::const_iterator _iter237;
+    for (_iter237 = this->fingerprints.begin(); _iter237 != this->fingerprints.end(); ++_iter237)
+    {
+      xfer += oprot->writeString((*_iter237));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetCrash &a, TargetCrash &b) {
+  using ::std::swap;
+  swap(a.identifier, b.identifier);
+  swap(a.target, b.target);
+  swap(a.fingerprints, b.fingerprints);
+  swap(a.__isset, b.__isset);
+}
+
+TargetCrash::TargetCrash(const TargetCrash& other238) {
+  identifier = other238.identifier;
+  target = other238.target;
+  fingerprints = other238.fingerprints;
+  __isset = other238.__isset;
+}
+TargetCrash::TargetCrash(TargetCrash&& other239) noexcept {
+  identifier = std::move(other239.identifier);
+  target = std::move(other239.target);
+  fingerprints = std::move(other239.fingerprints);
+  __isset = other239.__isset;
+}
+TargetCrash& TargetCrash::operator=(const TargetCrash& other240) {
+  identifier = other240.identifier;
+  target = other240.target;
+  fingerprints = other240.fingerprints;
+  __isset = other240.__isset;
+  return *this;
+}
+TargetCrash& TargetCrash::operator=(TargetCrash&& other241) noexcept {
+  identifier = std::move(other241.identifier);
+  target = std::move(other241.target);
+  fingerprints = std::move(other241.fingerprints);
+  __isset = other241.__isset;
+  return *this;
+}
+void TargetCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetCrash(";
+  out << "identifier=" << to_string(identifier);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "fingerprints=" << to_string(fingerprints);
+  out << ")";
+}
+
+
+QuarantinedRequest::~QuarantinedRequest() noexcept {
+}
+
+
+void QuarantinedRequest::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void QuarantinedRequest::__set_millisLeft(const int64_t val) {
+  this->millisLeft = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantinedRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantinedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->millisLeft);
+          this->__isset.millisLeft = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantinedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantinedRequest");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("millisLeft", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->millisLeft);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantinedRequest &a, QuarantinedRequest &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.millisLeft, b.millisLeft);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantinedRequest::QuarantinedRequest(const QuarantinedRequest& other242) {
+  fingerprint = other242.fingerprint;
+  millisLeft = other242.millisLeft;
+  __isset = other242.__isset;
+}
+QuarantinedRequest::QuarantinedRequest(QuarantinedRequest&& other243) noexcept {
+  fingerprint = std::move(other243.fingerprint);
+  millisLeft = other243.millisLeft;
+  __isset = other243.__isset;
+}
+QuarantinedRequest& QuarantinedRequest::operator=(const QuarantinedRequest& other244) {
+  fingerprint = other244.fingerprint;
+  millisLeft = other244.millisLeft;
+  __isset = other244.__isset;
+  return *this;
+}
+QuarantinedRequest& QuarantinedRequest::operator=(QuarantinedRequest&& other245) noexcept {
+  fingerprint = std::move(other245.fingerprint);
+  millisLeft = other245.millisLeft;
+  __isset = other245.__isset;
+  return *this;
+}
+void QuarantinedRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantinedRequest(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "millisLeft=" << to_string(millisLeft);
+  out << ")";
+}
+
+
+QuarantineMark::~QuarantineMark() noexcept {
+}
+
+
+void QuarantineMark::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void QuarantineMark::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineMark");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineMark &a, QuarantineMark &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineMark::QuarantineMark(const QuarantineMark& other246) noexcept {
+  epoch = other246.epoch;
+  revision = other246.revision;
+  __isset = other246.__isset;
+}
+QuarantineMark::QuarantineMark(QuarantineMark&& other247) noexcept {
+  epoch = other247.epoch;
+  revision = other247.revision;
+  __isset = other247.__isset;
+}
+QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other248) noexcept {
+  epoch = other248.epoch;
+  revision = other248.revision;
+  __isset = other248.__isset;
+  return *this;
+}
+QuarantineMark& QuarantineMark::operator=(QuarantineMark&& other249) noexcept {
+  epoch = other249.epoch;
+  revision = other249.revision;
+  __isset = other249.__isset;
+  return *this;
+}
+void QuarantineMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineMark(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 WatchRequest::~WatchRequest() noexcept {
 }
 
@@ -5881,6 +6292,14 @@
 void WatchRequest::__set_introduced(const std::vector<Member> & val) {
   this->introduced = val;
 }
+
+void WatchRequest::__set_quarantineSeen(const QuarantineMark& val) {
+  this->quarantineSeen = val;
+}
+
+void WatchRequest::__set_quarantined(const std::vector<QuarantinedRequest> & val) {
+  this->quarantined = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
@@ -5961,14 +6380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->introduced.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->introduced.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->introduced.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->introduced[_i236].read(iprot);
+              xfer += this->introduced[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5977,6 +6396,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantineSeen.read(iprot);
+          this->__isset.quarantineSeen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->quarantined.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
+            {
+              xfer += this->quarantined[_i259].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6021,10 +6468,26 @@
   xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
-    std::vector<Member> ::const_iterator _iter237;
-    for (_iter237 = this->introduced.begin(); _iter237 != this->introduced.end(); ++_iter237)
+    std::vector<Member> ::const_iterator _iter260;
+    for (_iter260 = this->introduced.begin(); _iter260 != this->introduced.end(); ++_iter260)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter260).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantineSeen", ::apache::thrift::protocol::T_STRUCT, 8);
+  xfer += this->quarantineSeen.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<QuarantinedRequest> ::const_iterator _iter261;
+    for (_iter261 = this->quarantined.begin(); _iter261 != this->quarantined.end(); ++_iter261)
+    {
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6044,49 +6507,59 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.wantsMembers, b.wantsMembers);
   swap(a.introduced, b.introduced);
+  swap(a.quarantineSeen, b.quarantineSeen);
+  swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other238) {
-  heldVersion = other238.heldVersion;
-  waitMillis = other238.waitMillis;
-  report = other238.report;
-  sentAt = other238.sentAt;
-  failureDomain = other238.failureDomain;
-  wantsMembers = other238.wantsMembers;
-  introduced = other238.introduced;
-  __isset = other238.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other239) noexcept {
-  heldVersion = other239.heldVersion;
-  waitMillis = other239.waitMillis;
-  report = std::move(other239.report);
-  sentAt = std::move(other239.sentAt);
-  failureDomain = std::move(other239.failureDomain);
-  wantsMembers = other239.wantsMembers;
-  introduced = std::move(other239.introduced);
-  __isset = other239.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other240) {
-  heldVersion = other240.heldVersion;
-  waitMillis = other240.waitMillis;
-  report = other240.report;
-  sentAt = other240.sentAt;
-  failureDomain = other240.failureDomain;
-  wantsMembers = other240.wantsMembers;
-  introduced = other240.introduced;
-  __isset = other240.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other262) {
+  heldVersion = other262.heldVersion;
+  waitMillis = other262.waitMillis;
+  report = other262.report;
+  sentAt = other262.sentAt;
+  failureDomain = other262.failureDomain;
+  wantsMembers = other262.wantsMembers;
+  introduced = other262.introduced;
+  quarantineSeen = other262.quarantineSeen;
+  quarantined = other262.quarantined;
+  __isset = other262.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other263) noexcept {
+  heldVersion = other263.heldVersion;
+  waitMillis = other263.waitMillis;
+  report = std::move(other263.report);
+  sentAt = std::move(other263.sentAt);
+  failureDomain = std::move(other263.failureDomain);
+  wantsMembers = other263.wantsMembers;
+  introduced = std::move(other263.introduced);
+  quarantineSeen = std::move(other263.quarantineSeen);
+  quarantined = std::move(other263.quarantined);
+  __isset = other263.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other264) {
+  heldVersion = other264.heldVersion;
+  waitMillis = other264.waitMillis;
+  report = other264.report;
+  sentAt = other264.sentAt;
+  failureDomain = other264.failureDomain;
+  wantsMembers = other264.wantsMembers;
+  introduced = other264.introduced;
+  quarantineSeen = other264.quarantineSeen;
+  quarantined = other264.quarantined;
+  __isset = other264.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other241) noexcept {
-  heldVersion = other241.heldVersion;
-  waitMillis = other241.waitMillis;
-  report = std::move(other241.report);
-  sentAt = std::move(other241.sentAt);
-  failureDomain = std::move(other241.failureDomain);
-  wantsMembers = other241.wantsMembers;
-  introduced = std::move(other241.introduced);
-  __isset = other241.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other265) noexcept {
+  heldVersion = other265.heldVersion;
+  waitMillis = other265.waitMillis;
+  report = std::move(other265.report);
+  sentAt = std::move(other265.sentAt);
+  failureDomain = std::move(other265.failureDomain);
+  wantsMembers = other265.wantsMembers;
+  introduced = std::move(other265.introduced);
+  quarantineSeen = std::move(other265.quarantineSeen);
+  quarantined = std::move(other265.quarantined);
+  __isset = other265.__isset;
   return *this;
 }
 void WatchRequest::printTo(std::ostream& out) const {
@@ -6099,6 +6572,8 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "wantsMembers=" << to_string(wantsMembers);
   out << ", " << "introduced=" << to_string(introduced);
+  out << ", " << "quarantineSeen=" << to_string(quarantineSeen);
+  out << ", " << "quarantined=" << to_string(quarantined);
   out << ")";
 }
 
@@ -6130,6 +6605,14 @@
 void WatchReply::__set_replicas(const std::vector<Replica> & val) {
   this->replicas = val;
 }
+
+void WatchReply::__set_quarantineMark(const QuarantineMark& val) {
+  this->quarantineMark = val;
+}
+
+void WatchReply::__set_quarantined(const std::vector<QuarantinedRequest> & val) {
+  this->quarantined = val;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -6170,14 +6653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->sample.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->sample.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->sample[_i246].read(iprot);
+              xfer += this->sample[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6214,14 +6697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size247;
-            ::apache::thrift::protocol::TType _etype250;
-            xfer += iprot->readListBegin(_etype250, _size247);
-            this->replicas.resize(_size247);
-            uint32_t _i251;
-            for (_i251 = 0; _i251 < _size247; ++_i251)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->replicas.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->replicas[_i251].read(iprot);
+              xfer += this->replicas[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6230,6 +6713,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantineMark.read(iprot);
+          this->__isset.quarantineMark = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->quarantined.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
+            {
+              xfer += this->quarantined[_i280].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6254,10 +6765,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter252;
-    for (_iter252 = this->sample.begin(); _iter252 != this->sample.end(); ++_iter252)
+    std::vector<Member> ::const_iterator _iter281;
+    for (_iter281 = this->sample.begin(); _iter281 != this->sample.end(); ++_iter281)
     {
-      xfer += (*_iter252).write(oprot);
+      xfer += (*_iter281).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6278,10 +6789,26 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter253;
-    for (_iter253 = this->replicas.begin(); _iter253 != this->replicas.end(); ++_iter253)
+    std::vector<Replica> ::const_iterator _iter282;
+    for (_iter282 = this->replicas.begin(); _iter282 != this->replicas.end(); ++_iter282)
+    {
+      xfer += (*_iter282).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantineMark", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->quarantineMark.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<QuarantinedRequest> ::const_iterator _iter283;
+    for (_iter283 = this->quarantined.begin(); _iter283 != this->quarantined.end(); ++_iter283)
     {
-      xfer += (*_iter253).write(oprot);
+      xfer += (*_iter283).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6300,45 +6827,55 @@
   swap(a.unchanged, b.unchanged);
   swap(a.current, b.current);
   swap(a.replicas, b.replicas);
+  swap(a.quarantineMark, b.quarantineMark);
+  swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other254) {
-  update = other254.update;
-  sample = other254.sample;
-  sentAt = other254.sentAt;
-  unchanged = other254.unchanged;
-  current = other254.current;
-  replicas = other254.replicas;
-  __isset = other254.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other255) noexcept {
-  update = std::move(other255.update);
-  sample = std::move(other255.sample);
-  sentAt = std::move(other255.sentAt);
-  unchanged = other255.unchanged;
-  current = other255.current;
-  replicas = std::move(other255.replicas);
-  __isset = other255.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other256) {
-  update = other256.update;
-  sample = other256.sample;
-  sentAt = other256.sentAt;
-  unchanged = other256.unchanged;
-  current = other256.current;
-  replicas = other256.replicas;
-  __isset = other256.__isset;
+WatchReply::WatchReply(const WatchReply& other284) {
+  update = other284.update;
+  sample = other284.sample;
+  sentAt = other284.sentAt;
+  unchanged = other284.unchanged;
+  current = other284.current;
+  replicas = other284.replicas;
+  quarantineMark = other284.quarantineMark;
+  quarantined = other284.quarantined;
+  __isset = other284.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other285) noexcept {
+  update = std::move(other285.update);
+  sample = std::move(other285.sample);
+  sentAt = std::move(other285.sentAt);
+  unchanged = other285.unchanged;
+  current = other285.current;
+  replicas = std::move(other285.replicas);
+  quarantineMark = std::move(other285.quarantineMark);
+  quarantined = std::move(other285.quarantined);
+  __isset = other285.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other286) {
+  update = other286.update;
+  sample = other286.sample;
+  sentAt = other286.sentAt;
+  unchanged = other286.unchanged;
+  current = other286.current;
+  replicas = other286.replicas;
+  quarantineMark = other286.quarantineMark;
+  quarantined = other286.quarantined;
+  __isset = other286.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other257) noexcept {
-  update = std::move(other257.update);
-  sample = std::move(other257.sample);
-  sentAt = std::move(other257.sentAt);
-  unchanged = other257.unchanged;
-  current = other257.current;
-  replicas = std::move(other257.replicas);
-  __isset = other257.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other287) noexcept {
+  update = std::move(other287.update);
+  sample = std::move(other287.sample);
+  sentAt = std::move(other287.sentAt);
+  unchanged = other287.unchanged;
+  current = other287.current;
+  replicas = std::move(other287.replicas);
+  quarantineMark = std::move(other287.quarantineMark);
+  quarantined = std::move(other287.quarantined);
+  __isset = other287.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -6350,6 +6887,8 @@
   out << ", " << "unchanged=" << to_string(unchanged);
   out << ", " << "current=" << to_string(current);
   out << ", " << "replicas=" << to_string(replicas);
+  out << ", " << "quarantineMark=" << to_string(quarantineMark);
+  out << ", " << "quarantined=" << to_string(quarantined);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -171,6 +171,12 @@
 
 class DomainReport;
 
+class TargetCrash;
+
+class QuarantinedRequest;
+
+class QuarantineMark;
+
 class WatchRequest;
 
 class WatchReply;
@@ -2128,8 +2134,170 @@
 
 std::ostream& operator<<(std::ostream& out, const DomainReport& obj);
 
+typedef struct _TargetCrash__isset {
+  _TargetCrash__isset() : identifier(false), target(false), fingerprints(false) {}
+  bool identifier :1;
+  bool target :1;
+  bool fingerprints :1;
+} _TargetCrash__isset;
+
+class TargetCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetCrash(const TargetCrash&);
+  TargetCrash(TargetCrash&&) noexcept;
+  TargetCrash& operator=(const TargetCrash&);
+  TargetCrash& operator=(TargetCrash&&) noexcept;
+  TargetCrash() noexcept
+              : identifier(),
+                target() {
+  }
+
+  virtual ~TargetCrash() noexcept;
+  std::string identifier;
+  std::string target;
+  std::vector<std::string>  fingerprints;
+
+  _TargetCrash__isset __isset;
+
+  void __set_identifier(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_fingerprints(const std::vector<std::string> & val);
+
+  bool operator == (const TargetCrash & rhs) const
+  {
+    if (!(identifier == rhs.identifier))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(fingerprints == rhs.fingerprints))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetCrash &a, TargetCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj);
+
+typedef struct _QuarantinedRequest__isset {
+  _QuarantinedRequest__isset() : fingerprint(false), millisLeft(true) {}
+  bool fingerprint :1;
+  bool millisLeft :1;
+} _QuarantinedRequest__isset;
+
+class QuarantinedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantinedRequest(const QuarantinedRequest&);
+  QuarantinedRequest(QuarantinedRequest&&) noexcept;
+  QuarantinedRequest& operator=(const QuarantinedRequest&);
+  QuarantinedRequest& operator=(QuarantinedRequest&&) noexcept;
+  QuarantinedRequest() noexcept
+                     : fingerprint(),
+                       millisLeft(0LL) {
+  }
+
+  virtual ~QuarantinedRequest() noexcept;
+  std::string fingerprint;
+  int64_t millisLeft;
+
+  _QuarantinedRequest__isset __isset;
+
+  void __set_fingerprint(const std::string& val);
+
+  void __set_millisLeft(const int64_t val);
+
+  bool operator == (const QuarantinedRequest & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(millisLeft == rhs.millisLeft))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantinedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantinedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantinedRequest &a, QuarantinedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantinedRequest& obj);
+
+typedef struct _QuarantineMark__isset {
+  _QuarantineMark__isset() : epoch(true), revision(true) {}
+  bool epoch :1;
+  bool revision :1;
+} _QuarantineMark__isset;
+
+class QuarantineMark : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineMark(const QuarantineMark&) noexcept;
+  QuarantineMark(QuarantineMark&&) noexcept;
+  QuarantineMark& operator=(const QuarantineMark&) noexcept;
+  QuarantineMark& operator=(QuarantineMark&&) noexcept;
+  QuarantineMark() noexcept
+                 : epoch(0LL),
+                   revision(0LL) {
+  }
+
+  virtual ~QuarantineMark() noexcept;
+  int64_t epoch;
+  int64_t revision;
+
+  _QuarantineMark__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const QuarantineMark & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineMark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineMark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineMark &a, QuarantineMark &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj);
+
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true), introduced(false) {}
+  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true), introduced(false), quarantineSeen(false), quarantined(false) {}
   bool heldVersion :1;
   bool waitMillis :1;
   bool report :1;
@@ -2137,6 +2305,8 @@
   bool failureDomain :1;
   bool wantsMembers :1;
   bool introduced :1;
+  bool quarantineSeen :1;
+  bool quarantined :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -2161,6 +2331,8 @@
   std::string failureDomain;
   bool wantsMembers;
   std::vector<Member>  introduced;
+  QuarantineMark quarantineSeen;
+  std::vector<QuarantinedRequest>  quarantined;
 
   _WatchRequest__isset __isset;
 
@@ -2178,6 +2350,10 @@
 
   void __set_introduced(const std::vector<Member> & val);
 
+  void __set_quarantineSeen(const QuarantineMark& val);
+
+  void __set_quarantined(const std::vector<QuarantinedRequest> & val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(heldVersion == rhs.heldVersion))
@@ -2194,6 +2370,10 @@
       return false;
     if (!(introduced == rhs.introduced))
       return false;
+    if (!(quarantineSeen == rhs.quarantineSeen))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
@@ -2213,13 +2393,15 @@
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj);
 
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true), replicas(false) {}
+  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true), replicas(false), quarantineMark(false), quarantined(false) {}
   bool update :1;
   bool sample :1;
   bool sentAt :1;
   bool unchanged :1;
   bool current :1;
   bool replicas :1;
+  bool quarantineMark :1;
+  bool quarantined :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -2241,6 +2423,8 @@
   bool unchanged;
   bool current;
   std::vector<Replica>  replicas;
+  QuarantineMark quarantineMark;
+  std::vector<QuarantinedRequest>  quarantined;
 
   _WatchReply__isset __isset;
 
@@ -2256,6 +2440,10 @@
 
   void __set_replicas(const std::vector<Replica> & val);
 
+  void __set_quarantineMark(const QuarantineMark& val);
+
+  void __set_quarantined(const std::vector<QuarantinedRequest> & val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(update == rhs.update))
@@ -2270,6 +2458,10 @@
       return false;
     if (!(replicas == rhs.replicas))
       return false;
+    if (!(quarantineMark == rhs.quarantineMark))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
--- a/tests/mesh/crashes.cpp
+++ b/tests/mesh/crashes.cpp
@@ -2,9 +2,15 @@
 #include "harness/running.h"
 
 #include <algorithm>
+#include <thread>
 
 using namespace mimosarun;
 
+/** Time in which all nodes must learn that a request has ended three targets. */
+static constexpr std::chrono::milliseconds kStableWindow{ 3000 };
+/** Retries of such a request that may still reach targets after that time. */
+static constexpr size_t kAllowedRetries = 3;
+static constexpr size_t kCrashLimit = 3;
 /** Enough for each event loop of a gate to keep a connection to the target. */
 static constexpr int kWarmUpCalls = 20;
 
@@ -17,6 +23,47 @@
   }));
 }
 
+static void
+SendThroughEachEntry(Mesh& aMesh, const TestRequest& aRequest)
+{
+  for (const std::string& node : aMesh.Nodes()) {
+    Send(aMesh.ProcessOf(node).callerAddress, aRequest);
+  }
+}
+
+static size_t
+CountServed(Mesh& aMesh, const TestRequest& aRequest)
+{
+  size_t served = 0;
+  for (const std::string& node : aMesh.Nodes()) {
+    served += Send(aMesh.ProcessOf(node).callerAddress, aRequest).status == 200 ? 1 : 0;
+  }
+  return served;
+}
+
+// One request ended target after target, as callers repeated it at other entries.
+BOOST_AUTO_TEST_CASE(a_request_that_ended_three_targets_reaches_no_other_one)
+{
+  MeshOptions options = SmallMesh("deadly");
+  options.services = { "books" };
+  options.targetsPerDomain = 8;
+  RunningMesh mesh(options);
+  const TestRequest deadly{ .path = "/books/item?crash=1" };
+  for (const std::string& node : mesh.Nodes()) {
+    if (EndedTargets(mesh) < kCrashLimit) {
+      Send(mesh.ProcessOf(node).callerAddress, deadly);
+    }
+  }
+  BOOST_REQUIRE(EndedTargets(mesh) >= kCrashLimit);
+  std::this_thread::sleep_for(kStableWindow);
+  const size_t ended = EndedTargets(mesh);
+  SendThroughEachEntry(mesh, deadly);
+  SendThroughEachEntry(mesh, deadly);
+  BOOST_TEST(EndedTargets(mesh) <= ended + kAllowedRetries);
+  // Requests of the same route are served all the while.
+  BOOST_TEST(CountServed(mesh, { .path = "/books/item?other=1" }) == mesh.Nodes().size());
+}
+
 // A call whose kept connection broke as its target ended was refused as not run, and ended further targets.
 BOOST_AUTO_TEST_CASE(a_call_that_ended_its_target_over_a_kept_connection_is_not_refused_as_not_run)
 {
