--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -217,6 +217,35 @@
   BOOST_TEST(!platform::ParseHeartbeat("i-1", "\xff\xfe").has_value());
 }
 
+// An odd entry of another writer ended the processes that read it, or they read no further ones.
+BOOST_AUTO_TEST_CASE(an_odd_heartbeat_is_refused_and_the_next_one_is_read)
+{
+  const std::string valid =
+    R"({"service":"books","address":"10.0.0.9:8080","zone":"z","version":"v1","capacity":6,
+    "state":"ready","warmupLeft":"3s","seq":4,"born":1700000000000})";
+  const std::string nested = std::string(500000, '[') + std::string(500000, ']');
+  for (const std::string& odd : { ReplaceText(valid, R"("capacity":6)", R"("capacity":1e999)"),
+                                  ReplaceText(valid, R"("capacity":6)", R"("capacity":6.5)"),
+                                  ReplaceText(valid, R"("capacity":6)", R"("capacity":99999999999999999999)"),
+                                  ReplaceText(valid, R"("capacity":6)", "\"capacity\":" + nested),
+                                  ReplaceText(valid, R"("seq":4)", R"("seq":18446744073709551616)"),
+                                  ReplaceText(valid, R"("born":1700000000000)", R"("born":-1e400)"),
+                                  ReplaceText(valid, "\"3s\"", "\"99999999999s\""),
+                                  ReplaceText(valid, "\"3s\"", "\"3000000s\""),
+                                  ReplaceText(valid, ":8080", ":65536"),
+                                  ReplaceText(valid, ":8080", ":0"),
+                                  ReplaceText(valid, ":8080", ":-1"),
+                                  ReplaceText(valid, ":8080", ":99999999999999999999"),
+                                  nested,
+                                  "{\"x\":" + nested }) {
+    BOOST_TEST(!platform::ParseHeartbeat("i-1", odd).has_value(), odd.substr(0, 200));
+    BOOST_TEST(platform::ParseHeartbeat("i-1", valid).has_value());
+  }
+  // What isn't read may be nested.
+  BOOST_TEST(
+    platform::ParseHeartbeat("i-1", ReplaceText(valid, "\"zone\":\"z\"", "\"zone\":" + nested)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(durations_need_a_unit_and_versions_a_number)
 {
   BOOST_TEST((platform::ParseDuration("2.5s").value() == milliseconds(2500)));
