--- a/tests/mesh/storagefaults.cpp
+++ b/tests/mesh/storagefaults.cpp
@@ -7,6 +7,9 @@
 using namespace mimosarun;
 
 static constexpr const char* kGroup = "configuration";
+static constexpr std::chrono::milliseconds kDiskFullTime{ 3000 };
+/** The users' platform allows this time for the acknowledgement of a change. */
+static constexpr std::chrono::milliseconds kAcknowledgementLimit{ 4000 };
 
 /** Returns options of a deployment in which the creation of a file makes a replica's disk fail. */
 static MeshOptions
@@ -61,6 +64,35 @@
   BOOST_TEST(mesh.InstallWithRetries(mesh.Document("after")) > versionWhileFull);
 }
 
+// After the disks had been full one after another, changes were refused or stayed unanswered.
+BOOST_AUTO_TEST_CASE(changes_are_accepted_after_the_disks_were_full_one_after_another)
+{
+  RunningMesh mesh(MeshWithFaultyDisks("fullinturn"));
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& replica : mesh.Replicas()) {
+      const std::string fullDiskFile = mesh.Options().folder + "/" + replica + ".full";
+      CreateFile(fullDiskFile);
+      const Deadline end = SteadyClock::now() + kDiskFullTime;
+      for (int change = 0; SteadyClock::now() < end; ++change) {
+        mesh.Install(mesh.Document(replica + "-" + std::to_string(round) + "-" + std::to_string(change)));
+      }
+      std::filesystem::remove(fullDiskFile);
+    }
+  }
+  int64_t version = 0;
+  BOOST_TEST(WaitUntil(kAcknowledgementLimit, [&] {
+    version = mesh.Install(mesh.Document("after"));
+    return version > 0;
+  }));
+  BOOST_TEST(mesh.WaitInForce(version, kInForceLimit));
+  for (const std::string& replica : mesh.Replicas()) {
+    BOOST_TEST(WaitUntil(kRecoveryLimit, [&] {
+      const std::string state = StateOf(mesh, replica, AnotherReplica(mesh, replica));
+      return state == "follower" || state == "leader";
+    }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_sync_takes_the_replica_out_of_service_without_data_loss)
 {
   RunningMesh mesh(MeshWithFaultyDisks("failsync"));
