The probe of a target that broke calls gives up after 0.3 s

A connection that is neither opened nor refused would have kept the gate from probing, and so from reporting crashes, until the system's own timeout.

--- a/src/target/crashwatch.cpp
+++ b/src/target/crashwatch.cpp
@@ -11,6 +11,7 @@
 
 /** The connections of a process that ends break nearly together; one probe serves them all. */
 static constexpr std::chrono::milliseconds kProbeDelay{ 25 };
+static constexpr std::chrono::milliseconds kProbeTimeout{ 300 };
 /** Shorter than the time that a target takes to start again. */
 static constexpr std::chrono::milliseconds kSameCrashTime{ 500 };
 /** Bounds a report on a target with very many calls in flight. */
@@ -49,11 +50,17 @@
     OnProbeResult(false);
     return;
   }
-  const auto socket = std::make_shared<tcp::socket>(m_loops.First().Context());
+  EventLoop& loop = m_loops.First();
+  const auto socket = std::make_shared<tcp::socket>(loop.Context());
   socket->async_connect(tcp::endpoint(host, aAddress.port),
                         [this, socket](const boost::system::error_code& aError) {
                           OnProbeResult(aError == boost::asio::error::connection_refused);
                         });
+  loop.RunAt(SteadyClock::now() + kProbeTimeout, [weak = std::weak_ptr(socket)] {
+    if (const auto connecting = weak.lock()) {
+      connecting->close();
+    }
+  });
 }
 
 std::string
