Polls of nodes that know no quarantine wait as before

A node of an older version names no state of the quarantine, so that a newer replica would have answered each of its polls at once. Found by reading; no run mixes versions.

--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -71,7 +71,8 @@
     const ConfigurationState& configuration = m_controller.Configuration();
     const SnapshotPointer current =
       configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis), [&] {
-        return crashes.Mark() != aRequest.quarantineSeen;
+        // A node of an older version never names a state; its polls would return at once again and again.
+        return aRequest.quarantineSeen.epoch != 0 && crashes.Mark() != aRequest.quarantineSeen;
       });
     aReturn.quarantineMark = crashes.Mark();
     if (aReturn.quarantineMark != aRequest.quarantineSeen) {
