The collection of domain reports is a class of its own

Controller had grown to 740 lines; the collection of reports shares no state with the rest. A misplaced doc comment is gone.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -13,12 +13,7 @@
 static constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
 static constexpr std::chrono::milliseconds kCatchUpPollInterval{ 2 };
 static constexpr std::chrono::milliseconds kJoinTimeout{ 1500 };
-static constexpr std::chrono::milliseconds kOwnRegionReportInterval{ 2000 };
-static constexpr std::chrono::milliseconds kFirstOtherRegionReportInterval{ 1000 };
-static constexpr std::chrono::milliseconds kOtherRegionReportInterval{ 30000 };
 static constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
-/** Random replicas of the own region that are asked for reports in a round; they pass on those of others. */
-static constexpr size_t kReportPartners = 3;
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
 static constexpr int kWatchRoundsPerExpiry = 240;
 static constexpr int64_t kOtherRegionElectionDelayFactor = 2;
@@ -47,6 +42,10 @@
   : m_settings(std::move(aSettings))
   , m_groupPlans(PlansOf(m_settings))
   , m_configuration(std::move(aParser))
+  , m_reportCollector({ .region = m_settings.region,
+                        .otherReplicas = [this] { return OtherReplicas(); },
+                        .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
+                      m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
   , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
@@ -64,11 +63,10 @@
 Controller::~Controller()
 {
   m_stop = true;
-  for (std::thread* thread : { &m_watcher, &m_collector }) {
-    if (thread->joinable()) {
-      thread->join();
-    }
+  if (m_watcher.joinable()) {
+    m_watcher.join();
   }
+  m_reportCollector.Stop();
   m_server.reset();
   // The links deliver messages to the groups, which are destroyed after this.
   m_transport.Stop();
@@ -157,7 +155,7 @@
   }
   MIMOSARUN_TRY(m_server, StartControlService(*this));
   m_watcher = std::thread([this] { WatchGroups(); });
-  m_collector = std::thread([this] { RunReportCollection(); });
+  m_reportCollector.Start();
   return boost::outcome_v2::success();
 }
 
@@ -672,68 +670,4 @@
   }
 }
 
-bool
-Controller::CollectReportsFrom(const std::string& aReplica)
-{
-  const std::shared_ptr<PeerClient> peer = PeerOf(aReplica);
-  if (peer == nullptr) {
-    return false;
-  }
-  std::vector<wire::DomainReport> reports;
-  const bool wantsMembers = !m_domainReports.EachReportHasMembers() ||
-                            !m_domainReports.HasFreshMembersOfOtherRegion(m_settings.region);
-  const Result<void> result =
-    peer->Call(SteadyClock::now() + kStatusTimeout,
-               [&](wire::ControlPeerClient& aClient) { aClient.reports(reports, wantsMembers); });
-  if (!result) {
-    return false;
-  }
-  for (const wire::DomainReport& report : reports) {
-    m_domainReports.AddReport(report, std::chrono::milliseconds(report.ageMillis));
-  }
-  return true;
-}
-
-std::vector<wire::Replica>
-Controller::ReportPartners() const
-{
-  std::vector<wire::Replica> replicas = OtherReplicas();
-  std::erase_if(replicas,
-                [&](const wire::Replica& aReplica) { return aReplica.region != m_settings.region; });
-  std::shuffle(replicas.begin(), replicas.end(), RandomEngine());
-  replicas.resize(std::min(replicas.size(), kReportPartners));
-  return replicas;
-}
-
-void
-Controller::CollectReportsOfOtherRegions()
-{
-  std::set<std::string> reachedRegions{ m_settings.region };
-  for (const wire::Replica& replica : OtherReplicas()) {
-    if (!reachedRegions.contains(replica.region) && CollectReportsFrom(replica.name)) {
-      reachedRegions.insert(replica.region);
-    }
-  }
-}
-
-void
-Controller::RunReportCollection()
-{
-  Deadline nextOtherRegionsAt = SteadyClock::now();
-  while (!m_stop) {
-    for (const wire::Replica& replica : ReportPartners()) {
-      CollectReportsFrom(replica.name);
-    }
-    const Deadline now = SteadyClock::now();
-    if (now >= nextOtherRegionsAt) {
-      // Until the first report arrives, starting nodes learn of no members in the other region.
-      nextOtherRegionsAt = now + (m_domainReports.HasFreshMembersOfOtherRegion(m_settings.region)
-                                    ? kOtherRegionReportInterval
-                                    : kFirstOtherRegionReportInterval);
-      CollectReportsOfOtherRegions();
-    }
-    std::this_thread::sleep_for(kOwnRegionReportInterval);
-  }
-}
-
 } // namespace mimosarun
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,7 @@
 #include "control/group.h"
 #include "control/groupclient.h"
 #include "control/groupplan.h"
+#include "control/reportcollector.h"
 #include "control/reportstore.h"
 #include "control/transport.h"
 #include "quarantine/crashledger.h"
@@ -79,9 +80,7 @@
   bool WaitUntilCaughtUp(Deadline aDeadline);
 
   /** Fetches the reports of the other regions, which cross the link only on demand and at long intervals. */
-  /** Returns a few random replicas of the own region. */
-  std::vector<wire::Replica> ReportPartners() const;
-  void CollectReportsOfOtherRegions();
+  void CollectReportsOfOtherRegions() { m_reportCollector.CollectFromOtherRegions(); }
 
   /** Removes a replica from all groups. */
   wire::CommandResult RemoveReplica(const std::string& aName, Deadline aDeadline);
@@ -90,7 +89,7 @@
   wire::CommandResult AddReplica(const std::string& aName, Deadline aDeadline);
 
 private:
-  using PeerClient = RpcClient<wire::ControlPeerClient>;
+  using PeerClient = ReportCollector::PeerClient;
 
   void CreateGroups();
   std::shared_ptr<PeerClient> PeerOf(const std::string& aName);
@@ -107,8 +106,6 @@
   bool TryToJoin(const std::string& aReplica, const std::string& aGroup);
   void TryToJoinAnywhere(const GroupPlan& aPlan);
   void ExpireClaims();
-  void RunReportCollection();
-  bool CollectReportsFrom(const std::string& aReplica);
   void LogSilenceChanges();
   wire::Replica Self() const;
   const ReplicaSettings* FindReplica(const std::string& aName) const;
@@ -119,6 +116,7 @@
   ConfigurationState m_configuration;
   std::map<std::string, std::unique_ptr<ClaimState>> m_claims;
   ReportStore m_domainReports;
+  ReportCollector m_reportCollector;
   CrashLedger m_crashes;
   PeerTransport m_transport;
   GroupClient m_client;
@@ -134,7 +132,6 @@
   std::unique_ptr<RpcServer> m_server;
   std::atomic<bool> m_stop{ false };
   std::thread m_watcher;
-  std::thread m_collector;
 };
 
 } // namespace mimosarun
