The soak stops, suspends and hangs up nodes, changes the configuration and ends targets

Faults come in series and overlap the calls: planned stops, hang-up signals to all processes, all nodes of a failure domain but one suspended during a change, and requests that end the targets that run them, beside the kills, resets and cuts that it had. At the end of each round a change must be in force on all nodes within 4 s.

--- a/tests/harness/bookings.cpp
+++ b/tests/harness/bookings.cpp
@@ -82,33 +82,39 @@
   return summary;
 }
 
+void
+InjectRandomFault(Mesh& aMesh, std::mt19937_64& aRandom)
+{
+  const uint64_t choice = aRandom() % 10;
+  if (choice < 5) {
+    const std::vector<std::string> nodes = aMesh.Nodes();
+    const std::string node = nodes[aRandom() % nodes.size()];
+    aMesh.ProcessOf(node).process.Kill();
+    aMesh.StartProcess(node);
+  } else if (choice < 8) {
+    const std::vector<std::string> targets = aMesh.Targets();
+    const std::string target = targets[aRandom() % targets.size()];
+    aMesh.TargetOf(target).process.Kill();
+    aMesh.StartTarget(target);
+  } else if (choice < 9) {
+    const std::vector<std::string> replicas = aMesh.Replicas();
+    const std::string replica = replicas[aRandom() % replicas.size()];
+    aMesh.ProcessOf(replica).process.Kill();
+    aMesh.StartProcess(replica);
+  } else {
+    const std::vector<std::string>& left = aMesh.Options().regions.begin()->second;
+    const std::vector<std::string>& right = aMesh.Options().regions.rbegin()->second;
+    aMesh.Proxy().ResetOpenConnections(left.front(), right.front());
+    aMesh.Proxy().DropBytesOfOpenConnections(right.front(), left.front());
+  }
+}
+
 void
 InjectRandomFaults(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   while (!aStop) {
-    const uint64_t choice = random() % 10;
-    if (choice < 5) {
-      const std::vector<std::string> nodes = aMesh.Nodes();
-      const std::string node = nodes[random() % nodes.size()];
-      aMesh.ProcessOf(node).process.Kill();
-      aMesh.StartProcess(node);
-    } else if (choice < 8) {
-      const std::vector<std::string> targets = aMesh.Targets();
-      const std::string target = targets[random() % targets.size()];
-      aMesh.TargetOf(target).process.Kill();
-      aMesh.StartTarget(target);
-    } else if (choice < 9) {
-      const std::vector<std::string> replicas = aMesh.Replicas();
-      const std::string replica = replicas[random() % replicas.size()];
-      aMesh.ProcessOf(replica).process.Kill();
-      aMesh.StartProcess(replica);
-    } else {
-      const std::vector<std::string>& left = aMesh.Options().regions.begin()->second;
-      const std::vector<std::string>& right = aMesh.Options().regions.rbegin()->second;
-      aMesh.Proxy().ResetOpenConnections(left.front(), right.front());
-      aMesh.Proxy().DropBytesOfOpenConnections(right.front(), left.front());
-    }
+    InjectRandomFault(aMesh, random);
     std::this_thread::sleep_for(std::chrono::milliseconds(100 + random() % 300));
   }
 }
--- a/tests/harness/bookings.h
+++ b/tests/harness/bookings.h
@@ -51,6 +51,10 @@
 BookingSummary
 CheckBookings(const Mesh& aMesh, const std::vector<Booking>& aBookings);
 
+/** Kills and restarts a random process, or resets connections or drops their bytes. */
+void
+InjectRandomFault(Mesh& aMesh, std::mt19937_64& aRandom);
+
 /** Kills and restarts random processes, and resets connections or drops their bytes, until aStop is set. */
 void
 InjectRandomFaults(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed);
--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -1,4 +1,5 @@
 #include "harness/bookings.h"
+#include "harness/soakfaults.h"
 
 #include <cxxopts.hpp>
 
@@ -9,6 +10,8 @@
 
 static constexpr std::chrono::milliseconds kStartLimit{ 30000 };
 static constexpr int kBookingsPerRound = 200;
+/** Time within which a change must be in force on all nodes once the faults have ended. */
+static constexpr std::chrono::milliseconds kInForceLimit{ 4000 };
 
 /** Checks the versions of the nodes and counts how often a node's version decreased. */
 class VersionMonitor
@@ -64,12 +67,13 @@
     return 1;
   }
   VersionMonitor monitor;
+  int lateChanges = 0;
   std::vector<Booking> all;
   std::mt19937_64 random(aSeed);
   const Deadline end = SteadyClock::now() + aTime;
   for (int round = 0; SteadyClock::now() < end; ++round) {
     std::atomic<bool> stop{ false };
-    std::thread faults([&] { InjectRandomFaults(mesh, stop, random()); });
+    std::thread faults([&, seed = random()] { InjectSoakFaults(mesh, stop, seed); });
     const bool cut = random() % 3 == 0;
     mesh.SetRegionFault("east", "west", { .dropAll = cut });
     const std::vector<Booking> bookings =
@@ -78,13 +82,18 @@
     stop = true;
     faults.join();
     mesh.SetRegionFault("east", "west", {});
-    mesh.Install(mesh.Document("round-" + std::to_string(round)));
+    int64_t roundVersion = 0;
+    const bool accepted = WaitUntil(kStartLimit, [&] {
+      roundVersion = mesh.Install(mesh.Document("round-" + std::to_string(round)));
+      return roundVersion > 0;
+    });
+    lateChanges += accepted && mesh.WaitInForce(roundVersion, kInForceLimit) ? 0 : 1;
     monitor.Check(mesh);
     const BookingSummary summary = CheckBookings(mesh, all);
     std::cout << "round " << round << (cut ? " with a cut" : "") << ": " << summary.complete << " of "
               << summary.bookings << " complete, " << summary.ranTwice << " twice, " << summary.falseNotRun
-              << " false not-run, " << summary.lost << " lost, " << monitor.Regressions() << " steps back"
-              << std::endl;
+              << " false not-run, " << summary.lost << " lost, " << monitor.Regressions() << " steps back, "
+              << lateChanges << " late changes" << std::endl;
   }
   int64_t last = 0;
   WaitUntil(kStartLimit, [&] {
@@ -92,7 +101,8 @@
     return last > 0;
   });
   const bool converged = last > 0 && mesh.WaitInForce(last, kStartLimit);
-  const bool holds = CheckBookings(mesh, all).HasNoViolation() && monitor.Regressions() == 0 && converged;
+  const bool holds =
+    CheckBookings(mesh, all).HasNoViolation() && monitor.Regressions() == 0 && lateChanges == 0 && converged;
   std::cout << "seed " << aSeed << ": " << (holds ? "all promises held" : "a promise was broken")
             << (converged ? "" : ", nodes did not converge") << "\n";
   return holds ? 0 : 1;
