A call that can't be forwarded a second time isn't refused as not run

The same fault as after a refused connection, at the other place where the gate gives up: if the target has left, or the deadline passes, before an idempotent call is forwarded again, its first time may have run. The tests crashes and answers hold.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -171,7 +171,13 @@
 {
   const std::optional<TargetState> target = m_gate.ReadyTarget(m_hop.service);
   const Deadline now = SteadyClock::now();
-  if (!target || now >= m_deadline) {
+  const bool canForward = target && now < m_deadline;
+  if (!canForward && m_retried) {
+    ReleaseSlot();
+    RespondWithError(502, HopOutcome::Unknown, "the connection to the target broke");
+    return;
+  }
+  if (!canForward) {
     m_gate.ReleaseUnused(*this);
     RespondWithError(503, HopOutcome::Rejected, "the target stopped taking calls");
     ReleaseClaim();
