The parsers of messages take no memory for an announced length

Cause: Beast's string_body reserves the announced length at the end of the head. No limit applies to responses, so reserve() throws std::bad_alloc, which leaves the handler of the event loop and ends the process. Late copies of answers and answers to health checks go the same way, and so do requests where the operators' limit for bodies exceeds memory.

Change: GrowingBody, which takes memory for bytes that have arrived, parses responses and requests. Responses are passed on piece by piece, so no limit for their length is needed; the limits of requests apply as before.

--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -2,11 +2,11 @@
 
 #include "http/connectionpool.h"
 #include "http/forwarder.h"
+#include "http/growingbody.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -28,7 +28,7 @@
   void Cancel();
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<GrowingBody>;
 
   void Connect();
   void OnConnected(const boost::system::error_code& aError);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -151,7 +151,7 @@
 }
 
 static HttpRequest
-ToRequest(http::request<http::string_body>&& aMessage)
+ToRequest(http::request<GrowingBody>&& aMessage)
 {
   HttpRequest request;
   request.method = std::string(aMessage.method_string());
@@ -174,7 +174,7 @@
 void
 ServerConnection::HandleRequest()
 {
-  http::request<http::string_body> message = m_parser->release();
+  http::request<GrowingBody> message = m_parser->release();
   const bool keepAlive = message.keep_alive();
   const bool isValid = !message.target().empty() && message.count(http::field::host) == 1;
   ResetParser();
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "http/growingbody.h"
 #include "http/server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <deque>
 #include <memory>
@@ -37,7 +37,7 @@
   void SendPending();
 
 private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<GrowingBody>;
 
   void ResetParser();
   void Read();
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <limits>
 #include <mutex>
 
 using namespace mimosarun;
@@ -15,17 +16,18 @@
 class ManualServer
 {
 public:
-  ManualServer()
+  explicit ManualServer(size_t aBodyLimitBytes = 1000)
   {
     m_address = RawServer::FreeAddress();
-    m_server = HttpServer::Start(
-                 { .address = m_address,
-                   .handler =
-                     [this](const ExchangePointer& aExchange) {
-                       const std::lock_guard lock(m_mutex);
-                       m_exchanges.push_back(aExchange);
-                     },
-                   .limits = { .headerBytes = 2000, .bodyBytes = 1000, .headerTimeout = milliseconds(300) } })
+    m_server = HttpServer::Start({ .address = m_address,
+                                   .handler =
+                                     [this](const ExchangePointer& aExchange) {
+                                       const std::lock_guard lock(m_mutex);
+                                       m_exchanges.push_back(aExchange);
+                                     },
+                                   .limits = { .headerBytes = 2000,
+                                               .bodyBytes = aBodyLimitBytes,
+                                               .headerTimeout = milliseconds(300) } })
                  .value();
   }
 
@@ -218,6 +220,36 @@
   loop.Stop();
 }
 
+/** More than any machine's memory, yet a valid length. */
+static const std::string kVastLength = "Content-Length: 999999999999999999\r\n\r\n";
+
+// Guards against: the process ends because memory is taken for the length that a response announces.
+BOOST_AUTO_TEST_CASE(a_response_that_announces_a_vast_length_and_breaks_off_is_broken)
+{
+  for (const char* header : { "", "Foreign: 1\r\n" }) {
+    RawServer peer({ "HTTP/1.1 200 OK\r\n" + std::string(header) + kVastLength + "done" });
+    EventLoop loop;
+    Forwarder forwarder;
+    ForwardResult result = ForwardResult::Complete;
+    SendTo(loop, forwarder, peer.ListenAddress(), result);
+    BOOST_TEST((result == ForwardResult::Broken));
+    loop.Stop();
+  }
+}
+
+// Guards against: the same, for the length that a request announces, where the limit for bodies is as large.
+BOOST_AUTO_TEST_CASE(a_request_that_announces_a_vast_length_does_not_end_the_server)
+{
+  ManualServer server(std::numeric_limits<uint64_t>::max());
+  RawConnection connection(server.Where());
+  connection.Send("POST / HTTP/1.1\r\nHost: x\r\n" + kVastLength + "start");
+  BOOST_TEST(connection.Receive(milliseconds(100)).empty());
+  RawConnection other(server.Where());
+  other.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200, .headers = {}, .body = "served" });
+  BOOST_TEST(other.ReceiveUntil("served", std::chrono::seconds(3)).find("served") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_response_is_broken)
 {
   RawServer peer({ "\x01\x02 nonsense\r\n\r\n" });
--- a/tests/mesh/answers.cpp
+++ b/tests/mesh/answers.cpp
@@ -42,12 +42,36 @@
 
 BOOST_AUTO_TEST_CASE(a_truncated_response_never_looks_complete)
 {
-  for (const char* path : { "/books/item?cut=1", "/books/item?cut=1&bytes=500000" }) {
+  for (const char* path : { "/books/item?cut=100", "/books/item?cut=100&bytes=500000" }) {
     const TestResponse response = Send(EntryAddress(), { .path = path });
     BOOST_TEST((!response.transferComplete || response.outcome == "unknown"), path);
   }
 }
 
+// Guards against: the length that a target announces ends its node, and with it all calls of that node.
+BOOST_AUTO_TEST_CASE(a_response_that_announces_more_than_memory_holds_ends_no_other_call)
+{
+  static constexpr int kCallers = 4;
+  const size_t callsBefore = SharedMesh().LedgerLines().size();
+  std::vector<std::thread> callers;
+  std::atomic<int> answered{ 0 };
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&] {
+      const TestResponse response =
+        Send(EntryAddress(), { .path = "/books/item?ms=1500", .timeout = std::chrono::seconds(10) });
+      answered += response.transferComplete && response.status == 200 ? 1 : 0;
+    });
+  }
+  BOOST_TEST(WaitUntil(std::chrono::seconds(1),
+                       [&] { return SharedMesh().LedgerLines().size() >= callsBefore + kCallers; }));
+  const TestResponse response = Send(EntryAddress(), { .path = "/books/item?cut=999999999999999999" });
+  BOOST_TEST((!response.transferComplete || response.outcome == "unknown"));
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(answered == kCallers);
+}
+
 BOOST_AUTO_TEST_CASE(a_response_to_another_call_is_not_forwarded)
 {
   // The gate drops the response and waits for another one, which the target doesn't send here.
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -29,11 +29,11 @@
   return query.substr(from, query.find('&', from) - from);
 }
 
-static int
-QueryNumber(const HttpRequest& aRequest, const std::string& aName, int aDefault)
+static int64_t
+QueryNumber(const HttpRequest& aRequest, const std::string& aName, int64_t aDefault)
 {
   const std::string text = QueryValue(aRequest, aName);
-  return text.empty() ? aDefault : std::atoi(text.c_str());
+  return text.empty() ? aDefault : std::atoll(text.c_str());
 }
 
 StandinTarget::StandinTarget(Options aOptions)
@@ -81,7 +81,7 @@
 StandinTarget::Configure(const ExchangePointer& aExchange)
 {
   const HttpRequest& request = aExchange->Request();
-  m_costFactor = QueryNumber(request, "factor", m_costFactor);
+  m_costFactor = static_cast<int>(QueryNumber(request, "factor", m_costFactor));
   m_announcementsStopped = QueryNumber(request, "mute", m_announcementsStopped ? 1 : 0) != 0;
   aExchange->Respond({ .status = 200, .headers = {}, .body = "ok\n" });
 }
@@ -96,15 +96,14 @@
   }
   const auto call = std::make_shared<Call>();
   call->exchange = aExchange;
-  call->cost = std::chrono::milliseconds(
-    QueryNumber(request, "ms", static_cast<int>(m_options.cost.count())) * m_costFactor);
+  call->cost = std::chrono::milliseconds(QueryNumber(request, "ms", m_options.cost.count()) * m_costFactor);
   const std::weak_ptr<Call> weak = call;
   aExchange->OnCancel([weak] {
     if (const auto held = weak.lock()) {
       held->cancelled = true;
     }
   });
-  if (const int shed = QueryNumber(request, "shed", 0); shed != 0) {
+  if (const int64_t shed = QueryNumber(request, "shed", 0); shed != 0) {
     HttpHeaders headers{ { .name = kOutcomeHeader, .value = kOutcomeNotRun } };
     const bool isNamed = shed == 1;
     if (isNamed) {
@@ -174,9 +173,10 @@
                        { .name = "X-Target", .value = m_options.name } };
   std::string body = token + "\n" + m_options.name + "\n";
   body.resize(std::max(body.size(), static_cast<size_t>(QueryNumber(request, "bytes", 0))), '.');
-  if (QueryNumber(request, "cut", 0) != 0) {
-    aCall->exchange->Loop().Dispatch([exchange = aCall->exchange, headers, body] {
-      exchange->Start({ .status = 200, .headers = headers, .contentLength = body.size() + 100 });
+  if (const int64_t missingBytes = QueryNumber(request, "cut", 0); missingBytes != 0) {
+    const uint64_t announcedBytes = body.size() + static_cast<uint64_t>(missingBytes);
+    aCall->exchange->Loop().Dispatch([exchange = aCall->exchange, headers, body, announcedBytes] {
+      exchange->Start({ .status = 200, .headers = headers, .contentLength = announcedBytes });
       exchange->Write(body);
       exchange->Finish(false);
     });
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -19,7 +19,8 @@
  * ran.
  *
  * The query of a call selects its behaviour: `?ms=N` sets its running time, `?bytes=N` the minimum length of
- * the body, `?shed=1` rejects it as not run, `?cut=1` sends an incomplete response, `?foreign=1` responds
+ * the body, `?shed=1` rejects it as not run, `?cut=N` breaks off the response N bytes
+ * before its announced end, `?foreign=1` responds
  * with another call's identifier, `?late=1` never responds,
  * `?crash=1` ends the process. `POST /standin?factor=N` multiplies the running
  * time of all later calls; `POST /standin?mute=1` stops the announcements.
