A removed voter is out of the quorum before the next replica may be lost

Cause: the repair took 4.3 to 5.0 s: a voter was replaced after 3 s of silence, which for a removed leader counted from the election of the next one, and the two changes came with maintenance rounds 0.5 s apart. When the disk was lost, the removed replica still counted in the quorum.

Change: a voter is replaced after 1 s of silence; a former leader is silent since its last message; the next step follows when the one before is committed, checked every 0.1 s, from 0.3 s after the election. The voter that is silent for longest is demoted; the former choice ignored a second of silence, which would now have been a sound voter. MemberMaintenance holds this, apart from Group's thread. A replica that is replaced wrongly is a learner with all entries, which no promise depends on.

--- a/src/control/group.h
+++ b/src/control/group.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "control/journal.h"
+#include "control/membermaintenance.h"
 #include "control/membership.h"
 #include "control/raftcore.h"
 #include "control/transport.h"
@@ -130,9 +131,7 @@
   void StartReads(std::vector<PendingRead> aReads, Deadline aNow);
   void AnswerReads(Deadline aNow);
   wire::ReadIndex UnconfirmedReadIndex() const;
-  SilenceDurations MemberSilences(Deadline aNow) const;
   void HandleRoleChange();
-  void MaintainMembers();
   void PublishStatus();
   void HandleStorageFailure(const Error& aError);
 
@@ -141,13 +140,12 @@
   Transport& m_transport;
   Journal m_journal;
   std::unique_ptr<RaftCore> m_core;
+  MemberMaintenance m_memberMaintenance;
   std::map<int64_t, Waiter> m_waiters;
   RaftRole m_lastRole = RaftRole::Follower;
   std::vector<PendingRead> m_reads;
-  Deadline m_leaderSince{};
   int64_t m_savedCommitIndex = 0;
   Deadline m_nextCommitSaveAt{};
-  Deadline m_nextMaintenanceAt{};
   Deadline m_nextReopenAt{};
   bool m_failed = false;
 
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -5,7 +5,6 @@
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kTickInterval{ 20 };
-static constexpr std::chrono::milliseconds kMaintenanceInterval{ 500 };
 static constexpr std::chrono::milliseconds kReopenInterval{ 1000 };
 static constexpr std::chrono::milliseconds kCommitSaveInterval{ 300 };
 static constexpr size_t kEntriesBeforeSnapshot = 4096;
@@ -17,6 +16,7 @@
   , m_machine(aMachine)
   , m_transport(aTransport)
   , m_journal(m_options.folder)
+  , m_memberMaintenance(m_options.voterCount)
 {
 }
 
@@ -248,7 +248,7 @@
   }
   m_core->Tick(now);
   ProposeAll(std::move(aCommands));
-  MaintainMembers();
+  m_memberMaintenance.Step(*m_core, now);
   BOOST_OUTCOME_TRYV(StoreAndSend());
   ApplyCommitted();
   SaveCommitIndex(now);
@@ -393,7 +393,6 @@
     return;
   }
   if (role == RaftRole::Leader) {
-    m_leaderSince = SteadyClock::now();
     Log(Event::LeaderElected, { { "group", m_options.name }, { "term", m_core->Term() } });
   } else if (m_lastRole == RaftRole::Leader) {
     Log(Event::LeaderSteppedDown, { { "group", m_options.name }, { "term", m_core->Term() } });
@@ -402,37 +401,6 @@
   m_lastRole = role;
 }
 
-template<StateMachine Machine>
-void
-Group<Machine>::MaintainMembers()
-{
-  const Deadline now = SteadyClock::now();
-  if (m_core->Role() != RaftRole::Leader || now < m_nextMaintenanceAt) {
-    return;
-  }
-  m_nextMaintenanceAt = now + kMaintenanceInterval;
-  const std::optional<std::vector<wire::Replica>> next =
-    NextMembers(m_core->Members(),
-                { .voterCount = m_options.voterCount, .leader = m_options.replica },
-                MemberSilences(now),
-                [this](const std::string& aName) { return m_core->IsCaughtUp(aName); });
-  if (next) {
-    m_core->ProposeMembers(*next, now);
-  }
-}
-
-template<StateMachine Machine>
-SilenceDurations
-Group<Machine>::MemberSilences(Deadline aNow) const
-{
-  SilenceDurations silences;
-  for (const wire::Replica& member : m_core->Members()) {
-    const Deadline lastReplyAt = m_core->LastReplyTime(member.name).value_or(m_leaderSince);
-    silences[member.name] = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - lastReplyAt);
-  }
-  return silences;
-}
-
 template<StateMachine Machine>
 void
 Group<Machine>::PublishStatus()
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -6,7 +6,8 @@
 
 namespace mimosarun {
 
-static constexpr std::chrono::milliseconds kVoterSilenceLimit{ 3000 };
+/** Several heartbeats; a replica that is wrongly taken for lost becomes a learner, which harms nothing. */
+static constexpr std::chrono::milliseconds kVoterSilenceLimit{ 1000 };
 static constexpr std::chrono::milliseconds kLearnerSilenceLimit{ 60000 };
 static constexpr std::chrono::milliseconds kMaxSilenceOfPresentMember{ 1000 };
 
@@ -67,20 +68,23 @@
   return found == aSilences.end() ? std::chrono::milliseconds(0) : found->second;
 }
 
-/** Returns the voter to demote first: a silent one, otherwise the last by name. */
+/** Returns the voter to demote first: the one that is silent for longest, otherwise the last by name. */
 static const wire::Replica*
 VoterToDemote(const std::vector<wire::Replica>& aMembers,
               const MembershipGoal& aGoal,
               const SilenceDurations& aSilences)
 {
   const wire::Replica* choice = nullptr;
+  std::chrono::milliseconds longestSilence = kVoterSilenceLimit;
   for (const wire::Replica& member : aMembers) {
     if (!member.voter || member.name == aGoal.leader) {
       continue;
     }
-    if (choice == nullptr || SilenceOf(aSilences, member.name) + kMaxSilenceOfPresentMember >=
-                               SilenceOf(aSilences, choice->name)) {
+    const std::chrono::milliseconds silence = SilenceOf(aSilences, member.name);
+    const bool noneIsSilent = longestSilence == kVoterSilenceLimit;
+    if (silence > longestSilence || noneIsSilent) {
       choice = &member;
+      longestSilence = std::max(silence, longestSilence);
     }
   }
   return choice;
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -108,6 +108,12 @@
   return progress == m_progress.end() ? std::nullopt : progress->second.lastReplyAt;
 }
 
+Deadline
+RaftCore::SilentSince(const std::string& aName) const
+{
+  return m_progress.at(aName).silentSince;
+}
+
 bool
 RaftCore::IsCaughtUp(const std::string& aName) const
 {
@@ -188,9 +194,10 @@
 }
 
 void
-RaftCore::RecordLeaderHeard(Deadline aNow)
+RaftCore::RecordLeaderHeard(const std::string& aLeader, Deadline aNow)
 {
   m_leaderHeardAt = aNow;
+  m_leaderHeardLast = aLeader;
   m_deferred = false;
 }
 
@@ -264,11 +271,14 @@
   m_leader = m_options.name;
   m_progress.clear();
   for (const wire::Replica& member : m_log.Members()) {
-    m_progress[member.name] = { .nextIndex = LastIndex() + 1, .answeredRoundSentAt = aNow };
+    m_progress[member.name] = { .nextIndex = LastIndex() + 1,
+                                .silentSince = member.name == m_leaderHeardLast ? *m_leaderHeardAt : aNow,
+                                .answeredRoundSentAt = aNow };
   }
+  m_leaderHeardLast.clear();
   m_deferred = false;
   // Entries of previous terms can only be committed together with an entry of the current term.
-  AppendAsLeader(wire::Command{});
+  AppendAsLeader(wire::Command{}, aNow);
   Broadcast(aNow);
 }
 
@@ -337,7 +347,7 @@
 // --- replication -----------------------------------------------------------------------------------------
 
 void
-RaftCore::AppendAsLeader(wire::Command aCommand)
+RaftCore::AppendAsLeader(wire::Command aCommand, Deadline aNow)
 {
   wire::LogEntry entry;
   entry.index = LastIndex() + 1;
@@ -347,7 +357,7 @@
   m_output.newEntries.push_back(entry);
   if (entry.command.kind == wire::CommandKind::ChangeMembers) {
     for (const wire::Replica& member : m_log.Members()) {
-      m_progress.try_emplace(member.name, Progress{ .nextIndex = entry.index });
+      m_progress.try_emplace(member.name, Progress{ .nextIndex = entry.index, .silentSince = aNow });
     }
   }
 }
@@ -358,7 +368,7 @@
   if (m_role != RaftRole::Leader) {
     return std::nullopt;
   }
-  AppendAsLeader(std::move(aCommand));
+  AppendAsLeader(std::move(aCommand), aNow);
   const int64_t index = LastIndex();
   Broadcast(aNow);
   return index;
@@ -470,7 +480,7 @@
     return;
   }
   BecomeFollower(aMessage.term, aMessage.sender, aNow);
-  RecordLeaderHeard(aNow);
+  RecordLeaderHeard(aMessage.sender, aNow);
   reply.term = m_ballot.term;
   const int64_t previousIndex = aMessage.logIndex;
   const bool previousMatches =
@@ -501,6 +511,7 @@
   }
   Progress& progress = m_progress[aMessage.sender];
   progress.lastReplyAt = aNow;
+  progress.silentSince = aNow;
   const Deadline round{ std::chrono::duration_cast<Deadline::duration>(
     std::chrono::microseconds(aMessage.round)) };
   progress.answeredRoundSentAt = std::max(progress.answeredRoundSentAt, round);
@@ -526,7 +537,7 @@
     return;
   }
   BecomeFollower(aMessage.term, aMessage.sender, aNow);
-  RecordLeaderHeard(aNow);
+  RecordLeaderHeard(aMessage.sender, aNow);
   reply.term = m_ballot.term;
   reply.granted = true;
   if (aMessage.logIndex > m_commitIndex) {
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -127,6 +127,12 @@
   /** On the leader: returns the time of a member's last reply, or nullopt without one. */
   std::optional<Deadline> LastReplyTime(const std::string& aName) const;
 
+  /**
+   * On the leader: returns since when nothing was heard of a member. Without a reply that is the election, or
+   * the last message of the member if it led before.
+   */
+  Deadline SilentSince(const std::string& aName) const;
+
   /** On the leader: returns whether a member holds nearly the whole log. */
   bool IsCaughtUp(const std::string& aName) const;
 
@@ -137,6 +143,7 @@
     int64_t nextIndex = 1;
     int64_t matchIndex = 0;
     std::optional<Deadline> lastReplyAt;
+    Deadline silentSince{};
     /** Send time of the newest heartbeat round that the member answered. */
     Deadline answeredRoundSentAt{};
     Deadline nextSnapshotAt{};
@@ -160,7 +167,7 @@
   void DeferTo(const std::string& aCandidate, Deadline aNow);
   std::chrono::milliseconds RandomTimeout(std::chrono::milliseconds aMinimum,
                                           std::chrono::milliseconds aMaximum);
-  void RecordLeaderHeard(Deadline aNow);
+  void RecordLeaderHeard(const std::string& aLeader, Deadline aNow);
   void SetBallot(int64_t aTerm, const std::string& aVotedFor);
   bool HeardLeaderRecently(Deadline aNow) const;
   bool IsUpToDate(const wire::RaftMessage& aMessage) const;
@@ -171,7 +178,7 @@
   void OnAppendReply(const wire::RaftMessage& aMessage, Deadline aNow);
   void OnSnapshot(const wire::RaftMessage& aMessage, Deadline aNow);
 
-  void AppendAsLeader(wire::Command aCommand);
+  void AppendAsLeader(wire::Command aCommand, Deadline aNow);
   void AppendFromLeader(const std::vector<wire::LogEntry>& aEntries);
   void SendAppend(const wire::Replica& aMember, Deadline aNow);
   void SendSnapshot(const wire::Replica& aMember, Progress& aProgress, Deadline aNow);
@@ -199,7 +206,9 @@
   Deadline m_electionDeadline{};
   Deadline m_heartbeatDeadline{};
   std::optional<Deadline> m_leaderHeardAt;
-  /** Whether this replica has let a candidate go first since it last heard a leader. */
+  /** Leader whose message was the last one; empty if there was none since this replica led. */
+  std::string m_leaderHeardLast;
+  /** Whether this replica has let a candidate go first since then. */
   bool m_deferred = false;
   RaftOutput m_output;
 };
