A response that isn't a gate's is kept only up to a limit

Callers saw: a report of other operators, looked for here: bytes without end, in a head or a body, fill the memory of the node that called, and the calls of its other clients end with it (LOST, processes that end by themselves).

Cause: an entry kept the whole body of a response that it doesn't pass on, to read the reason of a refusal from it, without a limit. Gates' own responses are short, but another server may answer at the address of a node that is gone.

Evidence: endlesstest, new, real processes. Thirteen kinds of bytes without end from a target stayed within 160 MB on the code as it was; a body without end at the address of a killed node took 1,320 MB in the node that called (limit 160 MB).

Change: an attempt ends as broken when more than 64 KiB have arrived that aren't passed on. The test server replaces {id} by the identifier of the request and may listen at a given address.

--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -43,6 +43,11 @@
   }
   m_body.append(aBytes);
   BeginStreamingIfLarge();
+  if (m_body.size() > kBufferedResponseLimitBytes) {
+    // A gate's own responses are short, so something else responds, perhaps without end.
+    m_forwardHandle.Cancel();
+    OnEnd(ForwardResult::Broken);
+  }
   return true;
 }
 
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -7,6 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fstream>
+#include <string>
 #include <utility>
 
 extern char** environ;
@@ -108,4 +110,20 @@
   ::poll(nullptr, 0, kCheckIntervalMilliseconds);
 }
 
+size_t
+PeakMemoryBytes(pid_t aProcess)
+{
+  static const std::string kLabel = "VmHWM:";
+  static constexpr size_t kBytesPerKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(aProcess) + "/status");
+  std::string label;
+  while (status >> label) {
+    size_t kilobytes = 0;
+    if (label == kLabel && status >> kilobytes) {
+      return kilobytes * kBytesPerKilobyte;
+    }
+  }
+  return 0;
+}
+
 } // namespace mimosarun
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -38,6 +38,10 @@
   pid_t m_pid = -1;
 };
 
+/** Returns the highest resident memory of a process so far, in bytes. */
+size_t
+PeakMemoryBytes(pid_t aProcess);
+
 /** Waits until a condition holds; returns false if aTime passes first. */
 template<typename Condition>
 bool
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -92,6 +92,8 @@
 {
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = SocketAddress(aAddress);
+  const int reuse = 1;
+  static_cast<void>(::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse) == 0);
   static_cast<void>(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
   static_cast<void>(::listen(listener, kListenBacklog) == 0);
   return listener;
@@ -131,10 +133,10 @@
   }
 }
 
-EndlessServer::EndlessServer(std::string aPrefix, std::string aPiece)
+EndlessServer::EndlessServer(std::string aPrefix, std::string aPiece, const Address& aAddress)
   : m_prefix(std::move(aPrefix))
   , m_piece(std::move(aPiece))
-  , m_address(RawServer::FreeAddress())
+  , m_address(aAddress)
   , m_socket(Listen(m_address))
 {
   m_thread = std::thread([this] { Run(); });
@@ -161,11 +163,29 @@
   }
 }
 
+std::string
+EndlessServer::PrefixFor(const std::string& aRequest) const
+{
+  static const std::string kIdHeader = "Request-Id: ";
+  static const std::string kPlaceholder = "{id}";
+  std::string prefix = m_prefix;
+  const size_t placeholder = prefix.find(kPlaceholder);
+  const size_t header = aRequest.find(kIdHeader);
+  if (placeholder != std::string::npos && header != std::string::npos) {
+    const size_t start = header + kIdHeader.size();
+    prefix.replace(
+      placeholder, kPlaceholder.size(), aRequest.substr(start, aRequest.find('\r', start) - start));
+  }
+  return prefix;
+}
+
 void
 EndlessServer::Serve(int aConnection)
 {
   char request[4096];
-  std::string output = ::recv(aConnection, request, sizeof request, 0) > 0 ? m_prefix : std::string();
+  const ssize_t requestLength = ::recv(aConnection, request, sizeof request, 0);
+  std::string output =
+    requestLength > 0 ? PrefixFor({ request, static_cast<size_t>(requestLength) }) : std::string();
   while (!m_stop) {
     pollfd writable{ .fd = aConnection, .events = POLLOUT, .revents = 0 };
     if (::poll(&writable, 1, static_cast<int>(kWritePoll.count())) == 0) {
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -63,11 +63,14 @@
   std::thread m_thread;
 };
 
-/** TCP server that answers a request with a prefix and then repeats a piece until the peer closes. */
+/**
+ * TCP server that answers a request with a prefix and then repeats a piece until the peer closes. "{id}" in
+ * the prefix stands for the Request-Id of the request.
+ */
 class EndlessServer
 {
 public:
-  EndlessServer(std::string aPrefix, std::string aPiece);
+  EndlessServer(std::string aPrefix, std::string aPiece, const Address& aAddress = RawServer::FreeAddress());
   ~EndlessServer();
 
   EndlessServer(const EndlessServer&) = delete;
@@ -81,6 +84,7 @@
 private:
   void Run();
   void Serve(int aConnection);
+  std::string PrefixFor(const std::string& aRequest) const;
 
   const std::string m_prefix;
   const std::string m_piece;
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -229,6 +229,18 @@
   return { .host = Host(kReplicas + aNode), .port = kOutbound };
 }
 
+Address
+PlatformMesh::GateAddress(size_t aNode) const
+{
+  return { .host = Host(kReplicas + aNode), .port = kInbound };
+}
+
+Address
+PlatformMesh::TargetAddress(size_t aNode) const
+{
+  return { .host = Host(kReplicas + aNode), .port = kTarget };
+}
+
 std::string
 PlatformMesh::Call(size_t aNode, const std::string& aPath, const std::string& aId)
 {
@@ -257,7 +269,7 @@
     targets.push_back(std::make_unique<PlatformTarget>(
       PlatformTarget::Options{ .id = std::string("i-") + kServices[i],
                                .service = kServices[i],
-                               .address = { .host = Host(kReplicas + i), .port = kTarget },
+                               .address = TargetAddress(i),
                                .heartbeatAddress = { .host = Host(kReplicas + i), .port = kControl } }));
   }
   m_isFirstStart = false;
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -39,6 +39,9 @@
   /** Sets whether all requests are rejected with status 503 and Not-Executed. */
   void SetShedding(bool aShedding) { m_shedding = aShedding; }
 
+  /** Stops serving, so that another server can take the address; heartbeats can still be sent. */
+  void StopServing() { m_server.reset(); }
+
   /** Begins a new incarnation with the same identifier. */
   void BeginIncarnation();
 
@@ -98,6 +101,10 @@
   bool IsReady(size_t aNode);
   /** Returns the address at which a node accepts calls. */
   Address EntryAddress(size_t aNode) const;
+  /** Returns the address at which a node accepts calls of other nodes. */
+  Address GateAddress(size_t aNode) const;
+  /** Returns the address of the target beside a node. */
+  Address TargetAddress(size_t aNode) const;
 
 private:
   std::string Host(size_t aVm) const;
