--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -5,8 +5,10 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 
 namespace mimosarun {
 
@@ -157,16 +159,57 @@
          "],\"heartbeat\":\"1500ms\",\"bounds\":[\"grace=6s\"],\"new\":true";
 }
 
+size_t
+PlatformMesh::VmOfReplica(size_t aIndex)
+{
+  return aIndex < kReplicas ? aIndex : kNodes + aIndex;
+}
+
+std::string
+PlatformMesh::ReplicaPath(size_t aIndex) const
+{
+  return m_folder + "/control" + std::to_string(aIndex);
+}
+
+std::string
+PlatformMesh::DataFolder(size_t aIndex) const
+{
+  return ReplicaPath(aIndex);
+}
+
+std::string
+PlatformMesh::ReplicaOutput(size_t aIndex) const
+{
+  std::ifstream log(ReplicaPath(aIndex) + ".out");
+  return { std::istreambuf_iterator<char>(log), {} };
+}
+
+std::optional<size_t>
+PlatformMesh::FindLeader() const
+{
+  for (size_t i = 0; i < replicas.size(); ++i) {
+    const std::string output = ReplicaOutput(i);
+    const size_t elected = output.rfind("leader-elected");
+    const size_t ended = output.rfind("leader-stepped-down");
+    if (elected != std::string::npos && (ended == std::string::npos || ended < elected)) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
 void
 PlatformMesh::StartReplica(size_t aIndex)
 {
-  const std::string path = m_folder + "/control" + std::to_string(aIndex);
+  replicas.resize(std::max(replicas.size(), aIndex + 1));
+  const size_t vm = VmOfReplica(aIndex);
+  const std::string path = ReplicaPath(aIndex);
   WriteSettings(path + ".json",
                 "{\"nodeId\":\"core-" + std::to_string(aIndex) +
-                  "\",\"serves\":[\"control\"],\"listenAddrs\":{\"control\":\"" + Host(aIndex) + ":" +
+                  "\",\"serves\":[\"control\"],\"listenAddrs\":{\"control\":\"" + Host(vm) + ":" +
                   std::to_string(kControl) + "\"},\"bootstrap\":" + (m_isFirstStart ? "true" : "false") +
-                  ",\"dataDir\":\"" + path + "\",\"faultTolerance\":{\"machines\":1}," +
-                  CommonSettings(aIndex) + "}");
+                  ",\"dataDir\":\"" + path + "\",\"faultTolerance\":{\"machines\":1}," + CommonSettings(vm) +
+                  "}");
   replicas[aIndex] = Process::Start({ BuildFolder() + "/src/mimosarund", "--platform" },
                                     path + ".out",
                                     { "MIMOSARUN_SETTINGS=" + path + ".json" });
@@ -209,7 +252,7 @@
 int
 PlatformMesh::ReplaceConfiguration(const std::string& aBase, const std::string& aDocument, size_t aReplica)
 {
-  const Address control{ .host = Host(aReplica), .port = kControl };
+  const Address control{ .host = Host(VmOfReplica(aReplica)), .port = kControl };
   return StatusOf(SendRawRequest(control,
                                  "POST /-/Config.Replace HTTP/1.1\r\nHost: x\r\nBase-Version: " + aBase +
                                    "\r\nContent-Length: " + std::to_string(aDocument.size()) + "\r\n\r\n" +
@@ -219,7 +262,7 @@
 std::string
 PlatformMesh::ReadConfiguration(size_t aReplica)
 {
-  const Address control{ .host = Host(aReplica), .port = kControl };
+  const Address control{ .host = Host(VmOfReplica(aReplica)), .port = kControl };
   return SendRawRequest(control, "GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n");
 }
 
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,7 +97,13 @@
   std::vector<Process> nodes;
   std::vector<Process> replicas;
 
+  /** Starts a replica; one beyond the first three is added to the deployment. */
   void StartReplica(size_t aIndex);
+  /** Returns the replica whose log says last that it was elected, or nothing if none leads. */
+  std::optional<size_t> FindLeader() const;
+  /** Returns what a replica has logged so far. */
+  std::string ReplicaOutput(size_t aIndex) const;
+  std::string DataFolder(size_t aIndex) const;
   void StartNode(size_t aIndex);
   bool IsReady(size_t aNode);
   /** Returns the address at which a node accepts calls. */
@@ -108,6 +115,9 @@
 
 private:
   std::string Host(size_t aVm) const;
+  /** Returns the VM of a replica; VMs are numbered in the order in which they were planned. */
+  static size_t VmOfReplica(size_t aIndex);
+  std::string ReplicaPath(size_t aIndex) const;
   void WriteSettings(const std::string& aPath, const std::string& aText) const;
   std::string CommonSettings(size_t aVm) const;
 
