A replica that lost its disk isn't taken for caught up by what it held before

A replica that returns empty joins under its name with a new incarnation. The leader kept the progress of the former incarnation, so it took the newcomer for caught up at once and promoted it empty; a loss before it had caught up would have taken the quorum although the repair looked finished.

Cause: progress is kept by name, and a change of members added one only for names that were new.

Evidence: the new test of raftproperties failed before: a replica with a new incarnation counts as caught up before its first reply. Entries weren't committed on its account, as those of the change of members come after all that it had confirmed.

Change: progress names its incarnation and begins anew with another one.

--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -271,7 +271,8 @@
   m_leader = m_options.name;
   m_progress.clear();
   for (const wire::Replica& member : m_log.Members()) {
-    m_progress[member.name] = { .nextIndex = LastIndex() + 1,
+    m_progress[member.name] = { .incarnation = member.incarnation,
+                                .nextIndex = LastIndex() + 1,
                                 .silentSince = member.name == m_leaderHeardLast ? *m_leaderHeardAt : aNow,
                                 .answeredRoundSentAt = aNow };
   }
@@ -357,7 +358,11 @@
   m_output.newEntries.push_back(entry);
   if (entry.command.kind == wire::CommandKind::ChangeMembers) {
     for (const wire::Replica& member : m_log.Members()) {
-      m_progress.try_emplace(member.name, Progress{ .nextIndex = entry.index, .silentSince = aNow });
+      Progress& progress = m_progress[member.name];
+      if (progress.incarnation != member.incarnation) {
+        // A replica that lost its disk holds nothing of what it had confirmed.
+        progress = { .incarnation = member.incarnation, .nextIndex = entry.index, .silentSince = aNow };
+      }
     }
   }
 }
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -140,6 +140,8 @@
   /** Replication progress of a member, as the leader knows it. */
   struct Progress
   {
+    /** Incarnation of the member whose progress this is. */
+    int64_t incarnation = 0;
     int64_t nextIndex = 1;
     int64_t matchIndex = 0;
     std::optional<Deadline> lastReplyAt;
--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -398,6 +398,57 @@
   BOOST_TEST(replica.TakeOutput().messages.empty());
 }
 
+// Guards against: a replica that lost its disk counts as caught up by what it held before, and is promoted
+// empty.
+BOOST_AUTO_TEST_CASE(a_replica_that_joins_again_has_caught_up_only_by_its_new_replies)
+{
+  wire::SnapshotFile initial;
+  for (const char* name : { "a", "b", "c" }) {
+    wire::Replica replica;
+    replica.name = name;
+    replica.incarnation = 1;
+    initial.members.push_back(replica);
+  }
+  Deadline now{ std::chrono::hours(1) };
+  std::map<std::string, std::unique_ptr<RaftCore>> cores;
+  for (const wire::Replica& member : initial.members) {
+    cores[member.name] = std::make_unique<RaftCore>(
+      RaftCore::Options{ .group = "g", .name = member.name, .incarnation = 1, .seed = cores.size() },
+      RaftState{ .snapshot = initial },
+      now);
+  }
+  const auto run = [&] {
+    for (int step = 0; step < 200; ++step) {
+      now += std::chrono::milliseconds(20);
+      for (auto& [name, core] : cores) {
+        core->Tick(now);
+        const RaftOutput output = core->TakeOutput();
+        if (!output.newEntries.empty()) {
+          core->MarkPersisted(output.newEntries.back().index);
+        }
+        for (const wire::RaftMessage& message : output.messages) {
+          if (cores.contains(message.receiver)) {
+            cores[message.receiver]->Receive(message, now);
+          }
+        }
+      }
+    }
+  };
+  run();
+  const auto leader = std::find_if(
+    cores.begin(), cores.end(), [](const auto& aEntry) { return aEntry.second->Role() == RaftRole::Leader; });
+  BOOST_REQUIRE(leader != cores.end());
+  RaftCore& core = *leader->second;
+  wire::Replica emptied = initial.members[core.Leader() == "c" ? 0 : 2];
+  BOOST_TEST(core.IsCaughtUp(emptied.name));
+  cores.erase(emptied.name);
+  emptied.incarnation = 2;
+  BOOST_REQUIRE(core.ProposeMembers(MembersWithLearner(core.Members(), emptied), now).has_value());
+  run();
+  BOOST_TEST(core.IsMembershipCommitted());
+  BOOST_TEST(!core.IsCaughtUp(emptied.name));
+}
+
 /** Returns the messages of a given kind in a leader's output by receiver, and clears the output. */
 static std::map<std::string, int>
 SentAppends(RaftCore& aLeader)
