A call that isn't idempotent is known to its gate for as long as it may come again

Cause: a gate forgot calls 15 s after they arrived, also while they ran. An entry whose connection to the gate breaks sends the call to it again; after 15 s the gate took the copy for a new call. A removed identifier that was added again was forgotten even sooner.

Change: a call is kept while it runs and 15 s longer, with its response; its identifier until 15 s after its deadline. A copy that comes later than the response is kept gets an unknown outcome. NonIdempotentCalls is a template, so that it is tested without a gate.

--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -218,11 +218,12 @@
   }
   const auto call =
     std::make_shared<GateCall>(*this, ++m_lastCallNumber, aExchange, *hop, std::move(request));
-  const bool notIdempotent = hop->repeatPolicy != RepeatPolicy::Idempotent;
-  if (const auto earlierCall =
-        notIdempotent ? m_nonIdempotentCalls.FindOrAdd(hop->callId, call, SteadyClock::now()) : nullptr) {
-    earlierCall->AttachExchange(aExchange);
-    return;
+  if (hop->repeatPolicy != RepeatPolicy::Idempotent) {
+    const auto arrival = m_nonIdempotentCalls.Add(hop->callId, call, call->LatestEnd(), SteadyClock::now());
+    if (arrival.isRepeated) {
+      GateCall::RespondToRepetition(arrival.earlierCall, aExchange);
+      return;
+    }
   }
   if (hop->sentToIncarnation != 0 && hop->sentToIncarnation != m_options.incarnation()) {
     call->Reject(HopOutcome::Unknown, "the gate was restarted after the call was sent to it");
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -111,7 +111,7 @@
   TargetFailureTracker m_failureTracker;
   Admission m_admission;
   std::map<uint64_t, std::shared_ptr<GateCall>> m_waitingCalls;
-  NonIdempotentCalls m_nonIdempotentCalls;
+  NonIdempotentCalls<GateCall> m_nonIdempotentCalls;
   CrashWatch m_crashWatch;
   std::atomic<uint64_t> m_lastCallNumber{ 0 };
   prometheus::Counter* m_admitted = nullptr;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -106,7 +106,7 @@
   m_admittedAt = SteadyClock::now();
   if (m_entryDisconnected && !HasClaim()) {
     m_gate.ReleaseUnused(*this);
-    m_stage = Stage::Ended;
+    MarkEnded();
     return;
   }
   if (!HasClaim()) {
@@ -203,6 +203,15 @@
                                                       shared_from_this());
 }
 
+void
+GateCall::MarkEnded()
+{
+  m_stage = Stage::Ended;
+  if (m_hop.repeatPolicy != RepeatPolicy::Idempotent) {
+    m_gate.m_nonIdempotentCalls.RecordEnd(m_hop.callId, SteadyClock::now());
+  }
+}
+
 void
 GateCall::ReleaseSlot()
 {
@@ -233,7 +242,7 @@
 void
 GateCall::RespondWith(HttpResponse aResponse, HopOutcome aOutcome)
 {
-  m_stage = Stage::Ended;
+  MarkEnded();
   m_abandonTimer.cancel();
   HopResponse hop = m_gate.CurrentLoad(*this);
   hop.outcome = aOutcome;
@@ -248,6 +257,26 @@
 
 // --- disconnect of the entry -----------------------------------------------------------------------------
 
+static void
+RespondOutcomeLost(const ExchangePointer& aExchange)
+{
+  HttpResponse response{ .status = 502, .headers = {}, .body = "the response to the first attempt is lost" };
+  HopResponse hop;
+  hop.outcome = HopOutcome::Unknown;
+  WriteHop(response.headers, hop);
+  aExchange->Respond(std::move(response));
+}
+
+void
+GateCall::RespondToRepetition(const std::shared_ptr<GateCall>& aEarlierCall, const ExchangePointer& aExchange)
+{
+  if (aEarlierCall) {
+    aEarlierCall->AttachExchange(aExchange);
+  } else {
+    RespondOutcomeLost(aExchange);
+  }
+}
+
 void
 GateCall::AttachExchange(const ExchangePointer& aExchange)
 {
@@ -258,13 +287,7 @@
       return;
     }
     if (self->m_stage == Stage::Ended || self->m_streaming || &aExchange->Loop() != &self->m_loop) {
-      HttpResponse response{ .status = 502,
-                             .headers = {},
-                             .body = "the response to the first attempt is lost" };
-      HopResponse hop;
-      hop.outcome = HopOutcome::Unknown;
-      WriteHop(response.headers, hop);
-      aExchange->Respond(std::move(response));
+      RespondOutcomeLost(aExchange);
       return;
     }
     self->m_entryDisconnected = false;
@@ -306,7 +329,7 @@
     return;
   }
   if (m_stage == Stage::Running) {
-    m_stage = Stage::Ended;
+    MarkEnded();
     m_forwardHandle.Cancel();
     ReleaseSlot();
   }
@@ -421,7 +444,7 @@
       m_targetName, m_targetAddress, RequestFingerprint(m_hop.route, m_request));
   }
   if (m_streaming) {
-    m_stage = Stage::Ended;
+    MarkEnded();
     m_exchange->Finish(aResult == ForwardResult::Complete);
     return;
   }
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -45,8 +45,15 @@
   /** Responds with an error to a call that holds no slot. Thread-safe. */
   void Reject(HopOutcome aOutcome, const std::string& aReason);
 
-  /** Sends the response over another exchange, on which the entry sent the same call again. */
-  void AttachExchange(const ExchangePointer& aExchange);
+  /** Returns the time at which the call's caller has given up. */
+  Deadline LatestEnd() const { return m_deadline; }
+
+  /**
+   * Responds to a call that the entry sent again: with the response of the earlier one or, if that call is no
+   * longer known, with an unknown outcome.
+   */
+  static void RespondToRepetition(const std::shared_ptr<GateCall>& aEarlierCall,
+                                  const ExchangePointer& aExchange);
 
   HeadAction OnHead(const HttpResponseHead& aHead) override;
   bool OnBody(std::string_view aBytes) override;
@@ -70,6 +77,8 @@
   void ReleaseSlot();
   void RespondWithError(int aStatus, HopOutcome aOutcome, const std::string& aReason);
   void RespondWith(HttpResponse aResponse, HopOutcome aOutcome);
+  void AttachExchange(const ExchangePointer& aExchange);
+  void MarkEnded();
   void StartStreaming();
   void Discard(size_t aBytes);
   void OnResponseComplete();
