A gate's response may have a larger head than a target's

Cause: the gate takes heads of 64 KiB from its target and adds a header of its own; the entry took no more than 64 KiB from the gate. The connection between the two nodes broke, for each attempt again.

Evidence: platformtest a_response_with_the_largest_head_is_passed_on, new; before, a header of 65,500 bytes got 502 ("the connection to the gate broke"), 65,480 bytes got 200. Above that the gate itself refuses the head.

Change: ForwardRequest names the limit; the entry adds 32 KiB for what a gate adds. After: the test passes.

--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -9,6 +9,8 @@
 
 namespace mimosarun {
 
+/** What a gate adds at most to the head of a response: its own header, and a space in each line. */
+static constexpr uint32_t kGateHeadBytes = 32U * 1024;
 /** Time after a call's deadline in which a refusal by the gate may still arrive. */
 static constexpr std::chrono::milliseconds kRefusalGrace{ 30 };
 /** A short call without a response after this many median times may be on a stalled connection. */
@@ -305,7 +307,8 @@
       .deadline = m_options.deadline + 2 * kRefusalGrace,
       .connectTimeout = kConnectTimeout,
       .unacknowledgedTimeout = kUnacknowledgedTimeout,
-      .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node) },
+      .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node),
+      .headLimitBytes = kResponseHeadLimitBytes + kGateHeadBytes },
     attempt);
   WatchForStall(attempt);
 }
--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -31,6 +31,9 @@
   Cancelled,
 };
 
+/** Largest head of a response that is accepted from a target. */
+inline constexpr uint32_t kResponseHeadLimitBytes = 64U * 1024;
+
 /** An outgoing request. */
 struct ForwardRequest
 {
@@ -45,6 +48,8 @@
   std::chrono::milliseconds unacknowledgedTimeout{ 2000 };
   /** Only requests with the same value share connections; increase it to stop using older ones. */
   uint32_t connectionGeneration = 0;
+  /** A response with a larger head is invalid. */
+  uint32_t headLimitBytes = kResponseHeadLimitBytes;
 };
 
 /** What to do with a response whose head has arrived. */
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -18,7 +18,6 @@
 
 static constexpr size_t kFirstReadBytes = 8UL * 1024;
 static constexpr size_t kLargestReadBytes = 16UL * 1024;
-static constexpr uint32_t kHeadLimitBytes = 64U * 1024;
 /** Bytes without a complete element, such as a chunk header, that are kept before the response is invalid. */
 static constexpr size_t kUnparsedLimitBytes = 128UL * 1024;
 /** Interim and skipped responses before the awaited one; a late copy of a large response may be among them.
@@ -121,7 +120,7 @@
 {
   m_parser.emplace();
   m_parser->eager(true);
-  m_parser->header_limit(kHeadLimitBytes);
+  m_parser->header_limit(m_request.headLimitBytes);
   m_parser->body_limit(std::numeric_limits<uint64_t>::max());
   m_parser->skip(m_request.request.method == "HEAD");
   m_headHandled = false;
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -120,6 +120,21 @@
   }));
 }
 
+// Guards against: a booking that ran fails because the gate takes a response whose head the entry doesn't, as
+// the gate has added to it (docs/incidents/012).
+BOOST_AUTO_TEST_CASE(a_response_with_the_largest_head_is_passed_on)
+{
+  PlatformMesh& mesh = SharedMesh();
+  PlatformTarget& target = *mesh.targets[1];
+  for (const size_t length : { 60000, 65400, 65450, 65480, 65500 }) {
+    target.SetResponseHeaders({ { .name = "X-Large", .value = std::string(length, 'x') } });
+    const std::string id = "head-" + std::to_string(length);
+    BOOST_TEST(mesh.Call(0, "/book/1", id).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(target.RunCounts()[id] == 1);
+  }
+  target.SetResponseHeaders({});
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_its_target_sheds_fails_with_retry_after)
 {
   PlatformMesh& mesh = SharedMesh();
