A call that has ended keeps no request body

Cause: calls that aren't idempotent are kept for some seconds after their end, for a copy that may come; kept were the whole request and, through the exchange, its body once more. Besides, a server's connection kept the buffer of its last response: assigning {} to a string doesn't free its memory.

Change: at its end a call frees its request body and its exchange; the connection frees its buffer. Bodies in flight at the same time aren't bounded by this.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -295,7 +295,7 @@
 {
   m_writing = false;
   // Many connections are idle after a large response, so its memory is returned.
-  m_output = {};
+  std::string().swap(m_output);
   if (m_closed) {
     return;
   }
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -57,10 +57,10 @@
   , m_number(aNumber)
   , m_loop(aExchange->Loop())
   , m_exchange(std::move(aExchange))
+  , m_receivedAt(m_exchange->ReceivedAt())
   , m_hop(std::move(aHop))
   , m_request(std::move(aRequest))
-  , m_deadline(m_exchange->ReceivedAt() +
-               std::clamp(m_hop.timeLeft, std::chrono::milliseconds(0), kMaximumTimeout))
+  , m_deadline(m_receivedAt + std::clamp(m_hop.timeLeft, std::chrono::milliseconds(0), kMaximumTimeout))
   , m_claim(MakeClaimRequest(m_hop, m_request))
   , m_abandonTimer(m_loop.Context())
 {
@@ -75,9 +75,9 @@
            .costGroup = m_hop.route,
            .priority = m_hop.priority,
            .deadline = m_deadline,
-           .objective = m_exchange->ReceivedAt() + m_hop.timeToObjective,
+           .objective = m_receivedAt + m_hop.timeToObjective,
            .expectedCost = m_hop.expectedCost,
-           .returnAt = m_exchange->ReceivedAt() + wait,
+           .returnAt = m_receivedAt + wait,
            .longestWait = m_hop.longestWait };
 }
 
@@ -107,6 +107,7 @@
   if (m_entryDisconnected && !HasClaim()) {
     m_gate.ReleaseUnused(*this);
     MarkEnded();
+    ReleaseMessages();
     return;
   }
   if (!HasClaim()) {
@@ -212,6 +213,14 @@
   }
 }
 
+void
+GateCall::ReleaseMessages()
+{
+  std::string().swap(m_request.body);
+  std::string().swap(m_bufferedBody);
+  m_exchange.reset();
+}
+
 void
 GateCall::ReleaseSlot()
 {
@@ -253,6 +262,7 @@
     m_storedResponse = aResponse;
   }
   m_exchange->Respond(std::move(aResponse));
+  ReleaseMessages();
 }
 
 // --- disconnect of the entry -----------------------------------------------------------------------------
@@ -332,6 +342,7 @@
     MarkEnded();
     m_forwardHandle.Cancel();
     ReleaseSlot();
+    ReleaseMessages();
   }
 }
 
@@ -446,6 +457,7 @@
   if (m_streaming) {
     MarkEnded();
     m_exchange->Finish(aResult == ForwardResult::Complete);
+    ReleaseMessages();
     return;
   }
   if (aResult == ForwardResult::Complete && m_responseKind != TargetResponseKind::Unusable) {
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -79,6 +79,8 @@
   void RespondWith(HttpResponse aResponse, HopOutcome aOutcome);
   void AttachExchange(const ExchangePointer& aExchange);
   void MarkEnded();
+  /** Frees what a second copy of this call doesn't need. */
+  void ReleaseMessages();
   void StartStreaming();
   void Discard(size_t aBytes);
   void OnResponseComplete();
@@ -90,7 +92,9 @@
   Gate& m_gate;
   const uint64_t m_number;
   EventLoop& m_loop;
+  /** Null once the call has ended. */
   ExchangePointer m_exchange;
+  const Deadline m_receivedAt;
   const HopRequest m_hop;
   HttpRequest m_request;
   const Deadline m_deadline;
--- a/tests/platform/platformtest.cpp
+++ b/tests/platform/platformtest.cpp
@@ -135,6 +135,28 @@
   target.SetResponseHeaders({});
 }
 
+// Guards against: a node keeps the bodies of ended calls with their identifiers and runs out of memory
+// (docs/incidents/013).
+BOOST_AUTO_TEST_CASE(uploads_one_after_the_other_take_little_memory)
+{
+  static constexpr int kUploads = 150;
+  /** Memory of the smallest VM on which a node runs. */
+  static constexpr size_t kVmMemoryBytes = 160UL * 1000 * 1000;
+  PlatformMesh& mesh = SharedMesh();
+  const std::string body(1000 * 1000, 'b');
+  for (int upload = 0; upload < kUploads; ++upload) {
+    mesh.targets[1]->SendHeartbeat("ready");
+    const std::string response = SendRawRequest(
+      mesh.EntryAddress(0),
+      "POST /book/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: upload-" + std::to_string(upload) +
+        "\r\nTimeout-Ms: 2000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    BOOST_REQUIRE_MESSAGE(response.starts_with("HTTP/1.1 200"), response);
+  }
+  for (const Process& node : mesh.nodes) {
+    BOOST_TEST(PeakMemoryBytes(node.Id()) < kVmMemoryBytes);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_its_target_sheds_fails_with_retry_after)
 {
   PlatformMesh& mesh = SharedMesh();
