A connection with a full pipeline is kept and read on

Cause: with 32 open requests a connection starts no read, and only the read held it. It was destroyed with its socket. Besides, the time for a request's head ran on for bytes that had arrived and weren't read.

Evidence: httptest all_requests_of_a_long_pipeline_are_answered_in_order, new, failed before.

Change: a connection with a full pipeline holds itself until it reads on or closes, and its timer rests. After: 32, 33, 40, 400 and 5,000 requests are answered in order. Postmortem: docs/incidents/014.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -15,7 +15,7 @@
 namespace http = boost::beast::http;
 
 static constexpr size_t kReadBytes = 8UL * 1024;
-/** Limit of open requests on a connection; it reads no more until a response has been sent. */
+/** Limit of open requests on a connection; it reads on when a response has been sent. */
 static constexpr size_t kPipelineLimit = 32;
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
 static constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
@@ -75,6 +75,7 @@
   m_socket.async_read_some(
     m_buffer.prepare(kReadBytes),
     [self = shared_from_this()](const auto& aError, size_t aLength) { self->OnRead(aError, aLength); });
+  m_selfWhileFull.reset();
 }
 
 void
@@ -105,11 +106,18 @@
   ResetTimer();
 }
 
+bool
+ServerConnection::IsPipelineFull() const
+{
+  return m_exchanges.size() >= kPipelineLimit;
+}
+
 bool
 ServerConnection::ParseBuffered()
 {
   while (m_buffer.size() > 0 && !m_closed && !m_rejected && !m_lastRequestRead) {
-    if (m_exchanges.size() >= kPipelineLimit) {
+    if (IsPipelineFull()) {
+      m_selfWhileFull = shared_from_this();
       return false;
     }
     boost::system::error_code error;
@@ -365,7 +373,9 @@
   }
   const bool inHead = !m_parser->is_header_done() && m_buffer.size() > 0;
   const bool inBody = m_parser->is_header_done() && !m_parser->is_done();
-  if (!m_exchanges.empty() && !inHead && !inBody) {
+  // The peer isn't late with what isn't read.
+  if (IsPipelineFull() || (!m_exchanges.empty() && !inHead && !inBody)) {
+    m_headDeadline.reset();
     m_timer.cancel();
     return;
   }
@@ -412,6 +422,7 @@
     return;
   }
   m_closed = true;
+  const std::shared_ptr<ServerConnection> self = std::exchange(m_selfWhileFull, nullptr);
   m_timer.cancel();
   boost::system::error_code ignored;
   m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -43,6 +43,7 @@
   void Read();
   void OnRead(const boost::system::error_code& aError, size_t aLength);
   bool ParseBuffered();
+  bool IsPipelineFull() const;
   void SendContinueIfExpected();
   void HandleRequest();
   void RejectUnreadable(const boost::system::error_code& aError);
@@ -67,6 +68,8 @@
   std::optional<Parser> m_parser;
   boost::asio::steady_timer m_timer;
   std::deque<ExchangePointer> m_exchanges;
+  /** Keeps the connection alive while it doesn't read, as its pipeline is full. */
+  std::shared_ptr<ServerConnection> m_selfWhileFull;
   std::string m_output;
   size_t m_discardedBytes = 0;
   std::optional<Deadline> m_headDeadline;
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -8,6 +8,7 @@
 #include <future>
 #include <limits>
 #include <mutex>
+#include <thread>
 
 using namespace mimosarun;
 using std::chrono::milliseconds;
@@ -103,6 +104,46 @@
   BOOST_TEST(responses.find("first") < responses.find("second"));
 }
 
+/** Returns how often a text occurs in another. */
+static size_t
+CountOf(const std::string& aText, const std::string& aPart)
+{
+  size_t count = 0;
+  for (size_t at = aText.find(aPart); at != std::string::npos; at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+// Guards against: a connection with more open requests than are read at once is closed without an answer
+// (docs/incidents/014).
+BOOST_AUTO_TEST_CASE(all_requests_of_a_long_pipeline_are_answered_in_order)
+{
+  for (const size_t requests : { 32, 33, 40, 400, 5000 }) {
+    ManualServer server;
+    RawConnection connection(server.Where());
+    std::string sent;
+    for (size_t i = 0; i < requests; ++i) {
+      sent += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    std::thread sender([&] { connection.Send(sent); });
+    // Longer than the time for a request's head: what isn't read yet doesn't count as late.
+    std::this_thread::sleep_for(milliseconds(requests == 33 ? 400 : 0));
+    const std::string last = "</" + std::to_string(requests - 1) + ">";
+    auto reader =
+      std::async(std::launch::async, [&] { return connection.ReceiveUntil(last, std::chrono::seconds(10)); });
+    for (size_t i = 0; i < requests; ++i) {
+      const ExchangePointer exchange = server.Exchange(i);
+      exchange->Respond({ .status = 200, .headers = {}, .body = "<" + exchange->Request().path + ">" });
+    }
+    const std::string received = reader.get();
+    sender.join();
+    BOOST_TEST(CountOf(received, "HTTP/1.1 200") == requests);
+    BOOST_TEST(received.find("</0>") < received.find("</31>"));
+    BOOST_TEST(received.ends_with(last));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_first_in_the_pipeline_after_the_earlier_responses)
 {
   ManualServer server;
