--- a/tests/harness/bookings.cpp
+++ b/tests/harness/bookings.cpp
@@ -9,22 +9,29 @@
 TestResponse
 Book(Mesh& aMesh, const std::string& aNode, const std::string& aKey)
 {
-  return Send(aMesh.ProcessOf(aNode).callerAddress,
-              { .method = "POST",
-                .path = "/" + aMesh.Options().services.front() + "/book?ms=5",
-                .token = aKey,
-                .key = aKey,
-                .body = "{}",
-                .timeout = std::chrono::milliseconds(1500) });
+  TestClient client;
+  return Book(aMesh, client, aNode, aKey);
+}
+
+TestResponse
+Book(Mesh& aMesh, TestClient& aClient, const std::string& aNode, const std::string& aKey)
+{
+  return aClient.Send(aMesh.ProcessOf(aNode).callerAddress,
+                      { .method = "POST",
+                        .path = "/" + aMesh.Options().services.front() + "/book?ms=5",
+                        .token = aKey,
+                        .key = aKey,
+                        .body = "{}",
+                        .timeout = std::chrono::milliseconds(1500) });
 }
 
 Booking
-BookWithRetries(Mesh& aMesh, const std::string& aKey, std::mt19937_64& aRandom)
+BookWithRetries(Mesh& aMesh, TestClient& aClient, const std::string& aKey, std::mt19937_64& aRandom)
 {
   Booking booking{ .key = aKey };
   const std::vector<std::string> nodes = aMesh.Nodes();
   for (int attempt = 0; attempt < 4 && !booking.complete; ++attempt) {
-    const TestResponse response = Book(aMesh, nodes[aRandom() % nodes.size()], aKey);
+    const TestResponse response = Book(aMesh, aClient, nodes[aRandom() % nodes.size()], aKey);
     booking.complete = response.transferComplete && response.status == 200 && response.outcome == "complete";
     booking.allNotRun = booking.allNotRun && response.transferComplete && response.outcome == "not-run";
   }
@@ -54,9 +61,10 @@
   for (int caller = 0; caller < kCallerThreads; ++caller) {
     callers.emplace_back([&, caller] {
       std::mt19937_64 random(aSeed + static_cast<uint64_t>(caller) + 1);
+      TestClient client;
       for (int number = next++; number < aCount; number = next++) {
         bookings[static_cast<size_t>(number)] =
-          BookWithRetries(aMesh, aPrefix + std::to_string(number), random);
+          BookWithRetries(aMesh, client, aPrefix + std::to_string(number), random);
       }
     });
   }
--- a/tests/harness/bookings.h
+++ b/tests/harness/bookings.h
@@ -36,11 +36,15 @@
 TestResponse
 Book(Mesh& aMesh, const std::string& aNode, const std::string& aKey);
 
+/** Same, over the kept connections of a client. */
+TestResponse
+Book(Mesh& aMesh, TestClient& aClient, const std::string& aNode, const std::string& aKey);
+
 /** Sends a booking with one key to random nodes until a response is complete or all attempts are used up. */
 Booking
-BookWithRetries(Mesh& aMesh, const std::string& aKey, std::mt19937_64& aRandom);
+BookWithRetries(Mesh& aMesh, TestClient& aClient, const std::string& aKey, std::mt19937_64& aRandom);
 
-/** Sends many bookings from several caller threads at once. */
+/** Sends many bookings from several callers at once, each of which keeps using its open connections. */
 std::vector<Booking>
 BookMany(Mesh& aMesh, const std::string& aPrefix, int aCount, uint64_t aSeed);
 
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 #include "harness/process.h"
+#include "harness/testclient.h"
 #include "operators/answer.h"
 #include "standin/faultproxy.h"
 
@@ -174,34 +175,6 @@
   bool m_portsFree = true;
 };
 
-/** Response to an HTTP request in a test. */
-struct TestResponse
-{
-  /** The response was received completely, as HTTP defines it. */
-  bool transferComplete = false;
-  int status = 0;
-  std::string outcome;
-  std::string callId;
-  std::string token;
-  std::string target;
-  std::string body;
-};
-
-/** A request in a test. */
-struct TestRequest
-{
-  std::string method = "GET";
-  std::string path;
-  std::string token = "token";
-  std::string key;
-  std::string body;
-  std::chrono::milliseconds timeout{ 3000 };
-};
-
-/** Sends a request and waits for the response. */
-TestResponse
-Send(const Address& aTo, const TestRequest& aRequest);
-
 /** Returns the build folder, which holds the built programs. */
 std::string
 BuildFolder();
--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -47,10 +47,10 @@
 };
 
 static int
-Soak(std::chrono::seconds aTime, uint64_t aSeed)
+Soak(std::chrono::seconds aTime, uint64_t aSeed, int aTargetsPerDomain)
 {
-  MeshOptions options = SmallMesh("soak");
-  options.targetsPerDomain = 1;
+  MeshOptions options = SmallMesh("soak" + std::to_string(aSeed));
+  options.targetsPerDomain = aTargetsPerDomain;
   options.regions = { { "east", { "east-1", "east-2" } }, { "west", { "west-1", "west-2" } } };
   options.replicaDomains = { "east-1", "east-2", "west-1", "west-2", "east-1" };
   Mesh mesh(options);
@@ -63,7 +63,7 @@
                                  }) &&
                        mesh.WaitServing(kStartLimit);
   if (!running) {
-    std::cerr << "the deployment did not start; see the logs in run/soak\n";
+    std::cerr << "the deployment did not start; see the logs in run/soak" << aSeed << "\n";
     return 1;
   }
   VersionMonitor monitor;
@@ -114,7 +114,10 @@
   cxxopts::Options options("soak", "Injects random faults and checks ledgers, versions and outcomes");
   options.add_options()("minutes", "Time of the run", cxxopts::value<int>()->default_value("5"))(
     "seconds", "Time of the run in place of --minutes", cxxopts::value<int>())(
-    "seed", "Seed of the faults", cxxopts::value<uint64_t>()->default_value("1"))("help", "Print help");
+    "seed", "Seed of the faults", cxxopts::value<uint64_t>()->default_value("1"))(
+    "targets",
+    "Targets of each service in each failure domain; each has a node and so two processes",
+    cxxopts::value<int>()->default_value("1"))("help", "Print help");
   const auto parsed = options.parse(aCount, aValues);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
@@ -122,5 +125,5 @@
   }
   const auto time = parsed.count("seconds") > 0 ? std::chrono::seconds(parsed["seconds"].as<int>())
                                                 : std::chrono::minutes(parsed["minutes"].as<int>());
-  return Soak(time, parsed["seed"].as<uint64_t>());
+  return Soak(time, parsed["seed"].as<uint64_t>(), parsed["targets"].as<int>());
 }
