--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -110,20 +110,31 @@
   ::poll(nullptr, 0, kCheckIntervalMilliseconds);
 }
 
-size_t
-PeakMemoryBytes(pid_t aProcess)
+static size_t
+MemoryBytes(pid_t aProcess, const std::string& aLabel)
 {
-  static const std::string kLabel = "VmHWM:";
   static constexpr size_t kBytesPerKilobyte = 1024;
   std::ifstream status("/proc/" + std::to_string(aProcess) + "/status");
   std::string label;
   while (status >> label) {
     size_t kilobytes = 0;
-    if (label == kLabel && status >> kilobytes) {
+    if (label == aLabel && status >> kilobytes) {
       return kilobytes * kBytesPerKilobyte;
     }
   }
   return 0;
 }
 
+size_t
+ResidentMemoryBytes(pid_t aProcess)
+{
+  return MemoryBytes(aProcess, "VmRSS:");
+}
+
+size_t
+PeakMemoryBytes(pid_t aProcess)
+{
+  return MemoryBytes(aProcess, "VmHWM:");
+}
+
 } // namespace mimosarun
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -38,6 +38,10 @@
   pid_t m_pid = -1;
 };
 
+/** Returns the resident memory of a process, in bytes. */
+size_t
+ResidentMemoryBytes(pid_t aProcess);
+
 /** Returns the highest resident memory of a process so far, in bytes. */
 size_t
 PeakMemoryBytes(pid_t aProcess);
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -35,7 +35,7 @@
   : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
   const sockaddr_in address = SocketAddress(aTo);
-  static_cast<void>(::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+  m_connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
 }
 
 RawConnection::~RawConnection()
@@ -43,10 +43,10 @@
   ::close(m_socket);
 }
 
-void
+bool
 RawConnection::Send(const std::string& aBytes) const
 {
-  static_cast<void>(::send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0);
+  return ::send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(aBytes.size());
 }
 
 std::string
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -21,7 +21,10 @@
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
 
-  void Send(const std::string& aBytes) const;
+  bool IsConnected() const { return m_connected; }
+
+  /** Returns whether all bytes were sent. */
+  bool Send(const std::string& aBytes) const;
 
   /** Returns the bytes that arrive within aTime. */
   std::string Receive(std::chrono::milliseconds aTime) const;
@@ -31,6 +34,7 @@
 
 private:
   int m_socket = -1;
+  bool m_connected = false;
 };
 
 /**
--- a/tests/http/streamtest.cpp
+++ b/tests/http/streamtest.cpp
@@ -5,7 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <fstream>
+#include <unistd.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -79,17 +80,6 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
-static size_t
-ResidentBytes()
-{
-  std::ifstream statm("/proc/self/statm");
-  size_t total = 0;
-  size_t resident = 0;
-  statm >> total >> resident;
-  static constexpr size_t kPageBytes = 4096;
-  return resident * kPageBytes;
-}
-
 /** Waits until a counter has stopped growing. */
 static bool
 WaitUntilSteady(const EndlessServer& aServer)
@@ -107,7 +97,7 @@
   static constexpr size_t kStreams = 200;
   EndlessServer source("HTTP/1.1 200 OK\r\n\r\n", std::string(32UL * 1024, 'x'));
   RelayServer relay(source.ListenAddress());
-  const size_t residentBefore = ResidentBytes();
+  const size_t residentBefore = ResidentMemoryBytes(::getpid());
   std::vector<std::unique_ptr<RawConnection>> callers;
   for (size_t i = 0; i < kStreams; ++i) {
     callers.push_back(std::make_unique<RawConnection>(relay.ListenAddress()));
@@ -116,7 +106,7 @@
   BOOST_TEST(WaitUntilSteady(source));
   BOOST_TEST(source.SentBytes() > kStreams * 32UL * 1024);
   BOOST_TEST(source.SentBytes() < kStreams * kSocketLimitBytes);
-  BOOST_TEST(ResidentBytes() - residentBefore < kStreams * kStreamLimitBytes);
+  BOOST_TEST(ResidentMemoryBytes(::getpid()) - residentBefore < kStreams * kStreamLimitBytes);
 }
 
 BOOST_AUTO_TEST_CASE(a_short_response_passes_a_stopped_stream)
