--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -279,15 +279,23 @@
   RC_ASSERT(cluster.RecoverAndCommit());
 }
 
-BOOST_AUTO_TEST_CASE(a_leader_without_replies_steps_down_before_another_can_be_elected)
+/** Returns the initial state of a group of voters. */
+static wire::SnapshotFile
+MakeGroupOf(const std::vector<std::string>& aNames)
 {
   wire::SnapshotFile initial;
-  for (const char* name : { "a", "b", "c" }) {
+  for (const std::string& name : aNames) {
     wire::Replica replica;
     replica.name = name;
     replica.incarnation = 1;
     initial.members.push_back(replica);
   }
+  return initial;
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_without_replies_steps_down_before_another_can_be_elected)
+{
+  const wire::SnapshotFile initial = MakeGroupOf({ "a", "b", "c" });
   Deadline now{ std::chrono::hours(1) };
   RaftCore leader({ .group = "g", .name = "a", .incarnation = 1, .seed = 1 }, { .snapshot = initial }, now);
   RaftCore follower({ .group = "g", .name = "b", .incarnation = 1, .seed = 2 }, { .snapshot = initial }, now);
@@ -336,13 +344,7 @@
 // one more election timeout.
 BOOST_AUTO_TEST_CASE(of_two_replicas_that_stand_at_the_same_time_one_is_elected_at_once)
 {
-  wire::SnapshotFile initial;
-  for (const char* name : { "a", "b", "lost" }) {
-    wire::Replica replica;
-    replica.name = name;
-    replica.incarnation = 1;
-    initial.members.push_back(replica);
-  }
+  const wire::SnapshotFile initial = MakeGroupOf({ "a", "b", "lost" });
   Deadline now{ std::chrono::hours(1) };
   std::map<std::string, std::unique_ptr<RaftCore>> cores;
   for (const std::string name : { "a", "b" }) {
@@ -375,13 +377,7 @@
 
 BOOST_AUTO_TEST_CASE(a_replica_ignores_messages_for_a_previous_incarnation_and_of_unknown_senders)
 {
-  wire::SnapshotFile initial;
-  for (const char* name : { "a", "b" }) {
-    wire::Replica replica;
-    replica.name = name;
-    replica.incarnation = 1;
-    initial.members.push_back(replica);
-  }
+  const wire::SnapshotFile initial = MakeGroupOf({ "a", "b" });
   const Deadline now{ std::chrono::hours(1) };
   RaftCore replica({ .group = "g", .name = "a", .incarnation = 2, .seed = 1 }, {}, now);
   wire::RaftMessage vote;
@@ -402,13 +398,7 @@
 // empty.
 BOOST_AUTO_TEST_CASE(a_replica_that_joins_again_has_caught_up_only_by_its_new_replies)
 {
-  wire::SnapshotFile initial;
-  for (const char* name : { "a", "b", "c" }) {
-    wire::Replica replica;
-    replica.name = name;
-    replica.incarnation = 1;
-    initial.members.push_back(replica);
-  }
+  const wire::SnapshotFile initial = MakeGroupOf({ "a", "b", "c" });
   Deadline now{ std::chrono::hours(1) };
   std::map<std::string, std::unique_ptr<RaftCore>> cores;
   for (const wire::Replica& member : initial.members) {
