--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -31,6 +31,69 @@
   Expire = 8,
   // Puts a whole document under a version number that the operator chose.
   Replace = 9,
+  // Begins to move a service's traffic to the targets of another version.
+  StartRollout = 10,
+  // Changes stage, share or state of a roll-out whose revision is still the one that the command names.
+  AdvanceRollout = 11,
+}
+
+enum RolloutState {
+  Running = 0,
+  Completed = 1,
+  RolledBack = 2,
+}
+
+// The latest roll-out of a service.
+struct RolloutRecord {
+  1: string serviceName,
+  2: string targetVersion,
+  3: i64 durationMillis = 0,
+  4: i64 orderedAtMicros = 0,
+  5: RolloutState state = RolloutState.Running,
+  6: string stage,
+  // Share of the service's calls that goes to the new version.
+  7: i32 candidatePermille = 0,
+  // Grows with each change of any service's roll-out.
+  8: i64 revision = 0,
+  9: string reason,
+  // Time since the order when this record was written.
+  10: i64 elapsedMillis = 0,
+  // Versions whose roll-outs were rolled back; no target of them gets calls.
+  11: list<string> rejectedVersions,
+  // Number of new targets that get most of the canary's calls; 0 spreads them over all.
+  12: i32 canaryTargets = 0,
+}
+
+// All roll-outs that a replica knows, at a revision.
+struct RolloutSet {
+  1: i64 revision = 0,
+  2: list<RolloutRecord> rollouts,
+}
+
+// Responses of one version's target to the calls of one route, since the node's process started.
+struct VersionOutcomes {
+  1: string serviceName,
+  2: string version,
+  3: string route,
+  4: i64 responses = 0,
+  5: i64 failures = 0,
+  // Numbers of responses by the buckets of LatencyBuckets.
+  6: list<i32> latencyCounts,
+}
+
+// What one node has seen of its target while a roll-out of the target's service runs.
+struct NodeOutcomes {
+  1: string node,
+  2: i64 incarnation = 0,
+  3: i64 sequence = 0,
+  4: list<VersionOutcomes> outcomes,
+  // Revision of the roll-outs that the node applies.
+  5: i64 appliedRevision = 0,
+  6: i64 ageMillis = 0,
+  7: string serviceName,
+  8: string version,
+  // Calls that hold a slot of the target or wait for one.
+  9: i32 openCalls = 0,
 }
 
 enum TargetIntent {
@@ -61,6 +124,7 @@
   17: string hash,
   // Replace: the body is compressed against the text of version basedOn.
   18: bool delta = false,
+  19: optional RolloutRecord rollout,
 }
 
 struct LogEntry {
@@ -222,6 +286,8 @@
   6: list<StoredResult> results,
   // Texts of recent versions, the current one last: the oldest whole, each other as a difference.
   7: list<ConfigurationUpdate> updates,
+  8: list<RolloutRecord> rollouts,
+  9: i64 rolloutRevision = 0,
 }
 
 enum MemberState {
@@ -255,6 +321,8 @@
   13: i64 version = 0,
   // How long the target stays slow after its start, as it said last.
   14: i32 warmUpMillis = 0,
+  // Version of the target's software, if it names one.
+  15: optional string targetVersion,
 }
 
 // Members that are sent together.
@@ -333,6 +401,64 @@
   8: QuarantineMark quarantineSeen,
   // What the node knows, for a replica that it has just turned to.
   9: list<QuarantinedRequest> quarantined,
+  // Revision of the roll-outs that the node applies; absent from a node that wants none.
+  10: optional i64 rolloutRevision,
+  11: optional NodeOutcomes outcomes,
+}
+
+// Until when a node may rely on its configuration: a quorum confirmed the version as the newest one.
+struct Validity {
+  1: i64 version = 0,
+  // Time from the question to the quorum until the reply was sent.
+  2: i32 ageMillis = 0,
+  // Time for which the replica held the request.
+  3: i32 heldMillis = 0,
+}
+
+// What a node used of a team's quota.
+struct QuotaUsage {
+  // Position of the team among the names of the configuration's teams, sorted.
+  1: i32 team = 0,
+  // Requests admitted since the node's process started, without those that ran nowhere.
+  2: i64 usedTotal = 0,
+  // Recent requests per second, admitted or not, in thousandths.
+  3: i32 demandMilli = 0,
+  // Requests that wait for a grant.
+  4: i32 waiting = 0,
+  // Rate without contact that the node holds, in thousandths of a request per second.
+  5: i32 fallbackMilli = 0,
+}
+
+struct QuotaRequest {
+  1: string node,
+  2: i64 incarnation = 0,
+  3: i64 sequence = 0,
+  // Version of the configuration that numbers the teams.
+  4: i64 version = 0,
+  5: list<QuotaUsage> usages,
+}
+
+// What a node may use of a team's quota.
+struct QuotaGrant {
+  1: i32 team = 0,
+  // Value that usedTotal may reach.
+  2: i64 allowedTotal = 0,
+  // Time for which the grant holds.
+  3: i32 validMillis = 0,
+  // Rate at which the node may go on without contact, in thousandths of a request per second.
+  4: i32 fallbackMilli = 0,
+  // Time until the quota has room again; 0 if it has.
+  5: i32 dueMillis = 0,
+}
+
+struct QuotaReply {
+  // Whether the replica leads; otherwise the name of the leader that it knows.
+  1: bool granted = false,
+  2: string leader,
+  3: i64 version = 0,
+  4: list<QuotaGrant> grants,
+  // Time until the node's next report.
+  5: i32 intervalMillis = 0,
 }
 
 struct WatchReply {
@@ -347,6 +473,9 @@
   7: QuarantineMark quarantineMark,
   // The whole list, if the node hasn't seen its newest state.
   8: list<QuarantinedRequest> quarantined,
+  // All roll-outs, if the node applies an older revision.
+  9: optional RolloutSet rollouts,
+  10: optional Validity validity,
 }
 
 service ControlPeer {
@@ -366,6 +495,10 @@
   list<DomainReport> reports(1: bool withMembers),
   // Reports the end of a target's process; each replica gets the report.
   void reportCrash(1: TargetCrash crash),
+  // What this replica holds of the nodes that poll it, for the leader of a running roll-out.
+  list<NodeOutcomes> outcomes(),
+  // Reports a node's use of the teams' quotas and grants it more.
+  QuotaReply quota(1: QuotaRequest request),
 }
 
 service NodePeer {
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -67,6 +67,20 @@
   int64_t maxInFlight = 0;
 };
 
+/** A group of callers with common credentials, quota and priority. */
+struct Team
+{
+  std::string name;
+  /** SHA-256 digests of its keys, in lower-case hexadecimal. */
+  std::vector<std::string> keyDigests;
+  /** Rank among the teams; zero is the most urgent. */
+  int64_t priority = 0;
+  /** Requests per second that all nodes together accept; zero means no limit. */
+  double requestsPerSecond = 0;
+  /** Requests that may exceed the rate at once. */
+  double burst = 0;
+};
+
 /** Defines which requests go to which services, and the rules for their calls. */
 struct Route
 {
@@ -93,6 +107,8 @@
   std::chrono::milliseconds hedgeAfter{ 0 };
   /** Name of a ConcurrencyLimit; empty means none. */
   std::string limit;
+  /** Whether requests need no key although the configuration has teams. */
+  bool isPublic = false;
 
   bool Idempotent() const { return repeatPolicy == RepeatPolicy::Idempotent; }
 };
@@ -114,6 +130,11 @@
   std::vector<Route> routes;
   std::map<std::string, TargetIntent> targets;
   CallerLimits callerLimits;
+  /** Whether callers must present a team's key. */
+  bool hasTeams = false;
+  std::map<std::string, Team> teams;
+  /** Names of the teams by the digests of their keys. */
+  std::map<std::string, std::string> teamByKeyDigest;
 };
 
 /** A format of configuration documents; Parse() reads and validates a complete document. */
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -103,6 +103,13 @@
     m_controller.Crashes().Record(aCrash, SteadyClock::now());
   }
 
+  void outcomes(std::vector<wire::NodeOutcomes>& aReturn) override { aReturn.clear(); }
+
+  void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& /*aRequest*/) override
+  {
+    aReturn.granted = false;
+  }
+
 private:
   Controller& m_controller;
 };
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -43,8 +43,11 @@
        << aHop.priority << ' ' << aHop.expectedCost.count() << ' ' << aHop.timeLeft.count() << ' '
        << aHop.timeToObjective.count() << ' ' << aHop.longestWait.count() << ' '
        << aHop.maxFailurePenalty.count() << ' ' << aHop.isLastResort << ' ' << aHop.sentToIncarnation;
-  if (!aHop.homeRegion.empty()) {
-    text << ' ' << aHop.homeRegion;
+  if (!aHop.homeRegion.empty() || !aHop.team.empty()) {
+    text << ' ' << EncodeWord(aHop.homeRegion);
+  }
+  if (!aHop.team.empty()) {
+    text << ' ' << aHop.team << ' ' << aHop.teamPriority;
   }
   SetHeader(aHeaders, kHopRequestHeader, text.str());
 }
@@ -81,7 +84,8 @@
   hop.timeToObjective = std::chrono::milliseconds(timeToObjective);
   hop.longestWait = std::chrono::milliseconds(longestWait);
   hop.maxFailurePenalty = std::chrono::milliseconds(maxFailurePenalty);
-  text >> hop.homeRegion;
+  text >> hop.homeRegion >> hop.team >> hop.teamPriority;
+  hop.homeRegion = DecodeWord(hop.homeRegion);
   return hop;
 }
 
--- a/src/hop/hopheaders.h
+++ b/src/hop/hopheaders.h
@@ -35,6 +35,10 @@
   int64_t sentToIncarnation = 0;
   /** Region whose quorum holds the idempotency keys; only set for keyed calls. */
   std::string homeRegion;
+  /** Team of the caller; empty where the configuration has none. */
+  std::string team;
+  /** Rank of the team; zero is the most urgent. */
+  int64_t teamPriority = 0;
 };
 
 /** How a call ended at a gate. */
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -28,12 +28,27 @@
   int slots = 1;
   /** Incarnation of the gate's process; a restarted process has a new one. */
   int64_t incarnation = 0;
+  /** Version of the target's software; empty if it names none. */
+  std::string version;
+};
+
+/** The gates of a version that is being rolled out, and the share of the service's calls that they get. */
+struct CandidateGates
+{
+  std::vector<GateInfo> gates;
+  /** Gates that get most of the calls; empty if all get the same. */
+  std::vector<GateInfo> canaries;
+  int permille = 0;
+  /** Revision of the roll-out that set the share. */
+  int64_t revision = 0;
 };
 
 /** Immutable, shared view of the available gates of each service. */
 struct GateDirectory
 {
+  /** Gates whose targets have an allowed version. */
   std::map<std::string, std::vector<GateInfo>> gates;
+  std::map<std::string, CandidateGates> candidates;
 };
 
 using GateDirectoryPointer = std::shared_ptr<const GateDirectory>;
--- a/src/settings/processsettings.h
+++ b/src/settings/processsettings.h
@@ -2,6 +2,7 @@
 
 #include "common/address.h"
 #include "common/error.h"
+#include "settings/meshlimits.h"
 
 #include <chrono>
 #include <map>
@@ -78,6 +79,10 @@
   std::chrono::milliseconds heartbeatInterval{ 300 };
   /** Control only: at least three times heartbeatInterval. */
   std::chrono::milliseconds electionTimeout{ 1200 };
+
+  RolloutLimits rollout;
+  RevocationLimits revocation;
+  QuotaTolerance quota;
 };
 
 /**
--- a/src/wire/gen-cpp/ControlPeer.cpp
+++ b/src/wire/gen-cpp/ControlPeer.cpp
@@ -1303,14 +1303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->success.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->success.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += this->success[_i292].read(iprot);
+              xfer += this->success[_i371].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,10 +1341,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<DomainReport> ::const_iterator _iter293;
-      for (_iter293 = this->success.begin(); _iter293 != this->success.end(); ++_iter293)
+      std::vector<DomainReport> ::const_iterator _iter372;
+      for (_iter372 = this->success.begin(); _iter372 != this->success.end(); ++_iter372)
       {
-        xfer += (*_iter293).write(oprot);
+        xfer += (*_iter372).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1385,14 +1385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size294;
-            ::apache::thrift::protocol::TType _etype297;
-            xfer += iprot->readListBegin(_etype297, _size294);
-            (*(this->success)).resize(_size294);
-            uint32_t _i298;
-            for (_i298 = 0; _i298 < _size294; ++_i298)
+            uint32_t _size373;
+            ::apache::thrift::protocol::TType _etype376;
+            xfer += iprot->readListBegin(_etype376, _size373);
+            (*(this->success)).resize(_size373);
+            uint32_t _i377;
+            for (_i377 = 0; _i377 < _size373; ++_i377)
             {
-              xfer += (*(this->success))[_i298].read(iprot);
+              xfer += (*(this->success))[_i377].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1569,6 +1569,391 @@
   return xfer;
 }
 
+
+ControlPeer_outcomes_args::~ControlPeer_outcomes_args() noexcept {
+}
+
+
+uint32_t ControlPeer_outcomes_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_outcomes_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_outcomes_args");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_outcomes_pargs::~ControlPeer_outcomes_pargs() noexcept {
+}
+
+
+uint32_t ControlPeer_outcomes_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_outcomes_pargs");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_outcomes_result::~ControlPeer_outcomes_result() noexcept {
+}
+
+
+uint32_t ControlPeer_outcomes_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _etype381;
+            xfer += iprot->readListBegin(_etype381, _size378);
+            this->success.resize(_size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
+            {
+              xfer += this->success[_i382].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_outcomes_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ControlPeer_outcomes_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
+      std::vector<NodeOutcomes> ::const_iterator _iter383;
+      for (_iter383 = this->success.begin(); _iter383 != this->success.end(); ++_iter383)
+      {
+        xfer += (*_iter383).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_outcomes_presult::~ControlPeer_outcomes_presult() noexcept {
+}
+
+
+uint32_t ControlPeer_outcomes_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            (*(this->success)).resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
+            {
+              xfer += (*(this->success))[_i388].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+ControlPeer_quota_args::~ControlPeer_quota_args() noexcept {
+}
+
+
+uint32_t ControlPeer_quota_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_quota_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_quota_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_quota_pargs::~ControlPeer_quota_pargs() noexcept {
+}
+
+
+uint32_t ControlPeer_quota_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer_quota_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_quota_result::~ControlPeer_quota_result() noexcept {
+}
+
+
+uint32_t ControlPeer_quota_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer_quota_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ControlPeer_quota_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ControlPeer_quota_presult::~ControlPeer_quota_presult() noexcept {
+}
+
+
+uint32_t ControlPeer_quota_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void ControlPeerClient::deliver(RaftBatch& _return, const RaftBatch& batch)
 {
   send_deliver(batch);
@@ -1923,17 +2308,127 @@
 
 void ControlPeerClient::reports(std::vector<DomainReport> & _return, const bool withMembers)
 {
-  send_reports(withMembers);
-  recv_reports(_return);
+  send_reports(withMembers);
+  recv_reports(_return);
+}
+
+void ControlPeerClient::send_reports(const bool withMembers)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("reports", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_reports_pargs args;
+  args.withMembers = &withMembers;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlPeerClient::recv_reports(std::vector<DomainReport> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("reports") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ControlPeer_reports_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "reports failed: unknown result");
+}
+
+void ControlPeerClient::reportCrash(const TargetCrash& crash)
+{
+  send_reportCrash(crash);
+  recv_reportCrash();
+}
+
+void ControlPeerClient::send_reportCrash(const TargetCrash& crash)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_reportCrash_pargs args;
+  args.crash = &crash;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlPeerClient::recv_reportCrash()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("reportCrash") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ControlPeer_reportCrash_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
+void ControlPeerClient::outcomes(std::vector<NodeOutcomes> & _return)
+{
+  send_outcomes();
+  recv_outcomes(_return);
 }
 
-void ControlPeerClient::send_reports(const bool withMembers)
+void ControlPeerClient::send_outcomes()
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("reports", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("outcomes", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ControlPeer_reports_pargs args;
-  args.withMembers = &withMembers;
+  ControlPeer_outcomes_pargs args;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -1941,7 +2436,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlPeerClient::recv_reports(std::vector<DomainReport> & _return)
+void ControlPeerClient::recv_outcomes(std::vector<NodeOutcomes> & _return)
 {
 
   int32_t rseqid = 0;
@@ -1961,12 +2456,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("reports") != 0) {
+  if (fname.compare("outcomes") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ControlPeer_reports_presult result;
+  ControlPeer_outcomes_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1976,22 +2471,22 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "reports failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "outcomes failed: unknown result");
 }
 
-void ControlPeerClient::reportCrash(const TargetCrash& crash)
+void ControlPeerClient::quota(QuotaReply& _return, const QuotaRequest& request)
 {
-  send_reportCrash(crash);
-  recv_reportCrash();
+  send_quota(request);
+  recv_quota(_return);
 }
 
-void ControlPeerClient::send_reportCrash(const TargetCrash& crash)
+void ControlPeerClient::send_quota(const QuotaRequest& request)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("reportCrash", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("quota", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ControlPeer_reportCrash_pargs args;
-  args.crash = &crash;
+  ControlPeer_quota_pargs args;
+  args.request = &request;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -1999,7 +2494,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlPeerClient::recv_reportCrash()
+void ControlPeerClient::recv_quota(QuotaReply& _return)
 {
 
   int32_t rseqid = 0;
@@ -2019,17 +2514,22 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("reportCrash") != 0) {
+  if (fname.compare("quota") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ControlPeer_reportCrash_presult result;
+  ControlPeer_quota_presult result;
+  result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
-  return;
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "quota failed: unknown result");
 }
 
 bool ControlPeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -2482,6 +2982,114 @@
   }
 }
 
+void ControlPeerProcessor::process_outcomes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ControlPeer.outcomes", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ControlPeer.outcomes");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ControlPeer.outcomes");
+  }
+
+  ControlPeer_outcomes_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ControlPeer.outcomes", bytes);
+  }
+
+  ControlPeer_outcomes_result result;
+  try {
+    iface_->outcomes(result.success);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ControlPeer.outcomes");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("outcomes", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ControlPeer.outcomes");
+  }
+
+  oprot->writeMessageBegin("outcomes", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ControlPeer.outcomes", bytes);
+  }
+}
+
+void ControlPeerProcessor::process_quota(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ControlPeer.quota", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ControlPeer.quota");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ControlPeer.quota");
+  }
+
+  ControlPeer_quota_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ControlPeer.quota", bytes);
+  }
+
+  ControlPeer_quota_result result;
+  try {
+    iface_->quota(result.success, args.request);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ControlPeer.quota");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("quota", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ControlPeer.quota");
+  }
+
+  oprot->writeMessageBegin("quota", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ControlPeer.quota", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > ControlPeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< ControlPeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< ControlPeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -3159,5 +3767,172 @@
   } // end while(true)
 }
 
+void ControlPeerConcurrentClient::outcomes(std::vector<NodeOutcomes> & _return)
+{
+  int32_t seqid = send_outcomes();
+  recv_outcomes(_return, seqid);
+}
+
+int32_t ControlPeerConcurrentClient::send_outcomes()
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("outcomes", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_outcomes_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlPeerConcurrentClient::recv_outcomes(std::vector<NodeOutcomes> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("outcomes") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ControlPeer_outcomes_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "outcomes failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void ControlPeerConcurrentClient::quota(QuotaReply& _return, const QuotaRequest& request)
+{
+  int32_t seqid = send_quota(request);
+  recv_quota(_return, seqid);
+}
+
+int32_t ControlPeerConcurrentClient::send_quota(const QuotaRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("quota", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ControlPeer_quota_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlPeerConcurrentClient::recv_quota(QuotaReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("quota") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ControlPeer_quota_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "quota failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/wire/gen-cpp/ControlPeer.h
+++ b/src/wire/gen-cpp/ControlPeer.h
@@ -30,6 +30,8 @@
   virtual void watch(WatchReply& _return, const WatchRequest& request) = 0;
   virtual void reports(std::vector<DomainReport> & _return, const bool withMembers) = 0;
   virtual void reportCrash(const TargetCrash& crash) = 0;
+  virtual void outcomes(std::vector<NodeOutcomes> & _return) = 0;
+  virtual void quota(QuotaReply& _return, const QuotaRequest& request) = 0;
 };
 
 class ControlPeerIfFactory {
@@ -83,6 +85,12 @@
   void reportCrash(const TargetCrash& /* crash */) override {
     return;
   }
+  void outcomes(std::vector<NodeOutcomes> & /* _return */) override {
+    return;
+  }
+  void quota(QuotaReply& /* _return */, const QuotaRequest& /* request */) override {
+    return;
+  }
 };
 
 typedef struct _ControlPeer_deliver_args__isset {
@@ -966,6 +974,210 @@
 
 };
 
+
+class ControlPeer_outcomes_args {
+ public:
+
+  ControlPeer_outcomes_args(const ControlPeer_outcomes_args&) noexcept;
+  ControlPeer_outcomes_args(ControlPeer_outcomes_args&&) noexcept;
+  ControlPeer_outcomes_args& operator=(const ControlPeer_outcomes_args&) noexcept;
+  ControlPeer_outcomes_args& operator=(ControlPeer_outcomes_args&&) noexcept;
+  ControlPeer_outcomes_args() noexcept {
+  }
+
+  virtual ~ControlPeer_outcomes_args() noexcept;
+
+  bool operator == (const ControlPeer_outcomes_args & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const ControlPeer_outcomes_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_outcomes_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_outcomes_pargs {
+ public:
+
+
+  virtual ~ControlPeer_outcomes_pargs() noexcept;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_outcomes_result__isset {
+  _ControlPeer_outcomes_result__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_outcomes_result__isset;
+
+class ControlPeer_outcomes_result {
+ public:
+
+  ControlPeer_outcomes_result(const ControlPeer_outcomes_result&);
+  ControlPeer_outcomes_result(ControlPeer_outcomes_result&&) noexcept;
+  ControlPeer_outcomes_result& operator=(const ControlPeer_outcomes_result&);
+  ControlPeer_outcomes_result& operator=(ControlPeer_outcomes_result&&) noexcept;
+  ControlPeer_outcomes_result() noexcept {
+  }
+
+  virtual ~ControlPeer_outcomes_result() noexcept;
+  std::vector<NodeOutcomes>  success;
+
+  _ControlPeer_outcomes_result__isset __isset;
+
+  void __set_success(const std::vector<NodeOutcomes> & val);
+
+  bool operator == (const ControlPeer_outcomes_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_outcomes_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_outcomes_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_outcomes_presult__isset {
+  _ControlPeer_outcomes_presult__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_outcomes_presult__isset;
+
+class ControlPeer_outcomes_presult {
+ public:
+
+
+  virtual ~ControlPeer_outcomes_presult() noexcept;
+  std::vector<NodeOutcomes> * success;
+
+  _ControlPeer_outcomes_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _ControlPeer_quota_args__isset {
+  _ControlPeer_quota_args__isset() : request(false) {}
+  bool request :1;
+} _ControlPeer_quota_args__isset;
+
+class ControlPeer_quota_args {
+ public:
+
+  ControlPeer_quota_args(const ControlPeer_quota_args&);
+  ControlPeer_quota_args(ControlPeer_quota_args&&) noexcept;
+  ControlPeer_quota_args& operator=(const ControlPeer_quota_args&);
+  ControlPeer_quota_args& operator=(ControlPeer_quota_args&&) noexcept;
+  ControlPeer_quota_args() noexcept {
+  }
+
+  virtual ~ControlPeer_quota_args() noexcept;
+  QuotaRequest request;
+
+  _ControlPeer_quota_args__isset __isset;
+
+  void __set_request(const QuotaRequest& val);
+
+  bool operator == (const ControlPeer_quota_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_quota_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_quota_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ControlPeer_quota_pargs {
+ public:
+
+
+  virtual ~ControlPeer_quota_pargs() noexcept;
+  const QuotaRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_quota_result__isset {
+  _ControlPeer_quota_result__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_quota_result__isset;
+
+class ControlPeer_quota_result {
+ public:
+
+  ControlPeer_quota_result(const ControlPeer_quota_result&);
+  ControlPeer_quota_result(ControlPeer_quota_result&&) noexcept;
+  ControlPeer_quota_result& operator=(const ControlPeer_quota_result&);
+  ControlPeer_quota_result& operator=(ControlPeer_quota_result&&) noexcept;
+  ControlPeer_quota_result() noexcept {
+  }
+
+  virtual ~ControlPeer_quota_result() noexcept;
+  QuotaReply success;
+
+  _ControlPeer_quota_result__isset __isset;
+
+  void __set_success(const QuotaReply& val);
+
+  bool operator == (const ControlPeer_quota_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer_quota_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer_quota_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ControlPeer_quota_presult__isset {
+  _ControlPeer_quota_presult__isset() : success(false) {}
+  bool success :1;
+} _ControlPeer_quota_presult__isset;
+
+class ControlPeer_quota_presult {
+ public:
+
+
+  virtual ~ControlPeer_quota_presult() noexcept;
+  QuotaReply* success;
+
+  _ControlPeer_quota_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class ControlPeerClient : virtual public ControlPeerIf {
  public:
   ControlPeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -1015,6 +1227,12 @@
   void reportCrash(const TargetCrash& crash) override;
   void send_reportCrash(const TargetCrash& crash);
   void recv_reportCrash();
+  void outcomes(std::vector<NodeOutcomes> & _return) override;
+  void send_outcomes();
+  void recv_outcomes(std::vector<NodeOutcomes> & _return);
+  void quota(QuotaReply& _return, const QuotaRequest& request) override;
+  void send_quota(const QuotaRequest& request);
+  void recv_quota(QuotaReply& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1038,6 +1256,8 @@
   void process_watch(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reports(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_reportCrash(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_outcomes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_quota(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlPeerProcessor(::std::shared_ptr<ControlPeerIf> iface) :
     iface_(iface) {
@@ -1049,6 +1269,8 @@
     processMap_["watch"] = &ControlPeerProcessor::process_watch;
     processMap_["reports"] = &ControlPeerProcessor::process_reports;
     processMap_["reportCrash"] = &ControlPeerProcessor::process_reportCrash;
+    processMap_["outcomes"] = &ControlPeerProcessor::process_outcomes;
+    processMap_["quota"] = &ControlPeerProcessor::process_quota;
   }
 
   virtual ~ControlPeerProcessor() {}
@@ -1156,6 +1378,26 @@
     ifaces_[i]->reportCrash(crash);
   }
 
+  void outcomes(std::vector<NodeOutcomes> & _return) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->outcomes(_return);
+    }
+    ifaces_[i]->outcomes(_return);
+    return;
+  }
+
+  void quota(QuotaReply& _return, const QuotaRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->quota(_return, request);
+    }
+    ifaces_[i]->quota(_return, request);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1212,6 +1454,12 @@
   void reportCrash(const TargetCrash& crash) override;
   int32_t send_reportCrash(const TargetCrash& crash);
   void recv_reportCrash(const int32_t seqid);
+  void outcomes(std::vector<NodeOutcomes> & _return) override;
+  int32_t send_outcomes();
+  void recv_outcomes(std::vector<NodeOutcomes> & _return, const int32_t seqid);
+  void quota(QuotaReply& _return, const QuotaRequest& request) override;
+  int32_t send_quota(const QuotaRequest& request);
+  void recv_quota(QuotaReply& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -23,7 +23,9 @@
   CommandKind::Complete,
   CommandKind::Release,
   CommandKind::Expire,
-  CommandKind::Replace
+  CommandKind::Replace,
+  CommandKind::StartRollout,
+  CommandKind::AdvanceRollout
 };
 const char* _kCommandKindNames[] = {
   "Noop",
@@ -35,9 +37,11 @@
   "Complete",
   "Release",
   "Expire",
-  "Replace"
+  "Replace",
+  "StartRollout",
+  "AdvanceRollout"
 };
-const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _CommandKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(12, _kCommandKindValues, _kCommandKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const CommandKind::type& val) {
   std::map<int, const char*>::const_iterator it = _CommandKind_VALUES_TO_NAMES.find(val);
@@ -58,6 +62,37 @@
   }
 }
 
+int _kRolloutStateValues[] = {
+  RolloutState::Running,
+  RolloutState::Completed,
+  RolloutState::RolledBack
+};
+const char* _kRolloutStateNames[] = {
+  "Running",
+  "Completed",
+  "RolledBack"
+};
+const std::map<int, const char*> _RolloutState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kRolloutStateValues, _kRolloutStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const RolloutState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RolloutState_VALUES_TO_NAMES.find(val);
+  if (it != _RolloutState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const RolloutState::type& val) {
+  std::map<int, const char*>::const_iterator it = _RolloutState_VALUES_TO_NAMES.find(val);
+  if (it != _RolloutState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kTargetIntentValues[] = {
   TargetIntent::Serving,
   TargetIntent::Draining,
@@ -570,89 +605,65 @@
 }
 
 
-Command::~Command() noexcept {
-}
-
-
-void Command::__set_kind(const CommandKind::type val) {
-  this->kind = val;
-}
-
-void Command::__set_requestId(const std::string& val) {
-  this->requestId = val;
-}
-
-void Command::__set_author(const std::string& val) {
-  this->author = val;
-}
-
-void Command::__set_basedOn(const int64_t val) {
-  this->basedOn = val;
-}
-
-void Command::__set_proposal(const int64_t val) {
-  this->proposal = val;
+RolloutRecord::~RolloutRecord() noexcept {
 }
 
-void Command::__set_body(const std::string& val) {
-  this->body = val;
-}
 
-void Command::__set_target(const std::string& val) {
-  this->target = val;
+void RolloutRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void Command::__set_intent(const TargetIntent::type val) {
-  this->intent = val;
+void RolloutRecord::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
 }
 
-void Command::__set_members(const std::vector<Replica> & val) {
-  this->members = val;
+void RolloutRecord::__set_durationMillis(const int64_t val) {
+  this->durationMillis = val;
 }
 
-void Command::__set_key(const std::string& val) {
-  this->key = val;
+void RolloutRecord::__set_orderedAtMicros(const int64_t val) {
+  this->orderedAtMicros = val;
 }
 
-void Command::__set_token(const std::string& val) {
-  this->token = val;
+void RolloutRecord::__set_state(const RolloutState::type val) {
+  this->state = val;
 }
 
-void Command::__set_status(const int32_t val) {
-  this->status = val;
+void RolloutRecord::__set_stage(const std::string& val) {
+  this->stage = val;
 }
 
-void Command::__set_contentType(const std::string& val) {
-  this->contentType = val;
+void RolloutRecord::__set_candidatePermille(const int32_t val) {
+  this->candidatePermille = val;
 }
 
-void Command::__set_atMicros(const int64_t val) {
-  this->atMicros = val;
+void RolloutRecord::__set_revision(const int64_t val) {
+  this->revision = val;
 }
 
-void Command::__set_fingerprint(const std::string& val) {
-  this->fingerprint = val;
+void RolloutRecord::__set_reason(const std::string& val) {
+  this->reason = val;
 }
 
-void Command::__set_version(const int64_t val) {
-  this->version = val;
+void RolloutRecord::__set_elapsedMillis(const int64_t val) {
+  this->elapsedMillis = val;
 }
 
-void Command::__set_hash(const std::string& val) {
-  this->hash = val;
+void RolloutRecord::__set_rejectedVersions(const std::vector<std::string> & val) {
+  this->rejectedVersions = val;
 }
 
-void Command::__set_delta(const bool val) {
-  this->delta = val;
+void RolloutRecord::__set_canaryTargets(const int32_t val) {
+  this->canaryTargets = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const RolloutRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -674,161 +685,111 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast8;
-          xfer += iprot->readI32(ecast8);
-          this->kind = static_cast<CommandKind::type>(ecast8);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->durationMillis);
+          this->__isset.durationMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->basedOn);
-          this->__isset.basedOn = true;
+          xfer += iprot->readI64(this->orderedAtMicros);
+          this->__isset.orderedAtMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast8;
+          xfer += iprot->readI32(ecast8);
+          this->state = static_cast<RolloutState::type>(ecast8);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+          xfer += iprot->readString(this->stage);
+          this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->candidatePermille);
+          this->__isset.candidatePermille = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast9;
-          xfer += iprot->readI32(ecast9);
-          this->intent = static_cast<TargetIntent::type>(ecast9);
-          this->__isset.intent = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->members.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
-            {
-              xfer += this->members[_i14].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsedMillis);
+          this->__isset.elapsedMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->token);
-          this->__isset.token = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rejectedVersions.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->rejectedVersions.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += iprot->readString(this->rejectedVersions[_i13]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rejectedVersions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->contentType);
-          this->__isset.contentType = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->atMicros);
-          this->__isset.atMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->delta);
-          this->__isset.delta = true;
+          xfer += iprot->readI32(this->canaryTargets);
+          this->__isset.canaryTargets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -845,253 +806,189 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("RolloutRecord");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("durationMillis", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->durationMillis);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("basedOn", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->basedOn);
+  xfer += oprot->writeFieldBegin("orderedAtMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->orderedAtMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->stage);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldBegin("candidatePermille", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->candidatePermille);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("intent", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->intent));
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsedMillis", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->elapsedMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rejectedVersions", ::apache::thrift::protocol::T_LIST, 11);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter15;
-    for (_iter15 = this->members.begin(); _iter15 != this->members.end(); ++_iter15)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rejectedVersions.size()));
+    std::vector<std::string> ::const_iterator _iter14;
+    for (_iter14 = this->rejectedVersions.begin(); _iter14 != this->rejectedVersions.end(); ++_iter14)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += oprot->writeString((*_iter14));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_STRING, 11);
-  xfer += oprot->writeString(this->token);
+  xfer += oprot->writeFieldBegin("canaryTargets", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->canaryTargets);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 12);
-  xfer += oprot->writeI32(this->status);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 13);
-  xfer += oprot->writeString(this->contentType);
-  xfer += oprot->writeFieldEnd();
+void swap(RolloutRecord &a, RolloutRecord &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.targetVersion, b.targetVersion);
+  swap(a.durationMillis, b.durationMillis);
+  swap(a.orderedAtMicros, b.orderedAtMicros);
+  swap(a.state, b.state);
+  swap(a.stage, b.stage);
+  swap(a.candidatePermille, b.candidatePermille);
+  swap(a.revision, b.revision);
+  swap(a.reason, b.reason);
+  swap(a.elapsedMillis, b.elapsedMillis);
+  swap(a.rejectedVersions, b.rejectedVersions);
+  swap(a.canaryTargets, b.canaryTargets);
+  swap(a.__isset, b.__isset);
+}
 
-  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->atMicros);
-  xfer += oprot->writeFieldEnd();
+RolloutRecord::RolloutRecord(const RolloutRecord& other15) {
+  serviceName = other15.serviceName;
+  targetVersion = other15.targetVersion;
+  durationMillis = other15.durationMillis;
+  orderedAtMicros = other15.orderedAtMicros;
+  state = other15.state;
+  stage = other15.stage;
+  candidatePermille = other15.candidatePermille;
+  revision = other15.revision;
+  reason = other15.reason;
+  elapsedMillis = other15.elapsedMillis;
+  rejectedVersions = other15.rejectedVersions;
+  canaryTargets = other15.canaryTargets;
+  __isset = other15.__isset;
+}
+RolloutRecord::RolloutRecord(RolloutRecord&& other16) noexcept {
+  serviceName = std::move(other16.serviceName);
+  targetVersion = std::move(other16.targetVersion);
+  durationMillis = other16.durationMillis;
+  orderedAtMicros = other16.orderedAtMicros;
+  state = other16.state;
+  stage = std::move(other16.stage);
+  candidatePermille = other16.candidatePermille;
+  revision = other16.revision;
+  reason = std::move(other16.reason);
+  elapsedMillis = other16.elapsedMillis;
+  rejectedVersions = std::move(other16.rejectedVersions);
+  canaryTargets = other16.canaryTargets;
+  __isset = other16.__isset;
+}
+RolloutRecord& RolloutRecord::operator=(const RolloutRecord& other17) {
+  serviceName = other17.serviceName;
+  targetVersion = other17.targetVersion;
+  durationMillis = other17.durationMillis;
+  orderedAtMicros = other17.orderedAtMicros;
+  state = other17.state;
+  stage = other17.stage;
+  candidatePermille = other17.candidatePermille;
+  revision = other17.revision;
+  reason = other17.reason;
+  elapsedMillis = other17.elapsedMillis;
+  rejectedVersions = other17.rejectedVersions;
+  canaryTargets = other17.canaryTargets;
+  __isset = other17.__isset;
+  return *this;
+}
+RolloutRecord& RolloutRecord::operator=(RolloutRecord&& other18) noexcept {
+  serviceName = std::move(other18.serviceName);
+  targetVersion = std::move(other18.targetVersion);
+  durationMillis = other18.durationMillis;
+  orderedAtMicros = other18.orderedAtMicros;
+  state = other18.state;
+  stage = std::move(other18.stage);
+  candidatePermille = other18.candidatePermille;
+  revision = other18.revision;
+  reason = std::move(other18.reason);
+  elapsedMillis = other18.elapsedMillis;
+  rejectedVersions = std::move(other18.rejectedVersions);
+  canaryTargets = other18.canaryTargets;
+  __isset = other18.__isset;
+  return *this;
+}
+void RolloutRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutRecord(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "durationMillis=" << to_string(durationMillis);
+  out << ", " << "orderedAtMicros=" << to_string(orderedAtMicros);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "candidatePermille=" << to_string(candidatePermille);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "elapsedMillis=" << to_string(elapsedMillis);
+  out << ", " << "rejectedVersions=" << to_string(rejectedVersions);
+  out << ", " << "canaryTargets=" << to_string(canaryTargets);
+  out << ")";
+}
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 15);
-  xfer += oprot->writeString(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 16);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
+RolloutSet::~RolloutSet() noexcept {
+}
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 17);
-  xfer += oprot->writeString(this->hash);
-  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("delta", ::apache::thrift::protocol::T_BOOL, 18);
-  xfer += oprot->writeBool(this->delta);
-  xfer += oprot->writeFieldEnd();
+void RolloutSet::__set_revision(const int64_t val) {
+  this->revision = val;
+}
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Command &a, Command &b) {
-  using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.requestId, b.requestId);
-  swap(a.author, b.author);
-  swap(a.basedOn, b.basedOn);
-  swap(a.proposal, b.proposal);
-  swap(a.body, b.body);
-  swap(a.target, b.target);
-  swap(a.intent, b.intent);
-  swap(a.members, b.members);
-  swap(a.key, b.key);
-  swap(a.token, b.token);
-  swap(a.status, b.status);
-  swap(a.contentType, b.contentType);
-  swap(a.atMicros, b.atMicros);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.version, b.version);
-  swap(a.hash, b.hash);
-  swap(a.delta, b.delta);
-  swap(a.__isset, b.__isset);
-}
-
-Command::Command(const Command& other16) {
-  kind = other16.kind;
-  requestId = other16.requestId;
-  author = other16.author;
-  basedOn = other16.basedOn;
-  proposal = other16.proposal;
-  body = other16.body;
-  target = other16.target;
-  intent = other16.intent;
-  members = other16.members;
-  key = other16.key;
-  token = other16.token;
-  status = other16.status;
-  contentType = other16.contentType;
-  atMicros = other16.atMicros;
-  fingerprint = other16.fingerprint;
-  version = other16.version;
-  hash = other16.hash;
-  delta = other16.delta;
-  __isset = other16.__isset;
-}
-Command::Command(Command&& other17) noexcept {
-  kind = other17.kind;
-  requestId = std::move(other17.requestId);
-  author = std::move(other17.author);
-  basedOn = other17.basedOn;
-  proposal = other17.proposal;
-  body = std::move(other17.body);
-  target = std::move(other17.target);
-  intent = other17.intent;
-  members = std::move(other17.members);
-  key = std::move(other17.key);
-  token = std::move(other17.token);
-  status = other17.status;
-  contentType = std::move(other17.contentType);
-  atMicros = other17.atMicros;
-  fingerprint = std::move(other17.fingerprint);
-  version = other17.version;
-  hash = std::move(other17.hash);
-  delta = other17.delta;
-  __isset = other17.__isset;
-}
-Command& Command::operator=(const Command& other18) {
-  kind = other18.kind;
-  requestId = other18.requestId;
-  author = other18.author;
-  basedOn = other18.basedOn;
-  proposal = other18.proposal;
-  body = other18.body;
-  target = other18.target;
-  intent = other18.intent;
-  members = other18.members;
-  key = other18.key;
-  token = other18.token;
-  status = other18.status;
-  contentType = other18.contentType;
-  atMicros = other18.atMicros;
-  fingerprint = other18.fingerprint;
-  version = other18.version;
-  hash = other18.hash;
-  delta = other18.delta;
-  __isset = other18.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other19) noexcept {
-  kind = other19.kind;
-  requestId = std::move(other19.requestId);
-  author = std::move(other19.author);
-  basedOn = other19.basedOn;
-  proposal = other19.proposal;
-  body = std::move(other19.body);
-  target = std::move(other19.target);
-  intent = other19.intent;
-  members = std::move(other19.members);
-  key = std::move(other19.key);
-  token = std::move(other19.token);
-  status = other19.status;
-  contentType = std::move(other19.contentType);
-  atMicros = other19.atMicros;
-  fingerprint = std::move(other19.fingerprint);
-  version = other19.version;
-  hash = std::move(other19.hash);
-  delta = other19.delta;
-  __isset = other19.__isset;
-  return *this;
-}
-void Command::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "requestId=" << to_string(requestId);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "basedOn=" << to_string(basedOn);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "target=" << to_string(target);
-  out << ", " << "intent=" << to_string(intent);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "token=" << to_string(token);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "contentType=" << to_string(contentType);
-  out << ", " << "atMicros=" << to_string(atMicros);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "delta=" << to_string(delta);
-  out << ")";
-}
-
-
-LogEntry::~LogEntry() noexcept {
-}
-
-
-void LogEntry::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void LogEntry::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void LogEntry::__set_command(const Command& val) {
-  this->command = val;
+void RolloutSet::__set_rollouts(const std::vector<RolloutRecord> & val) {
+  this->rollouts = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+std::ostream& operator<<(std::ostream& out, const RolloutSet& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutSet::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1114,24 +1011,28 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->command.read(iprot);
-          this->__isset.command = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rollouts.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->rollouts.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->rollouts[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rollouts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1148,21 +1049,25 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutSet::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RolloutSet");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->command.write(oprot);
+  xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+    std::vector<RolloutRecord> ::const_iterator _iter24;
+    for (_iter24 = this->rollouts.begin(); _iter24 != this->rollouts.end(); ++_iter24)
+    {
+      xfer += (*_iter24).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1170,125 +1075,79 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(RolloutSet &a, RolloutSet &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.command, b.command);
+  swap(a.revision, b.revision);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other20) {
-  index = other20.index;
-  term = other20.term;
-  command = other20.command;
-  __isset = other20.__isset;
+RolloutSet::RolloutSet(const RolloutSet& other25) {
+  revision = other25.revision;
+  rollouts = other25.rollouts;
+  __isset = other25.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other21) noexcept {
-  index = other21.index;
-  term = other21.term;
-  command = std::move(other21.command);
-  __isset = other21.__isset;
+RolloutSet::RolloutSet(RolloutSet&& other26) noexcept {
+  revision = other26.revision;
+  rollouts = std::move(other26.rollouts);
+  __isset = other26.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other22) {
-  index = other22.index;
-  term = other22.term;
-  command = other22.command;
-  __isset = other22.__isset;
+RolloutSet& RolloutSet::operator=(const RolloutSet& other27) {
+  revision = other27.revision;
+  rollouts = other27.rollouts;
+  __isset = other27.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other23) noexcept {
-  index = other23.index;
-  term = other23.term;
-  command = std::move(other23.command);
-  __isset = other23.__isset;
+RolloutSet& RolloutSet::operator=(RolloutSet&& other28) noexcept {
+  revision = other28.revision;
+  rollouts = std::move(other28.rollouts);
+  __isset = other28.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void RolloutSet::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "command=" << to_string(command);
+  out << "RolloutSet(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "rollouts=" << to_string(rollouts);
   out << ")";
 }
 
 
-RaftMessage::~RaftMessage() noexcept {
-}
-
-
-void RaftMessage::__set_group(const std::string& val) {
-  this->group = val;
-}
-
-void RaftMessage::__set_kind(const RaftKind::type val) {
-  this->kind = val;
-}
-
-void RaftMessage::__set_sender(const std::string& val) {
-  this->sender = val;
-}
-
-void RaftMessage::__set_senderIncarnation(const int64_t val) {
-  this->senderIncarnation = val;
-}
-
-void RaftMessage::__set_receiver(const std::string& val) {
-  this->receiver = val;
-}
-
-void RaftMessage::__set_receiverIncarnation(const int64_t val) {
-  this->receiverIncarnation = val;
-}
-
-void RaftMessage::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void RaftMessage::__set_logIndex(const int64_t val) {
-  this->logIndex = val;
-}
-
-void RaftMessage::__set_logTerm(const int64_t val) {
-  this->logTerm = val;
+VersionOutcomes::~VersionOutcomes() noexcept {
 }
 
-void RaftMessage::__set_commit(const int64_t val) {
-  this->commit = val;
-}
 
-void RaftMessage::__set_granted(const bool val) {
-  this->granted = val;
+void VersionOutcomes::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void RaftMessage::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void VersionOutcomes::__set_version(const std::string& val) {
+  this->version = val;
 }
 
-void RaftMessage::__set_snapshot(const std::string& val) {
-  this->snapshot = val;
+void VersionOutcomes::__set_route(const std::string& val) {
+  this->route = val;
 }
 
-void RaftMessage::__set_members(const std::vector<Replica> & val) {
-  this->members = val;
+void VersionOutcomes::__set_responses(const int64_t val) {
+  this->responses = val;
 }
 
-void RaftMessage::__set_round(const int64_t val) {
-  this->round = val;
+void VersionOutcomes::__set_failures(const int64_t val) {
+  this->failures = val;
 }
 
-void RaftMessage::__set_senderAddress(const std::string& val) {
-  this->senderAddress = val;
+void VersionOutcomes::__set_latencyCounts(const std::vector<int32_t> & val) {
+  this->latencyCounts = val;
 }
-std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
+std::ostream& operator<<(std::ostream& out, const VersionOutcomes& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RaftMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VersionOutcomes::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1311,160 +1170,66 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast24;
-          xfer += iprot->readI32(ecast24);
-          this->kind = static_cast<RaftKind::type>(ecast24);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->senderIncarnation);
-          this->__isset.senderIncarnation = true;
+          xfer += iprot->readI64(this->responses);
+          this->__isset.responses = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->receiver);
-          this->__isset.receiver = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->receiverIncarnation);
-          this->__isset.receiverIncarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->logIndex);
-          this->__isset.logIndex = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->logTerm);
-          this->__isset.logTerm = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->entries.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->entries.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            this->latencyCounts.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->latencyCounts.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->entries[_i29].read(iprot);
+              xfer += iprot->readI32(this->latencyCounts[_i33]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.entries = true;
+          this->__isset.latencyCounts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->snapshot);
-          this->__isset.snapshot = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->members.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
-            {
-              xfer += this->members[_i34].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->round);
-          this->__isset.round = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->senderAddress);
-          this->__isset.senderAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -1475,237 +1240,157 @@
   return xfer;
 }
 
-uint32_t RaftMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionOutcomes::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RaftMessage");
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->sender);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("senderIncarnation", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->senderIncarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->receiver);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("receiverIncarnation", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->receiverIncarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("logIndex", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->logIndex);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VersionOutcomes");
 
-  xfer += oprot->writeFieldBegin("logTerm", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->logTerm);
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 11);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 12);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter35;
-    for (_iter35 = this->entries.begin(); _iter35 != this->entries.end(); ++_iter35)
-    {
-      xfer += (*_iter35).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("responses", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->responses);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRING, 13);
-  xfer += oprot->writeString(this->snapshot);
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->failures);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 14);
+  xfer += oprot->writeFieldBegin("latencyCounts", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter36;
-    for (_iter36 = this->members.begin(); _iter36 != this->members.end(); ++_iter36)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->latencyCounts.size()));
+    std::vector<int32_t> ::const_iterator _iter34;
+    for (_iter34 = this->latencyCounts.begin(); _iter34 != this->latencyCounts.end(); ++_iter34)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += oprot->writeI32((*_iter34));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->round);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("senderAddress", ::apache::thrift::protocol::T_STRING, 16);
-  xfer += oprot->writeString(this->senderAddress);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RaftMessage &a, RaftMessage &b) {
+void swap(VersionOutcomes &a, VersionOutcomes &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.kind, b.kind);
-  swap(a.sender, b.sender);
-  swap(a.senderIncarnation, b.senderIncarnation);
-  swap(a.receiver, b.receiver);
-  swap(a.receiverIncarnation, b.receiverIncarnation);
-  swap(a.term, b.term);
-  swap(a.logIndex, b.logIndex);
-  swap(a.logTerm, b.logTerm);
-  swap(a.commit, b.commit);
-  swap(a.granted, b.granted);
-  swap(a.entries, b.entries);
-  swap(a.snapshot, b.snapshot);
-  swap(a.members, b.members);
-  swap(a.round, b.round);
-  swap(a.senderAddress, b.senderAddress);
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.route, b.route);
+  swap(a.responses, b.responses);
+  swap(a.failures, b.failures);
+  swap(a.latencyCounts, b.latencyCounts);
   swap(a.__isset, b.__isset);
 }
 
-RaftMessage::RaftMessage(const RaftMessage& other37) {
-  group = other37.group;
-  kind = other37.kind;
-  sender = other37.sender;
-  senderIncarnation = other37.senderIncarnation;
-  receiver = other37.receiver;
-  receiverIncarnation = other37.receiverIncarnation;
-  term = other37.term;
-  logIndex = other37.logIndex;
-  logTerm = other37.logTerm;
-  commit = other37.commit;
-  granted = other37.granted;
-  entries = other37.entries;
-  snapshot = other37.snapshot;
-  members = other37.members;
-  round = other37.round;
-  senderAddress = other37.senderAddress;
+VersionOutcomes::VersionOutcomes(const VersionOutcomes& other35) {
+  serviceName = other35.serviceName;
+  version = other35.version;
+  route = other35.route;
+  responses = other35.responses;
+  failures = other35.failures;
+  latencyCounts = other35.latencyCounts;
+  __isset = other35.__isset;
+}
+VersionOutcomes::VersionOutcomes(VersionOutcomes&& other36) noexcept {
+  serviceName = std::move(other36.serviceName);
+  version = std::move(other36.version);
+  route = std::move(other36.route);
+  responses = other36.responses;
+  failures = other36.failures;
+  latencyCounts = std::move(other36.latencyCounts);
+  __isset = other36.__isset;
+}
+VersionOutcomes& VersionOutcomes::operator=(const VersionOutcomes& other37) {
+  serviceName = other37.serviceName;
+  version = other37.version;
+  route = other37.route;
+  responses = other37.responses;
+  failures = other37.failures;
+  latencyCounts = other37.latencyCounts;
   __isset = other37.__isset;
-}
-RaftMessage::RaftMessage(RaftMessage&& other38) noexcept {
-  group = std::move(other38.group);
-  kind = other38.kind;
-  sender = std::move(other38.sender);
-  senderIncarnation = other38.senderIncarnation;
-  receiver = std::move(other38.receiver);
-  receiverIncarnation = other38.receiverIncarnation;
-  term = other38.term;
-  logIndex = other38.logIndex;
-  logTerm = other38.logTerm;
-  commit = other38.commit;
-  granted = other38.granted;
-  entries = std::move(other38.entries);
-  snapshot = std::move(other38.snapshot);
-  members = std::move(other38.members);
-  round = other38.round;
-  senderAddress = std::move(other38.senderAddress);
-  __isset = other38.__isset;
-}
-RaftMessage& RaftMessage::operator=(const RaftMessage& other39) {
-  group = other39.group;
-  kind = other39.kind;
-  sender = other39.sender;
-  senderIncarnation = other39.senderIncarnation;
-  receiver = other39.receiver;
-  receiverIncarnation = other39.receiverIncarnation;
-  term = other39.term;
-  logIndex = other39.logIndex;
-  logTerm = other39.logTerm;
-  commit = other39.commit;
-  granted = other39.granted;
-  entries = other39.entries;
-  snapshot = other39.snapshot;
-  members = other39.members;
-  round = other39.round;
-  senderAddress = other39.senderAddress;
-  __isset = other39.__isset;
   return *this;
 }
-RaftMessage& RaftMessage::operator=(RaftMessage&& other40) noexcept {
-  group = std::move(other40.group);
-  kind = other40.kind;
-  sender = std::move(other40.sender);
-  senderIncarnation = other40.senderIncarnation;
-  receiver = std::move(other40.receiver);
-  receiverIncarnation = other40.receiverIncarnation;
-  term = other40.term;
-  logIndex = other40.logIndex;
-  logTerm = other40.logTerm;
-  commit = other40.commit;
-  granted = other40.granted;
-  entries = std::move(other40.entries);
-  snapshot = std::move(other40.snapshot);
-  members = std::move(other40.members);
-  round = other40.round;
-  senderAddress = std::move(other40.senderAddress);
-  __isset = other40.__isset;
+VersionOutcomes& VersionOutcomes::operator=(VersionOutcomes&& other38) noexcept {
+  serviceName = std::move(other38.serviceName);
+  version = std::move(other38.version);
+  route = std::move(other38.route);
+  responses = other38.responses;
+  failures = other38.failures;
+  latencyCounts = std::move(other38.latencyCounts);
+  __isset = other38.__isset;
   return *this;
 }
-void RaftMessage::printTo(std::ostream& out) const {
+void VersionOutcomes::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RaftMessage(";
-  out << "group=" << to_string(group);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "senderIncarnation=" << to_string(senderIncarnation);
-  out << ", " << "receiver=" << to_string(receiver);
-  out << ", " << "receiverIncarnation=" << to_string(receiverIncarnation);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "logIndex=" << to_string(logIndex);
-  out << ", " << "logTerm=" << to_string(logTerm);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "snapshot=" << to_string(snapshot);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "round=" << to_string(round);
-  out << ", " << "senderAddress=" << to_string(senderAddress);
+  out << "VersionOutcomes(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "responses=" << to_string(responses);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "latencyCounts=" << to_string(latencyCounts);
   out << ")";
 }
 
 
-RaftBatch::~RaftBatch() noexcept {
+NodeOutcomes::~NodeOutcomes() noexcept {
 }
 
 
-void RaftBatch::__set_sentAt(const Stamp& val) {
-  this->sentAt = val;
+void NodeOutcomes::__set_node(const std::string& val) {
+  this->node = val;
 }
 
-void RaftBatch::__set_messages(const std::vector<RaftMessage> & val) {
-  this->messages = val;
+void NodeOutcomes::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const RaftBatch& obj)
+
+void NodeOutcomes::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void NodeOutcomes::__set_outcomes(const std::vector<VersionOutcomes> & val) {
+  this->outcomes = val;
+}
+
+void NodeOutcomes::__set_appliedRevision(const int64_t val) {
+  this->appliedRevision = val;
+}
+
+void NodeOutcomes::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
+
+void NodeOutcomes::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void NodeOutcomes::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void NodeOutcomes::__set_openCalls(const int32_t val) {
+  this->openCalls = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeOutcomes& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RaftBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t NodeOutcomes::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1727,29 +1412,85 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->sentAt.read(iprot);
-          this->__isset.sentAt = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->messages.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->messages.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            this->outcomes.clear();
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->outcomes.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->messages[_i45].read(iprot);
+              xfer += this->outcomes[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.messages = true;
+          this->__isset.outcomes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedRevision);
+          this->__isset.appliedRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->openCalls);
+          this->__isset.openCalls = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1766,89 +1507,2532 @@
   return xfer;
 }
 
-uint32_t RaftBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t NodeOutcomes::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RaftBatch");
+  xfer += oprot->writeStructBegin("NodeOutcomes");
 
-  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->sentAt.write(oprot);
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<RaftMessage> ::const_iterator _iter46;
-    for (_iter46 = this->messages.begin(); _iter46 != this->messages.end(); ++_iter46)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
+    std::vector<VersionOutcomes> ::const_iterator _iter44;
+    for (_iter44 = this->outcomes.begin(); _iter44 != this->outcomes.end(); ++_iter44)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("appliedRevision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->appliedRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("openCalls", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->openCalls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(RaftBatch &a, RaftBatch &b) {
+void swap(NodeOutcomes &a, NodeOutcomes &b) {
   using ::std::swap;
-  swap(a.sentAt, b.sentAt);
-  swap(a.messages, b.messages);
+  swap(a.node, b.node);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.outcomes, b.outcomes);
+  swap(a.appliedRevision, b.appliedRevision);
+  swap(a.ageMillis, b.ageMillis);
+  swap(a.serviceName, b.serviceName);
+  swap(a.version, b.version);
+  swap(a.openCalls, b.openCalls);
   swap(a.__isset, b.__isset);
 }
 
-RaftBatch::RaftBatch(const RaftBatch& other47) {
-  sentAt = other47.sentAt;
-  messages = other47.messages;
+NodeOutcomes::NodeOutcomes(const NodeOutcomes& other45) {
+  node = other45.node;
+  incarnation = other45.incarnation;
+  sequence = other45.sequence;
+  outcomes = other45.outcomes;
+  appliedRevision = other45.appliedRevision;
+  ageMillis = other45.ageMillis;
+  serviceName = other45.serviceName;
+  version = other45.version;
+  openCalls = other45.openCalls;
+  __isset = other45.__isset;
+}
+NodeOutcomes::NodeOutcomes(NodeOutcomes&& other46) noexcept {
+  node = std::move(other46.node);
+  incarnation = other46.incarnation;
+  sequence = other46.sequence;
+  outcomes = std::move(other46.outcomes);
+  appliedRevision = other46.appliedRevision;
+  ageMillis = other46.ageMillis;
+  serviceName = std::move(other46.serviceName);
+  version = std::move(other46.version);
+  openCalls = other46.openCalls;
+  __isset = other46.__isset;
+}
+NodeOutcomes& NodeOutcomes::operator=(const NodeOutcomes& other47) {
+  node = other47.node;
+  incarnation = other47.incarnation;
+  sequence = other47.sequence;
+  outcomes = other47.outcomes;
+  appliedRevision = other47.appliedRevision;
+  ageMillis = other47.ageMillis;
+  serviceName = other47.serviceName;
+  version = other47.version;
+  openCalls = other47.openCalls;
   __isset = other47.__isset;
-}
-RaftBatch::RaftBatch(RaftBatch&& other48) noexcept {
-  sentAt = std::move(other48.sentAt);
-  messages = std::move(other48.messages);
-  __isset = other48.__isset;
-}
-RaftBatch& RaftBatch::operator=(const RaftBatch& other49) {
-  sentAt = other49.sentAt;
-  messages = other49.messages;
-  __isset = other49.__isset;
   return *this;
 }
-RaftBatch& RaftBatch::operator=(RaftBatch&& other50) noexcept {
-  sentAt = std::move(other50.sentAt);
-  messages = std::move(other50.messages);
-  __isset = other50.__isset;
+NodeOutcomes& NodeOutcomes::operator=(NodeOutcomes&& other48) noexcept {
+  node = std::move(other48.node);
+  incarnation = other48.incarnation;
+  sequence = other48.sequence;
+  outcomes = std::move(other48.outcomes);
+  appliedRevision = other48.appliedRevision;
+  ageMillis = other48.ageMillis;
+  serviceName = std::move(other48.serviceName);
+  version = std::move(other48.version);
+  openCalls = other48.openCalls;
+  __isset = other48.__isset;
   return *this;
 }
-void RaftBatch::printTo(std::ostream& out) const {
+void NodeOutcomes::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RaftBatch(";
-  out << "sentAt=" << to_string(sentAt);
-  out << ", " << "messages=" << to_string(messages);
-  out << ")";
-}
-
+  out << "NodeOutcomes(";
+  out << "node=" << to_string(node);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "outcomes=" << to_string(outcomes);
+  out << ", " << "appliedRevision=" << to_string(appliedRevision);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "openCalls=" << to_string(openCalls);
+  out << ")";
+}
+
+
+Command::~Command() noexcept {
+}
+
+
+void Command::__set_kind(const CommandKind::type val) {
+  this->kind = val;
+}
+
+void Command::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
+
+void Command::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void Command::__set_basedOn(const int64_t val) {
+  this->basedOn = val;
+}
+
+void Command::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void Command::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void Command::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void Command::__set_intent(const TargetIntent::type val) {
+  this->intent = val;
+}
+
+void Command::__set_members(const std::vector<Replica> & val) {
+  this->members = val;
+}
+
+void Command::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void Command::__set_token(const std::string& val) {
+  this->token = val;
+}
+
+void Command::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void Command::__set_contentType(const std::string& val) {
+  this->contentType = val;
+}
+
+void Command::__set_atMicros(const int64_t val) {
+  this->atMicros = val;
+}
+
+void Command::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+
+void Command::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void Command::__set_hash(const std::string& val) {
+  this->hash = val;
+}
+
+void Command::__set_delta(const bool val) {
+  this->delta = val;
+}
+
+void Command::__set_rollout(const RolloutRecord& val) {
+  this->rollout = val;
+__isset.rollout = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast49;
+          xfer += iprot->readI32(ecast49);
+          this->kind = static_cast<CommandKind::type>(ecast49);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->basedOn);
+          this->__isset.basedOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast50;
+          xfer += iprot->readI32(ecast50);
+          this->intent = static_cast<TargetIntent::type>(ecast50);
+          this->__isset.intent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->members.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
+            {
+              xfer += this->members[_i55].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->contentType);
+          this->__isset.contentType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMicros);
+          this->__isset.atMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->delta);
+          this->__isset.delta = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Command");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("basedOn", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->basedOn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("intent", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->intent));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Replica> ::const_iterator _iter56;
+    for (_iter56 = this->members.begin(); _iter56 != this->members.end(); ++_iter56)
+    {
+      xfer += (*_iter56).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->atMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 17);
+  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("delta", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->delta);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.rollout) {
+    xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->rollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Command &a, Command &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.requestId, b.requestId);
+  swap(a.author, b.author);
+  swap(a.basedOn, b.basedOn);
+  swap(a.proposal, b.proposal);
+  swap(a.body, b.body);
+  swap(a.target, b.target);
+  swap(a.intent, b.intent);
+  swap(a.members, b.members);
+  swap(a.key, b.key);
+  swap(a.token, b.token);
+  swap(a.status, b.status);
+  swap(a.contentType, b.contentType);
+  swap(a.atMicros, b.atMicros);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.version, b.version);
+  swap(a.hash, b.hash);
+  swap(a.delta, b.delta);
+  swap(a.rollout, b.rollout);
+  swap(a.__isset, b.__isset);
+}
+
+Command::Command(const Command& other57) {
+  kind = other57.kind;
+  requestId = other57.requestId;
+  author = other57.author;
+  basedOn = other57.basedOn;
+  proposal = other57.proposal;
+  body = other57.body;
+  target = other57.target;
+  intent = other57.intent;
+  members = other57.members;
+  key = other57.key;
+  token = other57.token;
+  status = other57.status;
+  contentType = other57.contentType;
+  atMicros = other57.atMicros;
+  fingerprint = other57.fingerprint;
+  version = other57.version;
+  hash = other57.hash;
+  delta = other57.delta;
+  rollout = other57.rollout;
+  __isset = other57.__isset;
+}
+Command::Command(Command&& other58) noexcept {
+  kind = other58.kind;
+  requestId = std::move(other58.requestId);
+  author = std::move(other58.author);
+  basedOn = other58.basedOn;
+  proposal = other58.proposal;
+  body = std::move(other58.body);
+  target = std::move(other58.target);
+  intent = other58.intent;
+  members = std::move(other58.members);
+  key = std::move(other58.key);
+  token = std::move(other58.token);
+  status = other58.status;
+  contentType = std::move(other58.contentType);
+  atMicros = other58.atMicros;
+  fingerprint = std::move(other58.fingerprint);
+  version = other58.version;
+  hash = std::move(other58.hash);
+  delta = other58.delta;
+  rollout = std::move(other58.rollout);
+  __isset = other58.__isset;
+}
+Command& Command::operator=(const Command& other59) {
+  kind = other59.kind;
+  requestId = other59.requestId;
+  author = other59.author;
+  basedOn = other59.basedOn;
+  proposal = other59.proposal;
+  body = other59.body;
+  target = other59.target;
+  intent = other59.intent;
+  members = other59.members;
+  key = other59.key;
+  token = other59.token;
+  status = other59.status;
+  contentType = other59.contentType;
+  atMicros = other59.atMicros;
+  fingerprint = other59.fingerprint;
+  version = other59.version;
+  hash = other59.hash;
+  delta = other59.delta;
+  rollout = other59.rollout;
+  __isset = other59.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other60) noexcept {
+  kind = other60.kind;
+  requestId = std::move(other60.requestId);
+  author = std::move(other60.author);
+  basedOn = other60.basedOn;
+  proposal = other60.proposal;
+  body = std::move(other60.body);
+  target = std::move(other60.target);
+  intent = other60.intent;
+  members = std::move(other60.members);
+  key = std::move(other60.key);
+  token = std::move(other60.token);
+  status = other60.status;
+  contentType = std::move(other60.contentType);
+  atMicros = other60.atMicros;
+  fingerprint = std::move(other60.fingerprint);
+  version = other60.version;
+  hash = std::move(other60.hash);
+  delta = other60.delta;
+  rollout = std::move(other60.rollout);
+  __isset = other60.__isset;
+  return *this;
+}
+void Command::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Command(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "requestId=" << to_string(requestId);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "basedOn=" << to_string(basedOn);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "intent=" << to_string(intent);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "contentType=" << to_string(contentType);
+  out << ", " << "atMicros=" << to_string(atMicros);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "delta=" << to_string(delta);
+  out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
+  out << ")";
+}
+
+
+LogEntry::~LogEntry() noexcept {
+}
+
+
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LogEntry::__set_command(const Command& val) {
+  this->command = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->command.read(iprot);
+          this->__isset.command = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogEntry");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->command.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogEntry &a, LogEntry &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.command, b.command);
+  swap(a.__isset, b.__isset);
+}
+
+LogEntry::LogEntry(const LogEntry& other61) {
+  index = other61.index;
+  term = other61.term;
+  command = other61.command;
+  __isset = other61.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other62) noexcept {
+  index = other62.index;
+  term = other62.term;
+  command = std::move(other62.command);
+  __isset = other62.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other63) {
+  index = other63.index;
+  term = other63.term;
+  command = other63.command;
+  __isset = other63.__isset;
+  return *this;
+}
+LogEntry& LogEntry::operator=(LogEntry&& other64) noexcept {
+  index = other64.index;
+  term = other64.term;
+  command = std::move(other64.command);
+  __isset = other64.__isset;
+  return *this;
+}
+void LogEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogEntry(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "command=" << to_string(command);
+  out << ")";
+}
+
+
+RaftMessage::~RaftMessage() noexcept {
+}
+
+
+void RaftMessage::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void RaftMessage::__set_kind(const RaftKind::type val) {
+  this->kind = val;
+}
+
+void RaftMessage::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void RaftMessage::__set_senderIncarnation(const int64_t val) {
+  this->senderIncarnation = val;
+}
+
+void RaftMessage::__set_receiver(const std::string& val) {
+  this->receiver = val;
+}
+
+void RaftMessage::__set_receiverIncarnation(const int64_t val) {
+  this->receiverIncarnation = val;
+}
+
+void RaftMessage::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void RaftMessage::__set_logIndex(const int64_t val) {
+  this->logIndex = val;
+}
+
+void RaftMessage::__set_logTerm(const int64_t val) {
+  this->logTerm = val;
+}
+
+void RaftMessage::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void RaftMessage::__set_granted(const bool val) {
+  this->granted = val;
+}
+
+void RaftMessage::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+
+void RaftMessage::__set_snapshot(const std::string& val) {
+  this->snapshot = val;
+}
+
+void RaftMessage::__set_members(const std::vector<Replica> & val) {
+  this->members = val;
+}
+
+void RaftMessage::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void RaftMessage::__set_senderAddress(const std::string& val) {
+  this->senderAddress = val;
+}
+std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RaftMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast65;
+          xfer += iprot->readI32(ecast65);
+          this->kind = static_cast<RaftKind::type>(ecast65);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->senderIncarnation);
+          this->__isset.senderIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver);
+          this->__isset.receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->receiverIncarnation);
+          this->__isset.receiverIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->logIndex);
+          this->__isset.logIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->logTerm);
+          this->__isset.logTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->entries.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->entries[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->snapshot);
+          this->__isset.snapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->members.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->members[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->senderAddress);
+          this->__isset.senderAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RaftMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RaftMessage");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("senderIncarnation", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->senderIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->receiver);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiverIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->receiverIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("logIndex", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->logIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("logTerm", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->logTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter76;
+    for (_iter76 = this->entries.begin(); _iter76 != this->entries.end(); ++_iter76)
+    {
+      xfer += (*_iter76).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->snapshot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Replica> ::const_iterator _iter77;
+    for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
+    {
+      xfer += (*_iter77).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("senderAddress", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->senderAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RaftMessage &a, RaftMessage &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.kind, b.kind);
+  swap(a.sender, b.sender);
+  swap(a.senderIncarnation, b.senderIncarnation);
+  swap(a.receiver, b.receiver);
+  swap(a.receiverIncarnation, b.receiverIncarnation);
+  swap(a.term, b.term);
+  swap(a.logIndex, b.logIndex);
+  swap(a.logTerm, b.logTerm);
+  swap(a.commit, b.commit);
+  swap(a.granted, b.granted);
+  swap(a.entries, b.entries);
+  swap(a.snapshot, b.snapshot);
+  swap(a.members, b.members);
+  swap(a.round, b.round);
+  swap(a.senderAddress, b.senderAddress);
+  swap(a.__isset, b.__isset);
+}
+
+RaftMessage::RaftMessage(const RaftMessage& other78) {
+  group = other78.group;
+  kind = other78.kind;
+  sender = other78.sender;
+  senderIncarnation = other78.senderIncarnation;
+  receiver = other78.receiver;
+  receiverIncarnation = other78.receiverIncarnation;
+  term = other78.term;
+  logIndex = other78.logIndex;
+  logTerm = other78.logTerm;
+  commit = other78.commit;
+  granted = other78.granted;
+  entries = other78.entries;
+  snapshot = other78.snapshot;
+  members = other78.members;
+  round = other78.round;
+  senderAddress = other78.senderAddress;
+  __isset = other78.__isset;
+}
+RaftMessage::RaftMessage(RaftMessage&& other79) noexcept {
+  group = std::move(other79.group);
+  kind = other79.kind;
+  sender = std::move(other79.sender);
+  senderIncarnation = other79.senderIncarnation;
+  receiver = std::move(other79.receiver);
+  receiverIncarnation = other79.receiverIncarnation;
+  term = other79.term;
+  logIndex = other79.logIndex;
+  logTerm = other79.logTerm;
+  commit = other79.commit;
+  granted = other79.granted;
+  entries = std::move(other79.entries);
+  snapshot = std::move(other79.snapshot);
+  members = std::move(other79.members);
+  round = other79.round;
+  senderAddress = std::move(other79.senderAddress);
+  __isset = other79.__isset;
+}
+RaftMessage& RaftMessage::operator=(const RaftMessage& other80) {
+  group = other80.group;
+  kind = other80.kind;
+  sender = other80.sender;
+  senderIncarnation = other80.senderIncarnation;
+  receiver = other80.receiver;
+  receiverIncarnation = other80.receiverIncarnation;
+  term = other80.term;
+  logIndex = other80.logIndex;
+  logTerm = other80.logTerm;
+  commit = other80.commit;
+  granted = other80.granted;
+  entries = other80.entries;
+  snapshot = other80.snapshot;
+  members = other80.members;
+  round = other80.round;
+  senderAddress = other80.senderAddress;
+  __isset = other80.__isset;
+  return *this;
+}
+RaftMessage& RaftMessage::operator=(RaftMessage&& other81) noexcept {
+  group = std::move(other81.group);
+  kind = other81.kind;
+  sender = std::move(other81.sender);
+  senderIncarnation = other81.senderIncarnation;
+  receiver = std::move(other81.receiver);
+  receiverIncarnation = other81.receiverIncarnation;
+  term = other81.term;
+  logIndex = other81.logIndex;
+  logTerm = other81.logTerm;
+  commit = other81.commit;
+  granted = other81.granted;
+  entries = std::move(other81.entries);
+  snapshot = std::move(other81.snapshot);
+  members = std::move(other81.members);
+  round = other81.round;
+  senderAddress = std::move(other81.senderAddress);
+  __isset = other81.__isset;
+  return *this;
+}
+void RaftMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RaftMessage(";
+  out << "group=" << to_string(group);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "senderIncarnation=" << to_string(senderIncarnation);
+  out << ", " << "receiver=" << to_string(receiver);
+  out << ", " << "receiverIncarnation=" << to_string(receiverIncarnation);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "logIndex=" << to_string(logIndex);
+  out << ", " << "logTerm=" << to_string(logTerm);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "round=" << to_string(round);
+  out << ", " << "senderAddress=" << to_string(senderAddress);
+  out << ")";
+}
+
+
+RaftBatch::~RaftBatch() noexcept {
+}
+
+
+void RaftBatch::__set_sentAt(const Stamp& val) {
+  this->sentAt = val;
+}
+
+void RaftBatch::__set_messages(const std::vector<RaftMessage> & val) {
+  this->messages = val;
+}
+std::ostream& operator<<(std::ostream& out, const RaftBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RaftBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sentAt.read(iprot);
+          this->__isset.sentAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->messages.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->messages.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->messages[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.messages = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RaftBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RaftBatch");
+
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sentAt.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
+    std::vector<RaftMessage> ::const_iterator _iter87;
+    for (_iter87 = this->messages.begin(); _iter87 != this->messages.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RaftBatch &a, RaftBatch &b) {
+  using ::std::swap;
+  swap(a.sentAt, b.sentAt);
+  swap(a.messages, b.messages);
+  swap(a.__isset, b.__isset);
+}
+
+RaftBatch::RaftBatch(const RaftBatch& other88) {
+  sentAt = other88.sentAt;
+  messages = other88.messages;
+  __isset = other88.__isset;
+}
+RaftBatch::RaftBatch(RaftBatch&& other89) noexcept {
+  sentAt = std::move(other89.sentAt);
+  messages = std::move(other89.messages);
+  __isset = other89.__isset;
+}
+RaftBatch& RaftBatch::operator=(const RaftBatch& other90) {
+  sentAt = other90.sentAt;
+  messages = other90.messages;
+  __isset = other90.__isset;
+  return *this;
+}
+RaftBatch& RaftBatch::operator=(RaftBatch&& other91) noexcept {
+  sentAt = std::move(other91.sentAt);
+  messages = std::move(other91.messages);
+  __isset = other91.__isset;
+  return *this;
+}
+void RaftBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RaftBatch(";
+  out << "sentAt=" << to_string(sentAt);
+  out << ", " << "messages=" << to_string(messages);
+  out << ")";
+}
+
+
+Ballot::~Ballot() noexcept {
+}
+
+
+void Ballot::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void Ballot::__set_votedFor(const std::string& val) {
+  this->votedFor = val;
+}
+std::ostream& operator<<(std::ostream& out, const Ballot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Ballot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->votedFor);
+          this->__isset.votedFor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Ballot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Ballot");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->votedFor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Ballot &a, Ballot &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.votedFor, b.votedFor);
+  swap(a.__isset, b.__isset);
+}
+
+Ballot::Ballot(const Ballot& other92) {
+  term = other92.term;
+  votedFor = other92.votedFor;
+  __isset = other92.__isset;
+}
+Ballot::Ballot(Ballot&& other93) noexcept {
+  term = other93.term;
+  votedFor = std::move(other93.votedFor);
+  __isset = other93.__isset;
+}
+Ballot& Ballot::operator=(const Ballot& other94) {
+  term = other94.term;
+  votedFor = other94.votedFor;
+  __isset = other94.__isset;
+  return *this;
+}
+Ballot& Ballot::operator=(Ballot&& other95) noexcept {
+  term = other95.term;
+  votedFor = std::move(other95.votedFor);
+  __isset = other95.__isset;
+  return *this;
+}
+void Ballot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Ballot(";
+  out << "term=" << to_string(term);
+  out << ", " << "votedFor=" << to_string(votedFor);
+  out << ")";
+}
+
+
+CommitMark::~CommitMark() noexcept {
+}
+
+
+void CommitMark::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const CommitMark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CommitMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CommitMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CommitMark");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CommitMark &a, CommitMark &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+CommitMark::CommitMark(const CommitMark& other96) noexcept {
+  index = other96.index;
+  __isset = other96.__isset;
+}
+CommitMark::CommitMark(CommitMark&& other97) noexcept {
+  index = other97.index;
+  __isset = other97.__isset;
+}
+CommitMark& CommitMark::operator=(const CommitMark& other98) noexcept {
+  index = other98.index;
+  __isset = other98.__isset;
+  return *this;
+}
+CommitMark& CommitMark::operator=(CommitMark&& other99) noexcept {
+  index = other99.index;
+  __isset = other99.__isset;
+  return *this;
+}
+void CommitMark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CommitMark(";
+  out << "index=" << to_string(index);
+  out << ")";
+}
+
+
+SnapshotFile::~SnapshotFile() noexcept {
+}
+
+
+void SnapshotFile::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotFile::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SnapshotFile::__set_members(const std::vector<Replica> & val) {
+  this->members = val;
+}
+
+void SnapshotFile::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotFile::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->members.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->members[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotFile::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotFile");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Replica> ::const_iterator _iter105;
+    for (_iter105 = this->members.begin(); _iter105 != this->members.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotFile &a, SnapshotFile &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.members, b.members);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotFile::SnapshotFile(const SnapshotFile& other106) {
+  index = other106.index;
+  term = other106.term;
+  members = other106.members;
+  state = other106.state;
+  __isset = other106.__isset;
+}
+SnapshotFile::SnapshotFile(SnapshotFile&& other107) noexcept {
+  index = other107.index;
+  term = other107.term;
+  members = std::move(other107.members);
+  state = std::move(other107.state);
+  __isset = other107.__isset;
+}
+SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other108) {
+  index = other108.index;
+  term = other108.term;
+  members = other108.members;
+  state = other108.state;
+  __isset = other108.__isset;
+  return *this;
+}
+SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other109) noexcept {
+  index = other109.index;
+  term = other109.term;
+  members = std::move(other109.members);
+  state = std::move(other109.state);
+  __isset = other109.__isset;
+  return *this;
+}
+void SnapshotFile::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotFile(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
+GroupStatus::~GroupStatus() noexcept {
+}
+
+
+void GroupStatus::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void GroupStatus::__set_formed(const bool val) {
+  this->formed = val;
+}
+
+void GroupStatus::__set_replica(const std::string& val) {
+  this->replica = val;
+}
+
+void GroupStatus::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void GroupStatus::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+
+void GroupStatus::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void GroupStatus::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void GroupStatus::__set_applied(const int64_t val) {
+  this->applied = val;
+}
+
+void GroupStatus::__set_members(const std::vector<Replica> & val) {
+  this->members = val;
+}
+
+void GroupStatus::__set_silentMillis(const std::map<std::string, int64_t> & val) {
+  this->silentMillis = val;
+}
+
+void GroupStatus::__set_lastIndex(const int64_t val) {
+  this->lastIndex = val;
+}
+
+void GroupStatus::__set_failed(const bool val) {
+  this->failed = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GroupStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->formed);
+          this->__isset.formed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->replica);
+          this->__isset.replica = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->applied);
+          this->__isset.applied = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->members.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += this->members[_i114].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->silentMillis.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _ktype116;
+            ::apache::thrift::protocol::TType _vtype117;
+            xfer += iprot->readMapBegin(_ktype116, _vtype117, _size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              std::string _key120;
+              xfer += iprot->readString(_key120);
+              int64_t& _val121 = this->silentMillis[_key120];
+              xfer += iprot->readI64(_val121);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.silentMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastIndex);
+          this->__isset.lastIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->failed);
+          this->__isset.failed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GroupStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GroupStatus");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("formed", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->formed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replica", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->replica);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("applied", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->applied);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Replica> ::const_iterator _iter122;
+    for (_iter122 = this->members.begin(); _iter122 != this->members.end(); ++_iter122)
+    {
+      xfer += (*_iter122).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silentMillis", ::apache::thrift::protocol::T_MAP, 10);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMillis.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter123;
+    for (_iter123 = this->silentMillis.begin(); _iter123 != this->silentMillis.end(); ++_iter123)
+    {
+      xfer += oprot->writeString(_iter123->first);
+      xfer += oprot->writeI64(_iter123->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->lastIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->failed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GroupStatus &a, GroupStatus &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.formed, b.formed);
+  swap(a.replica, b.replica);
+  swap(a.incarnation, b.incarnation);
+  swap(a.leader, b.leader);
+  swap(a.term, b.term);
+  swap(a.commit, b.commit);
+  swap(a.applied, b.applied);
+  swap(a.members, b.members);
+  swap(a.silentMillis, b.silentMillis);
+  swap(a.lastIndex, b.lastIndex);
+  swap(a.failed, b.failed);
+  swap(a.__isset, b.__isset);
+}
+
+GroupStatus::GroupStatus(const GroupStatus& other124) {
+  group = other124.group;
+  formed = other124.formed;
+  replica = other124.replica;
+  incarnation = other124.incarnation;
+  leader = other124.leader;
+  term = other124.term;
+  commit = other124.commit;
+  applied = other124.applied;
+  members = other124.members;
+  silentMillis = other124.silentMillis;
+  lastIndex = other124.lastIndex;
+  failed = other124.failed;
+  __isset = other124.__isset;
+}
+GroupStatus::GroupStatus(GroupStatus&& other125) noexcept {
+  group = std::move(other125.group);
+  formed = other125.formed;
+  replica = std::move(other125.replica);
+  incarnation = other125.incarnation;
+  leader = std::move(other125.leader);
+  term = other125.term;
+  commit = other125.commit;
+  applied = other125.applied;
+  members = std::move(other125.members);
+  silentMillis = std::move(other125.silentMillis);
+  lastIndex = other125.lastIndex;
+  failed = other125.failed;
+  __isset = other125.__isset;
+}
+GroupStatus& GroupStatus::operator=(const GroupStatus& other126) {
+  group = other126.group;
+  formed = other126.formed;
+  replica = other126.replica;
+  incarnation = other126.incarnation;
+  leader = other126.leader;
+  term = other126.term;
+  commit = other126.commit;
+  applied = other126.applied;
+  members = other126.members;
+  silentMillis = other126.silentMillis;
+  lastIndex = other126.lastIndex;
+  failed = other126.failed;
+  __isset = other126.__isset;
+  return *this;
+}
+GroupStatus& GroupStatus::operator=(GroupStatus&& other127) noexcept {
+  group = std::move(other127.group);
+  formed = other127.formed;
+  replica = std::move(other127.replica);
+  incarnation = other127.incarnation;
+  leader = std::move(other127.leader);
+  term = other127.term;
+  commit = other127.commit;
+  applied = other127.applied;
+  members = std::move(other127.members);
+  silentMillis = std::move(other127.silentMillis);
+  lastIndex = other127.lastIndex;
+  failed = other127.failed;
+  __isset = other127.__isset;
+  return *this;
+}
+void GroupStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GroupStatus(";
+  out << "group=" << to_string(group);
+  out << ", " << "formed=" << to_string(formed);
+  out << ", " << "replica=" << to_string(replica);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "applied=" << to_string(applied);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "silentMillis=" << to_string(silentMillis);
+  out << ", " << "lastIndex=" << to_string(lastIndex);
+  out << ", " << "failed=" << to_string(failed);
+  out << ")";
+}
+
+
+CommandResult::~CommandResult() noexcept {
+}
+
+
+void CommandResult::__set_code(const ResultCode::type val) {
+  this->code = val;
+}
+
+void CommandResult::__set_message(const std::string& val) {
+  this->message = val;
+}
+
+void CommandResult::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void CommandResult::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void CommandResult::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+
+void CommandResult::__set_finished(const bool val) {
+  this->finished = val;
+}
+
+void CommandResult::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void CommandResult::__set_contentType(const std::string& val) {
+  this->contentType = val;
+}
+
+void CommandResult::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast128;
+          xfer += iprot->readI32(ecast128);
+          this->code = static_cast<ResultCode::type>(ecast128);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->finished);
+          this->__isset.finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->contentType);
+          this->__isset.contentType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CommandResult");
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->finished);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-Ballot::~Ballot() noexcept {
+void swap(CommandResult &a, CommandResult &b) {
+  using ::std::swap;
+  swap(a.code, b.code);
+  swap(a.message, b.message);
+  swap(a.version, b.version);
+  swap(a.proposal, b.proposal);
+  swap(a.leader, b.leader);
+  swap(a.finished, b.finished);
+  swap(a.status, b.status);
+  swap(a.contentType, b.contentType);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+CommandResult::CommandResult(const CommandResult& other129) {
+  code = other129.code;
+  message = other129.message;
+  version = other129.version;
+  proposal = other129.proposal;
+  leader = other129.leader;
+  finished = other129.finished;
+  status = other129.status;
+  contentType = other129.contentType;
+  body = other129.body;
+  __isset = other129.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other130) noexcept {
+  code = other130.code;
+  message = std::move(other130.message);
+  version = other130.version;
+  proposal = other130.proposal;
+  leader = std::move(other130.leader);
+  finished = other130.finished;
+  status = other130.status;
+  contentType = std::move(other130.contentType);
+  body = std::move(other130.body);
+  __isset = other130.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other131) {
+  code = other131.code;
+  message = other131.message;
+  version = other131.version;
+  proposal = other131.proposal;
+  leader = other131.leader;
+  finished = other131.finished;
+  status = other131.status;
+  contentType = other131.contentType;
+  body = other131.body;
+  __isset = other131.__isset;
+  return *this;
+}
+CommandResult& CommandResult::operator=(CommandResult&& other132) noexcept {
+  code = other132.code;
+  message = std::move(other132.message);
+  version = other132.version;
+  proposal = other132.proposal;
+  leader = std::move(other132.leader);
+  finished = other132.finished;
+  status = other132.status;
+  contentType = std::move(other132.contentType);
+  body = std::move(other132.body);
+  __isset = other132.__isset;
+  return *this;
+}
+void CommandResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CommandResult(";
+  out << "code=" << to_string(code);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "proposal=" << to_string(proposal);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "finished=" << to_string(finished);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "contentType=" << to_string(contentType);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
 }
 
 
-void Ballot::__set_term(const int64_t val) {
-  this->term = val;
+ConfigurationUpdate::~ConfigurationUpdate() noexcept {
 }
 
-void Ballot::__set_votedFor(const std::string& val) {
-  this->votedFor = val;
+
+void ConfigurationUpdate::__set_fromVersion(const int64_t val) {
+  this->fromVersion = val;
 }
-std::ostream& operator<<(std::ostream& out, const Ballot& obj)
+
+void ConfigurationUpdate::__set_toVersion(const int64_t val) {
+  this->toVersion = val;
+}
+
+void ConfigurationUpdate::__set_hash(const std::string& val) {
+  this->hash = val;
+}
+
+void ConfigurationUpdate::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void ConfigurationUpdate::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationUpdate& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Ballot::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigurationUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1871,16 +4055,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->fromVersion);
+          this->__isset.fromVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toVersion);
+          this->__isset.toVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->votedFor);
-          this->__isset.votedFor = true;
+          xfer += iprot->readString(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->payload);
+          this->__isset.payload = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1897,17 +4105,29 @@
   return xfer;
 }
 
-uint32_t Ballot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigurationUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Ballot");
+  xfer += oprot->writeStructBegin("ConfigurationUpdate");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("fromVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fromVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("votedFor", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->votedFor);
+  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->toVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->payload);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1915,59 +4135,250 @@
   return xfer;
 }
 
-void swap(Ballot &a, Ballot &b) {
+void swap(ConfigurationUpdate &a, ConfigurationUpdate &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.votedFor, b.votedFor);
+  swap(a.fromVersion, b.fromVersion);
+  swap(a.toVersion, b.toVersion);
+  swap(a.hash, b.hash);
+  swap(a.whole, b.whole);
+  swap(a.payload, b.payload);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other133) {
+  fromVersion = other133.fromVersion;
+  toVersion = other133.toVersion;
+  hash = other133.hash;
+  whole = other133.whole;
+  payload = other133.payload;
+  __isset = other133.__isset;
+}
+ConfigurationUpdate::ConfigurationUpdate(ConfigurationUpdate&& other134) noexcept {
+  fromVersion = other134.fromVersion;
+  toVersion = other134.toVersion;
+  hash = std::move(other134.hash);
+  whole = other134.whole;
+  payload = std::move(other134.payload);
+  __isset = other134.__isset;
+}
+ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other135) {
+  fromVersion = other135.fromVersion;
+  toVersion = other135.toVersion;
+  hash = other135.hash;
+  whole = other135.whole;
+  payload = other135.payload;
+  __isset = other135.__isset;
+  return *this;
+}
+ConfigurationUpdate& ConfigurationUpdate::operator=(ConfigurationUpdate&& other136) noexcept {
+  fromVersion = other136.fromVersion;
+  toVersion = other136.toVersion;
+  hash = std::move(other136.hash);
+  whole = other136.whole;
+  payload = std::move(other136.payload);
+  __isset = other136.__isset;
+  return *this;
+}
+void ConfigurationUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationUpdate(";
+  out << "fromVersion=" << to_string(fromVersion);
+  out << ", " << "toVersion=" << to_string(toVersion);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "payload=" << to_string(payload);
+  out << ")";
+}
+
+
+ReadIndex::~ReadIndex() noexcept {
+}
+
+
+void ReadIndex::__set_confirmed(const bool val) {
+  this->confirmed = val;
+}
+
+void ReadIndex::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ReadIndex::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReadIndex& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReadIndex::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReadIndex::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReadIndex");
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReadIndex &a, ReadIndex &b) {
+  using ::std::swap;
+  swap(a.confirmed, b.confirmed);
+  swap(a.index, b.index);
+  swap(a.leader, b.leader);
   swap(a.__isset, b.__isset);
 }
 
-Ballot::Ballot(const Ballot& other51) {
-  term = other51.term;
-  votedFor = other51.votedFor;
-  __isset = other51.__isset;
+ReadIndex::ReadIndex(const ReadIndex& other137) {
+  confirmed = other137.confirmed;
+  index = other137.index;
+  leader = other137.leader;
+  __isset = other137.__isset;
 }
-Ballot::Ballot(Ballot&& other52) noexcept {
-  term = other52.term;
-  votedFor = std::move(other52.votedFor);
-  __isset = other52.__isset;
+ReadIndex::ReadIndex(ReadIndex&& other138) noexcept {
+  confirmed = other138.confirmed;
+  index = other138.index;
+  leader = std::move(other138.leader);
+  __isset = other138.__isset;
 }
-Ballot& Ballot::operator=(const Ballot& other53) {
-  term = other53.term;
-  votedFor = other53.votedFor;
-  __isset = other53.__isset;
+ReadIndex& ReadIndex::operator=(const ReadIndex& other139) {
+  confirmed = other139.confirmed;
+  index = other139.index;
+  leader = other139.leader;
+  __isset = other139.__isset;
   return *this;
 }
-Ballot& Ballot::operator=(Ballot&& other54) noexcept {
-  term = other54.term;
-  votedFor = std::move(other54.votedFor);
-  __isset = other54.__isset;
+ReadIndex& ReadIndex::operator=(ReadIndex&& other140) noexcept {
+  confirmed = other140.confirmed;
+  index = other140.index;
+  leader = std::move(other140.leader);
+  __isset = other140.__isset;
   return *this;
 }
-void Ballot::printTo(std::ostream& out) const {
+void ReadIndex::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Ballot(";
-  out << "term=" << to_string(term);
-  out << ", " << "votedFor=" << to_string(votedFor);
+  out << "ReadIndex(";
+  out << "confirmed=" << to_string(confirmed);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "leader=" << to_string(leader);
   out << ")";
 }
 
 
-CommitMark::~CommitMark() noexcept {
+ClaimRecord::~ClaimRecord() noexcept {
 }
 
 
-void CommitMark::__set_index(const int64_t val) {
-  this->index = val;
+void ClaimRecord::__set_key(const std::string& val) {
+  this->key = val;
 }
-std::ostream& operator<<(std::ostream& out, const CommitMark& obj)
+
+void ClaimRecord::__set_token(const std::string& val) {
+  this->token = val;
+}
+
+void ClaimRecord::__set_claimedAtMicros(const int64_t val) {
+  this->claimedAtMicros = val;
+}
+
+void ClaimRecord::__set_finished(const bool val) {
+  this->finished = val;
+}
+
+void ClaimRecord::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ClaimRecord::__set_contentType(const std::string& val) {
+  this->contentType = val;
+}
+
+void ClaimRecord::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void ClaimRecord::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CommitMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
