@@ -1989,9 +4400,65 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->claimedAtMicros);
+          this->__isset.claimedAtMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->finished);
+          this->__isset.finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->contentType);
+          this->__isset.contentType = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2008,13 +4475,41 @@
   return xfer;
 }
 
-uint32_t CommitMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CommitMark");
+  xfer += oprot->writeStructBegin("ClaimRecord");
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("claimedAtMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->claimedAtMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->finished);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2022,65 +4517,99 @@
   return xfer;
 }
 
-void swap(CommitMark &a, CommitMark &b) {
+void swap(ClaimRecord &a, ClaimRecord &b) {
   using ::std::swap;
-  swap(a.index, b.index);
+  swap(a.key, b.key);
+  swap(a.token, b.token);
+  swap(a.claimedAtMicros, b.claimedAtMicros);
+  swap(a.finished, b.finished);
+  swap(a.status, b.status);
+  swap(a.contentType, b.contentType);
+  swap(a.body, b.body);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
-CommitMark::CommitMark(const CommitMark& other55) noexcept {
-  index = other55.index;
-  __isset = other55.__isset;
-}
-CommitMark::CommitMark(CommitMark&& other56) noexcept {
-  index = other56.index;
-  __isset = other56.__isset;
-}
-CommitMark& CommitMark::operator=(const CommitMark& other57) noexcept {
-  index = other57.index;
-  __isset = other57.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other141) {
+  key = other141.key;
+  token = other141.token;
+  claimedAtMicros = other141.claimedAtMicros;
+  finished = other141.finished;
+  status = other141.status;
+  contentType = other141.contentType;
+  body = other141.body;
+  fingerprint = other141.fingerprint;
+  __isset = other141.__isset;
+}
+ClaimRecord::ClaimRecord(ClaimRecord&& other142) noexcept {
+  key = std::move(other142.key);
+  token = std::move(other142.token);
+  claimedAtMicros = other142.claimedAtMicros;
+  finished = other142.finished;
+  status = other142.status;
+  contentType = std::move(other142.contentType);
+  body = std::move(other142.body);
+  fingerprint = std::move(other142.fingerprint);
+  __isset = other142.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other143) {
+  key = other143.key;
+  token = other143.token;
+  claimedAtMicros = other143.claimedAtMicros;
+  finished = other143.finished;
+  status = other143.status;
+  contentType = other143.contentType;
+  body = other143.body;
+  fingerprint = other143.fingerprint;
+  __isset = other143.__isset;
   return *this;
 }
-CommitMark& CommitMark::operator=(CommitMark&& other58) noexcept {
-  index = other58.index;
-  __isset = other58.__isset;
+ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other144) noexcept {
+  key = std::move(other144.key);
+  token = std::move(other144.token);
+  claimedAtMicros = other144.claimedAtMicros;
+  finished = other144.finished;
+  status = other144.status;
+  contentType = std::move(other144.contentType);
+  body = std::move(other144.body);
+  fingerprint = std::move(other144.fingerprint);
+  __isset = other144.__isset;
   return *this;
 }
-void CommitMark::printTo(std::ostream& out) const {
+void ClaimRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CommitMark(";
-  out << "index=" << to_string(index);
+  out << "ClaimRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "claimedAtMicros=" << to_string(claimedAtMicros);
+  out << ", " << "finished=" << to_string(finished);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "contentType=" << to_string(contentType);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ")";
 }
 
 
-SnapshotFile::~SnapshotFile() noexcept {
-}
-
-
-void SnapshotFile::__set_index(const int64_t val) {
-  this->index = val;
+StoredResult::~StoredResult() noexcept {
 }
 
-void SnapshotFile::__set_term(const int64_t val) {
-  this->term = val;
-}
 
-void SnapshotFile::__set_members(const std::vector<Replica> & val) {
-  this->members = val;
+void StoredResult::__set_requestId(const std::string& val) {
+  this->requestId = val;
 }
 
-void SnapshotFile::__set_state(const std::string& val) {
-  this->state = val;
+void StoredResult::__set_result(const CommandResult& val) {
+  this->result = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotFile& obj)
+std::ostream& operator<<(std::ostream& out, const StoredResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotFile::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StoredResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2102,45 +4631,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->members.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
-            {
-              xfer += this->members[_i63].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->state);
-          this->__isset.state = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->result.read(iprot);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2149,41 +4650,25 @@
         xfer += iprot->skip(ftype);
         break;
     }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t SnapshotFile::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotFile");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter64;
-    for (_iter64 = this->members.begin(); _iter64 != this->members.end(); ++_iter64)
-    {
-      xfer += (*_iter64).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+    xfer += iprot->readFieldEnd();
   }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoredResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoredResult");
+
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->requestId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2191,115 +4676,63 @@
   return xfer;
 }
 
-void swap(SnapshotFile &a, SnapshotFile &b) {
+void swap(StoredResult &a, StoredResult &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.members, b.members);
-  swap(a.state, b.state);
+  swap(a.requestId, b.requestId);
+  swap(a.result, b.result);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotFile::SnapshotFile(const SnapshotFile& other65) {
-  index = other65.index;
-  term = other65.term;
-  members = other65.members;
-  state = other65.state;
-  __isset = other65.__isset;
-}
-SnapshotFile::SnapshotFile(SnapshotFile&& other66) noexcept {
-  index = other66.index;
-  term = other66.term;
-  members = std::move(other66.members);
-  state = std::move(other66.state);
-  __isset = other66.__isset;
-}
-SnapshotFile& SnapshotFile::operator=(const SnapshotFile& other67) {
-  index = other67.index;
-  term = other67.term;
-  members = other67.members;
-  state = other67.state;
-  __isset = other67.__isset;
+StoredResult::StoredResult(const StoredResult& other145) {
+  requestId = other145.requestId;
+  result = other145.result;
+  __isset = other145.__isset;
+}
+StoredResult::StoredResult(StoredResult&& other146) noexcept {
+  requestId = std::move(other146.requestId);
+  result = std::move(other146.result);
+  __isset = other146.__isset;
+}
+StoredResult& StoredResult::operator=(const StoredResult& other147) {
+  requestId = other147.requestId;
+  result = other147.result;
+  __isset = other147.__isset;
   return *this;
 }
-SnapshotFile& SnapshotFile::operator=(SnapshotFile&& other68) noexcept {
-  index = other68.index;
-  term = other68.term;
-  members = std::move(other68.members);
-  state = std::move(other68.state);
-  __isset = other68.__isset;
+StoredResult& StoredResult::operator=(StoredResult&& other148) noexcept {
+  requestId = std::move(other148.requestId);
+  result = std::move(other148.result);
+  __isset = other148.__isset;
   return *this;
 }
-void SnapshotFile::printTo(std::ostream& out) const {
+void StoredResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotFile(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "state=" << to_string(state);
+  out << "StoredResult(";
+  out << "requestId=" << to_string(requestId);
+  out << ", " << "result=" << to_string(result);
   out << ")";
 }
 
 
-GroupStatus::~GroupStatus() noexcept {
-}
-
-
-void GroupStatus::__set_group(const std::string& val) {
-  this->group = val;
-}
-
-void GroupStatus::__set_formed(const bool val) {
-  this->formed = val;
-}
-
-void GroupStatus::__set_replica(const std::string& val) {
-  this->replica = val;
-}
-
-void GroupStatus::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
-void GroupStatus::__set_leader(const std::string& val) {
-  this->leader = val;
-}
-
-void GroupStatus::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void GroupStatus::__set_commit(const int64_t val) {
-  this->commit = val;
-}
-
-void GroupStatus::__set_applied(const int64_t val) {
-  this->applied = val;
-}
-
-void GroupStatus::__set_members(const std::vector<Replica> & val) {
-  this->members = val;
+ClaimImage::~ClaimImage() noexcept {
 }
 
-void GroupStatus::__set_silentMillis(const std::map<std::string, int64_t> & val) {
-  this->silentMillis = val;
-}
 
-void GroupStatus::__set_lastIndex(const int64_t val) {
-  this->lastIndex = val;
+void ClaimImage::__set_claims(const std::vector<ClaimRecord> & val) {
+  this->claims = val;
 }
 
-void GroupStatus::__set_failed(const bool val) {
-  this->failed = val;
+void ClaimImage::__set_results(const std::vector<StoredResult> & val) {
+  this->results = val;
 }
-std::ostream& operator<<(std::ostream& out, const GroupStatus& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimImage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t GroupStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimImage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2321,124 +4754,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->formed);
-          this->__isset.formed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->replica);
-          this->__isset.replica = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader);
-          this->__isset.leader = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->applied);
-          this->__isset.applied = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->members.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->members.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            this->claims.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->claims.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->members[_i73].read(iprot);
+              xfer += this->claims[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.members = true;
+          this->__isset.claims = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->silentMillis.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _ktype75;
-            ::apache::thrift::protocol::TType _vtype76;
-            xfer += iprot->readMapBegin(_ktype75, _vtype76, _size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            this->results.clear();
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->results.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              std::string _key79;
-              xfer += iprot->readString(_key79);
-              int64_t& _val80 = this->silentMillis[_key79];
-              xfer += iprot->readI64(_val80);
+              xfer += this->results[_i158].read(iprot);
             }
-            xfer += iprot->readMapEnd();
+            xfer += iprot->readListEnd();
           }
-          this->__isset.silentMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastIndex);
-          this->__isset.lastIndex = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->failed);
-          this->__isset.failed = true;
+          this->__isset.results = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2455,226 +4805,109 @@
   return xfer;
 }
 
-uint32_t GroupStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("GroupStatus");
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("formed", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->formed);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("replica", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->replica);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->leader);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->commit);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("applied", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->applied);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ClaimImage");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
+  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Replica> ::const_iterator _iter81;
-    for (_iter81 = this->members.begin(); _iter81 != this->members.end(); ++_iter81)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
+    std::vector<ClaimRecord> ::const_iterator _iter159;
+    for (_iter159 = this->claims.begin(); _iter159 != this->claims.end(); ++_iter159)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("silentMillis", ::apache::thrift::protocol::T_MAP, 10);
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->silentMillis.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter82;
-    for (_iter82 = this->silentMillis.begin(); _iter82 != this->silentMillis.end(); ++_iter82)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<StoredResult> ::const_iterator _iter160;
+    for (_iter160 = this->results.begin(); _iter160 != this->results.end(); ++_iter160)
     {
-      xfer += oprot->writeString(_iter82->first);
-      xfer += oprot->writeI64(_iter82->second);
+      xfer += (*_iter160).write(oprot);
     }
-    xfer += oprot->writeMapEnd();
+    xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastIndex", ::apache::thrift::protocol::T_I64, 11);
-  xfer += oprot->writeI64(this->lastIndex);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_BOOL, 12);
-  xfer += oprot->writeBool(this->failed);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(GroupStatus &a, GroupStatus &b) {
+void swap(ClaimImage &a, ClaimImage &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.formed, b.formed);
-  swap(a.replica, b.replica);
-  swap(a.incarnation, b.incarnation);
-  swap(a.leader, b.leader);
-  swap(a.term, b.term);
-  swap(a.commit, b.commit);
-  swap(a.applied, b.applied);
-  swap(a.members, b.members);
-  swap(a.silentMillis, b.silentMillis);
-  swap(a.lastIndex, b.lastIndex);
-  swap(a.failed, b.failed);
+  swap(a.claims, b.claims);
+  swap(a.results, b.results);
   swap(a.__isset, b.__isset);
 }
 
-GroupStatus::GroupStatus(const GroupStatus& other83) {
-  group = other83.group;
-  formed = other83.formed;
-  replica = other83.replica;
-  incarnation = other83.incarnation;
-  leader = other83.leader;
-  term = other83.term;
-  commit = other83.commit;
-  applied = other83.applied;
-  members = other83.members;
-  silentMillis = other83.silentMillis;
-  lastIndex = other83.lastIndex;
-  failed = other83.failed;
-  __isset = other83.__isset;
-}
-GroupStatus::GroupStatus(GroupStatus&& other84) noexcept {
-  group = std::move(other84.group);
-  formed = other84.formed;
-  replica = std::move(other84.replica);
-  incarnation = other84.incarnation;
-  leader = std::move(other84.leader);
-  term = other84.term;
-  commit = other84.commit;
-  applied = other84.applied;
-  members = std::move(other84.members);
-  silentMillis = std::move(other84.silentMillis);
-  lastIndex = other84.lastIndex;
-  failed = other84.failed;
-  __isset = other84.__isset;
-}
-GroupStatus& GroupStatus::operator=(const GroupStatus& other85) {
-  group = other85.group;
-  formed = other85.formed;
-  replica = other85.replica;
-  incarnation = other85.incarnation;
-  leader = other85.leader;
-  term = other85.term;
-  commit = other85.commit;
-  applied = other85.applied;
-  members = other85.members;
-  silentMillis = other85.silentMillis;
-  lastIndex = other85.lastIndex;
-  failed = other85.failed;
-  __isset = other85.__isset;
+ClaimImage::ClaimImage(const ClaimImage& other161) {
+  claims = other161.claims;
+  results = other161.results;
+  __isset = other161.__isset;
+}
+ClaimImage::ClaimImage(ClaimImage&& other162) noexcept {
+  claims = std::move(other162.claims);
+  results = std::move(other162.results);
+  __isset = other162.__isset;
+}
+ClaimImage& ClaimImage::operator=(const ClaimImage& other163) {
+  claims = other163.claims;
+  results = other163.results;
+  __isset = other163.__isset;
   return *this;
 }
-GroupStatus& GroupStatus::operator=(GroupStatus&& other86) noexcept {
-  group = std::move(other86.group);
-  formed = other86.formed;
-  replica = std::move(other86.replica);
-  incarnation = other86.incarnation;
-  leader = std::move(other86.leader);
-  term = other86.term;
-  commit = other86.commit;
-  applied = other86.applied;
-  members = std::move(other86.members);
-  silentMillis = std::move(other86.silentMillis);
-  lastIndex = other86.lastIndex;
-  failed = other86.failed;
-  __isset = other86.__isset;
+ClaimImage& ClaimImage::operator=(ClaimImage&& other164) noexcept {
+  claims = std::move(other164.claims);
+  results = std::move(other164.results);
+  __isset = other164.__isset;
   return *this;
 }
-void GroupStatus::printTo(std::ostream& out) const {
+void ClaimImage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "GroupStatus(";
-  out << "group=" << to_string(group);
-  out << ", " << "formed=" << to_string(formed);
-  out << ", " << "replica=" << to_string(replica);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "leader=" << to_string(leader);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "applied=" << to_string(applied);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "silentMillis=" << to_string(silentMillis);
-  out << ", " << "lastIndex=" << to_string(lastIndex);
-  out << ", " << "failed=" << to_string(failed);
+  out << "ClaimImage(";
+  out << "claims=" << to_string(claims);
+  out << ", " << "results=" << to_string(results);
   out << ")";
 }
 
 
-CommandResult::~CommandResult() noexcept {
-}
-
-
-void CommandResult::__set_code(const ResultCode::type val) {
-  this->code = val;
-}
-
-void CommandResult::__set_message(const std::string& val) {
-  this->message = val;
-}
-
-void CommandResult::__set_version(const int64_t val) {
-  this->version = val;
+Proposal::~Proposal() noexcept {
 }
 
-void CommandResult::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
 
-void CommandResult::__set_leader(const std::string& val) {
-  this->leader = val;
+void Proposal::__set_number(const int64_t val) {
+  this->number = val;
 }
 
-void CommandResult::__set_finished(const bool val) {
-  this->finished = val;
+void Proposal::__set_basedOn(const int64_t val) {
+  this->basedOn = val;
 }
 
-void CommandResult::__set_status(const int32_t val) {
-  this->status = val;
+void Proposal::__set_author(const std::string& val) {
+  this->author = val;
 }
 
-void CommandResult::__set_contentType(const std::string& val) {
-  this->contentType = val;
+void Proposal::__set_body(const std::string& val) {
+  this->body = val;
 }
 
-void CommandResult::__set_body(const std::string& val) {
-  this->body = val;
+void Proposal::__set_atMicros(const int64_t val) {
+  this->atMicros = val;
 }
-std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
+std::ostream& operator<<(std::ostream& out, const Proposal& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Proposal::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2696,75 +4929,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast87;
-          xfer += iprot->readI32(ecast87);
-          this->code = static_cast<ResultCode::type>(ecast87);
-          this->__isset.code = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+          xfer += iprot->readI64(this->basedOn);
+          this->__isset.basedOn = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader);
-          this->__isset.leader = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->finished);
-          this->__isset.finished = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->contentType);
-          this->__isset.contentType = true;
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMicros);
+          this->__isset.atMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2781,45 +4980,29 @@
   return xfer;
 }
 
-uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Proposal::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CommandResult");
-
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->code));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->message);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->proposal);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Proposal");
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->finished);
+  xfer += oprot->writeFieldBegin("basedOn", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->basedOn);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->contentType);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->atMicros);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2827,117 +5010,93 @@
   return xfer;
 }
 
-void swap(CommandResult &a, CommandResult &b) {
+void swap(Proposal &a, Proposal &b) {
   using ::std::swap;
-  swap(a.code, b.code);
-  swap(a.message, b.message);
-  swap(a.version, b.version);
-  swap(a.proposal, b.proposal);
-  swap(a.leader, b.leader);
-  swap(a.finished, b.finished);
-  swap(a.status, b.status);
-  swap(a.contentType, b.contentType);
+  swap(a.number, b.number);
+  swap(a.basedOn, b.basedOn);
+  swap(a.author, b.author);
   swap(a.body, b.body);
+  swap(a.atMicros, b.atMicros);
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other88) {
-  code = other88.code;
-  message = other88.message;
-  version = other88.version;
-  proposal = other88.proposal;
-  leader = other88.leader;
-  finished = other88.finished;
-  status = other88.status;
-  contentType = other88.contentType;
-  body = other88.body;
-  __isset = other88.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other89) noexcept {
-  code = other89.code;
-  message = std::move(other89.message);
-  version = other89.version;
-  proposal = other89.proposal;
-  leader = std::move(other89.leader);
-  finished = other89.finished;
-  status = other89.status;
-  contentType = std::move(other89.contentType);
-  body = std::move(other89.body);
-  __isset = other89.__isset;
+Proposal::Proposal(const Proposal& other165) {
+  number = other165.number;
+  basedOn = other165.basedOn;
+  author = other165.author;
+  body = other165.body;
+  atMicros = other165.atMicros;
+  __isset = other165.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other90) {
-  code = other90.code;
-  message = other90.message;
-  version = other90.version;
-  proposal = other90.proposal;
-  leader = other90.leader;
-  finished = other90.finished;
-  status = other90.status;
-  contentType = other90.contentType;
-  body = other90.body;
-  __isset = other90.__isset;
+Proposal::Proposal(Proposal&& other166) noexcept {
+  number = other166.number;
+  basedOn = other166.basedOn;
+  author = std::move(other166.author);
+  body = std::move(other166.body);
+  atMicros = other166.atMicros;
+  __isset = other166.__isset;
+}
+Proposal& Proposal::operator=(const Proposal& other167) {
+  number = other167.number;
+  basedOn = other167.basedOn;
+  author = other167.author;
+  body = other167.body;
+  atMicros = other167.atMicros;
+  __isset = other167.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other91) noexcept {
-  code = other91.code;
-  message = std::move(other91.message);
-  version = other91.version;
-  proposal = other91.proposal;
-  leader = std::move(other91.leader);
-  finished = other91.finished;
-  status = other91.status;
-  contentType = std::move(other91.contentType);
-  body = std::move(other91.body);
-  __isset = other91.__isset;
+Proposal& Proposal::operator=(Proposal&& other168) noexcept {
+  number = other168.number;
+  basedOn = other168.basedOn;
+  author = std::move(other168.author);
+  body = std::move(other168.body);
+  atMicros = other168.atMicros;
+  __isset = other168.__isset;
   return *this;
 }
-void CommandResult::printTo(std::ostream& out) const {
+void Proposal::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CommandResult(";
-  out << "code=" << to_string(code);
-  out << ", " << "message=" << to_string(message);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "proposal=" << to_string(proposal);
-  out << ", " << "leader=" << to_string(leader);
-  out << ", " << "finished=" << to_string(finished);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "contentType=" << to_string(contentType);
+  out << "Proposal(";
+  out << "number=" << to_string(number);
+  out << ", " << "basedOn=" << to_string(basedOn);
+  out << ", " << "author=" << to_string(author);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "atMicros=" << to_string(atMicros);
   out << ")";
 }
 
 
-ConfigurationUpdate::~ConfigurationUpdate() noexcept {
+VersionRecord::~VersionRecord() noexcept {
 }
 
 
-void ConfigurationUpdate::__set_fromVersion(const int64_t val) {
-  this->fromVersion = val;
+void VersionRecord::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ConfigurationUpdate::__set_toVersion(const int64_t val) {
-  this->toVersion = val;
+void VersionRecord::__set_author(const std::string& val) {
+  this->author = val;
 }
 
-void ConfigurationUpdate::__set_hash(const std::string& val) {
-  this->hash = val;
+void VersionRecord::__set_summary(const std::string& val) {
+  this->summary = val;
 }
 
-void ConfigurationUpdate::__set_whole(const bool val) {
-  this->whole = val;
+void VersionRecord::__set_atMicros(const int64_t val) {
+  this->atMicros = val;
 }
 
-void ConfigurationUpdate::__set_payload(const std::string& val) {
-  this->payload = val;
+void VersionRecord::__set_hash(const std::string& val) {
+  this->hash = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigurationUpdate& obj)
+std::ostream& operator<<(std::ostream& out, const VersionRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigurationUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VersionRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2960,40 +5119,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fromVersion);
-          this->__isset.fromVersion = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->toVersion);
-          this->__isset.toVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
+          xfer += iprot->readString(this->summary);
+          this->__isset.summary = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->whole);
-          this->__isset.whole = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->atMicros);
+          this->__isset.atMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->payload);
-          this->__isset.payload = true;
+          xfer += iprot->readString(this->hash);
+          this->__isset.hash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3010,29 +5169,29 @@
   return xfer;
 }
 
-uint32_t ConfigurationUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VersionRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigurationUpdate");
+  xfer += oprot->writeStructBegin("VersionRecord");
 
-  xfer += oprot->writeFieldBegin("fromVersion", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->fromVersion);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("toVersion", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->toVersion);
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->author);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldBegin("summary", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->summary);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->atMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeBinary(this->payload);
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->hash);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3040,85 +5199,105 @@
   return xfer;
 }
 
-void swap(ConfigurationUpdate &a, ConfigurationUpdate &b) {
+void swap(VersionRecord &a, VersionRecord &b) {
   using ::std::swap;
-  swap(a.fromVersion, b.fromVersion);
-  swap(a.toVersion, b.toVersion);
+  swap(a.version, b.version);
+  swap(a.author, b.author);
+  swap(a.summary, b.summary);
+  swap(a.atMicros, b.atMicros);
   swap(a.hash, b.hash);
-  swap(a.whole, b.whole);
-  swap(a.payload, b.payload);
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationUpdate::ConfigurationUpdate(const ConfigurationUpdate& other92) {
-  fromVersion = other92.fromVersion;
-  toVersion = other92.toVersion;
-  hash = other92.hash;
-  whole = other92.whole;
-  payload = other92.payload;
-  __isset = other92.__isset;
-}
-ConfigurationUpdate::ConfigurationUpdate(ConfigurationUpdate&& other93) noexcept {
-  fromVersion = other93.fromVersion;
-  toVersion = other93.toVersion;
-  hash = std::move(other93.hash);
-  whole = other93.whole;
-  payload = std::move(other93.payload);
-  __isset = other93.__isset;
-}
-ConfigurationUpdate& ConfigurationUpdate::operator=(const ConfigurationUpdate& other94) {
-  fromVersion = other94.fromVersion;
-  toVersion = other94.toVersion;
-  hash = other94.hash;
-  whole = other94.whole;
-  payload = other94.payload;
-  __isset = other94.__isset;
+VersionRecord::VersionRecord(const VersionRecord& other169) {
+  version = other169.version;
+  author = other169.author;
+  summary = other169.summary;
+  atMicros = other169.atMicros;
+  hash = other169.hash;
+  __isset = other169.__isset;
+}
+VersionRecord::VersionRecord(VersionRecord&& other170) noexcept {
+  version = other170.version;
+  author = std::move(other170.author);
+  summary = std::move(other170.summary);
+  atMicros = other170.atMicros;
+  hash = std::move(other170.hash);
+  __isset = other170.__isset;
+}
+VersionRecord& VersionRecord::operator=(const VersionRecord& other171) {
+  version = other171.version;
+  author = other171.author;
+  summary = other171.summary;
+  atMicros = other171.atMicros;
+  hash = other171.hash;
+  __isset = other171.__isset;
   return *this;
 }
-ConfigurationUpdate& ConfigurationUpdate::operator=(ConfigurationUpdate&& other95) noexcept {
-  fromVersion = other95.fromVersion;
-  toVersion = other95.toVersion;
-  hash = std::move(other95.hash);
-  whole = other95.whole;
-  payload = std::move(other95.payload);
-  __isset = other95.__isset;
+VersionRecord& VersionRecord::operator=(VersionRecord&& other172) noexcept {
+  version = other172.version;
+  author = std::move(other172.author);
+  summary = std::move(other172.summary);
+  atMicros = other172.atMicros;
+  hash = std::move(other172.hash);
+  __isset = other172.__isset;
   return *this;
 }
-void ConfigurationUpdate::printTo(std::ostream& out) const {
+void VersionRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigurationUpdate(";
-  out << "fromVersion=" << to_string(fromVersion);
-  out << ", " << "toVersion=" << to_string(toVersion);
+  out << "VersionRecord(";
+  out << "version=" << to_string(version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "summary=" << to_string(summary);
+  out << ", " << "atMicros=" << to_string(atMicros);
   out << ", " << "hash=" << to_string(hash);
-  out << ", " << "whole=" << to_string(whole);
-  out << ", " << "payload=" << to_string(payload);
   out << ")";
 }
 
 
-ReadIndex::~ReadIndex() noexcept {
+ConfigurationImage::~ConfigurationImage() noexcept {
 }
 
 
-void ReadIndex::__set_confirmed(const bool val) {
-  this->confirmed = val;
+void ConfigurationImage::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ReadIndex::__set_index(const int64_t val) {
-  this->index = val;
+void ConfigurationImage::__set_history(const std::vector<VersionRecord> & val) {
+  this->history = val;
 }
 
-void ReadIndex::__set_leader(const std::string& val) {
-  this->leader = val;
+void ConfigurationImage::__set_proposals(const std::vector<Proposal> & val) {
+  this->proposals = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReadIndex& obj)
+
+void ConfigurationImage::__set_nextProposal(const int64_t val) {
+  this->nextProposal = val;
+}
+
+void ConfigurationImage::__set_results(const std::vector<StoredResult> & val) {
+  this->results = val;
+}
+
+void ConfigurationImage::__set_updates(const std::vector<ConfigurationUpdate> & val) {
+  this->updates = val;
+}
+
+void ConfigurationImage::__set_rollouts(const std::vector<RolloutRecord> & val) {
+  this->rollouts = val;
+}
+
+void ConfigurationImage::__set_rolloutRevision(const int64_t val) {
+  this->rolloutRevision = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigurationImage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ReadIndex::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigurationImage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3140,25 +5319,125 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->confirmed);
-          this->__isset.confirmed = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->history.clear();
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->history.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
+            {
+              xfer += this->history[_i177].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.history = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->proposals.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->proposals.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += this->proposals[_i182].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.proposals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->nextProposal);
+          this->__isset.nextProposal = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader);
-          this->__isset.leader = true;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->results.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
+            {
+              xfer += this->results[_i187].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->updates.clear();
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->updates.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
+            {
+              xfer += this->updates[_i192].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.updates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rollouts.clear();
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->rollouts.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
+            {
+              xfer += this->rollouts[_i197].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rolloutRevision);
+          this->__isset.rolloutRevision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3175,21 +5454,81 @@
   return xfer;
 }
 
-uint32_t ReadIndex::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigurationImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReadIndex");
+  xfer += oprot->writeStructBegin("ConfigurationImage");
 
-  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
+    std::vector<VersionRecord> ::const_iterator _iter198;
+    for (_iter198 = this->history.begin(); _iter198 != this->history.end(); ++_iter198)
+    {
+      xfer += (*_iter198).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldBegin("proposals", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proposals.size()));
+    std::vector<Proposal> ::const_iterator _iter199;
+    for (_iter199 = this->proposals.begin(); _iter199 != this->proposals.end(); ++_iter199)
+    {
+      xfer += (*_iter199).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nextProposal", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->nextProposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<StoredResult> ::const_iterator _iter200;
+    for (_iter200 = this->results.begin(); _iter200 != this->results.end(); ++_iter200)
+    {
+      xfer += (*_iter200).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
+    std::vector<ConfigurationUpdate> ::const_iterator _iter201;
+    for (_iter201 = this->updates.begin(); _iter201 != this->updates.end(); ++_iter201)
+    {
+      xfer += (*_iter201).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+    std::vector<RolloutRecord> ::const_iterator _iter202;
+    for (_iter202 = this->rollouts.begin(); _iter202 != this->rollouts.end(); ++_iter202)
+    {
+      xfer += (*_iter202).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rolloutRevision", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->rolloutRevision);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3197,93 +5536,152 @@
   return xfer;
 }
 
-void swap(ReadIndex &a, ReadIndex &b) {
-  using ::std::swap;
-  swap(a.confirmed, b.confirmed);
-  swap(a.index, b.index);
-  swap(a.leader, b.leader);
-  swap(a.__isset, b.__isset);
-}
+void swap(ConfigurationImage &a, ConfigurationImage &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.history, b.history);
+  swap(a.proposals, b.proposals);
+  swap(a.nextProposal, b.nextProposal);
+  swap(a.results, b.results);
+  swap(a.updates, b.updates);
+  swap(a.rollouts, b.rollouts);
+  swap(a.rolloutRevision, b.rolloutRevision);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationImage::ConfigurationImage(const ConfigurationImage& other203) {
+  version = other203.version;
+  history = other203.history;
+  proposals = other203.proposals;
+  nextProposal = other203.nextProposal;
+  results = other203.results;
+  updates = other203.updates;
+  rollouts = other203.rollouts;
+  rolloutRevision = other203.rolloutRevision;
+  __isset = other203.__isset;
+}
+ConfigurationImage::ConfigurationImage(ConfigurationImage&& other204) noexcept {
+  version = other204.version;
+  history = std::move(other204.history);
+  proposals = std::move(other204.proposals);
+  nextProposal = other204.nextProposal;
+  results = std::move(other204.results);
+  updates = std::move(other204.updates);
+  rollouts = std::move(other204.rollouts);
+  rolloutRevision = other204.rolloutRevision;
+  __isset = other204.__isset;
+}
+ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other205) {
+  version = other205.version;
+  history = other205.history;
+  proposals = other205.proposals;
+  nextProposal = other205.nextProposal;
+  results = other205.results;
+  updates = other205.updates;
+  rollouts = other205.rollouts;
+  rolloutRevision = other205.rolloutRevision;
+  __isset = other205.__isset;
+  return *this;
+}
+ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other206) noexcept {
+  version = other206.version;
+  history = std::move(other206.history);
+  proposals = std::move(other206.proposals);
+  nextProposal = other206.nextProposal;
+  results = std::move(other206.results);
+  updates = std::move(other206.updates);
+  rollouts = std::move(other206.rollouts);
+  rolloutRevision = other206.rolloutRevision;
+  __isset = other206.__isset;
+  return *this;
+}
+void ConfigurationImage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationImage(";
+  out << "version=" << to_string(version);
+  out << ", " << "history=" << to_string(history);
+  out << ", " << "proposals=" << to_string(proposals);
+  out << ", " << "nextProposal=" << to_string(nextProposal);
+  out << ", " << "results=" << to_string(results);
+  out << ", " << "updates=" << to_string(updates);
+  out << ", " << "rollouts=" << to_string(rollouts);
+  out << ", " << "rolloutRevision=" << to_string(rolloutRevision);
+  out << ")";
+}
+
 
-ReadIndex::ReadIndex(const ReadIndex& other96) {
-  confirmed = other96.confirmed;
-  index = other96.index;
-  leader = other96.leader;
-  __isset = other96.__isset;
+Member::~Member() noexcept {
 }
-ReadIndex::ReadIndex(ReadIndex&& other97) noexcept {
-  confirmed = other97.confirmed;
-  index = other97.index;
-  leader = std::move(other97.leader);
-  __isset = other97.__isset;
+
+
+void Member::__set_name(const std::string& val) {
+  this->name = val;
 }
-ReadIndex& ReadIndex::operator=(const ReadIndex& other98) {
-  confirmed = other98.confirmed;
-  index = other98.index;
-  leader = other98.leader;
-  __isset = other98.__isset;
-  return *this;
+
+void Member::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
-ReadIndex& ReadIndex::operator=(ReadIndex&& other99) noexcept {
-  confirmed = other99.confirmed;
-  index = other99.index;
-  leader = std::move(other99.leader);
-  __isset = other99.__isset;
-  return *this;
+
+void Member::__set_revision(const int64_t val) {
+  this->revision = val;
 }
-void ReadIndex::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ReadIndex(";
-  out << "confirmed=" << to_string(confirmed);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "leader=" << to_string(leader);
-  out << ")";
+
+void Member::__set_state(const MemberState::type val) {
+  this->state = val;
 }
 
+void Member::__set_region(const std::string& val) {
+  this->region = val;
+}
 
-ClaimRecord::~ClaimRecord() noexcept {
+void Member::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
 }
 
+void Member::__set_peerAddress(const std::string& val) {
+  this->peerAddress = val;
+}
 
-void ClaimRecord::__set_key(const std::string& val) {
-  this->key = val;
+void Member::__set_gateAddress(const std::string& val) {
+  this->gateAddress = val;
 }
 
-void ClaimRecord::__set_token(const std::string& val) {
-  this->token = val;
+void Member::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
 }
 
-void ClaimRecord::__set_claimedAtMicros(const int64_t val) {
-  this->claimedAtMicros = val;
+void Member::__set_targetName(const std::string& val) {
+  this->targetName = val;
 }
 
-void ClaimRecord::__set_finished(const bool val) {
-  this->finished = val;
+void Member::__set_phase(const TargetPhase::type val) {
+  this->phase = val;
 }
 
-void ClaimRecord::__set_status(const int32_t val) {
-  this->status = val;
+void Member::__set_slots(const int32_t val) {
+  this->slots = val;
 }
 
-void ClaimRecord::__set_contentType(const std::string& val) {
-  this->contentType = val;
+void Member::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ClaimRecord::__set_body(const std::string& val) {
-  this->body = val;
+void Member::__set_warmUpMillis(const int32_t val) {
+  this->warmUpMillis = val;
 }
 
-void ClaimRecord::__set_fingerprint(const std::string& val) {
-  this->fingerprint = val;
+void Member::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
+__isset.targetVersion = true;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
+std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3306,247 +5704,124 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->token);
-          this->__isset.token = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->claimedAtMicros);
-          this->__isset.claimedAtMicros = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->finished);
-          this->__isset.finished = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast207;
+          xfer += iprot->readI32(ecast207);
+          this->state = static_cast<MemberState::type>(ecast207);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->contentType);
-          this->__isset.contentType = true;
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+          xfer += iprot->readString(this->peerAddress);
+          this->__isset.peerAddress = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fingerprint);
-          this->__isset.fingerprint = true;
+          xfer += iprot->readString(this->gateAddress);
+          this->__isset.gateAddress = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimRecord");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->token);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("claimedAtMicros", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->claimedAtMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->finished);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->status);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("contentType", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->contentType);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->body);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ClaimRecord &a, ClaimRecord &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.token, b.token);
-  swap(a.claimedAtMicros, b.claimedAtMicros);
-  swap(a.finished, b.finished);
-  swap(a.status, b.status);
-  swap(a.contentType, b.contentType);
-  swap(a.body, b.body);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.__isset, b.__isset);
-}
-
-ClaimRecord::ClaimRecord(const ClaimRecord& other100) {
-  key = other100.key;
-  token = other100.token;
-  claimedAtMicros = other100.claimedAtMicros;
-  finished = other100.finished;
-  status = other100.status;
-  contentType = other100.contentType;
-  body = other100.body;
-  fingerprint = other100.fingerprint;
-  __isset = other100.__isset;
-}
-ClaimRecord::ClaimRecord(ClaimRecord&& other101) noexcept {
-  key = std::move(other101.key);
-  token = std::move(other101.token);
-  claimedAtMicros = other101.claimedAtMicros;
-  finished = other101.finished;
-  status = other101.status;
-  contentType = std::move(other101.contentType);
-  body = std::move(other101.body);
-  fingerprint = std::move(other101.fingerprint);
-  __isset = other101.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other102) {
-  key = other102.key;
-  token = other102.token;
-  claimedAtMicros = other102.claimedAtMicros;
-  finished = other102.finished;
-  status = other102.status;
-  contentType = other102.contentType;
-  body = other102.body;
-  fingerprint = other102.fingerprint;
-  __isset = other102.__isset;
-  return *this;
-}
-ClaimRecord& ClaimRecord::operator=(ClaimRecord&& other103) noexcept {
-  key = std::move(other103.key);
-  token = std::move(other103.token);
-  claimedAtMicros = other103.claimedAtMicros;
-  finished = other103.finished;
-  status = other103.status;
-  contentType = std::move(other103.contentType);
-  body = std::move(other103.body);
-  fingerprint = std::move(other103.fingerprint);
-  __isset = other103.__isset;
-  return *this;
-}
-void ClaimRecord::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ClaimRecord(";
-  out << "key=" << to_string(key);
-  out << ", " << "token=" << to_string(token);
-  out << ", " << "claimedAtMicros=" << to_string(claimedAtMicros);
-  out << ", " << "finished=" << to_string(finished);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "contentType=" << to_string(contentType);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ")";
-}
-
-
-StoredResult::~StoredResult() noexcept {
-}
-
-
-void StoredResult::__set_requestId(const std::string& val) {
-  this->requestId = val;
-}
-
-void StoredResult::__set_result(const CommandResult& val) {
-  this->result = val;
-}
-std::ostream& operator<<(std::ostream& out, const StoredResult& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t StoredResult::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->requestId);
-          this->__isset.requestId = true;
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetName);
+          this->__isset.targetName = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->result.read(iprot);
-          this->__isset.result = true;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast208;
+          xfer += iprot->readI32(ecast208);
+          this->phase = static_cast<TargetPhase::type>(ecast208);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->warmUpMillis);
+          this->__isset.warmUpMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3563,81 +5838,208 @@
   return xfer;
 }
 
-uint32_t StoredResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Member::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StoredResult");
+  xfer += oprot->writeStructBegin("Member");
 
-  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->result.write(oprot);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->region);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->peerAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateAddress", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->gateAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetName", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->targetName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("warmUpMillis", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->warmUpMillis);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.targetVersion) {
+    xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeString(this->targetVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(StoredResult &a, StoredResult &b) {
+void swap(Member &a, Member &b) {
   using ::std::swap;
-  swap(a.requestId, b.requestId);
-  swap(a.result, b.result);
+  swap(a.name, b.name);
+  swap(a.incarnation, b.incarnation);
+  swap(a.revision, b.revision);
+  swap(a.state, b.state);
+  swap(a.region, b.region);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.peerAddress, b.peerAddress);
+  swap(a.gateAddress, b.gateAddress);
+  swap(a.serviceName, b.serviceName);
+  swap(a.targetName, b.targetName);
+  swap(a.phase, b.phase);
+  swap(a.slots, b.slots);
+  swap(a.version, b.version);
+  swap(a.warmUpMillis, b.warmUpMillis);
+  swap(a.targetVersion, b.targetVersion);
   swap(a.__isset, b.__isset);
 }
 
-StoredResult::StoredResult(const StoredResult& other104) {
-  requestId = other104.requestId;
-  result = other104.result;
-  __isset = other104.__isset;
-}
-StoredResult::StoredResult(StoredResult&& other105) noexcept {
-  requestId = std::move(other105.requestId);
-  result = std::move(other105.result);
-  __isset = other105.__isset;
-}
-StoredResult& StoredResult::operator=(const StoredResult& other106) {
-  requestId = other106.requestId;
-  result = other106.result;
-  __isset = other106.__isset;
+Member::Member(const Member& other209) {
+  name = other209.name;
+  incarnation = other209.incarnation;
+  revision = other209.revision;
+  state = other209.state;
+  region = other209.region;
+  failureDomain = other209.failureDomain;
+  peerAddress = other209.peerAddress;
+  gateAddress = other209.gateAddress;
+  serviceName = other209.serviceName;
+  targetName = other209.targetName;
+  phase = other209.phase;
+  slots = other209.slots;
+  version = other209.version;
+  warmUpMillis = other209.warmUpMillis;
+  targetVersion = other209.targetVersion;
+  __isset = other209.__isset;
+}
+Member::Member(Member&& other210) noexcept {
+  name = std::move(other210.name);
+  incarnation = other210.incarnation;
+  revision = other210.revision;
+  state = other210.state;
+  region = std::move(other210.region);
+  failureDomain = std::move(other210.failureDomain);
+  peerAddress = std::move(other210.peerAddress);
+  gateAddress = std::move(other210.gateAddress);
+  serviceName = std::move(other210.serviceName);
+  targetName = std::move(other210.targetName);
+  phase = other210.phase;
+  slots = other210.slots;
+  version = other210.version;
+  warmUpMillis = other210.warmUpMillis;
+  targetVersion = std::move(other210.targetVersion);
+  __isset = other210.__isset;
+}
+Member& Member::operator=(const Member& other211) {
+  name = other211.name;
+  incarnation = other211.incarnation;
+  revision = other211.revision;
+  state = other211.state;
+  region = other211.region;
+  failureDomain = other211.failureDomain;
+  peerAddress = other211.peerAddress;
+  gateAddress = other211.gateAddress;
+  serviceName = other211.serviceName;
+  targetName = other211.targetName;
+  phase = other211.phase;
+  slots = other211.slots;
+  version = other211.version;
+  warmUpMillis = other211.warmUpMillis;
+  targetVersion = other211.targetVersion;
+  __isset = other211.__isset;
   return *this;
 }
-StoredResult& StoredResult::operator=(StoredResult&& other107) noexcept {
-  requestId = std::move(other107.requestId);
-  result = std::move(other107.result);
-  __isset = other107.__isset;
+Member& Member::operator=(Member&& other212) noexcept {
+  name = std::move(other212.name);
+  incarnation = other212.incarnation;
+  revision = other212.revision;
+  state = other212.state;
+  region = std::move(other212.region);
+  failureDomain = std::move(other212.failureDomain);
+  peerAddress = std::move(other212.peerAddress);
+  gateAddress = std::move(other212.gateAddress);
+  serviceName = std::move(other212.serviceName);
+  targetName = std::move(other212.targetName);
+  phase = other212.phase;
+  slots = other212.slots;
+  version = other212.version;
+  warmUpMillis = other212.warmUpMillis;
+  targetVersion = std::move(other212.targetVersion);
+  __isset = other212.__isset;
   return *this;
 }
-void StoredResult::printTo(std::ostream& out) const {
+void Member::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StoredResult(";
-  out << "requestId=" << to_string(requestId);
-  out << ", " << "result=" << to_string(result);
+  out << "Member(";
+  out << "name=" << to_string(name);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ", " << "gateAddress=" << to_string(gateAddress);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "targetName=" << to_string(targetName);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "warmUpMillis=" << to_string(warmUpMillis);
+  out << ", " << "targetVersion="; (__isset.targetVersion ? (out << to_string(targetVersion)) : (out << "<null>"));
   out << ")";
 }
 
 
-ClaimImage::~ClaimImage() noexcept {
+MemberBatch::~MemberBatch() noexcept {
 }
 
 
-void ClaimImage::__set_claims(const std::vector<ClaimRecord> & val) {
-  this->claims = val;
-}
-
-void ClaimImage::__set_results(const std::vector<StoredResult> & val) {
-  this->results = val;
+void MemberBatch::__set_members(const std::vector<Member> & val) {
+  this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimImage& obj)
+std::ostream& operator<<(std::ostream& out, const MemberBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimImage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MemberBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3661,39 +6063,19 @@
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->claims.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->claims.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
-            {
-              xfer += this->claims[_i112].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.claims = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->results.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->results.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            this->members.clear();
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->members.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += this->results[_i117].read(iprot);
+              xfer += this->members[_i217].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.results = true;
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3710,30 +6092,18 @@
   return xfer;
 }
 
-uint32_t ClaimImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimImage");
-
-  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimRecord> ::const_iterator _iter118;
-    for (_iter118 = this->claims.begin(); _iter118 != this->claims.end(); ++_iter118)
-    {
-      xfer += (*_iter118).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("MemberBatch");
 
-  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter119;
-    for (_iter119 = this->results.begin(); _iter119 != this->results.end(); ++_iter119)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter218;
+    for (_iter218 = this->members.begin(); _iter218 != this->members.end(); ++_iter218)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3744,75 +6114,81 @@
   return xfer;
 }
 
-void swap(ClaimImage &a, ClaimImage &b) {
+void swap(MemberBatch &a, MemberBatch &b) {
   using ::std::swap;
-  swap(a.claims, b.claims);
-  swap(a.results, b.results);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-ClaimImage::ClaimImage(const ClaimImage& other120) {
-  claims = other120.claims;
-  results = other120.results;
-  __isset = other120.__isset;
+MemberBatch::MemberBatch(const MemberBatch& other219) {
+  members = other219.members;
+  __isset = other219.__isset;
 }
-ClaimImage::ClaimImage(ClaimImage&& other121) noexcept {
-  claims = std::move(other121.claims);
-  results = std::move(other121.results);
-  __isset = other121.__isset;
+MemberBatch::MemberBatch(MemberBatch&& other220) noexcept {
+  members = std::move(other220.members);
+  __isset = other220.__isset;
 }
-ClaimImage& ClaimImage::operator=(const ClaimImage& other122) {
-  claims = other122.claims;
-  results = other122.results;
-  __isset = other122.__isset;
+MemberBatch& MemberBatch::operator=(const MemberBatch& other221) {
+  members = other221.members;
+  __isset = other221.__isset;
   return *this;
 }
-ClaimImage& ClaimImage::operator=(ClaimImage&& other123) noexcept {
-  claims = std::move(other123.claims);
-  results = std::move(other123.results);
-  __isset = other123.__isset;
+MemberBatch& MemberBatch::operator=(MemberBatch&& other222) noexcept {
+  members = std::move(other222.members);
+  __isset = other222.__isset;
   return *this;
 }
-void ClaimImage::printTo(std::ostream& out) const {
+void MemberBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimImage(";
-  out << "claims=" << to_string(claims);
-  out << ", " << "results=" << to_string(results);
+  out << "MemberBatch(";
+  out << "members=" << to_string(members);
   out << ")";
 }
 
 
-Proposal::~Proposal() noexcept {
+Gossip::~Gossip() noexcept {
 }
 
 
-void Proposal::__set_number(const int64_t val) {
-  this->number = val;
+void Gossip::__set_sentAt(const Stamp& val) {
+  this->sentAt = val;
 }
 
-void Proposal::__set_basedOn(const int64_t val) {
-  this->basedOn = val;
+void Gossip::__set_sender(const std::string& val) {
+  this->sender = val;
 }
 
-void Proposal::__set_author(const std::string& val) {
-  this->author = val;
+void Gossip::__set_members(const std::vector<Member> & val) {
+  this->members = val;
 }
 
-void Proposal::__set_body(const std::string& val) {
-  this->body = val;
+void Gossip::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void Proposal::__set_atMicros(const int64_t val) {
-  this->atMicros = val;
+void Gossip::__set_digest(const int64_t val) {
+  this->digest = val;
 }
-std::ostream& operator<<(std::ostream& out, const Proposal& obj)
+
+void Gossip::__set_mesh(const bool val) {
+  this->mesh = val;
+}
+
+void Gossip::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void Gossip::__set_packedMembers(const std::string& val) {
+  this->packedMembers = val;
+}
+std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Proposal::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Gossip::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3834,41 +6210,89 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sentAt.read(iprot);
+          this->__isset.sentAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->members.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
+            {
+              xfer += this->members[_i227].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->basedOn);
-          this->__isset.basedOn = true;
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mesh);
+          this->__isset.mesh = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->parts.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
+            {
+              xfer += iprot->readI64(this->parts[_i232]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->atMicros);
-          this->__isset.atMicros = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedMembers);
+          this->__isset.packedMembers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3885,29 +6309,57 @@
   return xfer;
 }
 
-uint32_t Proposal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Gossip::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Proposal");
+  xfer += oprot->writeStructBegin("Gossip");
 
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sentAt.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("basedOn", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->basedOn);
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->sender);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter233;
+    for (_iter233 = this->members.begin(); _iter233 != this->members.end(); ++_iter233)
+    {
+      xfer += (*_iter233).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->atMicros);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mesh", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->mesh);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter234;
+    for (_iter234 = this->parts.begin(); _iter234 != this->parts.end(); ++_iter234)
+    {
+      xfer += oprot->writeI64((*_iter234));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeBinary(this->packedMembers);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3915,93 +6367,119 @@
   return xfer;
 }
 
-void swap(Proposal &a, Proposal &b) {
+void swap(Gossip &a, Gossip &b) {
   using ::std::swap;
-  swap(a.number, b.number);
-  swap(a.basedOn, b.basedOn);
-  swap(a.author, b.author);
-  swap(a.body, b.body);
-  swap(a.atMicros, b.atMicros);
+  swap(a.sentAt, b.sentAt);
+  swap(a.sender, b.sender);
+  swap(a.members, b.members);
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.mesh, b.mesh);
+  swap(a.parts, b.parts);
+  swap(a.packedMembers, b.packedMembers);
   swap(a.__isset, b.__isset);
 }
 
-Proposal::Proposal(const Proposal& other124) {
-  number = other124.number;
-  basedOn = other124.basedOn;
-  author = other124.author;
-  body = other124.body;
-  atMicros = other124.atMicros;
-  __isset = other124.__isset;
-}
-Proposal::Proposal(Proposal&& other125) noexcept {
-  number = other125.number;
-  basedOn = other125.basedOn;
-  author = std::move(other125.author);
-  body = std::move(other125.body);
-  atMicros = other125.atMicros;
-  __isset = other125.__isset;
-}
-Proposal& Proposal::operator=(const Proposal& other126) {
-  number = other126.number;
-  basedOn = other126.basedOn;
-  author = other126.author;
-  body = other126.body;
-  atMicros = other126.atMicros;
-  __isset = other126.__isset;
+Gossip::Gossip(const Gossip& other235) {
+  sentAt = other235.sentAt;
+  sender = other235.sender;
+  members = other235.members;
+  version = other235.version;
+  digest = other235.digest;
+  mesh = other235.mesh;
+  parts = other235.parts;
+  packedMembers = other235.packedMembers;
+  __isset = other235.__isset;
+}
+Gossip::Gossip(Gossip&& other236) noexcept {
+  sentAt = std::move(other236.sentAt);
+  sender = std::move(other236.sender);
+  members = std::move(other236.members);
+  version = other236.version;
+  digest = other236.digest;
+  mesh = other236.mesh;
+  parts = std::move(other236.parts);
+  packedMembers = std::move(other236.packedMembers);
+  __isset = other236.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other237) {
+  sentAt = other237.sentAt;
+  sender = other237.sender;
+  members = other237.members;
+  version = other237.version;
+  digest = other237.digest;
+  mesh = other237.mesh;
+  parts = other237.parts;
+  packedMembers = other237.packedMembers;
+  __isset = other237.__isset;
   return *this;
 }
-Proposal& Proposal::operator=(Proposal&& other127) noexcept {
-  number = other127.number;
-  basedOn = other127.basedOn;
-  author = std::move(other127.author);
-  body = std::move(other127.body);
-  atMicros = other127.atMicros;
-  __isset = other127.__isset;
+Gossip& Gossip::operator=(Gossip&& other238) noexcept {
+  sentAt = std::move(other238.sentAt);
+  sender = std::move(other238.sender);
+  members = std::move(other238.members);
+  version = other238.version;
+  digest = other238.digest;
+  mesh = other238.mesh;
+  parts = std::move(other238.parts);
+  packedMembers = std::move(other238.packedMembers);
+  __isset = other238.__isset;
   return *this;
 }
-void Proposal::printTo(std::ostream& out) const {
+void Gossip::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Proposal(";
-  out << "number=" << to_string(number);
-  out << ", " << "basedOn=" << to_string(basedOn);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "atMicros=" << to_string(atMicros);
+  out << "Gossip(";
+  out << "sentAt=" << to_string(sentAt);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "mesh=" << to_string(mesh);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "packedMembers=" << to_string(packedMembers);
   out << ")";
 }
 
 
-VersionRecord::~VersionRecord() noexcept {
+GossipReply::~GossipReply() noexcept {
 }
 
 
-void VersionRecord::__set_version(const int64_t val) {
+void GossipReply::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+
+void GossipReply::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void VersionRecord::__set_author(const std::string& val) {
-  this->author = val;
+void GossipReply::__set_sentAt(const Stamp& val) {
+  this->sentAt = val;
 }
 
-void VersionRecord::__set_summary(const std::string& val) {
-  this->summary = val;
+void GossipReply::__set_digest(const int64_t val) {
+  this->digest = val;
 }
 
-void VersionRecord::__set_atMicros(const int64_t val) {
-  this->atMicros = val;
+void GossipReply::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void VersionRecord::__set_hash(const std::string& val) {
-  this->hash = val;
+void GossipReply::__set_differing(const std::vector<int32_t> & val) {
+  this->differing = val;
 }
-std::ostream& operator<<(std::ostream& out, const VersionRecord& obj)
+
+void GossipReply::__set_packedMembers(const std::string& val) {
+  this->packedMembers = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VersionRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GossipReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4023,41 +6501,81 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->members.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
+            {
+              xfer += this->members[_i243].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->summary);
-          this->__isset.summary = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sentAt.read(iprot);
+          this->__isset.sentAt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->atMicros);
-          this->__isset.atMicros = true;
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->differing.clear();
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->differing.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
+            {
+              xfer += iprot->readI32(this->differing[_i248]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.differing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedMembers);
+          this->__isset.packedMembers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4074,29 +6592,53 @@
   return xfer;
 }
 
-uint32_t VersionRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GossipReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VersionRecord");
+  xfer += oprot->writeStructBegin("GossipReply");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter249;
+    for (_iter249 = this->members.begin(); _iter249 != this->members.end(); ++_iter249)
+    {
+      xfer += (*_iter249).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->sentAt.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("summary", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->summary);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("atMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->atMicros);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
+    std::vector<int32_t> ::const_iterator _iter250;
+    for (_iter250 = this->differing.begin(); _iter250 != this->differing.end(); ++_iter250)
+    {
+      xfer += oprot->writeI32((*_iter250));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->packedMembers);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4104,97 +6646,117 @@
   return xfer;
 }
 
-void swap(VersionRecord &a, VersionRecord &b) {
+void swap(GossipReply &a, GossipReply &b) {
   using ::std::swap;
+  swap(a.members, b.members);
   swap(a.version, b.version);
-  swap(a.author, b.author);
-  swap(a.summary, b.summary);
-  swap(a.atMicros, b.atMicros);
-  swap(a.hash, b.hash);
+  swap(a.sentAt, b.sentAt);
+  swap(a.digest, b.digest);
+  swap(a.name, b.name);
+  swap(a.differing, b.differing);
+  swap(a.packedMembers, b.packedMembers);
   swap(a.__isset, b.__isset);
 }
 
-VersionRecord::VersionRecord(const VersionRecord& other128) {
-  version = other128.version;
-  author = other128.author;
-  summary = other128.summary;
-  atMicros = other128.atMicros;
-  hash = other128.hash;
-  __isset = other128.__isset;
-}
-VersionRecord::VersionRecord(VersionRecord&& other129) noexcept {
-  version = other129.version;
-  author = std::move(other129.author);
-  summary = std::move(other129.summary);
-  atMicros = other129.atMicros;
-  hash = std::move(other129.hash);
-  __isset = other129.__isset;
-}
-VersionRecord& VersionRecord::operator=(const VersionRecord& other130) {
-  version = other130.version;
-  author = other130.author;
-  summary = other130.summary;
-  atMicros = other130.atMicros;
-  hash = other130.hash;
-  __isset = other130.__isset;
+GossipReply::GossipReply(const GossipReply& other251) {
+  members = other251.members;
+  version = other251.version;
+  sentAt = other251.sentAt;
+  digest = other251.digest;
+  name = other251.name;
+  differing = other251.differing;
+  packedMembers = other251.packedMembers;
+  __isset = other251.__isset;
+}
+GossipReply::GossipReply(GossipReply&& other252) noexcept {
+  members = std::move(other252.members);
+  version = other252.version;
+  sentAt = std::move(other252.sentAt);
+  digest = other252.digest;
+  name = std::move(other252.name);
+  differing = std::move(other252.differing);
+  packedMembers = std::move(other252.packedMembers);
+  __isset = other252.__isset;
+}
+GossipReply& GossipReply::operator=(const GossipReply& other253) {
+  members = other253.members;
+  version = other253.version;
+  sentAt = other253.sentAt;
+  digest = other253.digest;
+  name = other253.name;
+  differing = other253.differing;
+  packedMembers = other253.packedMembers;
+  __isset = other253.__isset;
   return *this;
 }
-VersionRecord& VersionRecord::operator=(VersionRecord&& other131) noexcept {
-  version = other131.version;
-  author = std::move(other131.author);
-  summary = std::move(other131.summary);
-  atMicros = other131.atMicros;
-  hash = std::move(other131.hash);
-  __isset = other131.__isset;
+GossipReply& GossipReply::operator=(GossipReply&& other254) noexcept {
+  members = std::move(other254.members);
+  version = other254.version;
+  sentAt = std::move(other254.sentAt);
+  digest = other254.digest;
+  name = std::move(other254.name);
+  differing = std::move(other254.differing);
+  packedMembers = std::move(other254.packedMembers);
+  __isset = other254.__isset;
   return *this;
 }
-void VersionRecord::printTo(std::ostream& out) const {
+void GossipReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VersionRecord(";
-  out << "version=" << to_string(version);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "summary=" << to_string(summary);
-  out << ", " << "atMicros=" << to_string(atMicros);
-  out << ", " << "hash=" << to_string(hash);
+  out << "GossipReply(";
+  out << "members=" << to_string(members);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "sentAt=" << to_string(sentAt);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "differing=" << to_string(differing);
+  out << ", " << "packedMembers=" << to_string(packedMembers);
   out << ")";
 }
 
 
-ConfigurationImage::~ConfigurationImage() noexcept {
+DomainReport::~DomainReport() noexcept {
 }
 
 
-void ConfigurationImage::__set_version(const int64_t val) {
-  this->version = val;
+void DomainReport::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
 }
 
-void ConfigurationImage::__set_history(const std::vector<VersionRecord> & val) {
-  this->history = val;
+void DomainReport::__set_region(const std::string& val) {
+  this->region = val;
 }
 
-void ConfigurationImage::__set_proposals(const std::vector<Proposal> & val) {
-  this->proposals = val;
+void DomainReport::__set_relay(const std::string& val) {
+  this->relay = val;
 }
 
-void ConfigurationImage::__set_nextProposal(const int64_t val) {
-  this->nextProposal = val;
+void DomainReport::__set_alive(const int32_t val) {
+  this->alive = val;
 }
 
-void ConfigurationImage::__set_results(const std::vector<StoredResult> & val) {
-  this->results = val;
+void DomainReport::__set_nodesAtVersion(const std::map<int64_t, int32_t> & val) {
+  this->nodesAtVersion = val;
 }
 
-void ConfigurationImage::__set_updates(const std::vector<ConfigurationUpdate> & val) {
-  this->updates = val;
+void DomainReport::__set_stragglers(const std::vector<std::string> & val) {
+  this->stragglers = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigurationImage& obj)
+
+void DomainReport::__set_sample(const std::vector<Member> & val) {
+  this->sample = val;
+}
+
+void DomainReport::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const DomainReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigurationImage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t DomainReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4216,57 +6778,56 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->history.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->history.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
-            {
-              xfer += this->history[_i136].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.history = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relay);
+          this->__isset.relay = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->proposals.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->proposals.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
-            {
-              xfer += this->proposals[_i141].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.proposals = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->alive);
+          this->__isset.alive = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->nextProposal);
-          this->__isset.nextProposal = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->nodesAtVersion.clear();
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _ktype256;
+            ::apache::thrift::protocol::TType _vtype257;
+            xfer += iprot->readMapBegin(_ktype256, _vtype257, _size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
+            {
+              int64_t _key260;
+              xfer += iprot->readI64(_key260);
+              int32_t& _val261 = this->nodesAtVersion[_key260];
+              xfer += iprot->readI32(_val261);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.nodesAtVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4274,19 +6835,19 @@
       case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->results.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->results.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            this->stragglers.clear();
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->stragglers.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += this->results[_i146].read(iprot);
+              xfer += iprot->readString(this->stragglers[_i266]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.results = true;
+          this->__isset.stragglers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4294,19 +6855,27 @@
       case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->updates.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->updates.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            this->sample.clear();
+            uint32_t _size267;
+            ::apache::thrift::protocol::TType _etype270;
+            xfer += iprot->readListBegin(_etype270, _size267);
+            this->sample.resize(_size267);
+            uint32_t _i271;
+            for (_i271 = 0; _i271 < _size267; ++_i271)
             {
-              xfer += this->updates[_i151].read(iprot);
+              xfer += this->sample[_i271].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.updates = true;
+          this->__isset.sample = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4323,201 +6892,170 @@
   return xfer;
 }
 
-uint32_t ConfigurationImage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DomainReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigurationImage");
+  xfer += oprot->writeStructBegin("DomainReport");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<VersionRecord> ::const_iterator _iter152;
-    for (_iter152 = this->history.begin(); _iter152 != this->history.end(); ++_iter152)
-    {
-      xfer += (*_iter152).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->region);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proposals", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->alive);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proposals.size()));
-    std::vector<Proposal> ::const_iterator _iter153;
-    for (_iter153 = this->proposals.begin(); _iter153 != this->proposals.end(); ++_iter153)
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
+    std::map<int64_t, int32_t> ::const_iterator _iter272;
+    for (_iter272 = this->nodesAtVersion.begin(); _iter272 != this->nodesAtVersion.end(); ++_iter272)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += oprot->writeI64(_iter272->first);
+      xfer += oprot->writeI32(_iter272->second);
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("nextProposal", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->nextProposal);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<StoredResult> ::const_iterator _iter154;
-    for (_iter154 = this->results.begin(); _iter154 != this->results.end(); ++_iter154)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
+    std::vector<std::string> ::const_iterator _iter273;
+    for (_iter273 = this->stragglers.begin(); _iter273 != this->stragglers.end(); ++_iter273)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += oprot->writeString((*_iter273));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<ConfigurationUpdate> ::const_iterator _iter155;
-    for (_iter155 = this->updates.begin(); _iter155 != this->updates.end(); ++_iter155)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
+    std::vector<Member> ::const_iterator _iter274;
+    for (_iter274 = this->sample.begin(); _iter274 != this->sample.end(); ++_iter274)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ConfigurationImage &a, ConfigurationImage &b) {
+void swap(DomainReport &a, DomainReport &b) {
   using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.history, b.history);
-  swap(a.proposals, b.proposals);
-  swap(a.nextProposal, b.nextProposal);
-  swap(a.results, b.results);
-  swap(a.updates, b.updates);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.region, b.region);
+  swap(a.relay, b.relay);
+  swap(a.alive, b.alive);
+  swap(a.nodesAtVersion, b.nodesAtVersion);
+  swap(a.stragglers, b.stragglers);
+  swap(a.sample, b.sample);
+  swap(a.ageMillis, b.ageMillis);
   swap(a.__isset, b.__isset);
 }
 
-ConfigurationImage::ConfigurationImage(const ConfigurationImage& other156) {
-  version = other156.version;
-  history = other156.history;
-  proposals = other156.proposals;
-  nextProposal = other156.nextProposal;
-  results = other156.results;
-  updates = other156.updates;
-  __isset = other156.__isset;
-}
-ConfigurationImage::ConfigurationImage(ConfigurationImage&& other157) noexcept {
-  version = other157.version;
-  history = std::move(other157.history);
-  proposals = std::move(other157.proposals);
-  nextProposal = other157.nextProposal;
-  results = std::move(other157.results);
-  updates = std::move(other157.updates);
-  __isset = other157.__isset;
-}
-ConfigurationImage& ConfigurationImage::operator=(const ConfigurationImage& other158) {
-  version = other158.version;
-  history = other158.history;
-  proposals = other158.proposals;
-  nextProposal = other158.nextProposal;
-  results = other158.results;
-  updates = other158.updates;
-  __isset = other158.__isset;
+DomainReport::DomainReport(const DomainReport& other275) {
+  failureDomain = other275.failureDomain;
+  region = other275.region;
+  relay = other275.relay;
+  alive = other275.alive;
+  nodesAtVersion = other275.nodesAtVersion;
+  stragglers = other275.stragglers;
+  sample = other275.sample;
+  ageMillis = other275.ageMillis;
+  __isset = other275.__isset;
+}
+DomainReport::DomainReport(DomainReport&& other276) noexcept {
+  failureDomain = std::move(other276.failureDomain);
+  region = std::move(other276.region);
+  relay = std::move(other276.relay);
+  alive = other276.alive;
+  nodesAtVersion = std::move(other276.nodesAtVersion);
+  stragglers = std::move(other276.stragglers);
+  sample = std::move(other276.sample);
+  ageMillis = other276.ageMillis;
+  __isset = other276.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other277) {
+  failureDomain = other277.failureDomain;
+  region = other277.region;
+  relay = other277.relay;
+  alive = other277.alive;
+  nodesAtVersion = other277.nodesAtVersion;
+  stragglers = other277.stragglers;
+  sample = other277.sample;
+  ageMillis = other277.ageMillis;
+  __isset = other277.__isset;
   return *this;
 }
-ConfigurationImage& ConfigurationImage::operator=(ConfigurationImage&& other159) noexcept {
-  version = other159.version;
-  history = std::move(other159.history);
-  proposals = std::move(other159.proposals);
-  nextProposal = other159.nextProposal;
-  results = std::move(other159.results);
-  updates = std::move(other159.updates);
-  __isset = other159.__isset;
+DomainReport& DomainReport::operator=(DomainReport&& other278) noexcept {
+  failureDomain = std::move(other278.failureDomain);
+  region = std::move(other278.region);
+  relay = std::move(other278.relay);
+  alive = other278.alive;
+  nodesAtVersion = std::move(other278.nodesAtVersion);
+  stragglers = std::move(other278.stragglers);
+  sample = std::move(other278.sample);
+  ageMillis = other278.ageMillis;
+  __isset = other278.__isset;
   return *this;
 }
-void ConfigurationImage::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ConfigurationImage(";
-  out << "version=" << to_string(version);
-  out << ", " << "history=" << to_string(history);
-  out << ", " << "proposals=" << to_string(proposals);
-  out << ", " << "nextProposal=" << to_string(nextProposal);
-  out << ", " << "results=" << to_string(results);
-  out << ", " << "updates=" << to_string(updates);
-  out << ")";
-}
-
-
-Member::~Member() noexcept {
-}
-
-
-void Member::__set_name(const std::string& val) {
-  this->name = val;
-}
-
-void Member::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
-void Member::__set_revision(const int64_t val) {
-  this->revision = val;
-}
-
-void Member::__set_state(const MemberState::type val) {
-  this->state = val;
-}
-
-void Member::__set_region(const std::string& val) {
-  this->region = val;
-}
-
-void Member::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
-}
-
-void Member::__set_peerAddress(const std::string& val) {
-  this->peerAddress = val;
-}
-
-void Member::__set_gateAddress(const std::string& val) {
-  this->gateAddress = val;
+void DomainReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DomainReport(";
+  out << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "relay=" << to_string(relay);
+  out << ", " << "alive=" << to_string(alive);
+  out << ", " << "nodesAtVersion=" << to_string(nodesAtVersion);
+  out << ", " << "stragglers=" << to_string(stragglers);
+  out << ", " << "sample=" << to_string(sample);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ")";
 }
 
-void Member::__set_serviceName(const std::string& val) {
-  this->serviceName = val;
-}
 
-void Member::__set_targetName(const std::string& val) {
-  this->targetName = val;
+TargetCrash::~TargetCrash() noexcept {
 }
 
-void Member::__set_phase(const TargetPhase::type val) {
-  this->phase = val;
-}
 
-void Member::__set_slots(const int32_t val) {
-  this->slots = val;
+void TargetCrash::__set_identifier(const std::string& val) {
+  this->identifier = val;
 }
 
-void Member::__set_version(const int64_t val) {
-  this->version = val;
+void TargetCrash::__set_target(const std::string& val) {
+  this->target = val;
 }
 
-void Member::__set_warmUpMillis(const int32_t val) {
-  this->warmUpMillis = val;
+void TargetCrash::__set_fingerprints(const std::vector<std::string> & val) {
+  this->fingerprints = val;
 }
-std::ostream& operator<<(std::ostream& out, const Member& obj)
+std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Member::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4540,116 +7078,36 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->identifier);
+          this->__isset.identifier = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast160;
-          xfer += iprot->readI32(ecast160);
-          this->state = static_cast<MemberState::type>(ecast160);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->region);
-          this->__isset.region = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->peerAddress);
-          this->__isset.peerAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->gateAddress);
-          this->__isset.gateAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->serviceName);
-          this->__isset.serviceName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->targetName);
-          this->__isset.targetName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast161;
-          xfer += iprot->readI32(ecast161);
-          this->phase = static_cast<TargetPhase::type>(ecast161);
-          this->__isset.phase = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slots);
-          this->__isset.slots = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->warmUpMillis);
-          this->__isset.warmUpMillis = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fingerprints.clear();
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->fingerprints.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
+            {
+              xfer += iprot->readString(this->fingerprints[_i283]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fingerprints = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4666,65 +7124,29 @@
   return xfer;
 }
 
-uint32_t Member::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Member");
-
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->name);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->revision);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->region);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->failureDomain);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->peerAddress);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("gateAddress", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->gateAddress);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeString(this->serviceName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("targetName", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeString(this->targetName);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TargetCrash");
 
-  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 12);
-  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldBegin("identifier", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->identifier);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("warmUpMillis", ::apache::thrift::protocol::T_I32, 14);
-  xfer += oprot->writeI32(this->warmUpMillis);
+  xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->fingerprints.size()));
+    std::vector<std::string> ::const_iterator _iter284;
+    for (_iter284 = this->fingerprints.begin(); _iter284 != this->fingerprints.end(); ++_iter284)
+    {
+      xfer += oprot->writeString((*_iter284));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4732,131 +7154,69 @@
   return xfer;
 }
 
-void swap(Member &a, Member &b) {
+void swap(TargetCrash &a, TargetCrash &b) {
   using ::std::swap;
-  swap(a.name, b.name);
-  swap(a.incarnation, b.incarnation);
-  swap(a.revision, b.revision);
-  swap(a.state, b.state);
-  swap(a.region, b.region);
-  swap(a.failureDomain, b.failureDomain);
-  swap(a.peerAddress, b.peerAddress);
-  swap(a.gateAddress, b.gateAddress);
-  swap(a.serviceName, b.serviceName);
-  swap(a.targetName, b.targetName);
-  swap(a.phase, b.phase);
-  swap(a.slots, b.slots);
-  swap(a.version, b.version);
-  swap(a.warmUpMillis, b.warmUpMillis);
+  swap(a.identifier, b.identifier);
+  swap(a.target, b.target);
+  swap(a.fingerprints, b.fingerprints);
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other162) {
-  name = other162.name;
-  incarnation = other162.incarnation;
-  revision = other162.revision;
-  state = other162.state;
-  region = other162.region;
-  failureDomain = other162.failureDomain;
-  peerAddress = other162.peerAddress;
-  gateAddress = other162.gateAddress;
-  serviceName = other162.serviceName;
-  targetName = other162.targetName;
-  phase = other162.phase;
-  slots = other162.slots;
-  version = other162.version;
-  warmUpMillis = other162.warmUpMillis;
-  __isset = other162.__isset;
+TargetCrash::TargetCrash(const TargetCrash& other285) {
+  identifier = other285.identifier;
+  target = other285.target;
+  fingerprints = other285.fingerprints;
+  __isset = other285.__isset;
 }
-Member::Member(Member&& other163) noexcept {
-  name = std::move(other163.name);
-  incarnation = other163.incarnation;
-  revision = other163.revision;
-  state = other163.state;
-  region = std::move(other163.region);
-  failureDomain = std::move(other163.failureDomain);
-  peerAddress = std::move(other163.peerAddress);
-  gateAddress = std::move(other163.gateAddress);
-  serviceName = std::move(other163.serviceName);
-  targetName = std::move(other163.targetName);
-  phase = other163.phase;
-  slots = other163.slots;
-  version = other163.version;
-  warmUpMillis = other163.warmUpMillis;
-  __isset = other163.__isset;
+TargetCrash::TargetCrash(TargetCrash&& other286) noexcept {
+  identifier = std::move(other286.identifier);
+  target = std::move(other286.target);
+  fingerprints = std::move(other286.fingerprints);
+  __isset = other286.__isset;
 }
-Member& Member::operator=(const Member& other164) {
-  name = other164.name;
-  incarnation = other164.incarnation;
-  revision = other164.revision;
-  state = other164.state;
-  region = other164.region;
-  failureDomain = other164.failureDomain;
-  peerAddress = other164.peerAddress;
-  gateAddress = other164.gateAddress;
-  serviceName = other164.serviceName;
-  targetName = other164.targetName;
-  phase = other164.phase;
-  slots = other164.slots;
-  version = other164.version;
-  warmUpMillis = other164.warmUpMillis;
-  __isset = other164.__isset;
+TargetCrash& TargetCrash::operator=(const TargetCrash& other287) {
+  identifier = other287.identifier;
+  target = other287.target;
+  fingerprints = other287.fingerprints;
+  __isset = other287.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other165) noexcept {
-  name = std::move(other165.name);
-  incarnation = other165.incarnation;
-  revision = other165.revision;
-  state = other165.state;
-  region = std::move(other165.region);
-  failureDomain = std::move(other165.failureDomain);
-  peerAddress = std::move(other165.peerAddress);
-  gateAddress = std::move(other165.gateAddress);
-  serviceName = std::move(other165.serviceName);
-  targetName = std::move(other165.targetName);
-  phase = other165.phase;
-  slots = other165.slots;
-  version = other165.version;
-  warmUpMillis = other165.warmUpMillis;
-  __isset = other165.__isset;
+TargetCrash& TargetCrash::operator=(TargetCrash&& other288) noexcept {
+  identifier = std::move(other288.identifier);
+  target = std::move(other288.target);
+  fingerprints = std::move(other288.fingerprints);
+  __isset = other288.__isset;
   return *this;
 }
-void Member::printTo(std::ostream& out) const {
+void TargetCrash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Member(";
-  out << "name=" << to_string(name);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "region=" << to_string(region);
-  out << ", " << "failureDomain=" << to_string(failureDomain);
-  out << ", " << "peerAddress=" << to_string(peerAddress);
-  out << ", " << "gateAddress=" << to_string(gateAddress);
-  out << ", " << "serviceName=" << to_string(serviceName);
-  out << ", " << "targetName=" << to_string(targetName);
-  out << ", " << "phase=" << to_string(phase);
-  out << ", " << "slots=" << to_string(slots);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "warmUpMillis=" << to_string(warmUpMillis);
+  out << "TargetCrash(";
+  out << "identifier=" << to_string(identifier);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "fingerprints=" << to_string(fingerprints);
   out << ")";
 }
 
 
-MemberBatch::~MemberBatch() noexcept {
+QuarantinedRequest::~QuarantinedRequest() noexcept {
 }
 
 
-void MemberBatch::__set_members(const std::vector<Member> & val) {
-  this->members = val;
+void QuarantinedRequest::__set_fingerprint(const std::string& val) {
+  this->fingerprint = val;
 }
-std::ostream& operator<<(std::ostream& out, const MemberBatch& obj)
+
+void QuarantinedRequest::__set_millisLeft(const int64_t val) {
+  this->millisLeft = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantinedRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MemberBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuarantinedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4878,21 +7238,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->members.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
-            {
-              xfer += this->members[_i170].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->millisLeft);
+          this->__isset.millisLeft = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4909,21 +7265,17 @@
   return xfer;
 }
 
-uint32_t MemberBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuarantinedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MemberBatch");
+  xfer += oprot->writeStructBegin("QuarantinedRequest");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter171;
-    for (_iter171 = this->members.begin(); _iter171 != this->members.end(); ++_iter171)
-    {
-      xfer += (*_iter171).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("millisLeft", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->millisLeft);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4931,81 +7283,63 @@
   return xfer;
 }
 
-void swap(MemberBatch &a, MemberBatch &b) {
+void swap(QuarantinedRequest &a, QuarantinedRequest &b) {
   using ::std::swap;
-  swap(a.members, b.members);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.millisLeft, b.millisLeft);
   swap(a.__isset, b.__isset);
 }
 
-MemberBatch::MemberBatch(const MemberBatch& other172) {
-  members = other172.members;
-  __isset = other172.__isset;
+QuarantinedRequest::QuarantinedRequest(const QuarantinedRequest& other289) {
+  fingerprint = other289.fingerprint;
+  millisLeft = other289.millisLeft;
+  __isset = other289.__isset;
 }
-MemberBatch::MemberBatch(MemberBatch&& other173) noexcept {
-  members = std::move(other173.members);
-  __isset = other173.__isset;
+QuarantinedRequest::QuarantinedRequest(QuarantinedRequest&& other290) noexcept {
+  fingerprint = std::move(other290.fingerprint);
+  millisLeft = other290.millisLeft;
+  __isset = other290.__isset;
 }
-MemberBatch& MemberBatch::operator=(const MemberBatch& other174) {
-  members = other174.members;
-  __isset = other174.__isset;
+QuarantinedRequest& QuarantinedRequest::operator=(const QuarantinedRequest& other291) {
+  fingerprint = other291.fingerprint;
+  millisLeft = other291.millisLeft;
+  __isset = other291.__isset;
   return *this;
 }
-MemberBatch& MemberBatch::operator=(MemberBatch&& other175) noexcept {
-  members = std::move(other175.members);
-  __isset = other175.__isset;
+QuarantinedRequest& QuarantinedRequest::operator=(QuarantinedRequest&& other292) noexcept {
+  fingerprint = std::move(other292.fingerprint);
+  millisLeft = other292.millisLeft;
+  __isset = other292.__isset;
   return *this;
 }
-void MemberBatch::printTo(std::ostream& out) const {
+void QuarantinedRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "MemberBatch(";
-  out << "members=" << to_string(members);
+  out << "QuarantinedRequest(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "millisLeft=" << to_string(millisLeft);
   out << ")";
 }
 
 
-Gossip::~Gossip() noexcept {
-}
-
-
-void Gossip::__set_sentAt(const Stamp& val) {
-  this->sentAt = val;
-}
-
-void Gossip::__set_sender(const std::string& val) {
-  this->sender = val;
-}
-
-void Gossip::__set_members(const std::vector<Member> & val) {
-  this->members = val;
-}
-
-void Gossip::__set_version(const int64_t val) {
-  this->version = val;
-}
-
-void Gossip::__set_digest(const int64_t val) {
-  this->digest = val;
+QuarantineMark::~QuarantineMark() noexcept {
 }
 
-void Gossip::__set_mesh(const bool val) {
-  this->mesh = val;
-}
 
-void Gossip::__set_parts(const std::vector<int64_t> & val) {
-  this->parts = val;
+void QuarantineMark::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void Gossip::__set_packedMembers(const std::string& val) {
-  this->packedMembers = val;
+void QuarantineMark::__set_revision(const int64_t val) {
+  this->revision = val;
 }
-std::ostream& operator<<(std::ostream& out, const Gossip& obj)
+std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Gossip::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuarantineMark::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5027,89 +7361,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->sentAt.read(iprot);
-          this->__isset.sentAt = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->members.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
-            {
-              xfer += this->members[_i180].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->digest);
-          this->__isset.digest = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->mesh);
-          this->__isset.mesh = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->parts.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->parts.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
-            {
-              xfer += iprot->readI64(this->parts[_i185]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.parts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->packedMembers);
-          this->__isset.packedMembers = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5126,57 +7388,17 @@
   return xfer;
 }
 
-uint32_t Gossip::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuarantineMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Gossip");
-
-  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->sentAt.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->sender);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter186;
-    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
-    {
-      xfer += (*_iter186).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->digest);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("mesh", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->mesh);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("QuarantineMark");
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter187;
-    for (_iter187 = this->parts.begin(); _iter187 != this->parts.end(); ++_iter187)
-    {
-      xfer += oprot->writeI64((*_iter187));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeBinary(this->packedMembers);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5184,119 +7406,101 @@
   return xfer;
 }
 
-void swap(Gossip &a, Gossip &b) {
+void swap(QuarantineMark &a, QuarantineMark &b) {
   using ::std::swap;
-  swap(a.sentAt, b.sentAt);
-  swap(a.sender, b.sender);
-  swap(a.members, b.members);
-  swap(a.version, b.version);
-  swap(a.digest, b.digest);
-  swap(a.mesh, b.mesh);
-  swap(a.parts, b.parts);
-  swap(a.packedMembers, b.packedMembers);
+  swap(a.epoch, b.epoch);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other188) {
-  sentAt = other188.sentAt;
-  sender = other188.sender;
-  members = other188.members;
-  version = other188.version;
-  digest = other188.digest;
-  mesh = other188.mesh;
-  parts = other188.parts;
-  packedMembers = other188.packedMembers;
-  __isset = other188.__isset;
-}
-Gossip::Gossip(Gossip&& other189) noexcept {
-  sentAt = std::move(other189.sentAt);
-  sender = std::move(other189.sender);
-  members = std::move(other189.members);
-  version = other189.version;
-  digest = other189.digest;
-  mesh = other189.mesh;
-  parts = std::move(other189.parts);
-  packedMembers = std::move(other189.packedMembers);
-  __isset = other189.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other190) {
-  sentAt = other190.sentAt;
-  sender = other190.sender;
-  members = other190.members;
-  version = other190.version;
-  digest = other190.digest;
-  mesh = other190.mesh;
-  parts = other190.parts;
-  packedMembers = other190.packedMembers;
-  __isset = other190.__isset;
+QuarantineMark::QuarantineMark(const QuarantineMark& other293) noexcept {
+  epoch = other293.epoch;
+  revision = other293.revision;
+  __isset = other293.__isset;
+}
+QuarantineMark::QuarantineMark(QuarantineMark&& other294) noexcept {
+  epoch = other294.epoch;
+  revision = other294.revision;
+  __isset = other294.__isset;
+}
+QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other295) noexcept {
+  epoch = other295.epoch;
+  revision = other295.revision;
+  __isset = other295.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other191) noexcept {
-  sentAt = std::move(other191.sentAt);
-  sender = std::move(other191.sender);
-  members = std::move(other191.members);
-  version = other191.version;
-  digest = other191.digest;
-  mesh = other191.mesh;
-  parts = std::move(other191.parts);
-  packedMembers = std::move(other191.packedMembers);
-  __isset = other191.__isset;
+QuarantineMark& QuarantineMark::operator=(QuarantineMark&& other296) noexcept {
+  epoch = other296.epoch;
+  revision = other296.revision;
+  __isset = other296.__isset;
   return *this;
 }
-void Gossip::printTo(std::ostream& out) const {
+void QuarantineMark::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Gossip(";
-  out << "sentAt=" << to_string(sentAt);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "digest=" << to_string(digest);
-  out << ", " << "mesh=" << to_string(mesh);
-  out << ", " << "parts=" << to_string(parts);
-  out << ", " << "packedMembers=" << to_string(packedMembers);
+  out << "QuarantineMark(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
-
-GossipReply::~GossipReply() noexcept {
+
+WatchRequest::~WatchRequest() noexcept {
+}
+
+
+void WatchRequest::__set_heldVersion(const int64_t val) {
+  this->heldVersion = val;
+}
+
+void WatchRequest::__set_waitMillis(const int32_t val) {
+  this->waitMillis = val;
+}
+
+void WatchRequest::__set_report(const DomainReport& val) {
+  this->report = val;
 }
 
+void WatchRequest::__set_sentAt(const Stamp& val) {
+  this->sentAt = val;
+}
 
-void GossipReply::__set_members(const std::vector<Member> & val) {
-  this->members = val;
+void WatchRequest::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
 }
 
-void GossipReply::__set_version(const int64_t val) {
-  this->version = val;
+void WatchRequest::__set_wantsMembers(const bool val) {
+  this->wantsMembers = val;
 }
 
-void GossipReply::__set_sentAt(const Stamp& val) {
-  this->sentAt = val;
+void WatchRequest::__set_introduced(const std::vector<Member> & val) {
+  this->introduced = val;
 }
 
-void GossipReply::__set_digest(const int64_t val) {
-  this->digest = val;
+void WatchRequest::__set_quarantineSeen(const QuarantineMark& val) {
+  this->quarantineSeen = val;
 }
 
-void GossipReply::__set_name(const std::string& val) {
-  this->name = val;
+void WatchRequest::__set_quarantined(const std::vector<QuarantinedRequest> & val) {
+  this->quarantined = val;
 }
 
-void GossipReply::__set_differing(const std::vector<int32_t> & val) {
-  this->differing = val;
+void WatchRequest::__set_rolloutRevision(const int64_t val) {
+  this->rolloutRevision = val;
+__isset.rolloutRevision = true;
 }
 
-void GossipReply::__set_packedMembers(const std::string& val) {
-  this->packedMembers = val;
+void WatchRequest::__set_outcomes(const NodeOutcomes& val) {
+  this->outcomes = val;
+__isset.outcomes = true;
 }
-std::ostream& operator<<(std::ostream& out, const GossipReply& obj)
+std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t GossipReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t WatchRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5318,81 +7522,113 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->members.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
-            {
-              xfer += this->members[_i196].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldVersion);
+          this->__isset.heldVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMillis);
+          this->__isset.waitMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->sentAt.read(iprot);
-          this->__isset.sentAt = true;
+          xfer += this->report.read(iprot);
+          this->__isset.report = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->digest);
-          this->__isset.digest = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sentAt.read(iprot);
+          this->__isset.sentAt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsMembers);
+          this->__isset.wantsMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->differing.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->differing.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            this->introduced.clear();
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->introduced.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += iprot->readI32(this->differing[_i201]);
+              xfer += this->introduced[_i301].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.differing = true;
+          this->__isset.introduced = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->packedMembers);
-          this->__isset.packedMembers = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantineSeen.read(iprot);
+          this->__isset.quarantineSeen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->quarantined.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
+            {
+              xfer += this->quarantined[_i306].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rolloutRevision);
+          this->__isset.rolloutRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcomes.read(iprot);
+          this->__isset.outcomes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5409,171 +7645,193 @@
   return xfer;
 }
 
-uint32_t GossipReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t WatchRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("GossipReply");
+  xfer += oprot->writeStructBegin("WatchRequest");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter202;
-    for (_iter202 = this->members.begin(); _iter202 != this->members.end(); ++_iter202)
-    {
-      xfer += (*_iter202).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("heldVersion", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->heldVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("waitMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waitMillis);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->report.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 4);
   xfer += this->sentAt.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->failureDomain);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("wantsMembers", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->wantsMembers);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("differing", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->differing.size()));
-    std::vector<int32_t> ::const_iterator _iter203;
-    for (_iter203 = this->differing.begin(); _iter203 != this->differing.end(); ++_iter203)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
+    std::vector<Member> ::const_iterator _iter307;
+    for (_iter307 = this->introduced.begin(); _iter307 != this->introduced.end(); ++_iter307)
     {
-      xfer += oprot->writeI32((*_iter203));
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("packedMembers", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeBinary(this->packedMembers);
+  xfer += oprot->writeFieldBegin("quarantineSeen", ::apache::thrift::protocol::T_STRUCT, 8);
+  xfer += this->quarantineSeen.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<QuarantinedRequest> ::const_iterator _iter308;
+    for (_iter308 = this->quarantined.begin(); _iter308 != this->quarantined.end(); ++_iter308)
+    {
+      xfer += (*_iter308).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rolloutRevision) {
+    xfer += oprot->writeFieldBegin("rolloutRevision", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->rolloutRevision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.outcomes) {
+    xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->outcomes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(GossipReply &a, GossipReply &b) {
+void swap(WatchRequest &a, WatchRequest &b) {
   using ::std::swap;
-  swap(a.members, b.members);
-  swap(a.version, b.version);
+  swap(a.heldVersion, b.heldVersion);
+  swap(a.waitMillis, b.waitMillis);
+  swap(a.report, b.report);
   swap(a.sentAt, b.sentAt);
-  swap(a.digest, b.digest);
-  swap(a.name, b.name);
-  swap(a.differing, b.differing);
-  swap(a.packedMembers, b.packedMembers);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.wantsMembers, b.wantsMembers);
+  swap(a.introduced, b.introduced);
+  swap(a.quarantineSeen, b.quarantineSeen);
+  swap(a.quarantined, b.quarantined);
+  swap(a.rolloutRevision, b.rolloutRevision);
+  swap(a.outcomes, b.outcomes);
   swap(a.__isset, b.__isset);
 }
 
-GossipReply::GossipReply(const GossipReply& other204) {
-  members = other204.members;
-  version = other204.version;
-  sentAt = other204.sentAt;
-  digest = other204.digest;
-  name = other204.name;
-  differing = other204.differing;
-  packedMembers = other204.packedMembers;
-  __isset = other204.__isset;
-}
-GossipReply::GossipReply(GossipReply&& other205) noexcept {
-  members = std::move(other205.members);
-  version = other205.version;
-  sentAt = std::move(other205.sentAt);
-  digest = other205.digest;
-  name = std::move(other205.name);
-  differing = std::move(other205.differing);
-  packedMembers = std::move(other205.packedMembers);
-  __isset = other205.__isset;
-}
-GossipReply& GossipReply::operator=(const GossipReply& other206) {
-  members = other206.members;
-  version = other206.version;
-  sentAt = other206.sentAt;
-  digest = other206.digest;
-  name = other206.name;
-  differing = other206.differing;
-  packedMembers = other206.packedMembers;
-  __isset = other206.__isset;
+WatchRequest::WatchRequest(const WatchRequest& other309) {
+  heldVersion = other309.heldVersion;
+  waitMillis = other309.waitMillis;
+  report = other309.report;
+  sentAt = other309.sentAt;
+  failureDomain = other309.failureDomain;
+  wantsMembers = other309.wantsMembers;
+  introduced = other309.introduced;
+  quarantineSeen = other309.quarantineSeen;
+  quarantined = other309.quarantined;
+  rolloutRevision = other309.rolloutRevision;
+  outcomes = other309.outcomes;
+  __isset = other309.__isset;
+}
+WatchRequest::WatchRequest(WatchRequest&& other310) noexcept {
+  heldVersion = other310.heldVersion;
+  waitMillis = other310.waitMillis;
+  report = std::move(other310.report);
+  sentAt = std::move(other310.sentAt);
+  failureDomain = std::move(other310.failureDomain);
+  wantsMembers = other310.wantsMembers;
+  introduced = std::move(other310.introduced);
+  quarantineSeen = std::move(other310.quarantineSeen);
+  quarantined = std::move(other310.quarantined);
+  rolloutRevision = other310.rolloutRevision;
+  outcomes = std::move(other310.outcomes);
+  __isset = other310.__isset;
+}
+WatchRequest& WatchRequest::operator=(const WatchRequest& other311) {
+  heldVersion = other311.heldVersion;
+  waitMillis = other311.waitMillis;
+  report = other311.report;
+  sentAt = other311.sentAt;
+  failureDomain = other311.failureDomain;
+  wantsMembers = other311.wantsMembers;
+  introduced = other311.introduced;
+  quarantineSeen = other311.quarantineSeen;
+  quarantined = other311.quarantined;
+  rolloutRevision = other311.rolloutRevision;
+  outcomes = other311.outcomes;
+  __isset = other311.__isset;
   return *this;
 }
-GossipReply& GossipReply::operator=(GossipReply&& other207) noexcept {
-  members = std::move(other207.members);
-  version = other207.version;
-  sentAt = std::move(other207.sentAt);
-  digest = other207.digest;
-  name = std::move(other207.name);
-  differing = std::move(other207.differing);
-  packedMembers = std::move(other207.packedMembers);
-  __isset = other207.__isset;
+WatchRequest& WatchRequest::operator=(WatchRequest&& other312) noexcept {
+  heldVersion = other312.heldVersion;
+  waitMillis = other312.waitMillis;
+  report = std::move(other312.report);
+  sentAt = std::move(other312.sentAt);
+  failureDomain = std::move(other312.failureDomain);
+  wantsMembers = other312.wantsMembers;
+  introduced = std::move(other312.introduced);
+  quarantineSeen = std::move(other312.quarantineSeen);
+  quarantined = std::move(other312.quarantined);
+  rolloutRevision = other312.rolloutRevision;
+  outcomes = std::move(other312.outcomes);
+  __isset = other312.__isset;
   return *this;
 }
-void GossipReply::printTo(std::ostream& out) const {
+void WatchRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "GossipReply(";
-  out << "members=" << to_string(members);
-  out << ", " << "version=" << to_string(version);
+  out << "WatchRequest(";
+  out << "heldVersion=" << to_string(heldVersion);
+  out << ", " << "waitMillis=" << to_string(waitMillis);
+  out << ", " << "report=" << to_string(report);
   out << ", " << "sentAt=" << to_string(sentAt);
-  out << ", " << "digest=" << to_string(digest);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "differing=" << to_string(differing);
-  out << ", " << "packedMembers=" << to_string(packedMembers);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "wantsMembers=" << to_string(wantsMembers);
+  out << ", " << "introduced=" << to_string(introduced);
+  out << ", " << "quarantineSeen=" << to_string(quarantineSeen);
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ", " << "rolloutRevision="; (__isset.rolloutRevision ? (out << to_string(rolloutRevision)) : (out << "<null>"));
+  out << ", " << "outcomes="; (__isset.outcomes ? (out << to_string(outcomes)) : (out << "<null>"));
   out << ")";
 }
 
 
-DomainReport::~DomainReport() noexcept {
-}
-
-
-void DomainReport::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
-}
-
-void DomainReport::__set_region(const std::string& val) {
-  this->region = val;
-}
-
-void DomainReport::__set_relay(const std::string& val) {
-  this->relay = val;
-}
-
-void DomainReport::__set_alive(const int32_t val) {
-  this->alive = val;
+Validity::~Validity() noexcept {
 }
 
-void DomainReport::__set_nodesAtVersion(const std::map<int64_t, int32_t> & val) {
-  this->nodesAtVersion = val;
-}
 
-void DomainReport::__set_stragglers(const std::vector<std::string> & val) {
-  this->stragglers = val;
+void Validity::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void DomainReport::__set_sample(const std::vector<Member> & val) {
-  this->sample = val;
+void Validity::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
 }
 
-void DomainReport::__set_ageMillis(const int64_t val) {
-  this->ageMillis = val;
+void Validity::__set_heldMillis(const int32_t val) {
+  this->heldMillis = val;
 }
-std::ostream& operator<<(std::ostream& out, const DomainReport& obj)
+std::ostream& operator<<(std::ostream& out, const Validity& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t DomainReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Validity::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5593,106 +7851,27 @@
       break;
     }
     switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->region);
-          this->__isset.region = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->relay);
-          this->__isset.relay = true;
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->alive);
-          this->__isset.alive = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
-          {
-            this->nodesAtVersion.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _ktype209;
-            ::apache::thrift::protocol::TType _vtype210;
-            xfer += iprot->readMapBegin(_ktype209, _vtype210, _size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
-            {
-              int64_t _key213;
-              xfer += iprot->readI64(_key213);
-              int32_t& _val214 = this->nodesAtVersion[_key213];
-              xfer += iprot->readI32(_val214);
-            }
-            xfer += iprot->readMapEnd();
-          }
-          this->__isset.nodesAtVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->stragglers.clear();
-            uint32_t _size215;
-            ::apache::thrift::protocol::TType _etype218;
-            xfer += iprot->readListBegin(_etype218, _size215);
-            this->stragglers.resize(_size215);
-            uint32_t _i219;
-            for (_i219 = 0; _i219 < _size215; ++_i219)
-            {
-              xfer += iprot->readString(this->stragglers[_i219]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.stragglers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->sample.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->sample.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
-            {
-              xfer += this->sample[_i224].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.sample = true;
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ageMillis);
-          this->__isset.ageMillis = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->heldMillis);
+          this->__isset.heldMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5709,66 +7888,21 @@
   return xfer;
 }
 
-uint32_t DomainReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Validity::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DomainReport");
-
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->failureDomain);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->region);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->relay);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("alive", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->alive);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("nodesAtVersion", ::apache::thrift::protocol::T_MAP, 5);
-  {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I64, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->nodesAtVersion.size()));
-    std::map<int64_t, int32_t> ::const_iterator _iter225;
-    for (_iter225 = this->nodesAtVersion.begin(); _iter225 != this->nodesAtVersion.end(); ++_iter225)
-    {
-      xfer += oprot->writeI64(_iter225->first);
-      xfer += oprot->writeI32(_iter225->second);
-    }
-    xfer += oprot->writeMapEnd();
-  }
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Validity");
 
-  xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->stragglers.size()));
-    std::vector<std::string> ::const_iterator _iter226;
-    for (_iter226 = this->stragglers.begin(); _iter226 != this->stragglers.end(); ++_iter226)
-    {
-      xfer += oprot->writeString((*_iter226));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter227;
-    for (_iter227 = this->sample.begin(); _iter227 != this->sample.end(); ++_iter227)
-    {
-      xfer += (*_iter227).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMillis);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldBegin("heldMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->heldMillis);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5776,103 +7910,81 @@
   return xfer;
 }
 
-void swap(DomainReport &a, DomainReport &b) {
+void swap(Validity &a, Validity &b) {
   using ::std::swap;
-  swap(a.failureDomain, b.failureDomain);
-  swap(a.region, b.region);
-  swap(a.relay, b.relay);
-  swap(a.alive, b.alive);
-  swap(a.nodesAtVersion, b.nodesAtVersion);
-  swap(a.stragglers, b.stragglers);
-  swap(a.sample, b.sample);
+  swap(a.version, b.version);
   swap(a.ageMillis, b.ageMillis);
+  swap(a.heldMillis, b.heldMillis);
   swap(a.__isset, b.__isset);
 }
 
-DomainReport::DomainReport(const DomainReport& other228) {
-  failureDomain = other228.failureDomain;
-  region = other228.region;
-  relay = other228.relay;
-  alive = other228.alive;
-  nodesAtVersion = other228.nodesAtVersion;
-  stragglers = other228.stragglers;
-  sample = other228.sample;
-  ageMillis = other228.ageMillis;
-  __isset = other228.__isset;
-}
-DomainReport::DomainReport(DomainReport&& other229) noexcept {
-  failureDomain = std::move(other229.failureDomain);
-  region = std::move(other229.region);
-  relay = std::move(other229.relay);
-  alive = other229.alive;
-  nodesAtVersion = std::move(other229.nodesAtVersion);
-  stragglers = std::move(other229.stragglers);
-  sample = std::move(other229.sample);
-  ageMillis = other229.ageMillis;
-  __isset = other229.__isset;
-}
-DomainReport& DomainReport::operator=(const DomainReport& other230) {
-  failureDomain = other230.failureDomain;
-  region = other230.region;
-  relay = other230.relay;
-  alive = other230.alive;
-  nodesAtVersion = other230.nodesAtVersion;
-  stragglers = other230.stragglers;
-  sample = other230.sample;
-  ageMillis = other230.ageMillis;
-  __isset = other230.__isset;
+Validity::Validity(const Validity& other313) noexcept {
+  version = other313.version;
+  ageMillis = other313.ageMillis;
+  heldMillis = other313.heldMillis;
+  __isset = other313.__isset;
+}
+Validity::Validity(Validity&& other314) noexcept {
+  version = other314.version;
+  ageMillis = other314.ageMillis;
+  heldMillis = other314.heldMillis;
+  __isset = other314.__isset;
+}
+Validity& Validity::operator=(const Validity& other315) noexcept {
+  version = other315.version;
+  ageMillis = other315.ageMillis;
+  heldMillis = other315.heldMillis;
+  __isset = other315.__isset;
   return *this;
 }
-DomainReport& DomainReport::operator=(DomainReport&& other231) noexcept {
-  failureDomain = std::move(other231.failureDomain);
-  region = std::move(other231.region);
-  relay = std::move(other231.relay);
-  alive = other231.alive;
-  nodesAtVersion = std::move(other231.nodesAtVersion);
-  stragglers = std::move(other231.stragglers);
-  sample = std::move(other231.sample);
-  ageMillis = other231.ageMillis;
-  __isset = other231.__isset;
+Validity& Validity::operator=(Validity&& other316) noexcept {
+  version = other316.version;
+  ageMillis = other316.ageMillis;
+  heldMillis = other316.heldMillis;
+  __isset = other316.__isset;
   return *this;
 }
-void DomainReport::printTo(std::ostream& out) const {
+void Validity::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "DomainReport(";
-  out << "failureDomain=" << to_string(failureDomain);
-  out << ", " << "region=" << to_string(region);
-  out << ", " << "relay=" << to_string(relay);
-  out << ", " << "alive=" << to_string(alive);
-  out << ", " << "nodesAtVersion=" << to_string(nodesAtVersion);
-  out << ", " << "stragglers=" << to_string(stragglers);
-  out << ", " << "sample=" << to_string(sample);
+  out << "Validity(";
+  out << "version=" << to_string(version);
   out << ", " << "ageMillis=" << to_string(ageMillis);
+  out << ", " << "heldMillis=" << to_string(heldMillis);
   out << ")";
 }
 
 
-TargetCrash::~TargetCrash() noexcept {
+QuotaUsage::~QuotaUsage() noexcept {
 }
 
 
-void TargetCrash::__set_identifier(const std::string& val) {
-  this->identifier = val;
+void QuotaUsage::__set_team(const int32_t val) {
+  this->team = val;
 }
 
-void TargetCrash::__set_target(const std::string& val) {
-  this->target = val;
+void QuotaUsage::__set_usedTotal(const int64_t val) {
+  this->usedTotal = val;
 }
 
-void TargetCrash::__set_fingerprints(const std::vector<std::string> & val) {
-  this->fingerprints = val;
+void QuotaUsage::__set_demandMilli(const int32_t val) {
+  this->demandMilli = val;
 }
-std::ostream& operator<<(std::ostream& out, const TargetCrash& obj)
+
+void QuotaUsage::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void QuotaUsage::__set_fallbackMilli(const int32_t val) {
+  this->fallbackMilli = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t TargetCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5894,37 +8006,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->identifier);
-          this->__isset.identifier = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usedTotal);
+          this->__isset.usedTotal = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->fingerprints.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->fingerprints.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
-            {
-              xfer += iprot->readString(this->fingerprints[_i236]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.fingerprints = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->demandMilli);
+          this->__isset.demandMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fallbackMilli);
+          this->__isset.fallbackMilli = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5941,29 +8057,29 @@
   return xfer;
 }
 
-uint32_t TargetCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("TargetCrash");
+  xfer += oprot->writeStructBegin("QuotaUsage");
 
-  xfer += oprot->writeFieldBegin("identifier", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->identifier);
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->team);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldBegin("usedTotal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->usedTotal);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->fingerprints.size()));
-    std::vector<std::string> ::const_iterator _iter237;
-    for (_iter237 = this->fingerprints.begin(); _iter237 != this->fingerprints.end(); ++_iter237)
-    {
-      xfer += oprot->writeString((*_iter237));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("demandMilli", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->demandMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fallbackMilli", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->fallbackMilli);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
