@@ -5971,69 +8087,93 @@
   return xfer;
 }
 
-void swap(TargetCrash &a, TargetCrash &b) {
+void swap(QuotaUsage &a, QuotaUsage &b) {
   using ::std::swap;
-  swap(a.identifier, b.identifier);
-  swap(a.target, b.target);
-  swap(a.fingerprints, b.fingerprints);
+  swap(a.team, b.team);
+  swap(a.usedTotal, b.usedTotal);
+  swap(a.demandMilli, b.demandMilli);
+  swap(a.waiting, b.waiting);
+  swap(a.fallbackMilli, b.fallbackMilli);
   swap(a.__isset, b.__isset);
 }
 
-TargetCrash::TargetCrash(const TargetCrash& other238) {
-  identifier = other238.identifier;
-  target = other238.target;
-  fingerprints = other238.fingerprints;
-  __isset = other238.__isset;
-}
-TargetCrash::TargetCrash(TargetCrash&& other239) noexcept {
-  identifier = std::move(other239.identifier);
-  target = std::move(other239.target);
-  fingerprints = std::move(other239.fingerprints);
-  __isset = other239.__isset;
-}
-TargetCrash& TargetCrash::operator=(const TargetCrash& other240) {
-  identifier = other240.identifier;
-  target = other240.target;
-  fingerprints = other240.fingerprints;
-  __isset = other240.__isset;
+QuotaUsage::QuotaUsage(const QuotaUsage& other317) noexcept {
+  team = other317.team;
+  usedTotal = other317.usedTotal;
+  demandMilli = other317.demandMilli;
+  waiting = other317.waiting;
+  fallbackMilli = other317.fallbackMilli;
+  __isset = other317.__isset;
+}
+QuotaUsage::QuotaUsage(QuotaUsage&& other318) noexcept {
+  team = other318.team;
+  usedTotal = other318.usedTotal;
+  demandMilli = other318.demandMilli;
+  waiting = other318.waiting;
+  fallbackMilli = other318.fallbackMilli;
+  __isset = other318.__isset;
+}
+QuotaUsage& QuotaUsage::operator=(const QuotaUsage& other319) noexcept {
+  team = other319.team;
+  usedTotal = other319.usedTotal;
+  demandMilli = other319.demandMilli;
+  waiting = other319.waiting;
+  fallbackMilli = other319.fallbackMilli;
+  __isset = other319.__isset;
   return *this;
 }
-TargetCrash& TargetCrash::operator=(TargetCrash&& other241) noexcept {
-  identifier = std::move(other241.identifier);
-  target = std::move(other241.target);
-  fingerprints = std::move(other241.fingerprints);
-  __isset = other241.__isset;
+QuotaUsage& QuotaUsage::operator=(QuotaUsage&& other320) noexcept {
+  team = other320.team;
+  usedTotal = other320.usedTotal;
+  demandMilli = other320.demandMilli;
+  waiting = other320.waiting;
+  fallbackMilli = other320.fallbackMilli;
+  __isset = other320.__isset;
   return *this;
 }
-void TargetCrash::printTo(std::ostream& out) const {
+void QuotaUsage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "TargetCrash(";
-  out << "identifier=" << to_string(identifier);
-  out << ", " << "target=" << to_string(target);
-  out << ", " << "fingerprints=" << to_string(fingerprints);
+  out << "QuotaUsage(";
+  out << "team=" << to_string(team);
+  out << ", " << "usedTotal=" << to_string(usedTotal);
+  out << ", " << "demandMilli=" << to_string(demandMilli);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "fallbackMilli=" << to_string(fallbackMilli);
   out << ")";
 }
 
 
-QuarantinedRequest::~QuarantinedRequest() noexcept {
+QuotaRequest::~QuotaRequest() noexcept {
 }
 
 
-void QuarantinedRequest::__set_fingerprint(const std::string& val) {
-  this->fingerprint = val;
+void QuotaRequest::__set_node(const std::string& val) {
+  this->node = val;
 }
 
-void QuarantinedRequest::__set_millisLeft(const int64_t val) {
-  this->millisLeft = val;
+void QuotaRequest::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const QuarantinedRequest& obj)
+
+void QuotaRequest::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void QuotaRequest::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void QuotaRequest::__set_usages(const std::vector<QuotaUsage> & val) {
+  this->usages = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuarantinedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6056,16 +8196,52 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fingerprint);
-          this->__isset.fingerprint = true;
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->millisLeft);
-          this->__isset.millisLeft = true;
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usages.clear();
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->usages.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
+            {
+              xfer += this->usages[_i325].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usages = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6082,17 +8258,37 @@
   return xfer;
 }
 
-uint32_t QuarantinedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuarantinedRequest");
+  xfer += oprot->writeStructBegin("QuotaRequest");
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->fingerprint);
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("millisLeft", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->millisLeft);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usages", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usages.size()));
+    std::vector<QuotaUsage> ::const_iterator _iter326;
+    for (_iter326 = this->usages.begin(); _iter326 != this->usages.end(); ++_iter326)
+    {
+      xfer += (*_iter326).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6100,63 +8296,93 @@
   return xfer;
 }
 
-void swap(QuarantinedRequest &a, QuarantinedRequest &b) {
+void swap(QuotaRequest &a, QuotaRequest &b) {
   using ::std::swap;
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.millisLeft, b.millisLeft);
+  swap(a.node, b.node);
+  swap(a.incarnation, b.incarnation);
+  swap(a.sequence, b.sequence);
+  swap(a.version, b.version);
+  swap(a.usages, b.usages);
   swap(a.__isset, b.__isset);
 }
 
-QuarantinedRequest::QuarantinedRequest(const QuarantinedRequest& other242) {
-  fingerprint = other242.fingerprint;
-  millisLeft = other242.millisLeft;
-  __isset = other242.__isset;
-}
-QuarantinedRequest::QuarantinedRequest(QuarantinedRequest&& other243) noexcept {
-  fingerprint = std::move(other243.fingerprint);
-  millisLeft = other243.millisLeft;
-  __isset = other243.__isset;
-}
-QuarantinedRequest& QuarantinedRequest::operator=(const QuarantinedRequest& other244) {
-  fingerprint = other244.fingerprint;
-  millisLeft = other244.millisLeft;
-  __isset = other244.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other327) {
+  node = other327.node;
+  incarnation = other327.incarnation;
+  sequence = other327.sequence;
+  version = other327.version;
+  usages = other327.usages;
+  __isset = other327.__isset;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other328) noexcept {
+  node = std::move(other328.node);
+  incarnation = other328.incarnation;
+  sequence = other328.sequence;
+  version = other328.version;
+  usages = std::move(other328.usages);
+  __isset = other328.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other329) {
+  node = other329.node;
+  incarnation = other329.incarnation;
+  sequence = other329.sequence;
+  version = other329.version;
+  usages = other329.usages;
+  __isset = other329.__isset;
   return *this;
 }
-QuarantinedRequest& QuarantinedRequest::operator=(QuarantinedRequest&& other245) noexcept {
-  fingerprint = std::move(other245.fingerprint);
-  millisLeft = other245.millisLeft;
-  __isset = other245.__isset;
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other330) noexcept {
+  node = std::move(other330.node);
+  incarnation = other330.incarnation;
+  sequence = other330.sequence;
+  version = other330.version;
+  usages = std::move(other330.usages);
+  __isset = other330.__isset;
   return *this;
 }
-void QuarantinedRequest::printTo(std::ostream& out) const {
+void QuotaRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuarantinedRequest(";
-  out << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "millisLeft=" << to_string(millisLeft);
+  out << "QuotaRequest(";
+  out << "node=" << to_string(node);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "usages=" << to_string(usages);
   out << ")";
 }
 
 
-QuarantineMark::~QuarantineMark() noexcept {
+QuotaGrant::~QuotaGrant() noexcept {
 }
 
 
-void QuarantineMark::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void QuotaGrant::__set_team(const int32_t val) {
+  this->team = val;
 }
 
-void QuarantineMark::__set_revision(const int64_t val) {
-  this->revision = val;
+void QuotaGrant::__set_allowedTotal(const int64_t val) {
+  this->allowedTotal = val;
 }
-std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj)
+
+void QuotaGrant::__set_validMillis(const int32_t val) {
+  this->validMillis = val;
+}
+
+void QuotaGrant::__set_fallbackMilli(const int32_t val) {
+  this->fallbackMilli = val;
+}
+
+void QuotaGrant::__set_dueMillis(const int32_t val) {
+  this->dueMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuarantineMark::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6178,17 +8404,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->allowedTotal);
+          this->__isset.allowedTotal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->validMillis);
+          this->__isset.validMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fallbackMilli);
+          this->__isset.fallbackMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->dueMillis);
+          this->__isset.dueMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6205,17 +8455,29 @@
   return xfer;
 }
 
-uint32_t QuarantineMark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuarantineMark");
+  xfer += oprot->writeStructBegin("QuotaGrant");
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->team);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("allowedTotal", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->allowedTotal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("validMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->validMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fallbackMilli", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->fallbackMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dueMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->dueMillis);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6223,91 +8485,93 @@
   return xfer;
 }
 
-void swap(QuarantineMark &a, QuarantineMark &b) {
+void swap(QuotaGrant &a, QuotaGrant &b) {
   using ::std::swap;
-  swap(a.epoch, b.epoch);
-  swap(a.revision, b.revision);
+  swap(a.team, b.team);
+  swap(a.allowedTotal, b.allowedTotal);
+  swap(a.validMillis, b.validMillis);
+  swap(a.fallbackMilli, b.fallbackMilli);
+  swap(a.dueMillis, b.dueMillis);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineMark::QuarantineMark(const QuarantineMark& other246) noexcept {
-  epoch = other246.epoch;
-  revision = other246.revision;
-  __isset = other246.__isset;
-}
-QuarantineMark::QuarantineMark(QuarantineMark&& other247) noexcept {
-  epoch = other247.epoch;
-  revision = other247.revision;
-  __isset = other247.__isset;
-}
-QuarantineMark& QuarantineMark::operator=(const QuarantineMark& other248) noexcept {
-  epoch = other248.epoch;
-  revision = other248.revision;
-  __isset = other248.__isset;
+QuotaGrant::QuotaGrant(const QuotaGrant& other331) noexcept {
+  team = other331.team;
+  allowedTotal = other331.allowedTotal;
+  validMillis = other331.validMillis;
+  fallbackMilli = other331.fallbackMilli;
+  dueMillis = other331.dueMillis;
+  __isset = other331.__isset;
+}
+QuotaGrant::QuotaGrant(QuotaGrant&& other332) noexcept {
+  team = other332.team;
+  allowedTotal = other332.allowedTotal;
+  validMillis = other332.validMillis;
+  fallbackMilli = other332.fallbackMilli;
+  dueMillis = other332.dueMillis;
+  __isset = other332.__isset;
+}
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other333) noexcept {
+  team = other333.team;
+  allowedTotal = other333.allowedTotal;
+  validMillis = other333.validMillis;
+  fallbackMilli = other333.fallbackMilli;
+  dueMillis = other333.dueMillis;
+  __isset = other333.__isset;
   return *this;
 }
-QuarantineMark& QuarantineMark::operator=(QuarantineMark&& other249) noexcept {
-  epoch = other249.epoch;
-  revision = other249.revision;
-  __isset = other249.__isset;
+QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other334) noexcept {
+  team = other334.team;
+  allowedTotal = other334.allowedTotal;
+  validMillis = other334.validMillis;
+  fallbackMilli = other334.fallbackMilli;
+  dueMillis = other334.dueMillis;
+  __isset = other334.__isset;
   return *this;
 }
-void QuarantineMark::printTo(std::ostream& out) const {
+void QuotaGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuarantineMark(";
-  out << "epoch=" << to_string(epoch);
-  out << ", " << "revision=" << to_string(revision);
+  out << "QuotaGrant(";
+  out << "team=" << to_string(team);
+  out << ", " << "allowedTotal=" << to_string(allowedTotal);
+  out << ", " << "validMillis=" << to_string(validMillis);
+  out << ", " << "fallbackMilli=" << to_string(fallbackMilli);
+  out << ", " << "dueMillis=" << to_string(dueMillis);
   out << ")";
 }
 
 
-WatchRequest::~WatchRequest() noexcept {
-}
-
-
-void WatchRequest::__set_heldVersion(const int64_t val) {
-  this->heldVersion = val;
-}
-
-void WatchRequest::__set_waitMillis(const int32_t val) {
-  this->waitMillis = val;
-}
-
-void WatchRequest::__set_report(const DomainReport& val) {
-  this->report = val;
+QuotaReply::~QuotaReply() noexcept {
 }
 
-void WatchRequest::__set_sentAt(const Stamp& val) {
-  this->sentAt = val;
-}
 
-void WatchRequest::__set_failureDomain(const std::string& val) {
-  this->failureDomain = val;
+void QuotaReply::__set_granted(const bool val) {
+  this->granted = val;
 }
 
-void WatchRequest::__set_wantsMembers(const bool val) {
-  this->wantsMembers = val;
+void QuotaReply::__set_leader(const std::string& val) {
+  this->leader = val;
 }
 
-void WatchRequest::__set_introduced(const std::vector<Member> & val) {
-  this->introduced = val;
+void QuotaReply::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void WatchRequest::__set_quarantineSeen(const QuarantineMark& val) {
-  this->quarantineSeen = val;
+void QuotaReply::__set_grants(const std::vector<QuotaGrant> & val) {
+  this->grants = val;
 }
 
-void WatchRequest::__set_quarantined(const std::vector<QuarantinedRequest> & val) {
-  this->quarantined = val;
+void QuotaReply::__set_intervalMillis(const int32_t val) {
+  this->intervalMillis = val;
 }
-std::ostream& operator<<(std::ostream& out, const WatchRequest& obj)
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t WatchRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6329,97 +8593,53 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->heldVersion);
-          this->__isset.heldVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->waitMillis);
-          this->__isset.waitMillis = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report.read(iprot);
-          this->__isset.report = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->sentAt.read(iprot);
-          this->__isset.sentAt = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->failureDomain);
-          this->__isset.failureDomain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wantsMembers);
-          this->__isset.wantsMembers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->introduced.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->introduced.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            this->grants.clear();
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->grants.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->introduced[_i254].read(iprot);
+              xfer += this->grants[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.introduced = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->quarantineSeen.read(iprot);
-          this->__isset.quarantineSeen = true;
+          this->__isset.grants = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->quarantined.clear();
-            uint32_t _size255;
-            ::apache::thrift::protocol::TType _etype258;
-            xfer += iprot->readListBegin(_etype258, _size255);
-            this->quarantined.resize(_size255);
-            uint32_t _i259;
-            for (_i259 = 0; _i259 < _size255; ++_i259)
-            {
-              xfer += this->quarantined[_i259].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.quarantined = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->intervalMillis);
+          this->__isset.intervalMillis = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6436,61 +8656,37 @@
   return xfer;
 }
 
-uint32_t WatchRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("WatchRequest");
-
-  xfer += oprot->writeFieldBegin("heldVersion", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->heldVersion);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("waitMillis", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->waitMillis);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->report.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("QuotaReply");
 
-  xfer += oprot->writeFieldBegin("sentAt", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->sentAt.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->leader);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wantsMembers", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->wantsMembers);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("introduced", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->introduced.size()));
-    std::vector<Member> ::const_iterator _iter260;
-    for (_iter260 = this->introduced.begin(); _iter260 != this->introduced.end(); ++_iter260)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<QuotaGrant> ::const_iterator _iter340;
+    for (_iter340 = this->grants.begin(); _iter340 != this->grants.end(); ++_iter340)
     {
-      xfer += (*_iter260).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("quarantineSeen", ::apache::thrift::protocol::T_STRUCT, 8);
-  xfer += this->quarantineSeen.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<QuarantinedRequest> ::const_iterator _iter261;
-    for (_iter261 = this->quarantined.begin(); _iter261 != this->quarantined.end(); ++_iter261)
-    {
-      xfer += (*_iter261).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("intervalMillis", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->intervalMillis);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6498,82 +8694,58 @@
   return xfer;
 }
 
-void swap(WatchRequest &a, WatchRequest &b) {
+void swap(QuotaReply &a, QuotaReply &b) {
   using ::std::swap;
-  swap(a.heldVersion, b.heldVersion);
-  swap(a.waitMillis, b.waitMillis);
-  swap(a.report, b.report);
-  swap(a.sentAt, b.sentAt);
-  swap(a.failureDomain, b.failureDomain);
-  swap(a.wantsMembers, b.wantsMembers);
-  swap(a.introduced, b.introduced);
-  swap(a.quarantineSeen, b.quarantineSeen);
-  swap(a.quarantined, b.quarantined);
+  swap(a.granted, b.granted);
+  swap(a.leader, b.leader);
+  swap(a.version, b.version);
+  swap(a.grants, b.grants);
+  swap(a.intervalMillis, b.intervalMillis);
   swap(a.__isset, b.__isset);
 }
 
-WatchRequest::WatchRequest(const WatchRequest& other262) {
-  heldVersion = other262.heldVersion;
-  waitMillis = other262.waitMillis;
-  report = other262.report;
-  sentAt = other262.sentAt;
-  failureDomain = other262.failureDomain;
-  wantsMembers = other262.wantsMembers;
-  introduced = other262.introduced;
-  quarantineSeen = other262.quarantineSeen;
-  quarantined = other262.quarantined;
-  __isset = other262.__isset;
-}
-WatchRequest::WatchRequest(WatchRequest&& other263) noexcept {
-  heldVersion = other263.heldVersion;
-  waitMillis = other263.waitMillis;
-  report = std::move(other263.report);
-  sentAt = std::move(other263.sentAt);
-  failureDomain = std::move(other263.failureDomain);
-  wantsMembers = other263.wantsMembers;
-  introduced = std::move(other263.introduced);
-  quarantineSeen = std::move(other263.quarantineSeen);
-  quarantined = std::move(other263.quarantined);
-  __isset = other263.__isset;
-}
-WatchRequest& WatchRequest::operator=(const WatchRequest& other264) {
-  heldVersion = other264.heldVersion;
-  waitMillis = other264.waitMillis;
-  report = other264.report;
-  sentAt = other264.sentAt;
-  failureDomain = other264.failureDomain;
-  wantsMembers = other264.wantsMembers;
-  introduced = other264.introduced;
-  quarantineSeen = other264.quarantineSeen;
-  quarantined = other264.quarantined;
-  __isset = other264.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other341) {
+  granted = other341.granted;
+  leader = other341.leader;
+  version = other341.version;
+  grants = other341.grants;
+  intervalMillis = other341.intervalMillis;
+  __isset = other341.__isset;
+}
+QuotaReply::QuotaReply(QuotaReply&& other342) noexcept {
+  granted = other342.granted;
+  leader = std::move(other342.leader);
+  version = other342.version;
+  grants = std::move(other342.grants);
+  intervalMillis = other342.intervalMillis;
+  __isset = other342.__isset;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other343) {
+  granted = other343.granted;
+  leader = other343.leader;
+  version = other343.version;
+  grants = other343.grants;
+  intervalMillis = other343.intervalMillis;
+  __isset = other343.__isset;
   return *this;
 }
-WatchRequest& WatchRequest::operator=(WatchRequest&& other265) noexcept {
-  heldVersion = other265.heldVersion;
-  waitMillis = other265.waitMillis;
-  report = std::move(other265.report);
-  sentAt = std::move(other265.sentAt);
-  failureDomain = std::move(other265.failureDomain);
-  wantsMembers = other265.wantsMembers;
-  introduced = std::move(other265.introduced);
-  quarantineSeen = std::move(other265.quarantineSeen);
-  quarantined = std::move(other265.quarantined);
-  __isset = other265.__isset;
+QuotaReply& QuotaReply::operator=(QuotaReply&& other344) noexcept {
+  granted = other344.granted;
+  leader = std::move(other344.leader);
+  version = other344.version;
+  grants = std::move(other344.grants);
+  intervalMillis = other344.intervalMillis;
+  __isset = other344.__isset;
   return *this;
 }
-void WatchRequest::printTo(std::ostream& out) const {
+void QuotaReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "WatchRequest(";
-  out << "heldVersion=" << to_string(heldVersion);
-  out << ", " << "waitMillis=" << to_string(waitMillis);
-  out << ", " << "report=" << to_string(report);
-  out << ", " << "sentAt=" << to_string(sentAt);
-  out << ", " << "failureDomain=" << to_string(failureDomain);
-  out << ", " << "wantsMembers=" << to_string(wantsMembers);
-  out << ", " << "introduced=" << to_string(introduced);
-  out << ", " << "quarantineSeen=" << to_string(quarantineSeen);
-  out << ", " << "quarantined=" << to_string(quarantined);
+  out << "QuotaReply(";
+  out << "granted=" << to_string(granted);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "grants=" << to_string(grants);
+  out << ", " << "intervalMillis=" << to_string(intervalMillis);
   out << ")";
 }
 
@@ -6613,6 +8785,16 @@
 void WatchReply::__set_quarantined(const std::vector<QuarantinedRequest> & val) {
   this->quarantined = val;
 }
+
+void WatchReply::__set_rollouts(const RolloutSet& val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
+
+void WatchReply::__set_validity(const Validity& val) {
+  this->validity = val;
+__isset.validity = true;
+}
 std::ostream& operator<<(std::ostream& out, const WatchReply& obj)
 {
   obj.printTo(out);
@@ -6653,14 +8835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sample.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->sample.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->sample.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += this->sample[_i270].read(iprot);
+              xfer += this->sample[_i349].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6697,14 +8879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->replicas.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->replicas.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += this->replicas[_i275].read(iprot);
+              xfer += this->replicas[_i354].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6725,14 +8907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->quarantined.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->quarantined.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += this->quarantined[_i280].read(iprot);
+              xfer += this->quarantined[_i359].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6741,6 +8923,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollouts.read(iprot);
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->validity.read(iprot);
+          this->__isset.validity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6765,10 +8963,10 @@
   xfer += oprot->writeFieldBegin("sample", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sample.size()));
-    std::vector<Member> ::const_iterator _iter281;
-    for (_iter281 = this->sample.begin(); _iter281 != this->sample.end(); ++_iter281)
+    std::vector<Member> ::const_iterator _iter360;
+    for (_iter360 = this->sample.begin(); _iter360 != this->sample.end(); ++_iter360)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter360).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6789,10 +8987,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<Replica> ::const_iterator _iter282;
-    for (_iter282 = this->replicas.begin(); _iter282 != this->replicas.end(); ++_iter282)
+    std::vector<Replica> ::const_iterator _iter361;
+    for (_iter361 = this->replicas.begin(); _iter361 != this->replicas.end(); ++_iter361)
     {
-      xfer += (*_iter282).write(oprot);
+      xfer += (*_iter361).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6805,15 +9003,25 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<QuarantinedRequest> ::const_iterator _iter283;
-    for (_iter283 = this->quarantined.begin(); _iter283 != this->quarantined.end(); ++_iter283)
+    std::vector<QuarantinedRequest> ::const_iterator _iter362;
+    for (_iter362 = this->quarantined.begin(); _iter362 != this->quarantined.end(); ++_iter362)
     {
-      xfer += (*_iter283).write(oprot);
+      xfer += (*_iter362).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->rollouts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.validity) {
+    xfer += oprot->writeFieldBegin("validity", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->validity.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6829,53 +9037,63 @@
   swap(a.replicas, b.replicas);
   swap(a.quarantineMark, b.quarantineMark);
   swap(a.quarantined, b.quarantined);
+  swap(a.rollouts, b.rollouts);
+  swap(a.validity, b.validity);
   swap(a.__isset, b.__isset);
 }
 
-WatchReply::WatchReply(const WatchReply& other284) {
-  update = other284.update;
-  sample = other284.sample;
-  sentAt = other284.sentAt;
-  unchanged = other284.unchanged;
-  current = other284.current;
-  replicas = other284.replicas;
-  quarantineMark = other284.quarantineMark;
-  quarantined = other284.quarantined;
-  __isset = other284.__isset;
-}
-WatchReply::WatchReply(WatchReply&& other285) noexcept {
-  update = std::move(other285.update);
-  sample = std::move(other285.sample);
-  sentAt = std::move(other285.sentAt);
-  unchanged = other285.unchanged;
-  current = other285.current;
-  replicas = std::move(other285.replicas);
-  quarantineMark = std::move(other285.quarantineMark);
-  quarantined = std::move(other285.quarantined);
-  __isset = other285.__isset;
-}
-WatchReply& WatchReply::operator=(const WatchReply& other286) {
-  update = other286.update;
-  sample = other286.sample;
-  sentAt = other286.sentAt;
-  unchanged = other286.unchanged;
-  current = other286.current;
-  replicas = other286.replicas;
-  quarantineMark = other286.quarantineMark;
-  quarantined = other286.quarantined;
-  __isset = other286.__isset;
+WatchReply::WatchReply(const WatchReply& other363) {
+  update = other363.update;
+  sample = other363.sample;
+  sentAt = other363.sentAt;
+  unchanged = other363.unchanged;
+  current = other363.current;
+  replicas = other363.replicas;
+  quarantineMark = other363.quarantineMark;
+  quarantined = other363.quarantined;
+  rollouts = other363.rollouts;
+  validity = other363.validity;
+  __isset = other363.__isset;
+}
+WatchReply::WatchReply(WatchReply&& other364) noexcept {
+  update = std::move(other364.update);
+  sample = std::move(other364.sample);
+  sentAt = std::move(other364.sentAt);
+  unchanged = other364.unchanged;
+  current = other364.current;
+  replicas = std::move(other364.replicas);
+  quarantineMark = std::move(other364.quarantineMark);
+  quarantined = std::move(other364.quarantined);
+  rollouts = std::move(other364.rollouts);
+  validity = std::move(other364.validity);
+  __isset = other364.__isset;
+}
+WatchReply& WatchReply::operator=(const WatchReply& other365) {
+  update = other365.update;
+  sample = other365.sample;
+  sentAt = other365.sentAt;
+  unchanged = other365.unchanged;
+  current = other365.current;
+  replicas = other365.replicas;
+  quarantineMark = other365.quarantineMark;
+  quarantined = other365.quarantined;
+  rollouts = other365.rollouts;
+  validity = other365.validity;
+  __isset = other365.__isset;
   return *this;
 }
-WatchReply& WatchReply::operator=(WatchReply&& other287) noexcept {
-  update = std::move(other287.update);
-  sample = std::move(other287.sample);
-  sentAt = std::move(other287.sentAt);
-  unchanged = other287.unchanged;
-  current = other287.current;
-  replicas = std::move(other287.replicas);
-  quarantineMark = std::move(other287.quarantineMark);
-  quarantined = std::move(other287.quarantined);
-  __isset = other287.__isset;
+WatchReply& WatchReply::operator=(WatchReply&& other366) noexcept {
+  update = std::move(other366.update);
+  sample = std::move(other366.sample);
+  sentAt = std::move(other366.sentAt);
+  unchanged = other366.unchanged;
+  current = other366.current;
+  replicas = std::move(other366.replicas);
+  quarantineMark = std::move(other366.quarantineMark);
+  quarantined = std::move(other366.quarantined);
+  rollouts = std::move(other366.rollouts);
+  validity = std::move(other366.validity);
+  __isset = other366.__isset;
   return *this;
 }
 void WatchReply::printTo(std::ostream& out) const {
@@ -6889,6 +9107,8 @@
   out << ", " << "replicas=" << to_string(replicas);
   out << ", " << "quarantineMark=" << to_string(quarantineMark);
   out << ", " << "quarantined=" << to_string(quarantined);
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
+  out << ", " << "validity="; (__isset.validity ? (out << to_string(validity)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -32,7 +32,9 @@
     Complete = 6,
     Release = 7,
     Expire = 8,
-    Replace = 9
+    Replace = 9,
+    StartRollout = 10,
+    AdvanceRollout = 11
   };
 };
 
@@ -42,6 +44,20 @@
 
 std::string to_string(const CommandKind::type& val);
 
+struct RolloutState {
+  enum type {
+    Running = 0,
+    Completed = 1,
+    RolledBack = 2
+  };
+};
+
+extern const std::map<int, const char*> _RolloutState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const RolloutState::type& val);
+
+std::string to_string(const RolloutState::type& val);
+
 struct TargetIntent {
   enum type {
     Serving = 0,
@@ -127,6 +143,14 @@
 
 class Replica;
 
+class RolloutRecord;
+
+class RolloutSet;
+
+class VersionOutcomes;
+
+class NodeOutcomes;
+
 class Command;
 
 class LogEntry;
@@ -179,6 +203,16 @@
 
 class WatchRequest;
 
+class Validity;
+
+class QuotaUsage;
+
+class QuotaRequest;
+
+class QuotaGrant;
+
+class QuotaReply;
+
 class WatchReply;
 
 typedef struct _Stamp__isset {
@@ -313,8 +347,363 @@
 
 std::ostream& operator<<(std::ostream& out, const Replica& obj);
 
+typedef struct _RolloutRecord__isset {
+  _RolloutRecord__isset() : serviceName(false), targetVersion(false), durationMillis(true), orderedAtMicros(true), state(true), stage(false), candidatePermille(true), revision(true), reason(false), elapsedMillis(true), rejectedVersions(false), canaryTargets(true) {}
+  bool serviceName :1;
+  bool targetVersion :1;
+  bool durationMillis :1;
+  bool orderedAtMicros :1;
+  bool state :1;
+  bool stage :1;
+  bool candidatePermille :1;
+  bool revision :1;
+  bool reason :1;
+  bool elapsedMillis :1;
+  bool rejectedVersions :1;
+  bool canaryTargets :1;
+} _RolloutRecord__isset;
+
+class RolloutRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutRecord(const RolloutRecord&);
+  RolloutRecord(RolloutRecord&&) noexcept;
+  RolloutRecord& operator=(const RolloutRecord&);
+  RolloutRecord& operator=(RolloutRecord&&) noexcept;
+  RolloutRecord() noexcept
+                : serviceName(),
+                  targetVersion(),
+                  durationMillis(0LL),
+                  orderedAtMicros(0LL),
+                  state(static_cast<RolloutState::type>(0)),
+                  stage(),
+                  candidatePermille(0),
+                  revision(0LL),
+                  reason(),
+                  elapsedMillis(0LL),
+                  canaryTargets(0) {
+  }
+
+  virtual ~RolloutRecord() noexcept;
+  std::string serviceName;
+  std::string targetVersion;
+  int64_t durationMillis;
+  int64_t orderedAtMicros;
+  /**
+   * 
+   * @see RolloutState
+   */
+  RolloutState::type state;
+  std::string stage;
+  int32_t candidatePermille;
+  int64_t revision;
+  std::string reason;
+  int64_t elapsedMillis;
+  std::vector<std::string>  rejectedVersions;
+  int32_t canaryTargets;
+
+  _RolloutRecord__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_targetVersion(const std::string& val);
+
+  void __set_durationMillis(const int64_t val);
+
+  void __set_orderedAtMicros(const int64_t val);
+
+  void __set_state(const RolloutState::type val);
+
+  void __set_stage(const std::string& val);
+
+  void __set_candidatePermille(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_elapsedMillis(const int64_t val);
+
+  void __set_rejectedVersions(const std::vector<std::string> & val);
+
+  void __set_canaryTargets(const int32_t val);
+
+  bool operator == (const RolloutRecord & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(targetVersion == rhs.targetVersion))
+      return false;
+    if (!(durationMillis == rhs.durationMillis))
+      return false;
+    if (!(orderedAtMicros == rhs.orderedAtMicros))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(stage == rhs.stage))
+      return false;
+    if (!(candidatePermille == rhs.candidatePermille))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(elapsedMillis == rhs.elapsedMillis))
+      return false;
+    if (!(rejectedVersions == rhs.rejectedVersions))
+      return false;
+    if (!(canaryTargets == rhs.canaryTargets))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutRecord &a, RolloutRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutRecord& obj);
+
+typedef struct _RolloutSet__isset {
+  _RolloutSet__isset() : revision(true), rollouts(false) {}
+  bool revision :1;
+  bool rollouts :1;
+} _RolloutSet__isset;
+
+class RolloutSet : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutSet(const RolloutSet&);
+  RolloutSet(RolloutSet&&) noexcept;
+  RolloutSet& operator=(const RolloutSet&);
+  RolloutSet& operator=(RolloutSet&&) noexcept;
+  RolloutSet() noexcept
+             : revision(0LL) {
+  }
+
+  virtual ~RolloutSet() noexcept;
+  int64_t revision;
+  std::vector<RolloutRecord>  rollouts;
+
+  _RolloutSet__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_rollouts(const std::vector<RolloutRecord> & val);
+
+  bool operator == (const RolloutSet & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(rollouts == rhs.rollouts))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutSet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutSet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutSet &a, RolloutSet &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutSet& obj);
+
+typedef struct _VersionOutcomes__isset {
+  _VersionOutcomes__isset() : serviceName(false), version(false), route(false), responses(true), failures(true), latencyCounts(false) {}
+  bool serviceName :1;
+  bool version :1;
+  bool route :1;
+  bool responses :1;
+  bool failures :1;
+  bool latencyCounts :1;
+} _VersionOutcomes__isset;
+
+class VersionOutcomes : public virtual ::apache::thrift::TBase {
+ public:
+
+  VersionOutcomes(const VersionOutcomes&);
+  VersionOutcomes(VersionOutcomes&&) noexcept;
+  VersionOutcomes& operator=(const VersionOutcomes&);
+  VersionOutcomes& operator=(VersionOutcomes&&) noexcept;
+  VersionOutcomes() noexcept
+                  : serviceName(),
+                    version(),
+                    route(),
+                    responses(0LL),
+                    failures(0LL) {
+  }
+
+  virtual ~VersionOutcomes() noexcept;
+  std::string serviceName;
+  std::string version;
+  std::string route;
+  int64_t responses;
+  int64_t failures;
+  std::vector<int32_t>  latencyCounts;
+
+  _VersionOutcomes__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  void __set_route(const std::string& val);
+
+  void __set_responses(const int64_t val);
+
+  void __set_failures(const int64_t val);
+
+  void __set_latencyCounts(const std::vector<int32_t> & val);
+
+  bool operator == (const VersionOutcomes & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(responses == rhs.responses))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(latencyCounts == rhs.latencyCounts))
+      return false;
+    return true;
+  }
+  bool operator != (const VersionOutcomes &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VersionOutcomes & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VersionOutcomes &a, VersionOutcomes &b);
+
+std::ostream& operator<<(std::ostream& out, const VersionOutcomes& obj);
+
+typedef struct _NodeOutcomes__isset {
+  _NodeOutcomes__isset() : node(false), incarnation(true), sequence(true), outcomes(false), appliedRevision(true), ageMillis(true), serviceName(false), version(false), openCalls(true) {}
+  bool node :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool outcomes :1;
+  bool appliedRevision :1;
+  bool ageMillis :1;
+  bool serviceName :1;
+  bool version :1;
+  bool openCalls :1;
+} _NodeOutcomes__isset;
+
+class NodeOutcomes : public virtual ::apache::thrift::TBase {
+ public:
+
+  NodeOutcomes(const NodeOutcomes&);
+  NodeOutcomes(NodeOutcomes&&) noexcept;
+  NodeOutcomes& operator=(const NodeOutcomes&);
+  NodeOutcomes& operator=(NodeOutcomes&&) noexcept;
+  NodeOutcomes() noexcept
+               : node(),
+                 incarnation(0LL),
+                 sequence(0LL),
+                 appliedRevision(0LL),
+                 ageMillis(0LL),
+                 serviceName(),
+                 version(),
+                 openCalls(0) {
+  }
+
+  virtual ~NodeOutcomes() noexcept;
+  std::string node;
+  int64_t incarnation;
+  int64_t sequence;
+  std::vector<VersionOutcomes>  outcomes;
+  int64_t appliedRevision;
+  int64_t ageMillis;
+  std::string serviceName;
+  std::string version;
+  int32_t openCalls;
+
+  _NodeOutcomes__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_outcomes(const std::vector<VersionOutcomes> & val);
+
+  void __set_appliedRevision(const int64_t val);
+
+  void __set_ageMillis(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_version(const std::string& val);
+
+  void __set_openCalls(const int32_t val);
+
+  bool operator == (const NodeOutcomes & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(outcomes == rhs.outcomes))
+      return false;
+    if (!(appliedRevision == rhs.appliedRevision))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(openCalls == rhs.openCalls))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeOutcomes &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeOutcomes & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NodeOutcomes &a, NodeOutcomes &b);
+
+std::ostream& operator<<(std::ostream& out, const NodeOutcomes& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : kind(true), requestId(false), author(false), basedOn(true), proposal(true), body(false), target(false), intent(true), members(false), key(false), token(false), status(true), contentType(false), atMicros(true), fingerprint(false), version(true), hash(false), delta(true) {}
+  _Command__isset() : kind(true), requestId(false), author(false), basedOn(true), proposal(true), body(false), target(false), intent(true), members(false), key(false), token(false), status(true), contentType(false), atMicros(true), fingerprint(false), version(true), hash(false), delta(true), rollout(false) {}
   bool kind :1;
   bool requestId :1;
   bool author :1;
@@ -333,6 +722,7 @@
   bool version :1;
   bool hash :1;
   bool delta :1;
+  bool rollout :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -389,6 +779,7 @@
   int64_t version;
   std::string hash;
   bool delta;
+  RolloutRecord rollout;
 
   _Command__isset __isset;
 
@@ -428,6 +819,8 @@
 
   void __set_delta(const bool val);
 
+  void __set_rollout(const RolloutRecord& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -466,6 +859,10 @@
       return false;
     if (!(delta == rhs.delta))
       return false;
+    if (__isset.rollout != rhs.__isset.rollout)
+      return false;
+    else if (__isset.rollout && !(rollout == rhs.rollout))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1605,13 +2002,15 @@
 std::ostream& operator<<(std::ostream& out, const VersionRecord& obj);
 
 typedef struct _ConfigurationImage__isset {
-  _ConfigurationImage__isset() : version(true), history(false), proposals(false), nextProposal(true), results(false), updates(false) {}
+  _ConfigurationImage__isset() : version(true), history(false), proposals(false), nextProposal(true), results(false), updates(false), rollouts(false), rolloutRevision(true) {}
   bool version :1;
   bool history :1;
   bool proposals :1;
   bool nextProposal :1;
   bool results :1;
   bool updates :1;
+  bool rollouts :1;
+  bool rolloutRevision :1;
 } _ConfigurationImage__isset;
 
 class ConfigurationImage : public virtual ::apache::thrift::TBase {
@@ -1623,7 +2022,8 @@
   ConfigurationImage& operator=(ConfigurationImage&&) noexcept;
   ConfigurationImage() noexcept
                      : version(0LL),
-                       nextProposal(1LL) {
+                       nextProposal(1LL),
+                       rolloutRevision(0LL) {
   }
 
   virtual ~ConfigurationImage() noexcept;
@@ -1633,6 +2033,8 @@
   int64_t nextProposal;
   std::vector<StoredResult>  results;
   std::vector<ConfigurationUpdate>  updates;
+  std::vector<RolloutRecord>  rollouts;
+  int64_t rolloutRevision;
 
   _ConfigurationImage__isset __isset;
 
@@ -1648,6 +2050,10 @@
 
   void __set_updates(const std::vector<ConfigurationUpdate> & val);
 
+  void __set_rollouts(const std::vector<RolloutRecord> & val);
+
+  void __set_rolloutRevision(const int64_t val);
+
   bool operator == (const ConfigurationImage & rhs) const
   {
     if (!(version == rhs.version))
@@ -1662,6 +2068,10 @@
       return false;
     if (!(updates == rhs.updates))
       return false;
+    if (!(rollouts == rhs.rollouts))
+      return false;
+    if (!(rolloutRevision == rhs.rolloutRevision))
+      return false;
     return true;
   }
   bool operator != (const ConfigurationImage &rhs) const {
@@ -1681,7 +2091,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigurationImage& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true), warmUpMillis(true) {}
+  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true), warmUpMillis(true), targetVersion(false) {}
   bool name :1;
   bool incarnation :1;
   bool revision :1;
@@ -1696,6 +2106,7 @@
   bool slots :1;
   bool version :1;
   bool warmUpMillis :1;
+  bool targetVersion :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -1719,7 +2130,8 @@
            phase(static_cast<TargetPhase::type>(0)),
            slots(0),
            version(0LL),
-           warmUpMillis(0) {
+           warmUpMillis(0),
+           targetVersion() {
   }
 
   virtual ~Member() noexcept;
@@ -1745,6 +2157,7 @@
   int32_t slots;
   int64_t version;
   int32_t warmUpMillis;
+  std::string targetVersion;
 
   _Member__isset __isset;
 
@@ -1776,6 +2189,8 @@
 
   void __set_warmUpMillis(const int32_t val);
 
+  void __set_targetVersion(const std::string& val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
@@ -1806,6 +2221,10 @@
       return false;
     if (!(warmUpMillis == rhs.warmUpMillis))
       return false;
+    if (__isset.targetVersion != rhs.__isset.targetVersion)
+      return false;
+    else if (__isset.targetVersion && !(targetVersion == rhs.targetVersion))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
@@ -2297,7 +2716,7 @@
 std::ostream& operator<<(std::ostream& out, const QuarantineMark& obj);
 
 typedef struct _WatchRequest__isset {
-  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true), introduced(false), quarantineSeen(false), quarantined(false) {}
+  _WatchRequest__isset() : heldVersion(true), waitMillis(true), report(false), sentAt(false), failureDomain(false), wantsMembers(true), introduced(false), quarantineSeen(false), quarantined(false), rolloutRevision(false), outcomes(false) {}
   bool heldVersion :1;
   bool waitMillis :1;
   bool report :1;
@@ -2307,6 +2726,8 @@
   bool introduced :1;
   bool quarantineSeen :1;
   bool quarantined :1;
+  bool rolloutRevision :1;
+  bool outcomes :1;
 } _WatchRequest__isset;
 
 class WatchRequest : public virtual ::apache::thrift::TBase {
@@ -2320,7 +2741,8 @@
                : heldVersion(0LL),
                  waitMillis(0),
                  failureDomain(),
-                 wantsMembers(true) {
+                 wantsMembers(true),
+                 rolloutRevision(0) {
   }
 
   virtual ~WatchRequest() noexcept;
@@ -2333,6 +2755,8 @@
   std::vector<Member>  introduced;
   QuarantineMark quarantineSeen;
   std::vector<QuarantinedRequest>  quarantined;
+  int64_t rolloutRevision;
+  NodeOutcomes outcomes;
 
   _WatchRequest__isset __isset;
 
@@ -2354,6 +2778,10 @@
 
   void __set_quarantined(const std::vector<QuarantinedRequest> & val);
 
+  void __set_rolloutRevision(const int64_t val);
+
+  void __set_outcomes(const NodeOutcomes& val);
+
   bool operator == (const WatchRequest & rhs) const
   {
     if (!(heldVersion == rhs.heldVersion))
@@ -2374,6 +2802,14 @@
       return false;
     if (!(quarantined == rhs.quarantined))
       return false;
+    if (__isset.rolloutRevision != rhs.__isset.rolloutRevision)
+      return false;
+    else if (__isset.rolloutRevision && !(rolloutRevision == rhs.rolloutRevision))
+      return false;
+    if (__isset.outcomes != rhs.__isset.outcomes)
+      return false;
+    else if (__isset.outcomes && !(outcomes == rhs.outcomes))
+      return false;
     return true;
   }
   bool operator != (const WatchRequest &rhs) const {
@@ -2392,8 +2828,357 @@
 
 std::ostream& operator<<(std::ostream& out, const WatchRequest& obj);
 
+typedef struct _Validity__isset {
+  _Validity__isset() : version(true), ageMillis(true), heldMillis(true) {}
+  bool version :1;
+  bool ageMillis :1;
+  bool heldMillis :1;
+} _Validity__isset;
+
+class Validity : public virtual ::apache::thrift::TBase {
+ public:
+
+  Validity(const Validity&) noexcept;
+  Validity(Validity&&) noexcept;
+  Validity& operator=(const Validity&) noexcept;
+  Validity& operator=(Validity&&) noexcept;
+  Validity() noexcept
+           : version(0LL),
+             ageMillis(0),
+             heldMillis(0) {
+  }
+
+  virtual ~Validity() noexcept;
+  int64_t version;
+  int32_t ageMillis;
+  int32_t heldMillis;
+
+  _Validity__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_ageMillis(const int32_t val);
+
+  void __set_heldMillis(const int32_t val);
+
+  bool operator == (const Validity & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
+    if (!(heldMillis == rhs.heldMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const Validity &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Validity & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Validity &a, Validity &b);
+
+std::ostream& operator<<(std::ostream& out, const Validity& obj);
+
+typedef struct _QuotaUsage__isset {
+  _QuotaUsage__isset() : team(true), usedTotal(true), demandMilli(true), waiting(true), fallbackMilli(true) {}
+  bool team :1;
+  bool usedTotal :1;
+  bool demandMilli :1;
+  bool waiting :1;
+  bool fallbackMilli :1;
+} _QuotaUsage__isset;
+
+class QuotaUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaUsage(const QuotaUsage&) noexcept;
+  QuotaUsage(QuotaUsage&&) noexcept;
+  QuotaUsage& operator=(const QuotaUsage&) noexcept;
+  QuotaUsage& operator=(QuotaUsage&&) noexcept;
+  QuotaUsage() noexcept
+             : team(0),
+               usedTotal(0LL),
+               demandMilli(0),
+               waiting(0),
+               fallbackMilli(0) {
+  }
+
+  virtual ~QuotaUsage() noexcept;
+  int32_t team;
+  int64_t usedTotal;
+  int32_t demandMilli;
+  int32_t waiting;
+  int32_t fallbackMilli;
+
+  _QuotaUsage__isset __isset;
+
+  void __set_team(const int32_t val);
+
+  void __set_usedTotal(const int64_t val);
+
+  void __set_demandMilli(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_fallbackMilli(const int32_t val);
+
+  bool operator == (const QuotaUsage & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(usedTotal == rhs.usedTotal))
+      return false;
+    if (!(demandMilli == rhs.demandMilli))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(fallbackMilli == rhs.fallbackMilli))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaUsage &a, QuotaUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj);
+
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : node(false), incarnation(true), sequence(true), version(true), usages(false) {}
+  bool node :1;
+  bool incarnation :1;
+  bool sequence :1;
+  bool version :1;
+  bool usages :1;
+} _QuotaRequest__isset;
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest(QuotaRequest&&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest& operator=(QuotaRequest&&) noexcept;
+  QuotaRequest() noexcept
+               : node(),
+                 incarnation(0LL),
+                 sequence(0LL),
+                 version(0LL) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  std::string node;
+  int64_t incarnation;
+  int64_t sequence;
+  int64_t version;
+  std::vector<QuotaUsage>  usages;
+
+  _QuotaRequest__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_usages(const std::vector<QuotaUsage> & val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(usages == rhs.usages))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+typedef struct _QuotaGrant__isset {
+  _QuotaGrant__isset() : team(true), allowedTotal(true), validMillis(true), fallbackMilli(true), dueMillis(true) {}
+  bool team :1;
+  bool allowedTotal :1;
+  bool validMillis :1;
+  bool fallbackMilli :1;
+  bool dueMillis :1;
+} _QuotaGrant__isset;
+
+class QuotaGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaGrant(const QuotaGrant&) noexcept;
+  QuotaGrant(QuotaGrant&&) noexcept;
+  QuotaGrant& operator=(const QuotaGrant&) noexcept;
+  QuotaGrant& operator=(QuotaGrant&&) noexcept;
+  QuotaGrant() noexcept
+             : team(0),
+               allowedTotal(0LL),
+               validMillis(0),
+               fallbackMilli(0),
+               dueMillis(0) {
+  }
+
+  virtual ~QuotaGrant() noexcept;
+  int32_t team;
+  int64_t allowedTotal;
+  int32_t validMillis;
+  int32_t fallbackMilli;
+  int32_t dueMillis;
+
+  _QuotaGrant__isset __isset;
+
+  void __set_team(const int32_t val);
+
+  void __set_allowedTotal(const int64_t val);
+
+  void __set_validMillis(const int32_t val);
+
+  void __set_fallbackMilli(const int32_t val);
+
+  void __set_dueMillis(const int32_t val);
+
+  bool operator == (const QuotaGrant & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(allowedTotal == rhs.allowedTotal))
+      return false;
+    if (!(validMillis == rhs.validMillis))
+      return false;
+    if (!(fallbackMilli == rhs.fallbackMilli))
+      return false;
+    if (!(dueMillis == rhs.dueMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaGrant &a, QuotaGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
+
+typedef struct _QuotaReply__isset {
+  _QuotaReply__isset() : granted(true), leader(false), version(true), grants(false), intervalMillis(true) {}
+  bool granted :1;
+  bool leader :1;
+  bool version :1;
+  bool grants :1;
+  bool intervalMillis :1;
+} _QuotaReply__isset;
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&);
+  QuotaReply(QuotaReply&&) noexcept;
+  QuotaReply& operator=(const QuotaReply&);
+  QuotaReply& operator=(QuotaReply&&) noexcept;
+  QuotaReply() noexcept
+             : granted(false),
+               leader(),
+               version(0LL),
+               intervalMillis(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  bool granted;
+  std::string leader;
+  int64_t version;
+  std::vector<QuotaGrant>  grants;
+  int32_t intervalMillis;
+
+  _QuotaReply__isset __isset;
+
+  void __set_granted(const bool val);
+
+  void __set_leader(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_grants(const std::vector<QuotaGrant> & val);
+
+  void __set_intervalMillis(const int32_t val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    if (!(intervalMillis == rhs.intervalMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
 typedef struct _WatchReply__isset {
-  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true), replicas(false), quarantineMark(false), quarantined(false) {}
+  _WatchReply__isset() : update(false), sample(false), sentAt(false), unchanged(true), current(true), replicas(false), quarantineMark(false), quarantined(false), rollouts(false), validity(false) {}
   bool update :1;
   bool sample :1;
   bool sentAt :1;
@@ -2402,6 +3187,8 @@
   bool replicas :1;
   bool quarantineMark :1;
   bool quarantined :1;
+  bool rollouts :1;
+  bool validity :1;
 } _WatchReply__isset;
 
 class WatchReply : public virtual ::apache::thrift::TBase {
@@ -2425,6 +3212,8 @@
   std::vector<Replica>  replicas;
   QuarantineMark quarantineMark;
   std::vector<QuarantinedRequest>  quarantined;
+  RolloutSet rollouts;
+  Validity validity;
 
   _WatchReply__isset __isset;
 
@@ -2444,6 +3233,10 @@
 
   void __set_quarantined(const std::vector<QuarantinedRequest> & val);
 
+  void __set_rollouts(const RolloutSet& val);
+
+  void __set_validity(const Validity& val);
+
   bool operator == (const WatchReply & rhs) const
   {
     if (!(update == rhs.update))
@@ -2462,6 +3255,14 @@
       return false;
     if (!(quarantined == rhs.quarantined))
       return false;
+    if (__isset.rollouts != rhs.__isset.rollouts)
+      return false;
+    else if (__isset.rollouts && !(rollouts == rhs.rollouts))
+      return false;
+    if (__isset.validity != rhs.__isset.validity)
+      return false;
+    else if (__isset.validity && !(validity == rhs.validity))
+      return false;
     return true;
   }
   bool operator != (const WatchReply &rhs) const {
