Configuration: teams with keys, and public routes

Documents couldn't say which callers may send requests. The native format gets 'teams' and 'public', the platform's 'tenants' and 'public'. Errors name teams and fields, not keys, so the excerpt of the text is removed from errors of syntax.

--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -1,5 +1,6 @@
 #include "configuration/configuration.h"
 
+#include "configuration/teamkeys.h"
 #include "settings/jsonreader.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 static constexpr int64_t kDefaultConnections = 1024;
 static constexpr int64_t kMaximumWeight = 1000000;
 static constexpr int64_t kLowestPriority = 1000;
+static constexpr double kMaximumRequestsPerSecond = 1e9;
 static constexpr int64_t kMaximumBodyBytes = 1024L * 1024 * 1024;
 static constexpr size_t kDocumentLimitBytes = 4UL * 1024 * 1024;
 
@@ -153,6 +155,7 @@
   route.limit = aReader.Text("limit", "");
   route.latencyObjective = aReader.Milliseconds("latencyObjectiveMs", zero, kLongestTimeout, zero);
   route.priority = aReader.Integer("priority", 0, kLowestPriority, 1);
+  route.isPublic = aReader.Flag("public", false);
   CheckMatchFields(aReader, route, aProblems);
   return route;
 }
@@ -184,6 +187,38 @@
     });
 }
 
+static std::vector<std::string>
+ReadKeyDigests(JsonReader& aReader, Problems& aProblems)
+{
+  std::vector<std::string> digests;
+  for (const std::string& key : aReader.Texts("keys")) {
+    if (key.empty()) {
+      aProblems.Add(aReader.PathOf("keys"), "must not contain an empty key; remove it");
+    }
+    digests.push_back(DigestOfListedKey(key));
+  }
+  return digests;
+}
+
+static void
+ReadTeams(JsonReader& aReader, Configuration& aConfiguration, Problems& aProblems)
+{
+  aConfiguration.hasTeams = aReader.Has("teams");
+  aReader.ForEach("teams", [&](const std::string& aName, JsonReader& aTeam) {
+    if (const Result<void> checked = CheckTeamName(aName); !checked) {
+      aProblems.Add(aReader.PathOf("teams"), "the name of a team " + checked.error().message);
+    }
+    Team team{ .name = aName,
+               .keyDigests = ReadKeyDigests(aTeam, aProblems),
+               .priority = aTeam.Integer("priority", 0, kLowestPriority, 1),
+               .requestsPerSecond = aTeam.Number("requestsPerSecond", 0, kMaximumRequestsPerSecond, 0),
+               .burst = aTeam.Number("burst", 0, kMaximumRequestsPerSecond, 0) };
+    if (const Result<void> added = AddTeam(aConfiguration, std::move(team)); !added) {
+      aProblems.Add(aTeam.PathOf("keys"), added.error().message);
+    }
+  });
+}
+
 static void
 ReadTargets(JsonReader& aReader, Configuration& aConfiguration)
 {
@@ -222,6 +257,7 @@
   ReadLimits(reader, configuration);
   ReadRoutes(reader, configuration, problems);
   ReadCallerLimits(reader, configuration);
+  ReadTeams(reader, configuration, problems);
   if (aOrigin == DocumentOrigin::Control) {
     ReadTargets(reader, configuration);
   }
@@ -238,6 +274,28 @@
   return ParseConfiguration(aText, "configuration", DocumentOrigin::Control);
 }
 
+std::optional<std::string>
+NativeFormat::RedactKeys(const std::string& aText)
+{
+  if (!MayHaveMember(aText, "teams")) {
+    return std::nullopt;
+  }
+  nlohmann::json document = nlohmann::json::parse(aText, nullptr, true, true);
+  const auto teams = document.find("teams");
+  if (teams == document.end()) {
+    return std::nullopt;
+  }
+  for (nlohmann::json& team : *teams) {
+    if (!team.contains("keys")) {
+      continue;
+    }
+    for (nlohmann::json& key : team["keys"]) {
+      key = MarkedDigest(key.get<std::string>());
+    }
+  }
+  return document.dump();
+}
+
 static bool
 Matches(const Route& aRoute, const std::string& aHost, const std::string& aPath, const std::string& aMethod)
 {
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -137,13 +138,19 @@
   std::map<std::string, std::string> teamByKeyDigest;
 };
 
-/** A format of configuration documents; Parse() reads and validates a complete document. */
+/**
+ * A format of configuration documents. Parse() reads and validates a complete document; RedactKeys() returns
+ * a valid document with each key of a team replaced by its marked digest, or nothing if there are no teams.
+ */
 template<typename Format>
 concept ConfigurationFormat = requires(const std::string& aText)
 {
   {
     Format::Parse(aText)
     } -> std::same_as<Result<Configuration>>;
+  {
+    Format::RedactKeys(aText)
+    } -> std::same_as<std::optional<std::string>>;
 };
 
 /** The parser of the ConfigurationFormat that is chosen when the process starts. */
@@ -156,10 +163,21 @@
   return [](const std::string& aText) { return Format::Parse(aText); };
 }
 
+/** RedactKeys() of the ConfigurationFormat that is chosen when the process starts. */
+using KeyRedactor = std::function<std::optional<std::string>(const std::string& aText)>;
+
+template<ConfigurationFormat Format>
+KeyRedactor
+RedactorOf()
+{
+  return [](const std::string& aText) { return Format::RedactKeys(aText); };
+}
+
 /** The format of the product's own documents: JSON with comments. */
 struct NativeFormat
 {
   static Result<Configuration> Parse(const std::string& aText);
+  static std::optional<std::string> RedactKeys(const std::string& aText);
 };
 
 /** The author of a document; only control may include target states. */
--- a/src/settings/jsonreader.cpp
+++ b/src/settings/jsonreader.cpp
@@ -28,6 +28,17 @@
   std::string m_duplicateKey;
 };
 
+/** Removes the excerpt of the text that nlohmann::json appends; it may contain a team's key. */
+static void
+RemoveExcerpt(std::string& aMessage)
+{
+  const size_t begin = aMessage.find("; last read: '");
+  const size_t end = aMessage.rfind('\'');
+  if (begin != std::string::npos && end != std::string::npos) {
+    aMessage.erase(begin, end + 1 - begin);
+  }
+}
+
 Result<nlohmann::json>
 ParseJson(const std::string& aText, const std::string& aSource)
 {
@@ -43,6 +54,7 @@
   } catch (const nlohmann::json::parse_error& error) {
     std::string message = error.what();
     message.erase(0, message.find("parse error"));
+    RemoveExcerpt(message);
     return Fail(ErrorKind::InvalidInput, aSource + ": " + message + "; correct the text there");
   } catch (const nlohmann::json::exception& error) {
     return Fail(ErrorKind::InvalidInput, aSource + ": " + error.what() + "; correct the text");
@@ -172,6 +184,23 @@
   return member->get<int64_t>();
 }
 
+double
+JsonReader::Number(const std::string& aKey, double aLow, double aHigh, double aDefault)
+{
+  const nlohmann::json* member = Find(aKey);
+  if (member == nullptr) {
+    return aDefault;
+  }
+  const bool valid = member->is_number() && member->get<double>() >= aLow && member->get<double>() <= aHigh;
+  if (!valid) {
+    m_problems.Add(PathOf(aKey),
+                   "must be a number from " + nlohmann::json(aLow).dump() + " to " +
+                     nlohmann::json(aHigh).dump());
+    return aDefault;
+  }
+  return member->get<double>();
+}
+
 std::chrono::milliseconds
 JsonReader::Milliseconds(const std::string& aKey,
                          std::chrono::milliseconds aLow,
--- a/src/settings/jsonreader.h
+++ b/src/settings/jsonreader.h
@@ -55,6 +55,8 @@
   bool Flag(const std::string& aKey, bool aDefault);
   /** Returns an integer in [aLow, aHigh]. */
   int64_t Integer(const std::string& aKey, int64_t aLow, int64_t aHigh, int64_t aDefault);
+  /** Returns a number in [aLow, aHigh], which needn't be whole. */
+  double Number(const std::string& aKey, double aLow, double aHigh, double aDefault);
   std::chrono::milliseconds Milliseconds(const std::string& aKey,
                                          std::chrono::milliseconds aLow,
                                          std::chrono::milliseconds aHigh,
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE adapters
+#include "common/digest.h"
 #include "platform/callers.h"
 #include "platform/configformat.h"
 #include "platform/heartbeats.h"
@@ -132,6 +133,83 @@
              parsed.error().message);
 }
 
+static std::string
+WithTeams(const std::string& aTeams)
+{
+  return ReplaceText(kConfigurationDocument, "\"limits\"", "\"tenants\":" + aTeams + ",\"limits\"");
+}
+
+static const std::string kTeams = R"([{"name":"till","apiKeys":["s3cret-1","s3cret-2"],"priority":0,
+  "ratePerS":12.5,"burst":20,"more":{"x":1.50}},{"name":"the desk","apiKeys":["s3cret-3"]},{"name":"new"}])";
+
+BOOST_AUTO_TEST_CASE(teams_and_public_routes_of_a_configuration_are_parsed)
+{
+  const auto parsed = platform::ConfigFormat::Parse(
+    ReplaceText(WithTeams(kTeams), "\"kind\":\"unsafe\"", "\"public\":true,\"kind\":\"unsafe\""));
+  BOOST_REQUIRE(parsed.has_value());
+  const Configuration& configuration = parsed.value();
+  BOOST_TEST(configuration.hasTeams);
+  BOOST_TEST(configuration.teams.size() == 3u);
+  const Team& team = configuration.teams.at("till");
+  BOOST_TEST(team.requestsPerSecond == 12.5);
+  BOOST_TEST(team.burst == 20);
+  BOOST_TEST(team.priority == 0);
+  BOOST_TEST(configuration.teamByKeyDigest.at(Sha256("s3cret-3")) == "the desk");
+  BOOST_TEST(FindRoute(configuration, "x.example", "/a/c", "POST")->isPublic);
+  BOOST_TEST(!FindRoute(configuration, "x.example", "/a/b/c", "GET")->isPublic);
+  BOOST_TEST(!platform::ConfigFormat::Parse(kConfigurationDocument).value().hasTeams);
+  BOOST_TEST(platform::ConfigFormat::Parse(WithTeams("[]")).value().hasTeams);
+}
+
+static const InvalidChange kInvalidTeams[] = {
+  { "", "{}", "configuration.tenants" },
+  { "", "7", "configuration.tenants" },
+  { "", "[7]", "tenants[0]" },
+  { "", R"([{"apiKeys":["s3cret"]}])", "tenants[0].name" },
+  { "", R"([{"name":"","apiKeys":["s3cret"]}])", "tenants[0].name" },
+  { "", R"([{"name":3,"apiKeys":["s3cret"]}])", "tenants[0].name" },
+  { "", R"([{"name":"a\r\nB: c","apiKeys":["s3cret"]}])", "tenants[0].name" },
+  { "", R"([{"name":"a"},{"name":"a","apiKeys":["s3cret"]}])", "'a' occurs twice" },
+  { "", R"([{"name":"a","apiKeys":["s3cret"]},{"name":"b","apiKeys":["s3cret"]}])", "'a' and 'b'" },
+  { "", R"([{"name":"a","apiKeys":["s3cret",""]}])", "tenants[0].apiKeys" },
+  { "", R"([{"name":"a","apiKeys":["s3cret",1]}])", "tenants[0].apiKeys" },
+  { "", R"([{"name":"a","apiKeys":"s3cret"}])", "tenants[0].apiKeys" },
+  { "", R"([{"name":"a","apiKeys":["s3cret"],"priority":1.5}])", "tenants[0].priority" },
+  { "", R"([{"name":"a","apiKeys":["s3cret"],"priority":-1}])", "tenants[0].priority" },
+  { "", R"([{"name":"a","apiKeys":["s3cret"],"ratePerS":"x"}])", "tenants[0].ratePerS" },
+  { "", R"([{"name":"a","apiKeys":["s3cret"],"burst":-1}])", "tenants[0].burst" },
+  { "", R"([{"name":"a","apiKeys":["s3cret)", "read" },
+};
+
+BOOST_DATA_TEST_CASE(errors_of_invalid_teams_name_the_field_and_no_key, kInvalidTeams, change)
+{
+  const auto parsed = platform::ConfigFormat::Parse(WithTeams(change.newText));
+  BOOST_REQUIRE(!parsed.has_value());
+  const std::string& message = parsed.error().message;
+  BOOST_TEST(message.find(change.expectedInError) != std::string::npos, message);
+  BOOST_TEST(message.find("s3cret") == std::string::npos, message);
+}
+
+// Guards against: the document of a node contains a key, or has other teams than that of the operator.
+BOOST_AUTO_TEST_CASE(a_redacted_configuration_has_the_same_teams_and_no_key)
+{
+  const std::string document = WithTeams(kTeams);
+  const auto redacted = platform::ConfigFormat::RedactKeys(document);
+  BOOST_REQUIRE(redacted.has_value());
+  BOOST_TEST(redacted->find("s3cret") == std::string::npos);
+  const Configuration original = platform::ConfigFormat::Parse(document).value();
+  const Configuration parsed = platform::ConfigFormat::Parse(*redacted).value();
+  BOOST_TEST((parsed.teamByKeyDigest == original.teamByKeyDigest));
+  BOOST_TEST(parsed.teams.at("till").requestsPerSecond == 12.5);
+  BOOST_TEST(parsed.routes.size() == original.routes.size());
+  BOOST_TEST(parsed.callerLimits.maxBodyBytes == original.callerLimits.maxBodyBytes);
+  BOOST_TEST(!platform::ConfigFormat::RedactKeys(kConfigurationDocument).has_value());
+  // A repeated member is ignored by Parse(), but its keys must not reach a node either.
+  const auto repeated = platform::ConfigFormat::RedactKeys(ReplaceText(
+    document, "\"limits\"", R"("tenants":[{"apiKeys":["s3cret-4"],"apiKeys":["s3cret-5"]}],"limits")"));
+  BOOST_TEST(repeated->find("s3cret") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(forged_headers_of_a_caller_do_not_reach_a_target)
 {
   HttpHeaders headers{ { .name = "Caller-Service", .value = "forged" },
