Control: nodes get documents without keys

Nodes need to compare keys, not to hold them. Control keeps and returns the text of the operator; NodeUpdates makes updates between redacted texts, on demand and cached by version. Documents without teams get the same updates as before.

--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -16,9 +16,10 @@
 static constexpr size_t kProposalLimit = 64;
 static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
 
-ConfigurationState::ConfigurationState(DocumentParser aParser)
+ConfigurationState::ConfigurationState(DocumentParser aParser, KeyRedactor aRedactor)
   : m_parser(std::move(aParser))
   , m_current(EmptySnapshot())
+  , m_nodeUpdates(std::move(aRedactor))
 {
 }
 
@@ -256,6 +257,7 @@
   const std::lock_guard lock(m_mutex);
   m_current = EmptySnapshot();
   m_history.Clear();
+  m_nodeUpdates.Clear();
   m_versions.clear();
   m_proposals.clear();
   m_nextProposal = 1;
@@ -315,7 +317,14 @@
 ConfigurationState::UpdateFrom(int64_t aHeldVersion) const
 {
   const std::lock_guard lock(m_mutex);
-  return m_history.UpdateFrom(aHeldVersion, *m_current);
+  return m_nodeUpdates.UpdateFrom(aHeldVersion, *m_current, m_history);
+}
+
+bool
+ConfigurationState::HasTeams() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_nodeUpdates.HasTeams(*m_current);
 }
 
 std::vector<wire::Proposal>
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "configuration/snapshot.h"
+#include "control/nodeupdates.h"
 #include "control/resultcache.h"
 #include "wire/gen-cpp/mesh_types.h"
 
@@ -31,7 +32,8 @@
 class ConfigurationState
 {
 public:
-  explicit ConfigurationState(DocumentParser aParser = ParserOf<NativeFormat>());
+  explicit ConfigurationState(DocumentParser aParser = ParserOf<NativeFormat>(),
+                              KeyRedactor aRedactor = RedactorOf<NativeFormat>());
 
   wire::CommandResult Apply(const wire::LogEntry& aEntry);
   std::string Image() const;
@@ -51,9 +53,12 @@
   /** Lets WaitForNewer() ask again whether it is interrupted. */
   void WakeWaiters() const;
 
-  /** Returns the update from aHeldVersion to the current version. */
+  /** Returns the update from aHeldVersion to the current version for a node, which gets no team's key. */
   wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
 
+  /** Returns whether the current version has teams. */
+  bool HasTeams() const;
+
   std::vector<wire::Proposal> Proposals() const;
   std::vector<VersionSummary> Versions() const;
 
@@ -84,6 +89,7 @@
   mutable std::condition_variable m_changed;
   SnapshotPointer m_current;
   UpdateHistory m_history;
+  mutable NodeUpdates m_nodeUpdates;
   std::vector<VersionSummary> m_versions;
   std::map<int64_t, wire::Proposal> m_proposals;
   int64_t m_nextProposal = 1;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -38,10 +38,10 @@
   return { { .name = kConfigurationGroup, .members = aSettings.replicas, .preferredRegion = "" } };
 }
 
-Controller::Controller(ProcessSettings aSettings, DocumentParser aParser)
+Controller::Controller(ProcessSettings aSettings, DocumentParser aParser, KeyRedactor aRedactor)
   : m_settings(std::move(aSettings))
   , m_groupPlans(PlansOf(m_settings))
-  , m_configuration(std::move(aParser))
+  , m_configuration(std::move(aParser), std::move(aRedactor))
   , m_reportCollector({ .region = m_settings.region,
                         .otherReplicas = [this] { return OtherReplicas(); },
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -26,7 +26,9 @@
 class Controller
 {
 public:
-  explicit Controller(ProcessSettings aSettings, DocumentParser aParser = ParserOf<NativeFormat>());
+  explicit Controller(ProcessSettings aSettings,
+                      DocumentParser aParser = ParserOf<NativeFormat>(),
+                      KeyRedactor aRedactor = RedactorOf<NativeFormat>());
   ~Controller();
 
   Controller(const Controller&) = delete;
--- a/tests/control/statetest.cpp
+++ b/tests/control/statetest.cpp
@@ -132,6 +132,61 @@
   BOOST_TEST(state.Current()->text == "mine");
 }
 
+/** Returns a document of a version, with a team that has keys of the version, or without teams. */
+static std::string
+MakeDocument(int64_t aVersion, bool aHasTeams)
+{
+  const std::string number = std::to_string(aVersion);
+  const std::string teams = R"(,"teams":{"till":{"keys":["s3cret-)" + number + R"(","s3cret-x"]}})";
+  return R"({"limits":{"l":{"maxInFlight":)" + std::to_string(aVersion + 1) + "}}" +
+         (aHasTeams ? teams : "") + "}";
+}
+
+// Guards against: a node gets a key, or its document differs between the replicas and paths by which it came.
+RC_BOOST_PROP(nodes_get_the_same_redacted_documents_on_any_path, (const std::vector<bool>& aHasTeams))
+{
+  ConfigurationState state;
+  std::vector<SnapshotPointer> held{ EmptySnapshot() };
+  int64_t version = 0;
+  for (const bool hasTeams : aHasTeams) {
+    const std::string text = MakeDocument(version + 1, hasTeams);
+    RC_ASSERT(Replace(state, version, version + 1, text).code == wire::ResultCode::Done);
+    ++version;
+    RC_ASSERT(state.HasTeams() == hasTeams);
+    RC_ASSERT(state.Current()->text == text);
+    ConfigurationState restored;
+    RC_ASSERT(restored.Restore(state.Image()).has_value());
+    // Each node holds another earlier version and takes its update from either replica.
+    SnapshotPointer newest;
+    for (const SnapshotPointer& node : held) {
+      for (const ConfigurationState* replica : { &std::as_const(state), &std::as_const(restored) }) {
+        const auto applied = ApplyUpdate(*node, replica->UpdateFrom(node->version));
+        RC_ASSERT(applied.has_value());
+        RC_ASSERT(applied.value()->text.find("s3cret") == std::string::npos);
+        RC_ASSERT(applied.value()->configuration.hasTeams == hasTeams);
+        RC_ASSERT(applied.value()->configuration.teamByKeyDigest.contains(
+                    Sha256("s3cret-" + std::to_string(version))) == hasTeams);
+        RC_ASSERT((newest == nullptr || newest->hash == applied.value()->hash));
+        newest = applied.value();
+      }
+    }
+    held.push_back(newest);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(documents_without_teams_are_distributed_as_they_are)
+{
+  ConfigurationState state;
+  UpdateHistory history;
+  for (int64_t version = 1; version <= 3; ++version) {
+    Replace(state, version - 1, version, MakeDocument(version, false));
+    history.Add(*state.Current());
+    for (int64_t held = -1; held < version; ++held) {
+      BOOST_TEST((state.UpdateFrom(held) == history.UpdateFrom(held, *state.Current())));
+    }
+  }
+}
+
 static wire::LogEntry
 MakeClaimEntry(wire::CommandKind::type aKind, const std::string& aKey, const std::string& aToken)
 {
