Entry: checks the keys of requests

Where the configuration has teams, an entry refuses a request without a known key with 401 unless its route is public, and passes the name of the team to gate and target in place of the key and of what the caller sent. Refusals are counted and logged by reason, and 'explain call' shows them. A name of a team with blanks is escaped in the header between entry and gate.

--- a/src/caller/callerprotocol.cpp
+++ b/src/caller/callerprotocol.cpp
@@ -1,6 +1,7 @@
 #include "caller/callerprotocol.h"
 
 #include "http/meshheaders.h"
+#include "team/bearertoken.h"
 
 #include <cstdlib>
 
@@ -9,12 +10,12 @@
 RequestOptions
 NativeCallerProtocol::ReadOptions(const HttpRequest& aRequest)
 {
+  RequestOptions options{ .credential = ReadBearerToken(aRequest.headers) };
   const std::string timeoutText = FindHeader(aRequest.headers, kTimeoutHeader);
-  if (timeoutText.empty()) {
-    return {};
+  if (!timeoutText.empty()) {
+    options.timeout = std::chrono::milliseconds(std::strtoll(timeoutText.c_str(), nullptr, 10));
   }
-  return { .callId = {},
-           .timeout = std::chrono::milliseconds(std::strtoll(timeoutText.c_str(), nullptr, 10)) };
+  return options;
 }
 
 void
@@ -22,6 +23,12 @@
 {
 }
 
+void
+NativeCallerProtocol::SetTeam(HttpHeaders& aHeaders, const std::string& aTeam)
+{
+  ReplaceCredential(aHeaders, kTeamHeader, aTeam);
+}
+
 void
 NativeCallerProtocol::FinishResponse(HttpResponseHead& aHead, const std::string& aCallId)
 {
--- a/src/caller/callerprotocol.h
+++ b/src/caller/callerprotocol.h
@@ -18,6 +18,8 @@
   std::string callId;
   /** How long the caller waits, if it states that. */
   std::optional<std::chrono::milliseconds> timeout;
+  /** Key of the caller's team; empty if the request has none. */
+  std::string credential;
 };
 
 /** Conventions between callers and entries on top of HTTP. */
@@ -35,6 +37,11 @@
   {
     Protocol::PrepareForTarget(aHeaders, aText)
     } -> std::same_as<void>;
+  // Removes the key of the request, and sets the header that names the caller's team; an empty text removes
+  // it.
+  {
+    Protocol::SetTeam(aHeaders, aText)
+    } -> std::same_as<void>;
   // Adds the headers that callers expect to a target's response. The text is the identifier of the call.
   {
     Protocol::FinishResponse(aHead, aText)
@@ -49,6 +56,7 @@
 {
   std::function<RequestOptions(const HttpRequest&)> readOptions;
   std::function<void(HttpHeaders&, const std::string&)> prepareForTarget;
+  std::function<void(HttpHeaders&, const std::string&)> setTeam;
   std::function<void(HttpResponseHead&, const std::string&)> finishResponse;
   std::function<HttpResponse(const RefusalDetails&)> refuse;
 };
@@ -59,6 +67,7 @@
 {
   return { .readOptions = &Protocol::ReadOptions,
            .prepareForTarget = &Protocol::PrepareForTarget,
+           .setTeam = &Protocol::SetTeam,
            .finishResponse = &Protocol::FinishResponse,
            .refuse = &Protocol::Refuse };
 }
@@ -68,6 +77,7 @@
 {
   static RequestOptions ReadOptions(const HttpRequest& aRequest);
   static void PrepareForTarget(HttpHeaders& aHeaders, const std::string& aService);
+  static void SetTeam(HttpHeaders& aHeaders, const std::string& aTeam);
   static void FinishResponse(HttpResponseHead& aHead, const std::string& aCallId);
   static HttpResponse Refuse(const RefusalDetails& aRefusal);
 };
--- a/src/caller/callhistory.h
+++ b/src/caller/callhistory.h
@@ -25,6 +25,8 @@
 {
   std::string callId;
   std::string route;
+  /** Name of the caller's team; empty if none was needed. */
+  std::string team;
   int64_t version = 0;
   int status = 0;
   std::string outcome;
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -30,6 +30,7 @@
   , m_balancer(m_options.balancer)
   , m_retryBudget(m_options.retryBudget)
   , m_hedgeBudget({ .retriesPerRequest = m_options.hedgesPerCall, .baseRetries = 0 })
+  , m_credentials({ .lease = m_options.lease, .metrics = m_options.metrics })
   , m_refusalLogLimit(kLoggedRefusalsPerSecond)
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const GateDirectory>())
@@ -255,6 +256,23 @@
   aExchange->Respond(m_options.codec.refuse(aRefusal));
 }
 
+void
+Entry::RefuseCredential(const ExchangePointer& aExchange,
+                        CredentialVerdict aVerdict,
+                        const Snapshot& aSnapshot,
+                        const Route& aRoute,
+                        const std::string& aCallId)
+{
+  const RefusalDetails details = m_credentials.Refuse(aVerdict, aSnapshot, aRoute, aCallId);
+  m_history.Add({ .callId = aCallId,
+                  .route = aRoute.name,
+                  .version = aSnapshot.version,
+                  .status = details.status,
+                  .outcome = "not-run",
+                  .reason = std::string(Name(aVerdict)) + ": " + details.reason });
+  RefuseImmediately(aExchange, details);
+}
+
 static std::string
 HostWithoutPort(const HttpRequest& aRequest)
 {
@@ -292,6 +310,12 @@
                       { .status = 404, .reason = "no route matches the request", .callId = options.callId });
     return;
   }
+  const CredentialDecision credential =
+    m_credentials.Check(*snapshot, *route, options.credential, SteadyClock::now());
+  if (credential.IsRefused()) {
+    RefuseCredential(aExchange, credential.verdict, *snapshot, *route, options.callId);
+    return;
+  }
   if (drainSchedule && !drainSchedule->Accepts(aExchange->ReceivedAt(), P95CallTime(*route))) {
     RefuseImmediately(aExchange,
                       { .status = 503,
@@ -326,6 +350,8 @@
     EntryCall::Options{ .callId = options.callId,
                         .snapshot = snapshot,
                         .route = route,
+                        .team = credential.team == nullptr ? "" : credential.team->name,
+                        .teamPriority = credential.team == nullptr ? 0 : credential.team->priority,
                         .deadline = now + std::min(timeout, route->timeout),
                         .objectiveDeadline = now + objective - EstimateTimeSpent(*route, timeout) });
   call->Start();
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -14,6 +14,7 @@
 #include "node/directory.h"
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
+#include "team/credentialgate.h"
 
 #include <atomic>
 #include <map>
@@ -45,6 +46,8 @@
     RetryBudget::Options retryBudget;
     /** Null where no requests are quarantined. */
     const Quarantine* quarantine = nullptr;
+    /** Null where keys are honoured without a lease. */
+    const CredentialLease* lease = nullptr;
     /** Hedged attempts allowed per call, for short idempotent calls; zero disables hedging. */
     double hedgesPerCall = 0;
   };
@@ -90,6 +93,12 @@
                                            const HttpRequest& aRequest,
                                            Deadline aNow) const;
   void RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal);
+  /** Refuses a request after the check of its key and records why. */
+  void RefuseCredential(const ExchangePointer& aExchange,
+                        CredentialVerdict aVerdict,
+                        const Snapshot& aSnapshot,
+                        const Route& aRoute,
+                        const std::string& aCallId);
   /** Returns the delay after which a short idempotent call may be hedged; zero means never. */
   std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
   void RecordCallTime(const Route& aRoute, std::chrono::microseconds aTime);
@@ -131,6 +140,7 @@
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
   CallHistory m_history;
+  CredentialGate m_credentials;
   /** Limits the log records of refused calls, which are very frequent under overload. */
   RateLimit m_refusalLogLimit;
   mutable std::mutex m_mutex;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -30,6 +30,8 @@
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
 static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 static constexpr std::chrono::milliseconds kRetryAfterSpread{ 200 };
+static constexpr const char* kCredentialExpired =
+  "the entry lost contact to control and can no longer check the key; use another";
 
 static const char*
 OutcomeName(ForwardResult aResult)
@@ -70,6 +72,7 @@
   m_record.callId = m_options.callId;
   m_record.route = m_options.route->name;
   m_record.version = m_options.snapshot->version;
+  m_record.team = m_options.team;
   ++m_entry.m_openCalls;
 }
 
@@ -137,10 +140,18 @@
 EntryCall::SendFirst()
 {
   if (!m_decided && !SendNext()) {
-    GiveUp(503, "no target of the service accepts calls");
+    GiveUp(503,
+           m_record.stopReason == StopReason::CredentialExpired ? kCredentialExpired
+                                                                : "no target of the service accepts calls");
   }
 }
 
+bool
+EntryCall::HasValidCredential() const
+{
+  return m_entry.m_credentials.MaySend(*m_options.snapshot, *m_options.route, SteadyClock::now());
+}
+
 std::chrono::microseconds
 EntryCall::LongestAllowedWait(Deadline aNow) const
 {
@@ -198,6 +209,9 @@
   if (m_entry.QuarantinedUntil(*m_options.route, m_exchange->Request(), now)) {
     return StopSending(StopReason::Quarantined);
   }
+  if (!HasValidCredential()) {
+    return StopSending(StopReason::CredentialExpired);
+  }
   if (m_gateAttempts >= kMaxGateAttempts) {
     return StopSending(StopReason::GateAttemptLimit);
   }
@@ -270,6 +284,9 @@
     localService = m_entry.m_localService;
   }
   m_entry.m_options.codec.prepareForTarget(request.headers, localService);
+  if (m_options.snapshot->configuration.hasTeams) {
+    m_entry.m_options.codec.setTeam(request.headers, m_options.team);
+  }
   HopRequest hop{ .callId = m_options.callId,
                   .service = m_service,
                   .route = route.name,
@@ -283,7 +300,9 @@
                   .maxFailurePenalty = std::chrono::ceil<milliseconds>(
                     std::min<std::chrono::microseconds>(aChoice.maxFailurePenalty, kUnlimitedPenalty)),
                   .isLastResort = aChoice.isLastResort,
-                  .sentToIncarnation = m_isResending ? aChoice.gate.incarnation : 0 };
+                  .sentToIncarnation = m_isResending ? aChoice.gate.incarnation : 0,
+                  .team = m_options.team,
+                  .teamPriority = m_options.teamPriority };
   if (route.repeatPolicy == RepeatPolicy::Keyed) {
     hop.homeRegion = m_options.snapshot->configuration.services.at(m_service).homeRegion;
   }
@@ -319,7 +338,9 @@
   m_isResending = true;
   m_loop.RunAt(SteadyClock::now() + kResendDelay, [weak = weak_from_this(), aGate] {
     const auto self = weak.lock();
-    if (self && !self->m_decided) {
+    if (self && !self->m_decided && !self->HasValidCredential()) {
+      self->GiveUp(502, kCredentialExpired);
+    } else if (self && !self->m_decided) {
       // The gate recognises the call and attaches this attempt to the first one.
       self->Send({ .gate = aGate,
                    .longestWait = self->LongestAllowedWait(SteadyClock::now()),
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -29,6 +29,9 @@
     SnapshotPointer snapshot;
     /** Owned by the snapshot. */
     const Route* route = nullptr;
+    /** Name of the caller's team; empty on public routes and where there are no teams. */
+    std::string team;
+    int64_t teamPriority = 0;
     Deadline deadline;
     /** Until then a response has its full value to the caller. */
     Deadline objectiveDeadline;
@@ -52,6 +55,8 @@
   /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
   bool SendNext();
   std::optional<GateChoice> ChooseGate(Deadline aNow);
+  /** Returns whether the caller's key may still be honoured. */
+  bool HasValidCredential() const;
   /** Notes why the call is sent to no further gate; returns false. */
   bool StopSending(StopReason aReason);
   size_t CountUntriedGates() const;
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -21,6 +21,8 @@
   RetryBudget,
   /** Targets ended whenever they ran the request. */
   Quarantined,
+  /** The node no longer knows whether the caller's key is still in force. */
+  CredentialExpired,
 };
 
 /** Returns the name for logs and metrics. */
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -52,6 +52,9 @@
   EventDescription{ Event::TargetRateLimitChanged, Severity::Warning, "target-rate-limit-changed" },
   EventDescription{ Event::TargetCrashed, Severity::Warning, "target-crashed" },
   EventDescription{ Event::RequestQuarantined, Severity::Error, "request-quarantined" },
+  EventDescription{ Event::CredentialRefused, Severity::Info, "credential-refused" },
+  EventDescription{ Event::CredentialLeaseExpired, Severity::Warning, "credential-lease-expired" },
+  EventDescription{ Event::CredentialLeaseHeld, Severity::Info, "credential-lease-held" },
 };
 
 std::span<const EventDescription>
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -58,6 +58,10 @@
   TargetRateLimitChanged = 510,
   TargetCrashed = 511,
   RequestQuarantined = 512,
+
+  CredentialRefused = 530,
+  CredentialLeaseExpired = 531,
+  CredentialLeaseHeld = 532,
 };
 
 enum class Severity
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -1,7 +1,9 @@
 #include "hop/hopheaders.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <sstream>
+#include <string_view>
 
 namespace mimosarun {
 
@@ -20,6 +22,40 @@
   return aWord == kEmptyWord ? std::string() : aWord;
 }
 
+/** Returns a name as one word: blanks, control characters and '%' become '%' and two hexadecimal digits. */
+static std::string
+EncodeName(const std::string& aName)
+{
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string word;
+  for (const char character : aName) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (byte > ' ' && byte != '%' && byte != 127) {
+      word.push_back(character);
+    } else {
+      word.push_back('%');
+      word.push_back(kDigits[byte >> 4U]);
+      word.push_back(kDigits[byte & 0xFU]);
+    }
+  }
+  return word;
+}
+
+static std::string
+DecodeName(const std::string& aWord)
+{
+  std::string name;
+  for (size_t i = 0; i < aWord.size(); ++i) {
+    if (aWord[i] == '%' && i + 2 < aWord.size()) {
+      name.push_back(static_cast<char>(std::strtol(aWord.substr(i + 1, 2).c_str(), nullptr, 16)));
+      i += 2;
+    } else {
+      name.push_back(aWord[i]);
+    }
+  }
+  return name;
+}
+
 static std::optional<std::string>
 ExtractHeader(HttpHeaders& aHeaders, const char* aName)
 {
@@ -47,7 +83,7 @@
     text << ' ' << EncodeWord(aHop.homeRegion);
   }
   if (!aHop.team.empty()) {
-    text << ' ' << aHop.team << ' ' << aHop.teamPriority;
+    text << ' ' << EncodeName(aHop.team) << ' ' << aHop.teamPriority;
   }
   SetHeader(aHeaders, kHopRequestHeader, text.str());
 }
@@ -86,6 +122,7 @@
   hop.maxFailurePenalty = std::chrono::milliseconds(maxFailurePenalty);
   text >> hop.homeRegion >> hop.team >> hop.teamPriority;
   hop.homeRegion = DecodeWord(hop.homeRegion);
+  hop.team = DecodeName(hop.team);
   return hop;
 }
 
--- a/src/http/refusal.cpp
+++ b/src/http/refusal.cpp
@@ -19,6 +19,9 @@
                                       { .name = kOutcomeHeader, .value = outcome },
                                       { .name = kCallHeader, .value = aRefusal.callId } },
                          .body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" };
+  if (aRefusal.status == 401) {
+    response.headers.push_back({ .name = kAuthenticateHeader, .value = kBearerScheme });
+  }
   if (aRefusal.retryAfter) {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(*aRefusal.retryAfter);
     response.headers.push_back({ .name = kRetryAfterHeader, .value = std::to_string(seconds.count()) });
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -210,6 +210,21 @@
   BOOST_TEST(repeated->find("s3cret") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(the_key_of_a_caller_is_replaced_by_the_name_of_its_team)
+{
+  const HttpHeaders sent{ { .name = "Authorization", .value = "Bearer s3cret-1" },
+                          { .name = "Tenant", .value = "forged" } };
+  const HttpRequest request{ .method = "GET", .headers = sent };
+  BOOST_TEST(platform::CallerProtocol::ReadOptions(request).credential == "s3cret-1");
+  HttpHeaders headers = sent;
+  platform::CallerProtocol::SetTeam(headers, "till");
+  BOOST_TEST(headers.size() == 1u);
+  BOOST_TEST(FindHeader(headers, "Tenant") == "till");
+  headers = sent;
+  platform::CallerProtocol::SetTeam(headers, "");
+  BOOST_TEST(headers.empty());
+}
+
 BOOST_AUTO_TEST_CASE(forged_headers_of_a_caller_do_not_reach_a_target)
 {
   HttpHeaders headers{ { .name = "Caller-Service", .value = "forged" },
