Lease on keys: a node without contact to control stops honouring them

A node that is cut off or suspended would honour a removed key without end. It checks before each send. Native settings: strictRevocation, revocationBoundMs.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -47,6 +47,7 @@
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
                       m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
+  , m_validity(ConfirmerOptions())
   , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
   , m_seeds(m_settings.replicas)
@@ -67,11 +68,28 @@
     m_watcher.join();
   }
   m_reportCollector.Stop();
+  m_validity.Stop();
   m_server.reset();
   // The links deliver messages to the groups, which are destroyed after this.
   m_transport.Stop();
 }
 
+ValidityConfirmer::Options
+Controller::ConfirmerOptions()
+{
+  return { .isNeeded = [this] { return m_configuration.HasTeams(); },
+           .confirm = [this](Deadline aDeadline) -> std::optional<int64_t> {
+             const Result<SnapshotPointer> newest = ReadNewestConfiguration(aDeadline);
+             return newest ? std::optional(newest.value()->version) : std::nullopt;
+           },
+           .pause =
+             [this](Deadline aDeadline) {
+               const int64_t version = m_configuration.Current()->version;
+               m_configuration.WaitForNewer(version, aDeadline, [] { return false; });
+             },
+           .longestAge = m_settings.revocation.bound };
+}
+
 const ReplicaSettings*
 Controller::FindReplica(const std::string& aName) const
 {
@@ -156,6 +174,9 @@
   MIMOSARUN_TRY(m_server, StartControlService(*this));
   m_watcher = std::thread([this] { WatchGroups(); });
   m_reportCollector.Start();
+  if (m_settings.revocation.isStrict) {
+    m_validity.Start();
+  }
   return boost::outcome_v2::success();
 }
 
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -9,6 +9,7 @@
 #include "control/reportcollector.h"
 #include "control/reportstore.h"
 #include "control/transport.h"
+#include "control/validityconfirmer.h"
 #include "quarantine/crashledger.h"
 #include "settings/processsettings.h"
 #include "wire/rpcserver.h"
@@ -44,6 +45,7 @@
   const ConfigurationState& Configuration() const { return m_configuration; }
   ReportStore& DomainReports() { return m_domainReports; }
   CrashLedger& Crashes() { return m_crashes; }
+  const ValidityConfirmer& Validity() const { return m_validity; }
   GroupClient& Client() { return m_client; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
@@ -93,6 +95,7 @@
 private:
   using PeerClient = ReportCollector::PeerClient;
 
+  ValidityConfirmer::Options ConfirmerOptions();
   void CreateGroups();
   std::shared_ptr<PeerClient> PeerOf(const std::string& aName);
   std::shared_ptr<PeerClient> PeerForLeaderCall(const std::string& aName);
@@ -120,6 +123,7 @@
   ReportStore m_domainReports;
   ReportCollector m_reportCollector;
   CrashLedger m_crashes;
+  ValidityConfirmer m_validity;
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -61,6 +61,7 @@
 
   void watch(wire::WatchReply& aReturn, const wire::WatchRequest& aRequest) override
   {
+    const Deadline receivedAt = SteadyClock::now();
     ObserveStamp(aRequest.sentAt);
     if (!aRequest.report.failureDomain.empty()) {
       m_controller.DomainReports().AddReport(aRequest.report, std::chrono::milliseconds(0));
@@ -90,6 +91,9 @@
       aReturn.replicas = m_controller.Status(kConfigurationGroup).members;
     }
     aReturn.current = !m_controller.Status(kConfigurationGroup).leader.empty();
+    if (const auto validity = m_controller.Validity().ValidityFor(receivedAt, SteadyClock::now())) {
+      aReturn.__set_validity(*validity);
+    }
     aReturn.sentAt = StampNow();
   }
 
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -15,6 +15,8 @@
 
 static constexpr std::chrono::milliseconds kStartJitter{ 150 };
 static constexpr std::chrono::milliseconds kLongPollTime{ 800 };
+/** Time of a long poll while requests are refused for want of a lease. */
+static constexpr std::chrono::milliseconds kLeaselessPollTime{ 250 };
 /** Time that a reply may take beyond the wait of the long poll. */
 static constexpr std::chrono::milliseconds kReplyAllowance{ 700 };
 static constexpr std::chrono::milliseconds kIntroductionTimeout{ 250 };
@@ -32,12 +34,14 @@
                          ConfigurationHolder& aHolder,
                          MemberTable& aTable,
                          ConfigurationFetcher& aFetcher,
-                         Quarantine& aQuarantine)
+                         Quarantine& aQuarantine,
+                         CredentialLease& aLease)
   : m_settings(aSettings)
   , m_holder(aHolder)
   , m_table(aTable)
   , m_fetcher(aFetcher)
   , m_quarantine(aQuarantine)
+  , m_lease(aLease)
 {
   m_seeds = m_settings.replicas;
   SetReplicas(m_seeds);
@@ -235,6 +239,9 @@
     return boost::outcome_v2::failure(called.error());
   }
   m_lastReplier = m_replicas[m_currentReplica].name;
+  if (reply.__isset.validity) {
+    m_lease.Extend(reply.validity, now, SteadyClock::now());
+  }
   ObserveStamp(reply.sentAt);
   m_table.Merge(reply.sample, SteadyClock::now());
   UpdateReplicas(reply.replicas);
@@ -283,12 +290,20 @@
   }
 }
 
+std::chrono::milliseconds
+ControlLink::PollTime() const
+{
+  const SnapshotPointer held = m_holder.Current();
+  const bool lacksLease = held->configuration.hasTeams && !m_lease.Holds(held->version, SteadyClock::now());
+  return lacksLease ? kLeaselessPollTime : kLongPollTime;
+}
+
 bool
 ControlLink::Watch()
 {
   wire::WatchRequest request;
   request.heldVersion = m_holder.Current()->version;
-  request.waitMillis = static_cast<int32_t>(kLongPollTime.count());
+  request.waitMillis = static_cast<int32_t>(PollTime().count());
   request.wantsMembers = StartMemberExchangeIfDue(SteadyClock::now());
   if (m_isRelay) {
     request.report = MakeReport(request.wantsMembers);
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -5,6 +5,7 @@
 #include "node/membertable.h"
 #include "quarantine/quarantine.h"
 #include "settings/processsettings.h"
+#include "team/credentiallease.h"
 #include "wire/gen-cpp/ControlPeer.h"
 #include "wire/rpcclient.h"
 
@@ -30,7 +31,8 @@
               ConfigurationHolder& aHolder,
               MemberTable& aTable,
               ConfigurationFetcher& aFetcher,
-              Quarantine& aQuarantine);
+              Quarantine& aQuarantine,
+              CredentialLease& aLease);
   ~ControlLink();
 
   ControlLink(const ControlLink&) = delete;
@@ -59,6 +61,8 @@
   void IntroduceWidely();
   Result<wire::WatchReply> IntroduceTo(Client& aReplica, bool aWantsMembers);
   void UpdateRelayRole();
+  /** Returns how long a replica may hold the next long poll. */
+  std::chrono::milliseconds PollTime() const;
   /** Sends one long poll; returns false if the replica didn't answer or may hold an old configuration. */
   bool Watch();
   /** Calls the current replica, or the preferred one if its retry is due; switches replicas on failure. */
@@ -83,6 +87,7 @@
   MemberTable& m_table;
   ConfigurationFetcher& m_fetcher;
   Quarantine& m_quarantine;
+  CredentialLease& m_lease;
   /** Replicas by preference: the own failure domain first, then the own region, then the others. */
   std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -35,7 +35,9 @@
   , m_holder(m_options.parser)
   , m_fetcher(m_holder, m_table, m_peers)
   , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
-  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine)
+  , m_lease(m_settings.revocation)
+  , m_leaseMonitor(m_lease, m_metrics)
+  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine, m_lease)
   , m_crashReporter([this] { return m_control.Replicas(); })
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
@@ -78,6 +80,7 @@
                                .balancer = m_options.balancer,
                                .retryBudget = m_options.retryBudget,
                                .quarantine = &m_quarantine,
+                               .lease = &m_lease,
                                .hedgesPerCall = m_options.hedgesPerCall }));
   MIMOSARUN_TRY(
     m_gate,
@@ -108,6 +111,7 @@
 {
   m_loops.First().RunAt(SteadyClock::now() + kLeaseCheckInterval, [this] {
     m_target.CheckLease(SteadyClock::now());
+    m_leaseMonitor.Check(*m_holder.Current(), SteadyClock::now());
     ScheduleLeaseCheck();
   });
 }
@@ -328,7 +332,8 @@
                "this entry holds no call " + aCall + "; ask the node whose name the identifier starts with" };
   }
   Answer answer{ .columns = { "attempt", "node", "end", "micros" } };
-  answer.message = "route " + record->route + ", version " + std::to_string(record->version) + ", status " +
+  answer.message = "route " + record->route + (record->team.empty() ? "" : ", team " + record->team) +
+                   ", version " + std::to_string(record->version) + ", status " +
                    std::to_string(record->status) + ", " + record->outcome + ", " +
                    std::to_string(record->duration.count()) + " us" +
                    (record->reason.empty() ? "" : ": " + record->reason);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,8 @@
 #include "target/announcementserver.h"
 #include "target/claimclient.h"
 #include "target/gate.h"
+#include "team/credentiallease.h"
+#include "team/leasemonitor.h"
 #include "wire/rpcserver.h"
 
 #include <atomic>
@@ -106,6 +108,8 @@
   ConfigurationFetcher m_fetcher;
   Gossiper m_gossiper;
   Quarantine m_quarantine;
+  CredentialLease m_lease;
+  LeaseMonitor m_leaseMonitor;
   ControlLink m_control;
   CrashReporter m_crashReporter;
   GroupClient m_groups;
--- a/src/settings/processsettings.cpp
+++ b/src/settings/processsettings.cpp
@@ -112,6 +112,9 @@
   CollectRegions(settings);
   settings.discoverReplicas = reader.Flag("discoverReplicas", false);
   ReadOverrides(reader, settings, problems);
+  settings.revocation.isStrict = reader.Flag("strictRevocation", false);
+  settings.revocation.bound =
+    reader.Milliseconds("revocationBoundMs", kShortestInterval, kLongestInterval, settings.revocation.bound);
   if (settings.role == ProcessRole::Node) {
     ReadNodeSettings(reader, settings, problems);
   } else {
