--- a/tests/harness/mesh.cpp
+++ b/tests/harness/mesh.cpp
@@ -240,6 +240,10 @@
           { "address", ReachableAddress(aProcess.failureDomain, other, other.gateAddress, "gate").Text() } });
     }
   }
+  if (m_options.revocationBound.count() > 0) {
+    settings["strictRevocation"] = true;
+    settings["revocationBoundMs"] = m_options.revocationBound.count();
+  }
   if (aProcess.role == "control") {
     settings["dataFolder"] = aProcess.dataFolder;
   } else {
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -65,6 +65,8 @@
   bool countDomainTraffic = false;
   /** Additional options of the nodes' command line. */
   std::vector<std::string> nodeOptions;
+  /** Settings of all processes for strict revocation; zero leaves it off. */
+  std::chrono::milliseconds revocationBound{ 0 };
   /** Additional environment variables ("NAME=value") of processes, by process name. */
   std::map<std::string, std::vector<std::string>> environment;
   std::string folder;
--- a/tests/harness/testclient.h
+++ b/tests/harness/testclient.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -17,6 +18,7 @@
   std::string callId;
   std::string token;
   std::string target;
+  std::string retryAfter;
   std::string body;
 };
 
@@ -29,6 +31,8 @@
   std::string key;
   std::string body;
   std::chrono::milliseconds timeout{ 3000 };
+  /** Additional headers ("Name: value"). */
+  std::vector<std::string> headers;
 };
 
 /** Sends requests one after the other; each address has a connection that is kept until the peer closes it.
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -172,6 +172,11 @@
                          .value = foreign ? "another" : FindHeader(request.headers, kCallHeader) },
                        { .name = "X-Target", .value = m_options.name } };
   std::string body = token + "\n" + m_options.name + "\n";
+  if (QueryNumber(request, "headers", 0) != 0) {
+    for (const HttpHeader& header : request.headers) {
+      body += header.name + ": " + header.value + "\n";
+    }
+  }
   body.resize(std::max(body.size(), static_cast<size_t>(QueryNumber(request, "bytes", 0))), '.');
   if (const int64_t missingBytes = QueryNumber(request, "cut", 0); missingBytes != 0) {
     const uint64_t announcedBytes = body.size() + static_cast<uint64_t>(missingBytes);
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -22,8 +22,9 @@
  * the body, `?shed=1` rejects it as not run, `?cut=N` breaks off the response N bytes
  * before its announced end, `?foreign=1` responds
  * with another call's identifier, `?late=1` never responds,
- * `?crash=1` ends the process. `POST /standin?factor=N` multiplies the running
- * time of all later calls; `POST /standin?mute=1` stops the announcements.
+ * `?headers=1` lists the headers of the request in the body, `?crash=1` ends the process. `POST
+ * /standin?factor=N` multiplies the running time of all later calls; `POST /standin?mute=1` stops the
+ * announcements.
  */
 class StandinTarget
 {
