--- a/tests/mesh/teams.cpp
+++ b/tests/mesh/teams.cpp
@@ -3,9 +3,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iterator>
+#include <thread>
 
 using namespace mimosarun;
 
@@ -195,6 +198,28 @@
   BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return AllAnswer(mesh.Nodes(), "key-2", 200); }));
 }
 
+// Guards against: a request that waited for a suspended node runs with a key that is long removed.
+BOOST_AUTO_TEST_CASE(a_node_suspended_beyond_the_bound_runs_nothing_with_a_removed_key)
+{
+  EnsureServing();
+  RunningMesh& mesh = SharedMesh();
+  const std::string node = mesh.Nodes("west-1").back();
+  mesh.ProcessOf(node).process.Signal(SIGSTOP);
+  BOOST_TEST(mesh.InstallWithRetries(MakeDocument({ "key-2" })) > 0);
+  std::this_thread::sleep_for(kBound);
+  std::vector<std::future<TestResponse>> waiting;
+  for (int request = 0; request < 4; ++request) {
+    waiting.push_back(std::async(std::launch::async, [&node] { return SendWithKey(node, "key-1"); }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  mesh.ProcessOf(node).process.Signal(SIGCONT);
+  for (std::future<TestResponse>& response : waiting) {
+    const int status = response.get().status;
+    BOOST_TEST((status == 503 || status == 401), "status " << status);
+  }
+  BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return SendWithKey(node, "key-2").status == 200; }));
+}
+
 static std::string
 ReadWhole(const std::filesystem::path& aPath)
 {
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -76,6 +76,13 @@
   return m_runCounts;
 }
 
+HttpHeaders
+PlatformTarget::LastHeaders() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_lastHeaders;
+}
+
 void
 PlatformTarget::Handle(const ExchangePointer& aExchange)
 {
@@ -103,6 +110,7 @@
   {
     const std::lock_guard lock(m_mutex);
     ++m_runCounts[id];
+    m_lastHeaders = headers;
     response.headers.insert(response.headers.end(), m_responseHeaders.begin(), m_responseHeaders.end());
     workTime = m_options.workTime;
   }
@@ -124,8 +132,9 @@
   m_responseHeaders = std::move(aHeaders);
 }
 
-PlatformMesh::PlatformMesh(const std::string& aName)
+PlatformMesh::PlatformMesh(const std::string& aName, std::string aBounds)
   : m_folder(std::filesystem::absolute("run/" + aName).string())
+  , m_bounds(std::move(aBounds))
 {
   std::filesystem::remove_all(m_folder);
   std::filesystem::create_directories(m_folder);
@@ -156,7 +165,7 @@
   }
   return "\"ip\":\"" + Host(aVm) + "\",\"zone\":\"north\",\"region\":\"east\",\"portRange\":[" +
          std::to_string(kPeer) + "," + std::to_string(kPeer + 5) + "],\"seeds\":[" + seeds +
-         "],\"heartbeat\":\"1500ms\",\"bounds\":[\"grace=6s\"],\"new\":true";
+         "],\"heartbeat\":\"1500ms\",\"bounds\":[\"grace=6s\"" + m_bounds + "],\"new\":true";
 }
 
 size_t
@@ -286,10 +295,19 @@
 
 std::string
 PlatformMesh::Call(size_t aNode, const std::string& aPath, const std::string& aId)
+{
+  return CallWithHeaders(aNode, aPath, aId, "");
+}
+
+std::string
+PlatformMesh::CallWithHeaders(size_t aNode,
+                              const std::string& aPath,
+                              const std::string& aId,
+                              const std::string& aHeaders)
 {
   return SendRawRequest(
     EntryAddress(aNode),
-    "POST " + aPath + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + aId +
+    "POST " + aPath + " HTTP/1.1\r\nHost: x\r\n" + aHeaders + "Request-Id: " + aId +
       "\r\nTimeout-Ms: 2000\r\nCaller-Service: forged\r\nExpected-Instance: forged\r\nM-Q: forged"
       "\r\nContent-Length: 4\r\n\r\nbody");
 }
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -55,6 +55,9 @@
   /** Returns how often each request ran, by its identifier. */
   std::map<std::string, int> RunCounts() const;
 
+  /** Returns the headers of the request that arrived last. */
+  HttpHeaders LastHeaders() const;
+
   /** Returns the number of requests whose headers the system must not have sent. */
   int InvalidRequestCount() const { return m_invalidRequestCount; }
 
@@ -69,6 +72,7 @@
   mutable std::mutex m_mutex;
   std::map<std::string, int> m_runCounts;
   HttpHeaders m_responseHeaders;
+  HttpHeaders m_lastHeaders;
   std::unique_ptr<HttpServer> m_server;
 };
 
@@ -76,7 +80,8 @@
 class PlatformMesh
 {
 public:
-  explicit PlatformMesh(const std::string& aName);
+  /** @param aBounds further elements of the settings' list of bounds, each with a comma before it */
+  explicit PlatformMesh(const std::string& aName, std::string aBounds = "");
 
   /** Starts all processes and waits until the first configuration is accepted and all nodes are ready. */
   bool Start();
@@ -92,6 +97,11 @@
 
   /** Sends a request to a node's entry and returns the whole response. */
   std::string Call(size_t aNode, const std::string& aPath, const std::string& aId);
+  /** Same as Call(), with further headers, each with its line end. */
+  std::string CallWithHeaders(size_t aNode,
+                              const std::string& aPath,
+                              const std::string& aId,
+                              const std::string& aHeaders);
 
   std::vector<std::unique_ptr<PlatformTarget>> targets;
   std::vector<Process> nodes;
@@ -122,6 +132,7 @@
   std::string CommonSettings(size_t aVm) const;
 
   std::string m_folder;
+  std::string m_bounds;
   bool m_isFirstStart = true;
 };
 
--- a/tests/team/revocationtest.cpp
+++ b/tests/team/revocationtest.cpp
@@ -151,6 +151,20 @@
   BOOST_TEST((world.CheckKey(1) == CredentialVerdict::Accepted));
 }
 
+// Guards against: a lease that is measured with a slow clock lasts longer than the bound.
+BOOST_AUTO_TEST_CASE(a_lease_measured_with_a_slow_clock_ends_in_time)
+{
+  RevocationWorld world(RevocationWorld::Options{ .nodeRate = 0.985 });
+  world.AskQuorum(milliseconds(0));
+  world.RunUntil(milliseconds(0));
+  world.AcknowledgeVersion();
+  world.SendPoll(milliseconds(0), milliseconds(0), milliseconds(0));
+  RunWithinBound(world, milliseconds(4800));
+  BOOST_TEST((world.CheckKey(1) == CredentialVerdict::Accepted));
+  RunWithinBound(world, milliseconds(6000));
+  BOOST_TEST((world.CheckKey(1) == CredentialVerdict::NoValidity));
+}
+
 BOOST_AUTO_TEST_CASE(a_node_restarted_while_cut_off_has_no_lease)
 {
   RevocationWorld world;
