Control: replicated state of roll-outs and storage of outcomes

Cause: orders of roll-outs must survive the loss of any replica, nodes must learn of a change at once, and the leader needs the counts that nodes send. Change: commands StartRollout and AdvanceRollout with their record in the image of the configuration's log; a change ends long polls; WatchReply carries the roll-outs to a node that names an older revision, and the empty set to one that names 0; OutcomeTable keeps the newest counts of each process, also for ControlPeer.outcomes. A replica without a leader, or that has yet to apply committed entries, tells a node that has none yet nothing, since a roll-out may have ended meanwhile.

--- a/src/common/event.h
+++ b/src/common/event.h
@@ -35,6 +35,11 @@
   VersionApplied = 303,
   VersionRefused = 304,
   TargetIntentChanged = 305,
+  RolloutStarted = 310,
+  RolloutAdvanced = 311,
+  RolloutCompleted = 312,
+  RolloutRolledBack = 313,
+  RolloutAdvanceFailed = 314,
 
   MemberJoined = 400,
   MemberSuspected = 401,
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -50,6 +50,9 @@
       return SetTargetState(aCommand);
     case wire::CommandKind::Replace:
       return Replace(aCommand);
+    case wire::CommandKind::StartRollout:
+    case wire::CommandKind::AdvanceRollout:
+      return ChangeRollout(aCommand);
     default:
       return {};
   }
@@ -191,6 +194,18 @@
   return SetCurrent(std::move(snapshot), aCommand, "replaced");
 }
 
+wire::CommandResult
+ConfigurationState::ChangeRollout(const wire::Command& aCommand)
+{
+  const Deadline now = SteadyClock::now();
+  wire::CommandResult result = aCommand.kind == wire::CommandKind::StartRollout
+                                 ? m_rollouts.Start(aCommand, now)
+                                 : m_rollouts.Advance(aCommand, now);
+  m_rolloutRevision = m_rollouts.Revision();
+  m_changed.notify_all();
+  return result;
+}
+
 wire::CommandResult
 ConfigurationState::Install(const wire::Command& aCommand,
                             const std::string& aText,
@@ -247,6 +262,9 @@
   }
   image.nextProposal = m_nextProposal;
   image.results = m_results.Image();
+  const wire::RolloutSet rollouts = m_rollouts.Set();
+  image.rollouts = rollouts.rollouts;
+  image.rolloutRevision = rollouts.revision;
   return Encode(image);
 }
 
@@ -260,6 +278,8 @@
   m_proposals.clear();
   m_nextProposal = 1;
   m_results.Restore({});
+  m_rollouts.Restore({}, 0, SteadyClock::now());
+  m_rolloutRevision = 0;
   if (aImage.empty()) {
     return boost::outcome_v2::success();
   }
@@ -281,6 +301,8 @@
   }
   m_nextProposal = image.nextProposal;
   m_results.Restore(image.results);
+  m_rollouts.Restore(image.rollouts, image.rolloutRevision, SteadyClock::now());
+  m_rolloutRevision = image.rolloutRevision;
   m_changed.notify_all();
   return boost::outcome_v2::success();
 }
@@ -318,6 +340,27 @@
   return m_history.UpdateFrom(aHeldVersion, *m_current);
 }
 
+wire::RolloutSet
+ConfigurationState::Rollouts() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.Set();
+}
+
+std::vector<AppliedRollout>
+ConfigurationState::AppliedRollouts() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.All();
+}
+
+std::optional<AppliedRollout>
+ConfigurationState::FindRollout(const std::string& aService) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.Find(aService);
+}
+
 std::vector<wire::Proposal>
 ConfigurationState::Proposals() const
 {
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -3,12 +3,15 @@
 #include "common/clock.h"
 #include "configuration/snapshot.h"
 #include "control/resultcache.h"
+#include "control/rolloutstate.h"
 #include "wire/gen-cpp/mesh_types.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +28,8 @@
 };
 
 /**
- * Replicated state of the configuration: the current version, its history, open proposals and the results of
- * recent requests. Thread-safe.
+ * Replicated state of the configuration: the current version, its history, open proposals, roll-outs and the
+ * results of recent requests. Thread-safe.
  */
 class ConfigurationState
 {
@@ -54,6 +57,18 @@
   /** Returns the update from aHeldVersion to the current version. */
   wire::ConfigurationUpdate UpdateFrom(int64_t aHeldVersion) const;
 
+  /** Returns the revision of the roll-outs; may be called while WaitForNewer() asks whether it is
+   * interrupted. */
+  int64_t RolloutRevision() const { return m_rolloutRevision; }
+
+  wire::RolloutSet Rollouts() const;
+
+  /** Returns the latest roll-out of each service. */
+  std::vector<AppliedRollout> AppliedRollouts() const;
+
+  /** Returns the latest roll-out of a service, or nothing if it never had one. */
+  std::optional<AppliedRollout> FindRollout(const std::string& aService) const;
+
   std::vector<wire::Proposal> Proposals() const;
   std::vector<VersionSummary> Versions() const;
 
@@ -69,6 +84,7 @@
   wire::CommandResult Accept(const wire::Command& aCommand);
   wire::CommandResult SetTargetState(const wire::Command& aCommand);
   wire::CommandResult Replace(const wire::Command& aCommand);
+  wire::CommandResult ChangeRollout(const wire::Command& aCommand);
   wire::CommandResult CheckBase(int64_t aBase) const;
   bool WasAcceptedLocked(int64_t aVersion, const std::string& aHash) const;
   Result<std::string> TextLocked(int64_t aVersion) const;
@@ -88,6 +104,9 @@
   std::map<int64_t, wire::Proposal> m_proposals;
   int64_t m_nextProposal = 1;
   ResultCache m_results;
+  RolloutState m_rollouts;
+  /** Copy of the revision in m_rollouts that is read without the lock. */
+  std::atomic<int64_t> m_rolloutRevision{ 0 };
 };
 
 } // namespace mimosarun
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -294,6 +294,13 @@
   return group == m_claimGroups.end() ? wire::GroupStatus{} : group->second->Status();
 }
 
+bool
+Controller::IsCaughtUp() const
+{
+  const wire::GroupStatus status = Status(kConfigurationGroup);
+  return !status.leader.empty() && status.applied >= status.commit;
+}
+
 std::vector<std::string>
 Controller::GroupNames() const
 {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -10,6 +10,7 @@
 #include "control/reportstore.h"
 #include "control/transport.h"
 #include "quarantine/crashledger.h"
+#include "rollout/outcometable.h"
 #include "settings/processsettings.h"
 #include "wire/rpcserver.h"
 
@@ -42,6 +43,7 @@
   const ConfigurationState& Configuration() const { return m_configuration; }
   ReportStore& DomainReports() { return m_domainReports; }
   CrashLedger& Crashes() { return m_crashes; }
+  OutcomeTable& Outcomes() { return m_outcomes; }
   GroupClient& Client() { return m_client; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
@@ -54,6 +56,10 @@
   wire::CommandResult Submit(const std::string& aGroup, wire::Command aCommand, Deadline aDeadline);
   wire::CommandResult Join(const std::string& aGroup, const wire::Replica& aReplica, Deadline aDeadline);
   wire::GroupStatus Status(const std::string& aGroup) const;
+
+  /** Returns whether this replica hears a leader and has applied all entries that it knows to be committed.
+   */
+  bool IsCaughtUp() const;
   std::vector<std::string> GroupNames() const;
 
   /** Returns the status of a group as a replica sees it. */
@@ -118,6 +124,7 @@
   ReportStore m_domainReports;
   ReportCollector m_reportCollector;
   CrashLedger m_crashes;
+  OutcomeTable m_outcomes;
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -20,6 +20,29 @@
          std::clamp(std::chrono::milliseconds(aMilliseconds), std::chrono::milliseconds(0), kMaxWait);
 }
 
+/**
+ * Returns whether a replica has newer roll-outs for a node. A node that has none yet gets those of a replica
+ * without a leader only later, since they may have ended meanwhile.
+ */
+static bool
+HasNewerRollouts(const Controller& aController, const wire::WatchRequest& aRequest)
+{
+  return aRequest.__isset.rolloutRevision &&
+         aController.Configuration().RolloutRevision() > aRequest.rolloutRevision &&
+         (aRequest.rolloutRevision > 0 || aController.IsCaughtUp());
+}
+
+/** Adds the roll-outs to the reply to a node that has older ones or has heard of none yet. */
+static void
+AddRollouts(const Controller& aController, const wire::WatchRequest& aRequest, wire::WatchReply& aReply)
+{
+  const bool isFirst =
+    aRequest.__isset.rolloutRevision && aRequest.rolloutRevision <= 0 && aController.IsCaughtUp();
+  if (isFirst || HasNewerRollouts(aController, aRequest)) {
+    aReply.__set_rollouts(aController.Configuration().Rollouts());
+  }
+}
+
 /** Translates Thrift calls into calls of the Controller. */
 class ControlService : public wire::ControlPeerIf
 {
@@ -68,12 +91,18 @@
     m_controller.DomainReports().AddStartedMembers(aRequest.introduced);
     CrashLedger& crashes = m_controller.Crashes();
     crashes.Add(aRequest.quarantined, SteadyClock::now());
+    if (aRequest.__isset.outcomes) {
+      m_controller.Outcomes().Add(aRequest.outcomes, SteadyClock::now());
+    }
     const ConfigurationState& configuration = m_controller.Configuration();
     const SnapshotPointer current =
       configuration.WaitForNewer(aRequest.heldVersion, DeadlineAfter(aRequest.waitMillis), [&] {
         // A node of an older version never names a state; its polls would return at once again and again.
-        return aRequest.quarantineSeen.epoch != 0 && crashes.Mark() != aRequest.quarantineSeen;
+        const bool hasQuarantined =
+          aRequest.quarantineSeen.epoch != 0 && crashes.Mark() != aRequest.quarantineSeen;
+        return hasQuarantined || HasNewerRollouts(m_controller, aRequest);
       });
+    AddRollouts(m_controller, aRequest, aReturn);
     aReturn.quarantineMark = crashes.Mark();
     if (aReturn.quarantineMark != aRequest.quarantineSeen) {
       aReturn.quarantined = crashes.Quarantined(SteadyClock::now());
@@ -103,7 +132,10 @@
     m_controller.Crashes().Record(aCrash, SteadyClock::now());
   }
 
-  void outcomes(std::vector<wire::NodeOutcomes>& aReturn) override { aReturn.clear(); }
+  void outcomes(std::vector<wire::NodeOutcomes>& aReturn) override
+  {
+    aReturn = m_controller.Outcomes().All(SteadyClock::now());
+  }
 
   void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& /*aRequest*/) override
   {
