--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -41,12 +41,22 @@
 Controller::Controller(ProcessSettings aSettings, DocumentParser aParser)
   : m_settings(std::move(aSettings))
   , m_groupPlans(PlansOf(m_settings))
-  , m_configuration(std::move(aParser))
+  , m_configuration(aParser)
   , m_reportCollector({ .region = m_settings.region,
                         .otherReplicas = [this] { return OtherReplicas(); },
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
                       m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
+  , m_rollouts(
+      { .limits = m_settings.rollout,
+        .parser = std::move(aParser),
+        .isLeader = [this] { return Status(kConfigurationGroup).leader == m_settings.name; },
+        .submit = [this](const wire::Command& aCommand,
+                         Deadline aDeadline) { return Submit(kConfigurationGroup, aCommand, aDeadline); },
+        .collector = { .otherReplicas = [this] { return OtherReplicas(); },
+                       .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } } },
+      m_configuration,
+      m_outcomes)
   , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
   , m_seeds(m_settings.replicas)
@@ -67,6 +77,7 @@
     m_watcher.join();
   }
   m_reportCollector.Stop();
+  m_rollouts.Stop();
   m_server.reset();
   // The links deliver messages to the groups, which are destroyed after this.
   m_transport.Stop();
@@ -156,6 +167,7 @@
   MIMOSARUN_TRY(m_server, StartControlService(*this));
   m_watcher = std::thread([this] { WatchGroups(); });
   m_reportCollector.Start();
+  m_rollouts.Start();
   return boost::outcome_v2::success();
 }
 
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -8,6 +8,7 @@
 #include "control/groupplan.h"
 #include "control/reportcollector.h"
 #include "control/reportstore.h"
+#include "control/rolloutmanager.h"
 #include "control/transport.h"
 #include "quarantine/crashledger.h"
 #include "rollout/outcometable.h"
@@ -44,6 +45,7 @@
   ReportStore& DomainReports() { return m_domainReports; }
   CrashLedger& Crashes() { return m_crashes; }
   OutcomeTable& Outcomes() { return m_outcomes; }
+  const RolloutManager& Rollouts() const { return m_rollouts; }
   GroupClient& Client() { return m_client; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
@@ -125,6 +127,7 @@
   ReportCollector m_reportCollector;
   CrashLedger m_crashes;
   OutcomeTable m_outcomes;
+  RolloutManager m_rollouts;
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
