Operators: start, show and end roll-outs

Cause: operators without the platform need the same, and want to know why a roll-out stands where it stands. Change: commands 'start rollout SERVICE to VERSION within SECONDS', 'show rollouts' and 'end rollout SERVICE'; gauges of state, stage and share.

--- a/src/mimosarund/main.cpp
+++ b/src/mimosarund/main.cpp
@@ -52,6 +52,16 @@
       .Set(static_cast<double>(controller.Configuration().Current()->version));
     metrics.Gauge("mimosarun_claims", "Idempotency keys held", {})
       .Set(static_cast<double>(controller.ClaimCount()));
+    for (const AppliedRollout& rollout : controller.Configuration().AppliedRollouts()) {
+      const wire::RolloutRecord& record = rollout.record;
+      const prometheus::Labels labels{ { "service", record.serviceName } };
+      metrics.Gauge("mimosarun_rollout_state", "0 running, 1 completed, 2 rolled back", labels)
+        .Set(static_cast<double>(record.state));
+      metrics.Gauge("mimosarun_rollout_stage", "Stage from 0 (ordered) to 4 (full)", labels)
+        .Set(static_cast<double>(ParseRolloutStage(record.stage)));
+      metrics.Gauge("mimosarun_rollout_share", "Share of the calls that go to the new version", labels)
+        .Set(static_cast<double>(record.candidatePermille) / 1000);
+    }
   };
   const auto runCommand = [&](const OperatorRequest& aRequest, Deadline aDeadline) {
     return commandRunner.Run(aRequest, aDeadline);
--- a/src/operators/command.cpp
+++ b/src/operators/command.cpp
@@ -8,9 +8,9 @@
 
 namespace mimosarun {
 
-static constexpr std::array<std::string_view, 8> kShowSubjects{ "in-force",  "services", "routes",
+static constexpr std::array<std::string_view, 9> kShowSubjects{ "in-force",  "services", "routes",
                                                                 "targets",   "control",  "versions",
-                                                                "proposals", "nodes" };
+                                                                "proposals", "nodes",    "rollouts" };
 
 /** Splits a command into words and reads them in order. */
 class TokenReader
@@ -164,6 +164,36 @@
   return command;
 }
 
+static Result<OperatorCommand>
+ParseStartRollout(TokenReader& aWords)
+{
+  OperatorCommand command{ .verb = CommandVerb::StartRollout };
+  if (!aWords.ConsumeIf("rollout")) {
+    return ExpectedError("'rollout SERVICE to VERSION within SECONDS'", aWords.Next());
+  }
+  MIMOSARUN_TRY(command.subject, ParseName(aWords, "the name of a service"));
+  if (!aWords.ConsumeIf("to")) {
+    return ExpectedError("'to VERSION'", aWords.Next());
+  }
+  MIMOSARUN_TRY(command.targetVersion, ParseName(aWords, "a version"));
+  if (!aWords.ConsumeIf("within")) {
+    return ExpectedError("'within SECONDS'", aWords.Next());
+  }
+  MIMOSARUN_TRY(command.firstNumber, ParseNumber(aWords));
+  return command;
+}
+
+static Result<OperatorCommand>
+ParseEndRollout(TokenReader& aWords)
+{
+  OperatorCommand command{ .verb = CommandVerb::EndRollout };
+  if (!aWords.ConsumeIf("rollout")) {
+    return ExpectedError("'rollout SERVICE'", aWords.Next());
+  }
+  MIMOSARUN_TRY(command.subject, ParseName(aWords, "the name of a service"));
+  return command;
+}
+
 static Result<OperatorCommand>
 ParseVerb(TokenReader& aWords)
 {
@@ -198,6 +228,12 @@
   if (verb == "remove") {
     return ParseReplicaCommand(aWords, CommandVerb::RemoveReplica);
   }
+  if (verb == "start") {
+    return ParseStartRollout(aWords);
+  }
+  if (verb == "end") {
+    return ParseEndRollout(aWords);
+  }
   return ExpectedError("a verb", verb);
 }
 
@@ -215,7 +251,7 @@
 std::string
 CommandHelp()
 {
-  return "  show in-force | services | routes | targets | nodes | control | versions | proposals\n"
+  return "  show in-force | services | routes | targets | nodes | control | versions | proposals | rollouts\n"
          "       [where FIELD = VALUE [and FIELD = VALUE ...]]\n"
          "  propose FILE based on VERSION   store a configuration as a proposal\n"
          "  accept PROPOSAL                 put a proposal in force\n"
@@ -223,6 +259,9 @@
          "  drain TARGET                    send a target no new work\n"
          "  undrain TARGET                  let a target accept work again\n"
          "  stop TARGET                     drain a target, then ask it to stop\n"
+         "  start rollout SERVICE to VERSION within SECONDS\n"
+         "                                  move calls to the targets of another version of the software\n"
+         "  end rollout SERVICE             roll back a running roll-out\n"
          "  explain version VERSION         who changed what, and where it is in force\n"
          "  explain call ID                 what happened to a call; send this to its entry node\n"
          "  add replica NAME                add a control replica as a learner\n"
--- a/src/operators/command.h
+++ b/src/operators/command.h
@@ -21,6 +21,8 @@
   Explain,
   AddReplica,
   RemoveReplica,
+  StartRollout,
+  EndRollout,
 };
 
 /** One condition of a where clause: a field must have this value. */
@@ -34,12 +36,14 @@
 struct OperatorCommand
 {
   CommandVerb verb = CommandVerb::Show;
-  /** What to show or explain, or the name of a target or replica. */
+  /** What to show or explain, or the name of a target, replica or service. */
   std::string subject;
-  /** A version, or the proposal to accept. */
+  /** A version, the proposal to accept, or the seconds of a roll-out. */
   int64_t firstNumber = 0;
   /** The newer version of a diff. */
   int64_t secondNumber = 0;
+  /** Version of the software that a roll-out moves calls to. */
+  std::string targetVersion;
   std::vector<Condition> conditions;
 };
 
--- a/src/operators/controlcommandrunner.cpp
+++ b/src/operators/controlcommandrunner.cpp
@@ -12,6 +12,7 @@
 static constexpr std::chrono::milliseconds kStatusTimeout{ 400 };
 static constexpr std::chrono::milliseconds kCatchUpTimeout{ 1000 };
 static constexpr int64_t kSilentAfterMilliseconds = 5000;
+static constexpr int kEndAttempts = 5;
 
 ControlCommandRunner::ControlCommandRunner(Controller& aController)
   : m_controller(aController)
@@ -64,6 +65,10 @@
     case CommandVerb::RemoveReplica:
       return ToAnswer(m_controller.RemoveReplica(command.subject, aDeadline),
                       command.subject + " is removed");
+    case CommandVerb::StartRollout:
+      return StartRollout(command, aRequest, aDeadline);
+    case CommandVerb::EndRollout:
+      return EndRollout(command, aRequest, aDeadline);
     default:
       return SubmitCommand(command, aRequest, aDeadline);
   }
@@ -143,6 +148,9 @@
   if (subject == "control") {
     return ShowControl();
   }
+  if (subject == "rollouts") {
+    return ShowRollouts();
+  }
   return subject == "versions" ? ShowVersions() : ShowProposals();
 }
 
@@ -354,6 +362,105 @@
   return answer;
 }
 
+Answer
+ControlCommandRunner::ShowRollouts() const
+{
+  Answer answer{ .columns = { "service",
+                              "version",
+                              "state",
+                              "stage",
+                              "permille",
+                              "elapsed-ms",
+                              "duration-ms",
+                              "revision",
+                              "reason",
+                              "next" } };
+  const std::map<std::string, std::string> explanations = m_controller.Rollouts().Explanations();
+  for (const AppliedRollout& rollout : m_controller.Configuration().AppliedRollouts()) {
+    const wire::RolloutRecord& record = rollout.record;
+    const bool isRunning = record.state == wire::RolloutState::Running;
+    const auto explanation = explanations.find(record.serviceName);
+    const int64_t elapsed =
+      isRunning ? rollout.Elapsed(SteadyClock::now(), WallNow()).count() : record.elapsedMillis;
+    answer.rows.push_back({ record.serviceName,
+                            record.targetVersion,
+                            Name(record.state),
+                            record.stage,
+                            std::to_string(record.candidatePermille),
+                            std::to_string(elapsed),
+                            std::to_string(record.durationMillis),
+                            std::to_string(record.revision),
+                            record.reason,
+                            !isRunning                          ? ""
+                            : explanation == explanations.end() ? "ask the leader; see 'show control'"
+                                                                : explanation->second });
+  }
+  return answer;
+}
+
+Answer
+ControlCommandRunner::StartRollout(const OperatorCommand& aCommand,
+                                   const OperatorRequest& aRequest,
+                                   Deadline aDeadline)
+{
+  const Result<SnapshotPointer> newest =
+    m_controller.ReadNewestConfiguration(std::min(aDeadline, SteadyClock::now() + kCatchUpTimeout));
+  if (!newest) {
+    return { .code = AnswerCode::NotRun, .message = newest.error().message };
+  }
+  if (!newest.value()->configuration.services.contains(aCommand.subject)) {
+    return { .code = AnswerCode::Invalid,
+             .message = aCommand.subject + ": no such service; see 'show services'" };
+  }
+  wire::RolloutRecord order;
+  order.serviceName = aCommand.subject;
+  order.targetVersion = aCommand.targetVersion;
+  order.durationMillis = std::chrono::milliseconds(std::chrono::seconds(aCommand.firstNumber)).count();
+  wire::Command command;
+  command.kind = wire::CommandKind::StartRollout;
+  command.requestId = aRequest.requestId;
+  command.author = aRequest.author;
+  command.atMicros = WallNow().time_since_epoch().count();
+  command.__set_rollout(order);
+  const wire::CommandResult result =
+    m_controller.Client().Submit(kConfigurationGroup, command, aDeadline, ProbePolicy::ProbeFirst);
+  return ToAnswer(result, "the roll-out is ordered; see 'show rollouts'");
+}
+
+Answer
+ControlCommandRunner::EndRollout(const OperatorCommand& aCommand,
+                                 const OperatorRequest& aRequest,
+                                 Deadline aDeadline)
+{
+  wire::CommandResult result;
+  // The leader may change the roll-out between the read and the command.
+  for (int attempt = 0; attempt < kEndAttempts; ++attempt) {
+    const Deadline readDeadline = std::min(aDeadline, SteadyClock::now() + kCatchUpTimeout);
+    if (!m_controller.WaitUntilCaughtUp(readDeadline)) {
+      return { .code = AnswerCode::NotRun, .message = "not run: no quorum of control replicas is reachable" };
+    }
+    const std::optional<AppliedRollout> rollout = m_controller.Configuration().FindRollout(aCommand.subject);
+    if (!rollout) {
+      return { .code = AnswerCode::Refused, .message = aCommand.subject + ": never had a roll-out" };
+    }
+    wire::RolloutRecord change = rollout->record;
+    change.state = wire::RolloutState::RolledBack;
+    change.reason = "ended by " + (aRequest.author.empty() ? std::string("an operator") : aRequest.author);
+    change.elapsedMillis = rollout->Elapsed(SteadyClock::now(), WallNow()).count();
+    wire::Command command;
+    command.kind = wire::CommandKind::AdvanceRollout;
+    command.author = aRequest.author;
+    command.basedOn = rollout->record.revision;
+    command.atMicros = WallNow().time_since_epoch().count();
+    command.__set_rollout(change);
+    result = m_controller.Client().Submit(kConfigurationGroup, command, aDeadline, ProbePolicy::ProbeFirst);
+    if (result.code != wire::ResultCode::StaleBase || rollout->record.state != wire::RolloutState::Running) {
+      break;
+    }
+  }
+  return ToAnswer(result, "the roll-out is rolled back");
+}
+
 Answer
 ControlCommandRunner::ExplainVersion(int64_t aVersion) const
 {
--- a/src/operators/controlcommandrunner.h
+++ b/src/operators/controlcommandrunner.h
@@ -29,6 +29,9 @@
   Answer ShowControl();
   Answer ShowVersions() const;
   Answer ShowProposals() const;
+  Answer ShowRollouts() const;
+  Answer StartRollout(const OperatorCommand& aCommand, const OperatorRequest& aRequest, Deadline aDeadline);
+  Answer EndRollout(const OperatorCommand& aCommand, const OperatorRequest& aRequest, Deadline aDeadline);
   Answer ExplainVersion(int64_t aVersion) const;
   Answer ShowDifference(int64_t aFrom, int64_t aTo) const;
   Answer SubmitCommand(const OperatorCommand& aCommand, const OperatorRequest& aRequest, Deadline aDeadline);
