--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -51,6 +51,9 @@
       return SetTargetState(aCommand);
     case wire::CommandKind::Replace:
       return Replace(aCommand);
+    case wire::CommandKind::StartRollout:
+    case wire::CommandKind::AdvanceRollout:
+      return ChangeRollout(aCommand);
     default:
       return {};
   }
@@ -192,6 +195,18 @@
   return SetCurrent(std::move(snapshot), aCommand, "replaced");
 }
 
+wire::CommandResult
+ConfigurationState::ChangeRollout(const wire::Command& aCommand)
+{
+  const Deadline now = SteadyClock::now();
+  wire::CommandResult result = aCommand.kind == wire::CommandKind::StartRollout
+                                 ? m_rollouts.Start(aCommand, now)
+                                 : m_rollouts.Advance(aCommand, now);
+  m_rolloutRevision = m_rollouts.Revision();
+  m_changed.notify_all();
+  return result;
+}
+
 wire::CommandResult
 ConfigurationState::Install(const wire::Command& aCommand,
                             const std::string& aText,
@@ -248,6 +263,9 @@
   }
   image.nextProposal = m_nextProposal;
   image.results = m_results.Image();
+  const wire::RolloutSet rollouts = m_rollouts.Set();
+  image.rollouts = rollouts.rollouts;
+  image.rolloutRevision = rollouts.revision;
   return Encode(image);
 }
 
@@ -262,6 +280,8 @@
   m_proposals.clear();
   m_nextProposal = 1;
   m_results.Restore({});
+  m_rollouts.Restore({}, 0, SteadyClock::now());
+  m_rolloutRevision = 0;
   if (aImage.empty()) {
     return boost::outcome_v2::success();
   }
@@ -283,6 +303,8 @@
   }
   m_nextProposal = image.nextProposal;
   m_results.Restore(image.results);
+  m_rollouts.Restore(image.rollouts, image.rolloutRevision, SteadyClock::now());
+  m_rolloutRevision = image.rolloutRevision;
   m_changed.notify_all();
   return boost::outcome_v2::success();
 }
@@ -327,6 +349,27 @@
   return m_nodeUpdates.HasTeams(*m_current);
 }
 
+wire::RolloutSet
+ConfigurationState::Rollouts() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.Set();
+}
+
+std::vector<AppliedRollout>
+ConfigurationState::AppliedRollouts() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.All();
+}
+
+std::optional<AppliedRollout>
+ConfigurationState::FindRollout(const std::string& aService) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_rollouts.Find(aService);
+}
+
 std::vector<wire::Proposal>
 ConfigurationState::Proposals() const
 {
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -41,13 +41,23 @@
 Controller::Controller(ProcessSettings aSettings, DocumentParser aParser, KeyRedactor aRedactor)
   : m_settings(std::move(aSettings))
   , m_groupPlans(PlansOf(m_settings))
-  , m_configuration(std::move(aParser), std::move(aRedactor))
+  , m_configuration(aParser, std::move(aRedactor))
   , m_reportCollector({ .region = m_settings.region,
                         .otherReplicas = [this] { return OtherReplicas(); },
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
                       m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
   , m_validity(ConfirmerOptions())
+  , m_rollouts(
+      { .limits = m_settings.rollout,
+        .parser = std::move(aParser),
+        .isLeader = [this] { return Status(kConfigurationGroup).leader == m_settings.name; },
+        .submit = [this](const wire::Command& aCommand,
+                         Deadline aDeadline) { return Submit(kConfigurationGroup, aCommand, aDeadline); },
+        .collector = { .otherReplicas = [this] { return OtherReplicas(); },
+                       .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } } },
+      m_configuration,
+      m_outcomes)
   , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
   , m_seeds(m_settings.replicas)
@@ -69,6 +79,7 @@
   }
   m_reportCollector.Stop();
   m_validity.Stop();
+  m_rollouts.Stop();
   m_server.reset();
   // The links deliver messages to the groups, which are destroyed after this.
   m_transport.Stop();
@@ -177,6 +188,7 @@
   if (m_settings.revocation.isStrict) {
     m_validity.Start();
   }
+  m_rollouts.Start();
   return boost::outcome_v2::success();
 }
 
@@ -315,6 +327,13 @@
   return group == m_claimGroups.end() ? wire::GroupStatus{} : group->second->Status();
 }
 
+bool
+Controller::IsCaughtUp() const
+{
+  const wire::GroupStatus status = Status(kConfigurationGroup);
+  return !status.leader.empty() && status.applied >= status.commit;
+}
+
 std::vector<std::string>
 Controller::GroupNames() const
 {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -8,9 +8,11 @@
 #include "control/groupplan.h"
 #include "control/reportcollector.h"
 #include "control/reportstore.h"
+#include "control/rolloutmanager.h"
 #include "control/transport.h"
 #include "control/validityconfirmer.h"
 #include "quarantine/crashledger.h"
+#include "rollout/outcometable.h"
 #include "settings/processsettings.h"
 #include "wire/rpcserver.h"
 
@@ -46,6 +48,8 @@
   ReportStore& DomainReports() { return m_domainReports; }
   CrashLedger& Crashes() { return m_crashes; }
   const ValidityConfirmer& Validity() const { return m_validity; }
+  OutcomeTable& Outcomes() { return m_outcomes; }
+  const RolloutManager& Rollouts() const { return m_rollouts; }
   GroupClient& Client() { return m_client; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
@@ -58,6 +62,10 @@
   wire::CommandResult Submit(const std::string& aGroup, wire::Command aCommand, Deadline aDeadline);
   wire::CommandResult Join(const std::string& aGroup, const wire::Replica& aReplica, Deadline aDeadline);
   wire::GroupStatus Status(const std::string& aGroup) const;
+
+  /** Returns whether this replica hears a leader and has applied all entries that it knows to be committed.
+   */
+  bool IsCaughtUp() const;
   std::vector<std::string> GroupNames() const;
 
   /** Returns the status of a group as a replica sees it. */
@@ -124,6 +132,8 @@
   ReportCollector m_reportCollector;
   CrashLedger m_crashes;
   ValidityConfirmer m_validity;
+  OutcomeTable m_outcomes;
+  RolloutManager m_rollouts;
   PeerTransport m_transport;
   GroupClient m_client;
   std::mutex m_peersMutex;
