Versions of targets reach the directory of every node

Cause: a roll-out sends calls to targets by their version, which no node knew. Change: heartbeats and announcements may name a version, member records spread it, and GateInfo holds it. Stand-in targets name a version and can be bad: a share of their calls fails or is slow, from a time on, beside other calls or on one path. Result: adapterstest and targetwatchtest pass; records without a version are sent as before.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -166,6 +166,8 @@
     aSelf.phase = aState.phase;
     aSelf.slots = aState.slots;
     aSelf.warmUpMillis = static_cast<int32_t>(aState.warmUpLeft.count());
+    aSelf.targetVersion = aState.version;
+    aSelf.__isset.targetVersion = !aState.version.empty();
   });
   m_gossiper.SpreadNow();
 }
@@ -201,7 +203,8 @@
                                                        .address = address.value(),
                                                        .locality = LocalityOf(member, m_settings),
                                                        .slots = member.slots,
-                                                       .incarnation = member.incarnation });
+                                                       .incarnation = member.incarnation,
+                                                       .version = member.targetVersion });
     }
   }
   return directory;
--- a/src/target/announcementserver.cpp
+++ b/src/target/announcementserver.cpp
@@ -7,6 +7,8 @@
 static constexpr int kMaximumSlots = 10000;
 static constexpr size_t kBodyLimitBytes = 64UL * 1024;
 static constexpr size_t kMaximumConnections = 64;
+/** Every node holds the version of every target. */
+static constexpr size_t kMaximumVersionLength = 200;
 
 AnnouncementServer::AnnouncementServer(Options aOptions)
   : m_options(std::move(aOptions))
@@ -43,6 +45,10 @@
   state.phase = phase == "ready"      ? wire::TargetPhase::Ready
                 : phase == "draining" ? wire::TargetPhase::Draining
                                       : wire::TargetPhase::Starting;
+  state.version = reader.Text("version", "");
+  if (state.version.size() > kMaximumVersionLength) {
+    problems.Add("announcement.version", "must have 200 characters at most");
+  }
   reader.ReportUnknownKeys();
   const Result<Address> parsedAddress = ParseAddress(address);
   if (!parsedAddress) {
--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -141,14 +141,15 @@
     return;
   }
   const bool nameOrPhaseChanged = previous.name != aState.name || previous.phase != aState.phase;
-  if (nameOrPhaseChanged) {
+  if (nameOrPhaseChanged || previous.version != aState.version) {
     const Event event = aState.phase == wire::TargetPhase::Absent ? Event::TargetLost
                         : previous.name == aState.name            ? Event::TargetPhaseChanged
                                                                   : Event::TargetAnnounced;
     Log(event,
         { { "target", aState.name },
           { "service", aState.service },
-          { "phase", static_cast<int>(aState.phase) } });
+          { "phase", static_cast<int>(aState.phase) },
+          { "version", aState.version } });
   }
   m_options.listener(aState);
 }
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -23,6 +23,8 @@
   /** How long the target will still be slow after its start, as last reported. */
   std::chrono::milliseconds warmUpLeft{ 0 };
   wire::TargetPhase::type phase = wire::TargetPhase::Absent;
+  /** Version of the target's software; empty if it names none. */
+  std::string version;
 
   bool operator==(const TargetState&) const = default;
 };
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -13,14 +13,12 @@
 namespace mimosarun {
 
 static constexpr size_t kReplicas = 3;
-static constexpr size_t kNodes = 2;
 static constexpr uint16_t kInbound = 24000;
 static constexpr uint16_t kOutbound = 24001;
 static constexpr uint16_t kReady = 24002;
 static constexpr uint16_t kControl = 24003;
 static constexpr uint16_t kTarget = 24004;
 static constexpr uint16_t kPeer = 24010;
-static constexpr const char* kServices[kNodes] = { "books", "desk" };
 
 std::string
 SendRawRequest(const Address& aTo, const std::string& aRequest)
@@ -51,11 +49,11 @@
 int
 PlatformTarget::SendHeartbeat(const std::string& aState)
 {
-  const std::string body =
-    "{\"service\":\"" + m_options.service + "\",\"address\":\"" + m_options.address.Text() +
-    "\",\"zone\":\"north\",\"version\":\"v1\",\"capacity\":4," + "\"state\":\"" + aState +
-    "\",\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(m_startedAtMillis) +
-    ",\"seq\":" + std::to_string(++m_sequence) + "}";
+  const std::string body = "{\"service\":\"" + m_options.service + "\",\"address\":\"" +
+                           m_options.address.Text() + "\",\"zone\":\"north\",\"version\":\"" +
+                           m_options.version + "\",\"capacity\":4," + "\"state\":\"" + aState +
+                           "\",\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(m_startedAtMillis) +
+                           ",\"seq\":" + std::to_string(++m_sequence) + "}";
   return StatusOf(SendRawRequest(m_options.heartbeatAddress,
                                  "POST /-/Instances.Heartbeat/" + m_options.id +
                                    " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
@@ -103,11 +101,34 @@
   {
     const std::lock_guard lock(m_mutex);
     ++m_runCounts[id];
+    const Deadline now = SteadyClock::now();
+    const bool isBad = m_options.bad.IsBad(aExchange->Request().path, m_runningRequests++, now);
+    m_runs.push_back({ .at = now, .isBad = isBad });
     response.headers.insert(response.headers.end(), m_responseHeaders.begin(), m_responseHeaders.end());
-    workTime = m_options.workTime;
+    workTime = m_options.workTime * (isBad ? std::max(1, m_options.bad.slowFactor) : 1);
+    response.status = isBad && m_options.bad.slowFactor == 0 ? 500 : 200;
   }
-  aExchange->Loop().RunAt(SteadyClock::now() + workTime,
-                          [aExchange, response] { aExchange->Respond(response); });
+  aExchange->Loop().RunAt(SteadyClock::now() + workTime, [this, aExchange, response] {
+    {
+      const std::lock_guard lock(m_mutex);
+      --m_runningRequests;
+    }
+    aExchange->Respond(response);
+  });
+}
+
+std::vector<TargetRun>
+PlatformTarget::Runs() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_runs;
+}
+
+void
+PlatformTarget::SetBadBehaviour(const BadBehaviour& aBad)
+{
+  const std::lock_guard lock(m_mutex);
+  m_options.bad = aBad;
 }
 
 void
@@ -124,13 +145,14 @@
   m_responseHeaders = std::move(aHeaders);
 }
 
-PlatformMesh::PlatformMesh(const std::string& aName)
+PlatformMesh::PlatformMesh(const std::string& aName, std::vector<PlatformNode> aNodes)
   : m_folder(std::filesystem::absolute("run/" + aName).string())
+  , m_nodes(std::move(aNodes))
 {
   std::filesystem::remove_all(m_folder);
   std::filesystem::create_directories(m_folder);
   replicas.resize(kReplicas);
-  nodes.resize(kNodes);
+  nodes.resize(m_nodes.size());
 }
 
 std::string
@@ -160,9 +182,9 @@
 }
 
 size_t
-PlatformMesh::VmOfReplica(size_t aIndex)
+PlatformMesh::VmOfReplica(size_t aIndex) const
 {
-  return aIndex < kReplicas ? aIndex : kNodes + aIndex;
+  return aIndex < kReplicas ? aIndex : m_nodes.size() + aIndex;
 }
 
 std::string
@@ -227,7 +249,7 @@
                   std::to_string(kInbound) + "\",\"outbound\":\"" + host + std::to_string(kOutbound) +
                   "\",\"ready\":\"" + host + std::to_string(kReady) + "\",\"control\":\"" + host +
                   std::to_string(kControl) + "\"},\"bootstrap\":false,\"dataDir\":null,\"appAddr\":\"" +
-                  host + std::to_string(kTarget) + "\",\"service\":\"" + kServices[aIndex] + "\"," +
+                  host + std::to_string(kTarget) + "\",\"service\":\"" + m_nodes[aIndex].service + "\"," +
                   CommonSettings(vm) + "}");
   nodes[aIndex] = Process::Start({ BuildFolder() + "/src/mimosarund", "--platform" },
                                  path + ".out",
@@ -266,6 +288,34 @@
   return SendRawRequest(control, "GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n");
 }
 
+int
+PlatformMesh::StartRollout(const std::string& aService,
+                           const std::string& aVersion,
+                           std::chrono::milliseconds aDuration,
+                           size_t aReplica)
+{
+  const Address control{ .host = Host(VmOfReplica(aReplica)), .port = kControl };
+  const std::string body = "{\"service\":\"" + aService + "\",\"targetVersion\":\"" + aVersion +
+                           "\",\"duration\":\"" + std::to_string(aDuration.count()) + "ms\"}";
+  return StatusOf(SendRawRequest(control,
+                                 "POST /-/Rollouts.Start HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" + body));
+}
+
+std::string
+PlatformMesh::RolloutState(const std::string& aService, size_t aReplica)
+{
+  const Address control{ .host = Host(VmOfReplica(aReplica)), .port = kControl };
+  const std::string response =
+    SendRawRequest(control, "GET /-/Rollouts.Read/" + aService + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  for (const char* state : { "running", "completed", "rolled_back" }) {
+    if (StatusOf(response) == 200 && response.find(std::string("\"") + state + "\"") != std::string::npos) {
+      return state;
+    }
+  }
+  return {};
+}
+
 Address
 PlatformMesh::EntryAddress(size_t aNode) const
 {
@@ -307,20 +357,24 @@
   for (size_t i = 0; i < kReplicas; ++i) {
     StartReplica(i);
   }
-  for (size_t i = 0; i < kNodes; ++i) {
+  for (size_t i = 0; i < m_nodes.size(); ++i) {
     StartNode(i);
+    const std::string number = i < 2 ? "" : "-" + std::to_string(i);
     targets.push_back(std::make_unique<PlatformTarget>(
-      PlatformTarget::Options{ .id = std::string("i-") + kServices[i],
-                               .service = kServices[i],
+      PlatformTarget::Options{ .id = "i-" + m_nodes[i].service + number,
+                               .service = m_nodes[i].service,
                                .address = TargetAddress(i),
-                               .heartbeatAddress = { .host = Host(kReplicas + i), .port = kControl } }));
+                               .heartbeatAddress = { .host = Host(kReplicas + i), .port = kControl },
+                               .version = m_nodes[i].version }));
   }
   m_isFirstStart = false;
   const auto startTimeout = std::chrono::seconds(15);
   return WaitUntil(startTimeout, [this] { return ReplaceConfiguration("0", Document(3)) == 200; }) &&
          WaitUntil(startTimeout, [this] { return IsReady(0) && IsReady(1); }) &&
          WaitUntil(startTimeout, [this] {
-           return targets[0]->SendHeartbeat("ready") == 200 && targets[1]->SendHeartbeat("ready") == 200 &&
+           return std::all_of(targets.begin(),
+                              targets.end(),
+                              [](const auto& aTarget) { return aTarget->SendHeartbeat("ready") == 200; }) &&
                   Call(0, "/book/1", "warm").starts_with("HTTP/1.1 200") &&
                   Call(1, "/read/1", "warm").starts_with("HTTP/1.1 200");
          });
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -3,6 +3,7 @@
 #include "common/address.h"
 #include "harness/process.h"
 #include "http/server.h"
+#include "standin/badbehaviour.h"
 
 #include <atomic>
 #include <map>
@@ -14,6 +15,13 @@
 
 namespace mimosarun {
 
+/** One request that ran on a target. */
+struct TargetRun
+{
+  Deadline at;
+  bool isBad = false;
+};
+
 /** Simulates a target of the platform: runs requests, signs responses and sends heartbeats. */
 class PlatformTarget
 {
@@ -26,6 +34,8 @@
     /** Address of the node that receives the heartbeats. */
     Address heartbeatAddress;
     std::chrono::milliseconds workTime{ 20 };
+    std::string version = "v1";
+    BadBehaviour bad = {};
   };
 
   explicit PlatformTarget(Options aOptions);
@@ -49,12 +59,20 @@
   /** Sets how long later requests run. */
   void SetWorkTime(std::chrono::milliseconds aTime);
 
+  /** Sets which later requests are bad. */
+  void SetBadBehaviour(const BadBehaviour& aBad);
+
   /** Sets headers that all responses bear. */
   void SetResponseHeaders(HttpHeaders aHeaders);
 
   /** Returns how often each request ran, by its identifier. */
   std::map<std::string, int> RunCounts() const;
 
+  /** Returns the requests that ran, in the order in which they began. */
+  std::vector<TargetRun> Runs() const;
+
+  const std::string& Version() const { return m_options.version; }
+
   /** Returns the number of requests whose headers the system must not have sent. */
   int InvalidRequestCount() const { return m_invalidRequestCount; }
 
@@ -68,15 +86,26 @@
   std::atomic<int> m_invalidRequestCount{ 0 };
   mutable std::mutex m_mutex;
   std::map<std::string, int> m_runCounts;
+  std::vector<TargetRun> m_runs;
+  int m_runningRequests = 0;
   HttpHeaders m_responseHeaders;
   std::unique_ptr<HttpServer> m_server;
 };
 
-/** A small deployment on the platform: three control replicas, and a node with a target for each service. */
+/** A node of a deployment, by the target beside it. */
+struct PlatformNode
+{
+  std::string service;
+  std::string version = "v1";
+};
+
+/** A small deployment on the platform: three control replicas, and nodes with one target each. */
 class PlatformMesh
 {
 public:
-  explicit PlatformMesh(const std::string& aName);
+  /** @param aNodes the first of them serves "books", the second one "desk" */
+  explicit PlatformMesh(const std::string& aName,
+                        std::vector<PlatformNode> aNodes = { { .service = "books" }, { .service = "desk" } });
 
   /** Starts all processes and waits until the first configuration is accepted and all nodes are ready. */
   bool Start();
@@ -87,6 +116,15 @@
   /** Reads the configuration from a replica and returns the whole response. */
   std::string ReadConfiguration(size_t aReplica = 0);
 
+  /** Orders a roll-out at a replica and returns the status of the response. */
+  int StartRollout(const std::string& aService,
+                   const std::string& aVersion,
+                   std::chrono::milliseconds aDuration,
+                   size_t aReplica = 0);
+
+  /** Returns the state of a service's roll-out as a replica reports it; empty without a valid response. */
+  std::string RolloutState(const std::string& aService, size_t aReplica = 0);
+
   /** Returns a configuration with routes for both services. */
   static std::string Document(int aVersion, const std::string& aKind = "unsafe");
 
@@ -116,12 +154,13 @@
 private:
   std::string Host(size_t aVm) const;
   /** Returns the VM of a replica; VMs are numbered in the order in which they were planned. */
-  static size_t VmOfReplica(size_t aIndex);
+  size_t VmOfReplica(size_t aIndex) const;
   std::string ReplicaPath(size_t aIndex) const;
   void WriteSettings(const std::string& aPath, const std::string& aText) const;
   std::string CommonSettings(size_t aVm) const;
 
   std::string m_folder;
+  std::vector<PlatformNode> m_nodes;
   bool m_isFirstStart = true;
 };
 
--- a/tests/standin/target.cpp
+++ b/tests/standin/target.cpp
@@ -38,9 +38,11 @@
 
 StandinTarget::StandinTarget(Options aOptions)
   : m_options(std::move(aOptions))
+  , m_badPermille(m_options.bad.permille)
   , m_readyAt(SteadyClock::now() + m_options.startupTime)
   , m_timers(std::make_unique<TimerQueue>())
 {
+  m_options.bad.from = SteadyClock::now() + m_options.badAfter;
 }
 
 StandinTarget::~StandinTarget()
@@ -83,6 +85,7 @@
   const HttpRequest& request = aExchange->Request();
   m_costFactor = static_cast<int>(QueryNumber(request, "factor", m_costFactor));
   m_announcementsStopped = QueryNumber(request, "mute", m_announcementsStopped ? 1 : 0) != 0;
+  m_badPermille = static_cast<int>(QueryNumber(request, "bad", m_badPermille));
   aExchange->Respond({ .status = 200, .headers = {}, .body = "ok\n" });
 }
 
@@ -126,6 +129,17 @@
 void
 StandinTarget::Run(const CallPointer& aCall)
 {
+  int otherCalls = 0;
+  {
+    const std::lock_guard lock(m_mutex);
+    otherCalls = m_runningCalls - 1;
+  }
+  BadBehaviour bad = m_options.bad;
+  bad.permille = m_badPermille;
+  if (bad.IsBad(aCall->exchange->Request().path, otherCalls, SteadyClock::now())) {
+    aCall->fails = bad.slowFactor == 0;
+    aCall->cost *= std::max(1, bad.slowFactor);
+  }
   WriteLedger(aCall->exchange->Request());
   if (QueryNumber(aCall->exchange->Request(), "crash", 0) != 0) {
     ::_exit(EXIT_FAILURE);
@@ -164,6 +178,13 @@
   if (QueryNumber(request, "late", 0) != 0) {
     return;
   }
+  if (aCall->fails) {
+    aCall->exchange->Respond(
+      { .status = 500,
+        .headers = { { .name = kCallHeader, .value = FindHeader(request.headers, kCallHeader) } },
+        .body = "bad\n" });
+    return;
+  }
   const std::string token = FindHeader(request.headers, kTokenHeader);
   const bool foreign = QueryNumber(request, "foreign", 0) != 0;
   HttpHeaders headers{ { .name = "Content-Type", .value = "text/plain" },
@@ -218,9 +239,10 @@
 StandinTarget::SendAnnouncement()
 {
   const int slots = m_options.announcedSlots > 0 ? m_options.announcedSlots : m_options.slots;
-  const std::string body = "{\"name\":\"" + m_options.name + "\",\"service\":\"" + m_options.service +
-                           "\",\"address\":\"" + m_options.address.Text() +
-                           "\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" + Phase() + "\"}";
+  const std::string body =
+    "{\"name\":\"" + m_options.name + "\",\"service\":\"" + m_options.service + "\",\"address\":\"" +
+    m_options.address.Text() + "\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" + Phase() + "\"" +
+    (m_options.version.empty() ? "" : ",\"version\":\"" + m_options.version + "\"") + "}";
   std::string response;
   CURL* handle = curl_easy_init();
   curl_easy_setopt(
--- a/tests/standin/target.h
+++ b/tests/standin/target.h
@@ -3,6 +3,7 @@
 #include "common/address.h"
 #include "common/timerqueue.h"
 #include "http/server.h"
+#include "standin/badbehaviour.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -23,7 +24,8 @@
  * before its announced end, `?foreign=1` responds
  * with another call's identifier, `?late=1` never responds,
  * `?crash=1` ends the process. `POST /standin?factor=N` multiplies the running
- * time of all later calls; `POST /standin?mute=1` stops the announcements.
+ * time of all later calls; `POST /standin?mute=1` stops the announcements; `POST /standin?bad=N` makes N of a
+ * thousand later calls bad, as Options::bad says.
  */
 class StandinTarget
 {
@@ -41,6 +43,11 @@
     int announcedSlots = 0;
     std::chrono::milliseconds cost{ 10 };
     std::chrono::milliseconds startupTime{ 0 };
+    /** Version in the announcements; they name none if it is empty. */
+    std::string version;
+    /** Its time is set when the target starts, by badAfter. */
+    BadBehaviour bad;
+    std::chrono::milliseconds badAfter{ 0 };
   };
 
   explicit StandinTarget(Options aOptions);
@@ -60,6 +67,7 @@
     ExchangePointer exchange;
     std::chrono::milliseconds cost{ 0 };
     std::atomic<bool> cancelled{ false };
+    bool fails = false;
   };
 
   using CallPointer = std::shared_ptr<Call>;
@@ -75,6 +83,7 @@
   const char* Phase();
 
   Options m_options;
+  std::atomic<int> m_badPermille;
   std::atomic<int> m_costFactor{ 1 };
   std::atomic<bool> m_announcementsStopped{ false };
   std::atomic<bool> m_draining{ false };
--- a/tests/standin/targetmain.cpp
+++ b/tests/standin/targetmain.cpp
@@ -30,7 +30,13 @@
     "slots", "", cxxopts::value<int>()->default_value("6"))(
     "announced-slots", "", cxxopts::value<int>()->default_value("0"))(
     "cost-ms", "", cxxopts::value<int>()->default_value("10"))(
-    "cold-ms", "", cxxopts::value<int>()->default_value("0"));
+    "cold-ms", "", cxxopts::value<int>()->default_value("0"))(
+    "target-version", "", cxxopts::value<std::string>()->default_value(""))(
+    "bad-permille", "", cxxopts::value<int>()->default_value("0"))(
+    "bad-slow-factor", "", cxxopts::value<int>()->default_value("0"))(
+    "bad-after-ms", "", cxxopts::value<int>()->default_value("0"))(
+    "bad-other-calls", "", cxxopts::value<int>()->default_value("0"))(
+    "bad-path", "", cxxopts::value<std::string>()->default_value(""));
   const auto parsed = options.parse(aCount, aValues);
   ShutdownSignal signal;
   StandinTarget target({ .name = parsed["name"].as<std::string>(),
@@ -41,7 +47,13 @@
                          .slots = parsed["slots"].as<int>(),
                          .announcedSlots = parsed["announced-slots"].as<int>(),
                          .cost = std::chrono::milliseconds(parsed["cost-ms"].as<int>()),
-                         .startupTime = std::chrono::milliseconds(parsed["cold-ms"].as<int>()) });
+                         .startupTime = std::chrono::milliseconds(parsed["cold-ms"].as<int>()),
+                         .version = parsed["target-version"].as<std::string>(),
+                         .bad = { .permille = parsed["bad-permille"].as<int>(),
+                                  .slowFactor = parsed["bad-slow-factor"].as<int>(),
+                                  .minimumOtherCalls = parsed["bad-other-calls"].as<int>(),
+                                  .pathPrefix = parsed["bad-path"].as<std::string>() },
+                         .badAfter = std::chrono::milliseconds(parsed["bad-after-ms"].as<int>()) });
   if (!target.Start()) {
     std::cerr << "standin-target: can't listen on --address; choose a free address\n";
     return 1;
