Roll-outs at the nodes: allowed versions, shares and reports

Cause: nodes must send a candidate exactly its share, nothing to a version that was not ordered or was rejected, and tell control how the targets respond. Change: RolloutView says which versions are allowed, VersionSplitter divides the calls exactly, CallGates gives each attempt its gates, and OutcomeCounter counts responses at the gate, which rejects calls for forbidden versions. RolloutLink adds revision and counts to the polls while a roll-out runs, and applies the roll-outs of replies.

--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -14,6 +14,7 @@
 #include "node/directory.h"
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
+#include "rollout/versionsplitter.h"
 
 #include <atomic>
 #include <map>
@@ -130,6 +131,7 @@
   RetryBudget m_retryBudget;
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
+  VersionSplitter m_versionSplitter;
   CallHistory m_history;
   /** Limits the log records of refused calls, which are very frequent under overload. */
   RateLimit m_refusalLogLimit;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -227,35 +227,38 @@
 EntryCall::CountUntriedGates() const
 {
   const GateDirectoryPointer directory = m_entry.CurrentDirectory();
-  const auto gates = directory->gates.find(m_service);
-  if (gates == directory->gates.end()) {
-    return 0;
-  }
-  return static_cast<size_t>(
-    std::count_if(gates->second.begin(), gates->second.end(), [this](const GateInfo& aGate) {
-      return !m_triedGates.excluded.contains(aGate.node) && !m_triedGates.rejectionWaits.contains(aGate.node);
-    }));
+  const std::vector<GateInfo>& gates = CallGates::AllowedGates(*directory, m_service);
+  return static_cast<size_t>(std::count_if(gates.begin(), gates.end(), [this](const GateInfo& aGate) {
+    return !m_triedGates.excluded.contains(aGate.node) && !m_triedGates.rejectionWaits.contains(aGate.node);
+  }));
 }
 
 std::optional<GateChoice>
 EntryCall::ChooseGate(Deadline aNow)
 {
   const GateDirectoryPointer directory = m_entry.CurrentDirectory();
-  const auto gates = directory->gates.find(m_service);
-  if (gates == directory->gates.end()) {
-    return std::nullopt;
-  }
+  const std::vector<GateInfo>& gates = m_gates.ForAttempt(*directory, m_service, m_entry.m_versionSplitter);
   const CallRequirements requirements = RequirementsAt(aNow);
   if (m_gateAttempts == kMaxGateAttempts - 1) {
     // This is the last attempt, so the call waits at the best of the gates that rejected it.
-    std::vector<GateInfo> rejecting = gates->second;
+    std::vector<GateInfo> rejecting = gates;
     std::erase_if(
       rejecting, [this](const GateInfo& aGate) { return !m_triedGates.rejectionWaits.contains(aGate.node); });
     if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements)) {
       return choice;
     }
   }
-  return m_entry.m_balancer.Choose(gates->second, m_triedGates, requirements);
+  const std::vector<GateInfo>& allowedGates = CallGates::AllowedGates(*directory, m_service);
+  auto choice = m_entry.m_balancer.Choose(gates, m_triedGates, requirements);
+  if (&gates == &allowedGates || allowedGates.empty()) {
+    return choice;
+  }
+  if (!choice) {
+    return m_entry.m_balancer.Choose(allowedGates, m_triedGates, requirements);
+  }
+  // The allowed gates take the calls for which a candidate's gate has no room soon.
+  choice->longestWait = std::min(choice->longestWait, m_entry.MedianCallTime(*m_options.route));
+  return choice;
 }
 
 HttpRequest
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/balancer.h"
+#include "caller/callgates.h"
 #include "caller/callhistory.h"
 #include "caller/entryattempt.h"
 #include "configuration/snapshot.h"
@@ -105,6 +106,7 @@
   boost::asio::steady_timer m_hedgeTimer;
   boost::asio::steady_timer m_halfTimer;
   std::vector<AttemptPointer> m_attempts;
+  CallGates m_gates;
   TriedGates m_triedGates;
   /** Attempts that were passed to a target. */
   int64_t m_targetAttempts = 0;
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -58,6 +58,10 @@
   TargetRateLimitChanged = 510,
   TargetCrashed = 511,
   RequestQuarantined = 512,
+
+  RolloutApplied = 520,
+  TargetVersionForbidden = 521,
+  TargetVersionAllowed = 522,
 };
 
 enum class Severity
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -32,12 +32,14 @@
                          ConfigurationHolder& aHolder,
                          MemberTable& aTable,
                          ConfigurationFetcher& aFetcher,
-                         Quarantine& aQuarantine)
+                         Quarantine& aQuarantine,
+                         RolloutLink& aRollouts)
   : m_settings(aSettings)
   , m_holder(aHolder)
   , m_table(aTable)
   , m_fetcher(aFetcher)
   , m_quarantine(aQuarantine)
+  , m_rollouts(aRollouts)
 {
   m_seeds = m_settings.replicas;
   SetReplicas(m_seeds);
@@ -298,12 +300,14 @@
   if (std::exchange(m_offersQuarantined, false)) {
     request.quarantined = m_quarantine.All(SteadyClock::now());
   }
+  m_rollouts.Prepare(request, SteadyClock::now());
   request.sentAt = StampNow();
   const Result<wire::WatchReply> reply = CallCurrentReplica(request);
   if (!reply) {
     return false;
   }
   AddQuarantined(reply.value());
+  m_rollouts.Apply(request, reply.value(), SteadyClock::now());
   ApplyReply(reply.value());
   if (!reply.value().current) {
     // This replica has no contact to a leader. Another one may have it and know newer versions.
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -3,6 +3,7 @@
 #include "node/fetcher.h"
 #include "node/holder.h"
 #include "node/membertable.h"
+#include "node/rolloutlink.h"
 #include "quarantine/quarantine.h"
 #include "settings/processsettings.h"
 #include "wire/gen-cpp/ControlPeer.h"
@@ -30,7 +31,8 @@
               ConfigurationHolder& aHolder,
               MemberTable& aTable,
               ConfigurationFetcher& aFetcher,
-              Quarantine& aQuarantine);
+              Quarantine& aQuarantine,
+              RolloutLink& aRollouts);
   ~ControlLink();
 
   ControlLink(const ControlLink&) = delete;
@@ -83,6 +85,7 @@
   MemberTable& m_table;
   ConfigurationFetcher& m_fetcher;
   Quarantine& m_quarantine;
+  RolloutLink& m_rollouts;
   /** Replicas by preference: the own failure domain first, then the own region, then the others. */
   std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "node/nodeservice.h"
+#include "node/versiongates.h"
 #include "operators/command.h"
 #include "operators/memberanswer.h"
 
@@ -35,7 +36,12 @@
   , m_holder(m_options.parser)
   , m_fetcher(m_holder, m_table, m_peers)
   , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
-  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine)
+  , m_rolloutLink({ .table = &m_table,
+                    .view = &m_rollouts,
+                    .outcomes = &m_outcomes,
+                    .openCalls = [this] { return m_gate->OpenCalls(); },
+                    .onChange = [this] { RefreshDirectory(); } })
+  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine, m_rolloutLink)
   , m_crashReporter([this] { return m_control.Replicas(); })
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
@@ -92,7 +98,9 @@
         .onTargetLeaving =
           [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
         .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { m_crashReporter.Report(aCrash); },
-        .incarnation = [this] { return m_table.Self().incarnation; } }));
+        .incarnation = [this] { return m_table.Self().incarnation; },
+        .rollouts = &m_rollouts,
+        .outcomes = &m_outcomes }));
   if (m_settings.targetAddress.port != 0) {
     MIMOSARUN_TRY(m_announcementServer,
                   AnnouncementServer::Start(
@@ -138,7 +146,7 @@
 Node::OnSnapshot(const SnapshotPointer& aSnapshot)
 {
   m_entry->SetSnapshot(aSnapshot);
-  m_entry->SetDirectory(MakeDirectory(aSnapshot));
+  RefreshDirectory();
   ApplyIntent(aSnapshot);
   m_table.SetHeldVersion(m_settings.name, aSnapshot->version);
   m_gossiper.SpreadNow();
@@ -184,13 +192,11 @@
 }
 
 GateDirectoryPointer
-Node::MakeDirectory(const SnapshotPointer& aSnapshot) const
+Node::MakeDirectory(const SnapshotPointer& aSnapshot, const std::vector<wire::Member>& aMembers) const
 {
   const auto& intents = aSnapshot->configuration.targets;
   auto directory = std::make_shared<GateDirectory>();
-  std::vector<wire::Member> members = m_table.Reachable("");
-  members.push_back(m_table.Self());
-  for (const wire::Member& member : members) {
+  for (const wire::Member& member : aMembers) {
     const bool usable =
       member.phase == wire::TargetPhase::Ready && member.state != wire::MemberState::Leaving;
     if (!usable || intents.contains(member.targetName)) {
@@ -207,18 +213,47 @@
                                                        .version = member.targetVersion });
     }
   }
+  SeparateVersions(*directory, m_rollouts, SteadyClock::now());
   return directory;
 }
 
+void
+Node::RefreshDirectory()
+{
+  std::vector<wire::Member> members = m_table.Reachable("");
+  members.push_back(m_table.Self());
+  m_rollouts.SetTargets(CountVersions(members), SteadyClock::now());
+  m_entry->SetDirectory(MakeDirectory(m_holder.Current(), members));
+  LogVersionStanding();
+}
+
+void
+Node::LogVersionStanding()
+{
+  const wire::Member self = m_table.Self();
+  const bool isForbidden =
+    self.phase == wire::TargetPhase::Ready && m_rollouts.IsForbidden(self.serviceName, self.targetVersion);
+  if (m_isVersionForbidden.exchange(isForbidden) != isForbidden) {
+    Log(isForbidden ? Event::TargetVersionForbidden : Event::TargetVersionAllowed,
+        { { "target", self.targetName },
+          { "service", self.serviceName },
+          { "version", self.targetVersion },
+          { "revision", m_rollouts.Revision() } });
+  }
+}
+
 void
 Node::MaintainDirectory()
 {
   uint64_t generation = 0;
+  uint64_t rolloutState = 0;
   while (!m_stop) {
     const uint64_t newest = m_table.WaitForChange(generation, SteadyClock::now() + kDirectoryInterval);
-    if (newest != generation) {
+    const uint64_t newestRolloutState = m_rollouts.StateAt(SteadyClock::now());
+    if (newest != generation || newestRolloutState != rolloutState) {
       generation = newest;
-      m_entry->SetDirectory(MakeDirectory(m_holder.Current()));
+      rolloutState = newestRolloutState;
+      RefreshDirectory();
       m_entry->SetNodeCount(m_table.Reachable("").size() + 1);
     }
     ApplyIntent(m_holder.Current());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,6 +10,7 @@
 #include "node/holder.h"
 #include "node/membertable.h"
 #include "node/peers.h"
+#include "node/rolloutlink.h"
 #include "operators/answer.h"
 #include "operators/request.h"
 #include "process/metrics.h"
@@ -87,7 +88,13 @@
   /** Passes the configured intent of the target to the gate and to the target. */
   void ApplyIntent(const SnapshotPointer& aSnapshot);
   void MaintainDirectory();
-  GateDirectoryPointer MakeDirectory(const SnapshotPointer& aSnapshot) const;
+  /** Passes the gates that calls may be sent to, and which versions of targets may get calls, to the entry.
+   */
+  void RefreshDirectory();
+  GateDirectoryPointer MakeDirectory(const SnapshotPointer& aSnapshot,
+                                     const std::vector<wire::Member>& aMembers) const;
+  /** Logs whether the version of the own target may get calls, if that has changed. */
+  void LogVersionStanding();
   void LeaveMesh();
   void ScheduleLeaseCheck();
   /** Stops the exchange with members and control, which may wait for slow peers, without blocking. */
@@ -106,6 +113,9 @@
   ConfigurationFetcher m_fetcher;
   Gossiper m_gossiper;
   Quarantine m_quarantine;
+  RolloutView m_rollouts;
+  OutcomeCounter m_outcomes;
+  RolloutLink m_rolloutLink;
   ControlLink m_control;
   CrashReporter m_crashReporter;
   GroupClient m_groups;
@@ -121,6 +131,7 @@
   /** Once ready, a node stays ready until Shutdown(). */
   mutable std::atomic<bool> m_ready{ false };
   std::atomic<bool> m_leaving{ false };
+  std::atomic<bool> m_isVersionForbidden{ false };
   std::thread m_directoryThread;
 };
 
--- /dev/null
+++ b/src/rollout/versionsplitter.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace mimosarun {
+
+/** Which gates of a service the next call is sent to first. */
+enum class GateGroup
+{
+  Allowed,
+  /** The candidate's gates that get most of its calls. */
+  Canaries,
+  /** One of the candidate's gates, in turn. */
+  OneCandidate,
+};
+
+/** The gates for one call. */
+struct GateTurn
+{
+  GateGroup group = GateGroup::Allowed;
+  /** Number of the turn; the candidate gates are taken one after the other. */
+  size_t turn = 0;
+};
+
+/**
+ * Divides the calls of each service between the allowed gates and those of a candidate, so that each node
+ * keeps to the share exactly: of any number of calls the candidate gets at most its share and one call more.
+ * Thread-safe.
+ */
+class VersionSplitter
+{
+public:
+  /** Returns the gates for the next call of a service whose candidate has a share. */
+  GateTurn Next(const std::string& aService, int aPermille);
+
+private:
+  struct Credits
+  {
+    /** Thousandths of a call that the candidate may get; below one call after each call. */
+    int64_t candidate = 0;
+    /** Candidate calls that gates outside of the canaries may get. */
+    double turn = 0;
+    size_t nextTurn = 0;
+  };
+
+  std::mutex m_mutex;
+  std::map<std::string, Credits> m_credits;
+};
+
+} // namespace mimosarun
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -71,6 +71,7 @@
       m_admission.SetRateLimit(std::nullopt, SteadyClock::now());
     }
     m_target = aState;
+    m_warmUpEndsAt = SteadyClock::now() + aState.warmUpLeft;
     m_admission.SetSlots(aState.slots);
     m_connectBackoffUntil = {};
   }
@@ -109,12 +110,19 @@
 Gate::ReadyTarget(const std::string& aService) const
 {
   const std::lock_guard lock(m_mutex);
-  if (m_target.phase != wire::TargetPhase::Ready || m_target.service != aService) {
+  if (m_target.phase != wire::TargetPhase::Ready || m_target.service != aService ||
+      IsVersionForbiddenLocked()) {
     return std::nullopt;
   }
   return m_target;
 }
 
+bool
+Gate::IsVersionForbiddenLocked() const
+{
+  return m_options.rollouts != nullptr && m_options.rollouts->IsForbidden(m_target.service, m_target.version);
+}
+
 HopResponse
 Gate::CurrentLoad(const GateCall& aCall) const
 {
@@ -146,6 +154,9 @@
   if (m_target.service != aHop.service) {
     return "the target here serves another service";
   }
+  if (IsVersionForbiddenLocked()) {
+    return "the version of the target isn't in force";
+  }
   if (now < m_connectBackoffUntil) {
     return "the target accepts no connections";
   }
@@ -166,6 +177,23 @@
   m_failureTracker.RecordOutcome(aOutcome, SteadyClock::now());
 }
 
+void
+Gate::CountResult(TargetCallResult aResult, Deadline aSentAt)
+{
+  const Deadline now = SteadyClock::now();
+  if (m_options.outcomes == nullptr || !m_options.outcomes->IsCounting(now)) {
+    return;
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    if (aSentAt < m_warmUpEndsAt) {
+      return;
+    }
+    aResult.usualTime = m_admission.MedianSlotTime(aResult.route);
+  }
+  m_options.outcomes->Record(aResult, now);
+}
+
 void
 Gate::ApplyNotice(const std::string& aTarget, const TargetNotice& aNotice)
 {
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -6,6 +6,8 @@
 #include "http/forwarder.h"
 #include "http/server.h"
 #include "process/metrics.h"
+#include "rollout/outcomecounter.h"
+#include "rollout/rolloutview.h"
 #include "target/admission.h"
 #include "target/claimclient.h"
 #include "target/crashwatch.h"
@@ -52,6 +54,10 @@
     CrashWatch::Listener onTargetCrashed;
     /** Returns the incarnation of this process that entries know. */
     std::function<int64_t()> incarnation;
+    /** Null where versions of targets make no difference. */
+    const RolloutView* rollouts = nullptr;
+    /** Null where responses aren't counted. */
+    OutcomeCounter* outcomes = nullptr;
   };
 
   static Result<std::unique_ptr<Gate>> Start(Options aOptions);
@@ -94,6 +100,10 @@
   std::optional<TargetState> ReadyTarget(const std::string& aService) const;
   void RecordConnectResult(bool aConnected);
   void RecordOutcome(TargetFailureTracker::Outcome aOutcome);
+  /** Counts how a call ended at the target for a roll-out, unless the target was in its warm-up. */
+  void CountResult(TargetCallResult aResult, Deadline aSentAt);
+  /** Returns whether the version of the target may get no calls. */
+  bool IsVersionForbiddenLocked() const;
   /** Applies what a target said of itself in a response. */
   void ApplyNotice(const std::string& aTarget, const TargetNotice& aNotice);
   void SetRateLimitLocked(std::optional<double> aPerSecond);
@@ -102,6 +112,7 @@
   Options m_options;
   mutable std::mutex m_mutex;
   TargetState m_target;
+  Deadline m_warmUpEndsAt{};
   TargetIntent m_intent = TargetIntent::Serving;
   /** Set once the node is stopping. */
   std::optional<DrainSchedule> m_drainSchedule;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -185,6 +185,8 @@
     return;
   }
   m_targetName = target->name;
+  m_targetVersion = target->version;
+  m_sentAt = now;
   m_targetAddress = target->address;
   HttpRequest request = m_request;
   m_gate.m_options.codec.prepare(
@@ -328,6 +330,22 @@
   });
 }
 
+void
+GateCall::CountEnd(TargetCallEnd aEnd)
+{
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  // A streamed response takes as long as its receiver does.
+  const Deadline endedAt = m_streamedAt.value_or(SteadyClock::now());
+  m_gate.CountResult({ .service = m_hop.service,
+                       .version = m_targetVersion,
+                       .route = m_hop.route,
+                       .end = aEnd,
+                       .time = duration_cast<microseconds>(endedAt - m_sentAt),
+                       .timeLimit = duration_cast<microseconds>(m_deadline - m_receivedAt) },
+                     m_sentAt);
+}
+
 void
 GateCall::Abandon()
 {
@@ -340,6 +358,7 @@
   }
   if (m_stage == Stage::Running) {
     MarkEnded();
+    CountEnd(TargetCallEnd::Abandoned);
     m_forwardHandle.Cancel();
     ReleaseSlot();
     ReleaseMessages();
@@ -379,6 +398,7 @@
     m_claim.reset();
   }
   m_streaming = true;
+  m_streamedAt = SteadyClock::now();
   HttpResponseHead head = m_responseHead;
   HopResponse hop = m_gate.CurrentLoad(*this);
   hop.outcome = HopOutcome::Answered;
@@ -418,6 +438,30 @@
   }
 }
 
+/** Returns how a call ended at the target, or nothing if that shows nothing about the target. */
+static std::optional<TargetCallEnd>
+EndAtTarget(ForwardResult aResult, TargetResponseKind aKind, int aStatus)
+{
+  if (aKind == TargetResponseKind::NotRun || aKind == TargetResponseKind::OtherTarget) {
+    return std::nullopt;
+  }
+  switch (aResult) {
+    case ForwardResult::Complete:
+      return aKind == TargetResponseKind::Usable && aStatus < kFirstServerErrorStatus
+               ? TargetCallEnd::Succeeded
+               : TargetCallEnd::Failed;
+    case ForwardResult::TimedOut:
+      return TargetCallEnd::TimedOut;
+    case ForwardResult::NotSent:
+    case ForwardResult::ReusedConnectionClosed:
+    case ForwardResult::Broken:
+      return TargetCallEnd::Failed;
+    case ForwardResult::Cancelled:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 void
 GateCall::OnEnd(ForwardResult aResult)
 {
@@ -440,6 +484,9 @@
     ReleaseClaim();
     return;
   }
+  if (const auto end = EndAtTarget(aResult, m_responseKind, m_responseHead.status)) {
+    CountEnd(*end);
+  }
   if (aResult == ForwardResult::Complete && m_responseKind != TargetResponseKind::Usable &&
       m_responseKind != TargetResponseKind::Unusable) {
     m_gate.ReleaseUnused(*this);
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -3,6 +3,7 @@
 #include "hop/hopheaders.h"
 #include "http/forwarder.h"
 #include "http/server.h"
+#include "rollout/outcomecounter.h"
 #include "target/admission.h"
 #include "target/claimclient.h"
 #include "target/targetprotocol.h"
@@ -86,6 +87,7 @@
   void OnResponseComplete();
   void StoreThenRespond();
   void ReleaseClaim();
+  void CountEnd(TargetCallEnd aEnd);
   void OnEntryDisconnected();
   void Abandon();
 
@@ -105,7 +107,11 @@
   bool m_retried = false;
   Deadline m_admittedAt{};
   std::string m_targetName;
+  std::string m_targetVersion;
   Address m_targetAddress;
+  /** When the call was sent to the target last, and when the response to it began to be passed on. */
+  Deadline m_sentAt{};
+  std::optional<Deadline> m_streamedAt;
   ForwardHandle m_forwardHandle;
   TargetResponseKind m_responseKind = TargetResponseKind::Unusable;
   bool m_streaming = false;
