A candidate gets its share although it fails calls

Cause: a gate rejects calls that have a better choice while its target fails, so a bad candidate would get fewer of the calls that show that it is bad. Change: calls of the candidate's share accept any failure penalty, and wait at its gate no longer than a call usually takes; the allowed gates take the others. A target that hasn't named its version again after its node's restart serves calls once a roll-out of its service is completed and only one version is known.

--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -256,8 +256,10 @@
   if (!choice) {
     return m_entry.m_balancer.Choose(allowedGates, m_triedGates, requirements);
   }
-  // The allowed gates take the calls for which a candidate's gate has no room soon.
+  // The allowed gates take the calls for which a candidate's gate has no room soon. A candidate that fails
+  // calls still gets its share, since control couldn't tell otherwise.
   choice->longestWait = std::min(choice->longestWait, m_entry.MedianCallTime(*m_options.route));
+  choice->maxFailurePenalty = kUnlimitedPenalty;
   return choice;
 }
 
--- a/src/rollout/rolloutview.cpp
+++ b/src/rollout/rolloutview.cpp
@@ -256,7 +256,8 @@
   }
   // After its node's restart a target serves calls before it names its version.
   const auto versions = m_targets.find(aService);
-  const bool isUnnamed = aVersion.empty() && record == nullptr;
+  const bool isUnnamed =
+    aVersion.empty() && (record == nullptr || record->state == wire::RolloutState::Completed);
   const bool isOneNamed = versions != m_targets.end() && versions->second.size() <= 2;
   return isUnnamed && isOneNamed ? VersionStanding::Allowed : VersionStanding::Forbidden;
 }
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -209,6 +209,12 @@
   BOOST_TEST(report.value().sequence == 4);
   BOOST_TEST(report.value().startedAtMillis == 1700000000000);
   BOOST_TEST((report.value().state.phase == wire::TargetPhase::Ready));
+  BOOST_TEST(report.value().state.version == "v1");
+  const auto withoutVersion = platform::ParseHeartbeat("i-1", ReplaceText(valid, "\"version\":\"v1\",", ""));
+  BOOST_REQUIRE(withoutVersion.has_value());
+  BOOST_TEST(withoutVersion.value().state.version.empty());
+  const std::string longVersion = "\"" + std::string(201, 'v') + "\"";
+  BOOST_TEST(!platform::ParseHeartbeat("i-1", ReplaceText(valid, "\"v1\"", longVersion)).has_value());
   for (const char* invalid : { R"("capacity":"6")", R"("capacity":0)" }) {
     BOOST_TEST(!platform::ParseHeartbeat("i-1", ReplaceText(valid, R"("capacity":6)", invalid)).has_value());
   }
--- a/tests/rollout/rolloutviewtest.cpp
+++ b/tests/rollout/rolloutviewtest.cpp
@@ -201,6 +201,12 @@
   BOOST_TEST(IsAllowed(view, "v1"));
   view.SetTargets(Targets({ { "", 1 }, { "v1", 1 }, { "v2", 1 } }), later);
   BOOST_TEST(IsForbidden(view, ""));
+  view.Apply(SetOf(Record("v2", wire::RolloutState::Running, 5)));
+  view.SetTargets(Targets({ { "", 1 }, { "v1", 1 } }), later);
+  BOOST_TEST(IsForbidden(view, ""));
+  view.Apply(SetOf(Record("v2", wire::RolloutState::Completed, 6)));
+  view.SetTargets(Targets({ { "", 1 }, { "v2", 1 } }), later);
+  BOOST_TEST(IsAllowed(view, ""));
 }
 
 BOOST_AUTO_TEST_CASE(targets_without_versions_are_all_allowed)
