--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -14,6 +14,7 @@
 #include "node/directory.h"
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
+#include "rollout/versionsplitter.h"
 #include "team/credentialgate.h"
 
 #include <atomic>
@@ -139,6 +140,7 @@
   RetryBudget m_retryBudget;
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
+  VersionSplitter m_versionSplitter;
   CallHistory m_history;
   CredentialGate m_credentials;
   /** Limits the log records of refused calls, which are very frequent under overload. */
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -64,6 +64,10 @@
   TargetCrashed = 511,
   RequestQuarantined = 512,
 
+  RolloutApplied = 520,
+  TargetVersionForbidden = 521,
+  TargetVersionAllowed = 522,
+
   CredentialRefused = 530,
   CredentialLeaseExpired = 531,
   CredentialLeaseHeld = 532,
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -3,6 +3,7 @@
 #include "node/fetcher.h"
 #include "node/holder.h"
 #include "node/membertable.h"
+#include "node/rolloutlink.h"
 #include "quarantine/quarantine.h"
 #include "settings/processsettings.h"
 #include "team/credentiallease.h"
@@ -32,7 +33,8 @@
               MemberTable& aTable,
               ConfigurationFetcher& aFetcher,
               Quarantine& aQuarantine,
-              CredentialLease& aLease);
+              CredentialLease& aLease,
+              RolloutLink& aRollouts);
   ~ControlLink();
 
   ControlLink(const ControlLink&) = delete;
@@ -88,6 +90,7 @@
   ConfigurationFetcher& m_fetcher;
   Quarantine& m_quarantine;
   CredentialLease& m_lease;
+  RolloutLink& m_rollouts;
   /** Replicas by preference: the own failure domain first, then the own region, then the others. */
   std::vector<ReplicaSettings> m_replicas;
   std::vector<std::unique_ptr<Client>> m_clients;
--- a/tests/platform/platformteamstest.cpp
+++ b/tests/platform/platformteamstest.cpp
@@ -36,8 +36,9 @@
 // Guards against: on the platform a key or a forged name reaches a target, or a removed key stays valid.
 BOOST_AUTO_TEST_CASE(keys_decide_who_may_send_requests)
 {
-  PlatformMesh mesh("platformteams",
-                    ",\"revokeStrict=true\",\"revoke=" + std::to_string(kBound.count()) + "ms\"");
+  PlatformMesh mesh(
+    "platformteams",
+    { .bounds = ",\"revokeStrict=true\",\"revoke=" + std::to_string(kBound.count()) + "ms\"" });
   BOOST_REQUIRE(mesh.Start());
   BOOST_TEST(mesh.ReplaceConfiguration("r3", MakeDocument(4, "s3cret-1")) == 200);
   BOOST_REQUIRE(WaitUntil(kWaitLimit, [&] {
