--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -266,6 +266,12 @@
   return SendRawRequest(control, "GET /-/Config.Read HTTP/1.1\r\nHost: x\r\n\r\n");
 }
 
+Address
+PlatformMesh::ControlAddress(size_t aReplica) const
+{
+  return { .host = Host(VmOfReplica(aReplica)), .port = kControl };
+}
+
 Address
 PlatformMesh::EntryAddress(size_t aNode) const
 {
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -106,6 +106,8 @@
   std::string DataFolder(size_t aIndex) const;
   void StartNode(size_t aIndex);
   bool IsReady(size_t aNode);
+  /** Returns the address at which a replica accepts requests of operators. */
+  Address ControlAddress(size_t aReplica) const;
   /** Returns the address at which a node accepts calls. */
   Address EntryAddress(size_t aNode) const;
   /** Returns the address at which a node accepts calls of other nodes. */
