Gate: idempotency keys of different teams are independent

A team that used the idempotency key and the request of another one got the stored response of that team. The claimed key now begins with the team's name where there is one.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -41,7 +41,8 @@
   return ClaimRequest{
     .homeRegion = aHop.homeRegion,
     .service = aHop.service,
-    .key = key,
+    // Teams may choose the same keys; neither a name nor a header has a line end.
+    .key = aHop.team.empty() ? key : aHop.team + "\n" + key,
     .token = RandomIdentifier(),
     .fingerprint =
       Sha256(aRequest.method + "\n" + aRequest.requestTarget + "\n" + aRequest.body).substr(0, 32)
--- a/tests/mesh/teams.cpp
+++ b/tests/mesh/teams.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE teams
+#include "harness/rawserver.h"
 #include "harness/running.h"
 
 #include <nlohmann/json.hpp>
@@ -41,6 +42,7 @@
     document["teams"]["the till"]["keys"].push_back(kSecret + key);
   }
   document["teams"]["desk"] = { { "keys", { kSecret + "desk" } }, { "priority", 0 } };
+  document["routes"]["books-book"]["timeoutMs"] = 20000;
   document["routes"]["open"] = {
     { "pathPrefix", "/open/" }, { "service", "books" }, { "idempotent", true }, { "public", true }
   };
@@ -198,6 +200,48 @@
   BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return AllAnswer(mesh.Nodes(), "key-2", 200); }));
 }
 
+// Guards against: a team gets the stored response of another one that used the same idempotency key.
+BOOST_AUTO_TEST_CASE(an_idempotency_key_counts_for_one_team)
+{
+  EnsureServing();
+  const Address entry = SharedMesh().ProcessOf(SharedMesh().Nodes().front()).callerAddress;
+  const auto book = [&](const std::string& aKey, const std::string& aToken) {
+    return Send(entry,
+                { .method = "POST",
+                  .path = "/books/book/shared",
+                  .token = aToken,
+                  .key = "idempotency-1",
+                  .headers = { "Authorization: Bearer " + kSecret + aKey } });
+  };
+  const TestResponse first = book("key-1", "till");
+  BOOST_TEST(first.status == 200);
+  BOOST_TEST(first.body.starts_with("till\n"), first.body);
+  BOOST_TEST(book("key-1", "till again").body == first.body);
+  const TestResponse other = book("desk", "desk");
+  BOOST_TEST(other.status == 200);
+  BOOST_TEST(other.body.starts_with("desk\n"), other.body);
+}
+
+// Guards against: a request whose key was checked while the lease held is sent after its end.
+BOOST_AUTO_TEST_CASE(a_request_that_waited_in_its_pipeline_beyond_the_lease_is_not_sent)
+{
+  EnsureServing();
+  RunningMesh& mesh = SharedMesh();
+  const std::string node = mesh.Nodes("west-1").front();
+  const std::string common = " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + kSecret + "key-1\r\n";
+  mesh.SetRegionFault("east", "west", { .dropAll = true });
+  RawConnection connection(mesh.ProcessOf(node).callerAddress);
+  connection.Send("GET /books/long?ms=6500" + common + "\r\nPOST /books/book/waited" + common +
+                  "Content-Length: 0\r\n\r\n");
+  const std::string responses = connection.ReceiveUntil("503", std::chrono::seconds(12));
+  mesh.SetRegionFault("east", "west", {});
+  BOOST_TEST(responses.starts_with("HTTP/1.1 200"), responses);
+  BOOST_TEST(responses.find("HTTP/1.1 503") != std::string::npos, responses);
+  for (const std::string& line : mesh.LedgerLines()) {
+    BOOST_TEST(line.find("/books/book/waited") == std::string::npos, line);
+  }
+}
+
 // Guards against: a request that waited for a suspended node runs with a key that is long removed.
 BOOST_AUTO_TEST_CASE(a_node_suspended_beyond_the_bound_runs_nothing_with_a_removed_key)
 {
