Lease monitor: a start isn't an expired lease

A node gets its first lease a poll after its first configuration, and each start was logged and counted as an expiration.

--- a/src/team/leasemonitor.h
+++ b/src/team/leasemonitor.h
@@ -12,13 +12,14 @@
 public:
   LeaseMonitor(const CredentialLease& aLease, Metrics& aMetrics);
 
-  /** Compares the lease with its state at the last call. */
+  /** Compares the lease with its state at earlier calls; a short gap, as after a start, isn't reported. */
   void Check(const Snapshot& aSnapshot, Deadline aNow);
 
 private:
   const CredentialLease& m_lease;
   Metrics& m_metrics;
-  bool m_isHeld = true;
+  bool m_isReportedHeld = true;
+  Deadline m_lastHeldAt;
 };
 
 } // namespace mimosarun
--- a/tests/settings/settingstest.cpp
+++ b/tests/settings/settingstest.cpp
@@ -50,6 +50,18 @@
   BOOST_TEST(settings.value().peerAddress.Text() == "127.0.0.1:7000");
 }
 
+BOOST_AUTO_TEST_CASE(strict_revocation_is_off_unless_the_settings_say_otherwise)
+{
+  BOOST_TEST(!ParseSettings(kValid, "file").value().revocation.isStrict);
+  std::string text = kValid;
+  const std::string added = "\"strictRevocation\": true, \"revocationBoundMs\": 3000, ";
+  text.insert(text.find("\"dataFolder\""), added);
+  const auto settings = ParseSettings(text, "file");
+  BOOST_REQUIRE(settings);
+  BOOST_TEST(settings.value().revocation.isStrict);
+  BOOST_TEST((settings.value().revocation.bound == std::chrono::milliseconds(3000)));
+}
+
 BOOST_DATA_TEST_CASE(invalid_settings_are_rejected_with_the_path_of_the_error,
                      boost::unit_test::data::make(kInvalidChanges),
                      change)
