Quotas: ledger, pool, client and service

Cause: teams have no limit over all nodes together. A node's QuotaPool admits requests on grants that the leader's QuotaLedger reserves from a token bucket per team; QuotaClient and QuotaService exchange cumulative counts.

--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -14,6 +14,7 @@
 #include "node/directory.h"
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
+#include "quota/quotapool.h"
 
 #include <atomic>
 #include <map>
@@ -45,6 +46,8 @@
     RetryBudget::Options retryBudget;
     /** Null where no requests are quarantined. */
     const Quarantine* quarantine = nullptr;
+    /** Null where teams have no quotas. */
+    QuotaPool* quota = nullptr;
     /** Hedged attempts allowed per call, for short idempotent calls; zero disables hedging. */
     double hedgesPerCall = 0;
   };
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -30,6 +30,8 @@
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
 static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 static constexpr std::chrono::milliseconds kRetryAfterSpread{ 200 };
+/** Retries of calls beyond a quota are spread over the time until it has room, divided by this. */
+static constexpr int kQuotaRetrySpreadDivisor = 2;
 
 static const char*
 OutcomeName(ForwardResult aResult)
@@ -90,17 +92,45 @@
   m_entry.m_hedgeBudget.RecordRequest(m_service, m_receivedAt);
   StartTimers();
   if (m_options.route->Idempotent()) {
-    SendFirst();
+    SendWithinQuota();
     return;
   }
   // The response to an earlier request may close the connection, and the caller would then resend this one.
   m_exchange->OnFirstInPipeline([weak = weak_from_this()] {
     if (const auto call = weak.lock()) {
-      call->SendFirst();
+      call->SendWithinQuota();
     }
   });
 }
 
+void
+EntryCall::SendWithinQuota()
+{
+  QuotaPool* const pool = m_entry.m_options.quota;
+  if (m_decided || pool == nullptr || m_options.team.empty()) {
+    SendFirst();
+    return;
+  }
+  m_quota = std::make_shared<QuotaAdmission>(*pool, m_options.team, m_loop);
+  m_quota->Request(SteadyClock::now(), [weak = weak_from_this()](const QuotaVerdict& aVerdict) {
+    if (const auto call = weak.lock()) {
+      call->OnQuota(aVerdict);
+    }
+  });
+}
+
+void
+EntryCall::OnQuota(const QuotaVerdict& aVerdict)
+{
+  if (aVerdict.decision == QuotaDecision::Admitted) {
+    SendFirst();
+    return;
+  }
+  m_quotaRetryAfter = aVerdict.retryAfter;
+  StopSending(StopReason::Quota);
+  Refuse(429, "the quota of team '" + m_options.team + "' is used up");
+}
+
 static void
 StartTimer(boost::asio::steady_timer& aTimer,
            Deadline aAt,
@@ -617,13 +647,15 @@
 std::optional<std::chrono::milliseconds>
 EntryCall::RetryAfter() const
 {
-  std::chrono::microseconds wait = kMinRetryAfter;
+  std::chrono::microseconds wait = m_quotaRetryAfter.value_or(kMinRetryAfter);
   for (const auto& [node, reportedWait] : m_triedGates.rejectionWaits) {
     wait = std::max(wait, reportedWait);
   }
   // A random part spreads the retries of callers that were refused at the same time.
+  const auto spread =
+    std::max(kRetryAfterSpread, m_quotaRetryAfter.value_or(kRetryAfterSpread) / kQuotaRetrySpreadDivisor);
   return std::chrono::ceil<std::chrono::milliseconds>(wait) +
-         std::chrono::milliseconds(RandomBetween(0, kRetryAfterSpread.count()));
+         std::chrono::milliseconds(RandomBetween(0, spread.count()));
 }
 
 void
@@ -684,6 +716,9 @@
     m_entry.m_completeCounter->Increment();
     m_entry.RecordCallTime(*m_options.route, m_record.duration);
   } else if (aOutcome == "not-run") {
+    if (m_quota) {
+      m_quota->Cancel();
+    }
     m_entry.m_notRunCounter->Increment();
     m_record.untriedGates = CountUntriedGates();
     m_entry.CountRefusal(m_record);
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -3,6 +3,7 @@
 #include "caller/balancer.h"
 #include "caller/callhistory.h"
 #include "caller/entryattempt.h"
+#include "caller/quotaadmission.h"
 #include "configuration/snapshot.h"
 #include "hop/hopheaders.h"
 #include "http/refusal.h"
@@ -32,6 +33,8 @@
     Deadline deadline;
     /** Until then a response has its full value to the caller. */
     Deadline objectiveDeadline;
+    /** Team of the caller; empty where the configuration has no teams. */
+    std::string team;
   };
 
   EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions);
@@ -48,6 +51,9 @@
   using AttemptPointer = std::shared_ptr<EntryAttempt>;
 
   void SendFirst();
+  /** Sends the first attempt if the quota of the call's team has room. */
+  void SendWithinQuota();
+  void OnQuota(const QuotaVerdict& aVerdict);
   void StartTimers();
   /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
   bool SendNext();
@@ -104,6 +110,10 @@
   boost::asio::steady_timer m_deadlineTimer;
   boost::asio::steady_timer m_hedgeTimer;
   boost::asio::steady_timer m_halfTimer;
+  /** Null if no quota applies. */
+  std::shared_ptr<QuotaAdmission> m_quota;
+  /** Set if the quota of the team was used up. */
+  std::optional<std::chrono::milliseconds> m_quotaRetryAfter;
   std::vector<AttemptPointer> m_attempts;
   TriedGates m_triedGates;
   /** Attempts that were passed to a target. */
--- a/src/caller/stopreason.cpp
+++ b/src/caller/stopreason.cpp
@@ -22,6 +22,8 @@
       return "retry-budget";
     case StopReason::Quarantined:
       return "quarantined";
+    case StopReason::Quota:
+      return "quota";
   }
   return "none";
 }
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -21,6 +21,8 @@
   RetryBudget,
   /** Targets ended whenever they ran the request. */
   Quarantined,
+  /** The quota of the call's team is used up. */
+  Quota,
 };
 
 /** Returns the name for logs and metrics. */
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -52,6 +52,9 @@
   EventDescription{ Event::TargetRateLimitChanged, Severity::Warning, "target-rate-limit-changed" },
   EventDescription{ Event::TargetCrashed, Severity::Warning, "target-crashed" },
   EventDescription{ Event::RequestQuarantined, Severity::Error, "request-quarantined" },
+  EventDescription{ Event::QuotaContactLost, Severity::Warning, "quota-contact-lost" },
+  EventDescription{ Event::QuotaContactRestored, Severity::Info, "quota-contact-restored" },
+  EventDescription{ Event::QuotaLedgerStarted, Severity::Info, "quota-ledger-started" },
 };
 
 std::span<const EventDescription>
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -58,6 +58,10 @@
   TargetRateLimitChanged = 510,
   TargetCrashed = 511,
   RequestQuarantined = 512,
+
+  QuotaContactLost = 540,
+  QuotaContactRestored = 541,
+  QuotaLedgerStarted = 542,
 };
 
 enum class Severity
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -50,6 +50,12 @@
   , m_transport(m_settings.name, [this](const wire::RaftBatch& aBatch) { Deliver(aBatch); })
   , m_client(m_settings.replicas)
   , m_seeds(m_settings.replicas)
+  , m_quotas(
+      { .name = m_settings.name,
+        .tolerance = m_settings.quota,
+        .status = [this] { return Status(kConfigurationGroup); },
+        .confirm = [this](Deadline aDeadline) { return ConfirmLeadership(kConfigurationGroup, aDeadline); },
+        .configuration = [this] { return m_configuration.Current(); } })
 {
 }
 
@@ -67,6 +73,7 @@
     m_watcher.join();
   }
   m_reportCollector.Stop();
+  m_quotas.Stop();
   m_server.reset();
   // The links deliver messages to the groups, which are destroyed after this.
   m_transport.Stop();
@@ -153,6 +160,7 @@
   for (auto& [name, group] : m_claimGroups) {
     BOOST_OUTCOME_TRYV(group->Start());
   }
+  m_quotas.Start();
   MIMOSARUN_TRY(m_server, StartControlService(*this));
   m_watcher = std::thread([this] { WatchGroups(); });
   m_reportCollector.Start();
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,7 @@
 #include "control/group.h"
 #include "control/groupclient.h"
 #include "control/groupplan.h"
+#include "control/quotaservice.h"
 #include "control/reportcollector.h"
 #include "control/reportstore.h"
 #include "control/transport.h"
@@ -43,6 +44,7 @@
   ReportStore& DomainReports() { return m_domainReports; }
   CrashLedger& Crashes() { return m_crashes; }
   GroupClient& Client() { return m_client; }
+  QuotaService& Quotas() { return m_quotas; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
   size_t ClaimCount() const;
@@ -129,6 +131,7 @@
   std::map<std::string, bool> m_silentReplicas;
   std::unique_ptr<Group<ConfigurationState>> m_configurationGroup;
   std::map<std::string, std::unique_ptr<Group<ClaimState>>> m_claimGroups;
+  QuotaService m_quotas;
   std::unique_ptr<RpcServer> m_server;
   std::atomic<bool> m_stop{ false };
   std::thread m_watcher;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -105,9 +105,9 @@
 
   void outcomes(std::vector<wire::NodeOutcomes>& aReturn) override { aReturn.clear(); }
 
-  void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& /*aRequest*/) override
+  void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& aRequest) override
   {
-    aReturn.granted = false;
+    aReturn = m_controller.Quotas().Handle(aRequest);
   }
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,6 +37,7 @@
   , m_gossiper(m_settings, m_table, m_peers, m_fetcher)
   , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine)
   , m_crashReporter([this] { return m_control.Replicas(); })
+  , m_quotas(m_settings.name, [this] { return m_control.Replicas(); })
   , m_groups(m_settings.replicas)
   , m_claims(m_groups)
   , m_loops(m_options.loopCount)
@@ -59,6 +60,7 @@
   }
   m_control.Stop();
   m_crashReporter.Stop();
+  m_quotas.Stop();
   m_gossiper.Stop();
   m_server.reset();
   // This closes all connections, so that none of them uses entry or gate afterwards.
@@ -78,6 +80,7 @@
                                .balancer = m_options.balancer,
                                .retryBudget = m_options.retryBudget,
                                .quarantine = &m_quarantine,
+                               .quota = &m_quotas.Pool(),
                                .hedgesPerCall = m_options.hedgesPerCall }));
   MIMOSARUN_TRY(
     m_gate,
@@ -137,6 +140,7 @@
 void
 Node::OnSnapshot(const SnapshotPointer& aSnapshot)
 {
+  m_quotas.SetConfiguration(aSnapshot);
   m_entry->SetSnapshot(aSnapshot);
   m_entry->SetDirectory(MakeDirectory(aSnapshot));
   ApplyIntent(aSnapshot);
@@ -216,7 +220,9 @@
     if (newest != generation) {
       generation = newest;
       m_entry->SetDirectory(MakeDirectory(m_holder.Current()));
-      m_entry->SetNodeCount(m_table.Reachable("").size() + 1);
+      const size_t nodeCount = m_table.Reachable("").size() + 1;
+      m_entry->SetNodeCount(nodeCount);
+      m_quotas.Pool().SetNodeCount(nodeCount);
     }
     ApplyIntent(m_holder.Current());
   }
@@ -281,6 +287,7 @@
     .Set(static_cast<double>(m_holder.Current()->version));
   m_metrics.Gauge("mimosarun_members", "Members this node can reach", {})
     .Set(static_cast<double>(m_table.Reachable("").size()));
+  m_quotas.RefreshMetrics(m_metrics);
 }
 
 Answer
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,6 +10,7 @@
 #include "node/holder.h"
 #include "node/membertable.h"
 #include "node/peers.h"
+#include "node/quotaclient.h"
 #include "operators/answer.h"
 #include "operators/request.h"
 #include "process/metrics.h"
@@ -108,6 +109,7 @@
   Quarantine m_quarantine;
   ControlLink m_control;
   CrashReporter m_crashReporter;
+  QuotaClient m_quotas;
   GroupClient m_groups;
   ClaimClient m_claims;
   EventLoops m_loops;
--- a/src/operators/command.cpp
+++ b/src/operators/command.cpp
@@ -8,9 +8,9 @@
 
 namespace mimosarun {
 
-static constexpr std::array<std::string_view, 8> kShowSubjects{ "in-force",  "services", "routes",
+static constexpr std::array<std::string_view, 9> kShowSubjects{ "in-force",  "services", "routes",
                                                                 "targets",   "control",  "versions",
-                                                                "proposals", "nodes" };
+                                                                "proposals", "nodes",    "teams" };
 
 /** Splits a command into words and reads them in order. */
 class TokenReader
@@ -215,7 +215,7 @@
 std::string
 CommandHelp()
 {
-  return "  show in-force | services | routes | targets | nodes | control | versions | proposals\n"
+  return "  show in-force | services | routes | targets | nodes | control | versions | proposals | teams\n"
          "       [where FIELD = VALUE [and FIELD = VALUE ...]]\n"
          "  propose FILE based on VERSION   store a configuration as a proposal\n"
          "  accept PROPOSAL                 put a proposal in force\n"
--- a/src/operators/controlcommandrunner.cpp
+++ b/src/operators/controlcommandrunner.cpp
@@ -4,6 +4,7 @@
 #include "operators/memberanswer.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <map>
 #include <set>
 
@@ -140,6 +141,9 @@
   if (subject == "nodes") {
     return ShowNodes();
   }
+  if (subject == "teams") {
+    return ShowTeams();
+  }
   if (subject == "control") {
     return ShowControl();
   }
@@ -267,6 +271,56 @@
   return answer;
 }
 
+static std::string
+FormatNumber(double aNumber)
+{
+  char text[32];
+  const int length = std::snprintf(text, sizeof text, "%.1f", aNumber);
+  return std::string(text, static_cast<size_t>(length));
+}
+
+Answer
+ControlCommandRunner::ShowTeams()
+{
+  Answer answer{ .columns = { "team",
+                              "priority",
+                              "rate",
+                              "burst",
+                              "demand",
+                              "level",
+                              "kept",
+                              "mode",
+                              "holders",
+                              "silent" } };
+  std::map<std::string, QuotaState> states;
+  const std::optional<std::vector<QuotaState>> held = m_controller.Quotas().States();
+  for (const QuotaState& state : held.value_or(std::vector<QuotaState>{})) {
+    states.emplace(state.team, state);
+  }
+  for (const auto& [name, team] : m_controller.Configuration().Current()->configuration.teams) {
+    std::vector<std::string> row{ name,
+                                  std::to_string(team.priority),
+                                  team.requestsPerSecond > 0 ? FormatNumber(team.requestsPerSecond) : "any",
+                                  FormatNumber(team.burst) };
+    if (const auto state = states.find(name); state != states.end()) {
+      row.insert(row.end(),
+                 { FormatNumber(state->second.demand),
+                   FormatNumber(state->second.level),
+                   FormatNumber(state->second.kept),
+                   Name(state->second.mode),
+                   std::to_string(state->second.holders),
+                   std::to_string(state->second.silentHolders) });
+    } else {
+      row.insert(row.end(), 6, "-");
+    }
+    answer.rows.push_back(std::move(row));
+  }
+  if (!held) {
+    answer.message = "only the leader knows the use; ask " + m_controller.Status(kConfigurationGroup).leader;
+  }
+  return answer;
+}
+
 Answer
 ControlCommandRunner::ShowNodes() const
 {
--- a/src/operators/controlcommandrunner.h
+++ b/src/operators/controlcommandrunner.h
@@ -26,6 +26,7 @@
   Answer ShowRoutes() const;
   Answer ShowTargets() const;
   Answer ShowNodes() const;
+  Answer ShowTeams();
   Answer ShowControl();
   Answer ShowVersions() const;
   Answer ShowProposals() const;
