Quotas: fewer refusals below the limit

Cause: noise in the demand of small teams counted as pressure, and a new ledger discarded what a quiet team had left. Change: the limited mode needs an empty bucket or demand clearly above the rate; a new ledger credits, for each node that it hears, the inherited rate beyond the demand of the last two seconds.

--- a/src/quota/decayedrate.cpp
+++ b/src/quota/decayedrate.cpp
@@ -4,13 +4,18 @@
 
 namespace mimosarun {
 
-/** Short enough to follow a burst within a few reports, long enough that a request a second is steady. */
-static constexpr std::chrono::duration<double> kDecayTime{ 2 };
+void
+DecayedRate::SetDecayTime(std::chrono::milliseconds aTime, Deadline aNow)
+{
+  m_perSecond = PerSecond(aNow);
+  m_updatedAt = aNow;
+  m_decayTime = aTime;
+}
 
 void
 DecayedRate::Add(Deadline aNow)
 {
-  m_perSecond = PerSecond(aNow) + 1 / kDecayTime.count();
+  m_perSecond = PerSecond(aNow) + 1 / m_decayTime.count();
   m_updatedAt = aNow;
 }
 
@@ -18,7 +23,7 @@
 DecayedRate::PerSecond(Deadline aNow) const
 {
   const std::chrono::duration<double> age = aNow - m_updatedAt;
-  return age.count() <= 0 ? m_perSecond : m_perSecond * std::exp(-age / kDecayTime);
+  return age.count() <= 0 ? m_perSecond : m_perSecond * std::exp(-age / m_decayTime);
 }
 
 } // namespace mimosarun
--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -33,6 +33,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
+/** Time that a node's demand covers at least; a team that used less than its rate so long has tokens left. */
+static constexpr Seconds kDemandTime{ 2 };
+
 const char*
 Name(QuotaMode aMode)
 {
@@ -267,6 +270,16 @@
 
 // --- grants ----------------------------------------------------------------------------------------------
 
+void
+QuotaLedger::Inherit(Account& aAccount, Holder& aHolder, const wire::QuotaUsage& aUsage)
+{
+  aHolder.inheritedFallback = static_cast<double>(aUsage.fallbackMilli) / kQuotaMilli;
+  const double demand = static_cast<double>(aUsage.demandMilli) / kQuotaMilli;
+  const double before = std::max(0.0, aAccount.inheritedUnused);
+  aAccount.inheritedUnused += (aHolder.inheritedFallback - demand) * kDemandTime.count();
+  aAccount.level += std::max(0.0, aAccount.inheritedUnused) - before;
+}
+
 wire::QuotaGrant
 QuotaLedger::Report(Account& aAccount,
                     const std::string& aNode,
@@ -278,8 +291,9 @@
   Holder& holder = entry->second;
   if (isNew) {
     holder.usedTotal = aUsage.usedTotal;
-    holder.inheritedFallback =
-      aNow < aAccount.learningUntil ? static_cast<double>(aUsage.fallbackMilli) / kQuotaMilli : 0;
+    if (aNow < aAccount.learningUntil) {
+      Inherit(aAccount, holder, aUsage);
+    }
   } else {
     Subtract(aAccount, holder);
   }
@@ -331,7 +345,9 @@
     const double unneeded = level - forWaiting - kFreeLevelShare * Depth(aAccount.limit);
     return static_cast<int64_t>(forWaiting + std::clamp(unneeded, 0.0, spare));
   }
-  const bool isBelowLimit = aAccount.demand < rate;
+  // The demand is an estimate over a few seconds, whose deviation is about half of this.
+  const bool isBelowLimit = aAccount.demand < rate + std::sqrt(rate);
+  const bool hasRoom = isBelowLimit || level > kFreeLevelShare * Depth(aAccount.limit);
   const double available = std::max(0.0, level + (isBelowLimit ? DebtLimit(aAccount) : 0));
   const double pause = Seconds(Pause()).count();
   const double share = aAccount.demand > 0 ? aHolder.demand / aAccount.demand : 1;
@@ -340,7 +356,7 @@
   const double wanted = std::min(waiting + spare, available);
   // Where a node's part of a pause's refill is less than a token, tokens go to the first calls that ask.
   const double entitled = regular < 1 ? std::max(aHolder.carry, std::min(waiting, 1.0)) : aHolder.carry;
-  const double tokens = std::floor(std::min(wanted, isBelowLimit ? std::max(entitled, waiting) : entitled));
+  const double tokens = std::floor(std::min(wanted, hasRoom ? std::max(entitled, waiting) : entitled));
   aHolder.carry = std::clamp(aHolder.carry - tokens, 0.0, 1.0);
   return static_cast<int64_t>(tokens);
 }
--- a/src/quota/quotaledger.h
+++ b/src/quota/quotaledger.h
@@ -114,6 +114,8 @@
     double demand = 0;
     double fallback = 0;
     double inheritedFallback = 0;
+    /** Quota that heard holders left unused under an earlier ledger, less what they demanded beyond it. */
+    double inheritedUnused = 0;
   };
 
   /** The process that a node's last request came from. */
@@ -138,6 +140,8 @@
   /** Takes a holder out of the sums of its account. */
   static void Subtract(Account& aAccount, const Holder& aHolder);
   static void Add(Account& aAccount, const Holder& aHolder);
+  /** Takes over what a holder had under an earlier ledger. */
+  static void Inherit(Account& aAccount, Holder& aHolder, const wire::QuotaUsage& aUsage);
   wire::QuotaGrant Report(Account& aAccount,
                           const std::string& aNode,
                           const wire::QuotaUsage& aUsage,
--- a/src/quota/quotapool.cpp
+++ b/src/quota/quotapool.cpp
@@ -14,6 +14,13 @@
 static constexpr size_t kWaitingLimit = 1024;
 /** Time whose fallback requests may be admitted at once, so that ordinary bursts pass. */
 static constexpr std::chrono::duration<double> kFallbackDepth{ 0.5 };
+static constexpr double kLeastFallbackDepth = 2;
+/**
+ * Time over which the demand is averaged: short enough to follow a burst, and several reports long, as a report
+ * that a request causes names a demand that holds for the ledger until the next one.
+ */
+static constexpr std::chrono::milliseconds kShortestDemandTime{ 2000 };
+static constexpr int kDemandIntervals = 2;
 /** Part of a grant whose use leads to an early report, so that later requests needn't wait for more. */
 static constexpr int64_t kEarlyReportDivisor = 4;
 /** Reports that are due within this time are sent with the others. */
@@ -111,7 +118,7 @@
   const Deadline fallbackEnd = std::clamp(aShare.fallbackUntil, aShare.fallbackAt, aNow);
   const Seconds atFallback = fallbackEnd - aShare.fallbackAt;
   const Seconds atFloor = aNow - fallbackEnd;
-  const double depth = std::max(1.0, aShare.fallback * kFallbackDepth.count());
+  const double depth = std::max(kLeastFallbackDepth, aShare.fallback * kFallbackDepth.count());
   aShare.fallbackTokens += atFallback.count() * aShare.fallback + atFloor.count() * FloorRateLocked(aShare);
   aShare.fallbackTokens = std::min(aShare.fallbackTokens, depth);
   aShare.fallbackAt = aNow;
@@ -300,6 +307,7 @@
                             Deadline aSentAt,
                             Deadline aNow)
 {
+  aShare.demand.SetDecayTime(std::max(kShortestDemandTime, kDemandIntervals * aInterval), aNow);
   aShare.allowed = aGrant.allowedTotal;
   aShare.granted = std::max<int64_t>(0, aGrant.allowedTotal - aShare.used);
   aShare.grantedUntil = aSentAt + std::chrono::milliseconds(aGrant.validMillis);
