--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -15,6 +15,7 @@
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
 #include "quota/quotapool.h"
+#include "team/credentialgate.h"
 
 #include <atomic>
 #include <map>
@@ -48,6 +49,8 @@
     const Quarantine* quarantine = nullptr;
     /** Null where teams have no quotas. */
     QuotaPool* quota = nullptr;
+    /** Null where keys are honoured without a lease. */
+    const CredentialLease* lease = nullptr;
     /** Hedged attempts allowed per call, for short idempotent calls; zero disables hedging. */
     double hedgesPerCall = 0;
   };
@@ -93,6 +96,12 @@
                                            const HttpRequest& aRequest,
                                            Deadline aNow) const;
   void RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal);
+  /** Refuses a request after the check of its key and records why. */
+  void RefuseCredential(const ExchangePointer& aExchange,
+                        CredentialVerdict aVerdict,
+                        const Snapshot& aSnapshot,
+                        const Route& aRoute,
+                        const std::string& aCallId);
   /** Returns the delay after which a short idempotent call may be hedged; zero means never. */
   std::chrono::microseconds HedgeDelay(const Route& aRoute) const;
   void RecordCallTime(const Route& aRoute, std::chrono::microseconds aTime);
@@ -134,6 +143,7 @@
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
   CallHistory m_history;
+  CredentialGate m_credentials;
   /** Limits the log records of refused calls, which are very frequent under overload. */
   RateLimit m_refusalLogLimit;
   mutable std::mutex m_mutex;
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -30,11 +30,12 @@
     SnapshotPointer snapshot;
     /** Owned by the snapshot. */
     const Route* route = nullptr;
+    /** Name of the caller's team; empty on public routes and where there are no teams. */
+    std::string team;
+    int64_t teamPriority = 0;
     Deadline deadline;
     /** Until then a response has its full value to the caller. */
     Deadline objectiveDeadline;
-    /** Team of the caller; empty where the configuration has no teams. */
-    std::string team;
   };
 
   EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions);
@@ -58,6 +59,8 @@
   /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
   bool SendNext();
   std::optional<GateChoice> ChooseGate(Deadline aNow);
+  /** Returns whether the caller's key may still be honoured. */
+  bool HasValidCredential() const;
   /** Notes why the call is sent to no further gate; returns false. */
   bool StopSending(StopReason aReason);
   size_t CountUntriedGates() const;
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -21,6 +21,8 @@
   RetryBudget,
   /** Targets ended whenever they ran the request. */
   Quarantined,
+  /** The node no longer knows whether the caller's key is still in force. */
+  CredentialExpired,
   /** The quota of the call's team is used up. */
   Quota,
 };
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -59,6 +59,10 @@
   TargetCrashed = 511,
   RequestQuarantined = 512,
 
+  CredentialRefused = 530,
+  CredentialLeaseExpired = 531,
+  CredentialLeaseHeld = 532,
+
   QuotaContactLost = 540,
   QuotaContactRestored = 541,
   QuotaLedgerStarted = 542,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -18,6 +18,8 @@
 #include "target/announcementserver.h"
 #include "target/claimclient.h"
 #include "target/gate.h"
+#include "team/credentiallease.h"
+#include "team/leasemonitor.h"
 #include "wire/rpcserver.h"
 
 #include <atomic>
@@ -107,6 +109,8 @@
   ConfigurationFetcher m_fetcher;
   Gossiper m_gossiper;
   Quarantine m_quarantine;
+  CredentialLease m_lease;
+  LeaseMonitor m_leaseMonitor;
   ControlLink m_control;
   CrashReporter m_crashReporter;
   QuotaClient m_quotas;
--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -21,9 +21,9 @@
   , m_pool({ .node = aNode, .incarnation = WallNow().time_since_epoch().count(), .onReportDue = [this] {
               {
                 const std::lock_guard lock(m_mutex);
-                m_isWoken = true;
+                ++m_wakeCount;
               }
-              m_wake.notify_one();
+              m_wake.notify_all();
             } })
 {
 }
@@ -41,8 +41,10 @@
     return;
   }
   const std::lock_guard lock(m_mutex);
-  if (!m_thread.joinable() && !m_stop) {
-    m_thread = std::thread([this] { Run(); });
+  for (size_t lane = 0; lane < m_lanes.size() && !m_stop; ++lane) {
+    if (!m_lanes[lane].thread.joinable()) {
+      m_lanes[lane].thread = std::thread([this, lane] { Run(lane); });
+    }
   }
 }
 
@@ -53,99 +55,119 @@
     const std::lock_guard lock(m_mutex);
     m_stop = true;
   }
-  m_wake.notify_one();
+  m_wake.notify_all();
 }
 
 void
 QuotaClient::Stop()
 {
   BeginStop();
-  if (m_thread.joinable()) {
-    m_thread.join();
+  for (Lane& lane : m_lanes) {
+    if (lane.thread.joinable()) {
+      lane.thread.join();
+    }
   }
 }
 
 // --- exchange --------------------------------------------------------------------------------------------
 
+std::optional<Deadline>
+QuotaClient::WorkAt(size_t aLane, Deadline aNow)
+{
+  if (aLane == 0) {
+    return m_pool.NextReportAt(aNow);
+  }
+  const std::lock_guard lock(m_mutex);
+  return m_lanes.front().isBusy && m_pool.HasUnreportedRequests() ? std::optional(aNow) : std::nullopt;
+}
+
 bool
-QuotaClient::WaitUntilReportIsDue()
+QuotaClient::WaitForWork(size_t aLane)
 {
+  const Lane& lane = m_lanes[aLane];
   while (true) {
+    uint64_t wakeCount = 0;
+    {
+      const std::lock_guard lock(m_mutex);
+      wakeCount = m_wakeCount;
+    }
     const Deadline now = SteadyClock::now();
-    const std::optional<Deadline> next = m_pool.NextReportAt(now);
-    const Deadline due = std::max(next.value_or(now + kIdleInterval), m_nextAttemptAt);
+    const std::optional<Deadline> workAt = WorkAt(aLane, now);
+    const Deadline due = std::max(workAt.value_or(now + kIdleInterval), lane.nextAttemptAt);
     std::unique_lock lock(m_mutex);
     if (m_stop) {
       return false;
     }
-    if (next && due <= now) {
+    if (workAt && due <= now) {
       return true;
     }
-    // Requests that begin to wait don't shorten the time until the next attempt.
-    if (m_nextAttemptAt > now) {
-      m_wake.wait_until(lock, m_nextAttemptAt, [this] { return m_stop; });
-    } else {
-      m_wake.wait_until(lock, due, [this] { return m_stop || m_isWoken; });
-    }
-    m_isWoken = false;
+    m_wake.wait_until(lock, due, [&] {
+      return m_stop || (m_wakeCount != wakeCount && SteadyClock::now() >= lane.nextAttemptAt);
+    });
   }
 }
 
 void
-QuotaClient::Run()
+QuotaClient::SetBusy(Lane& aLane, bool aIsBusy)
+{
+  const std::lock_guard lock(m_mutex);
+  aLane.isBusy = aIsBusy;
+}
+
+void
+QuotaClient::Run(size_t aLane)
 {
-  while (WaitUntilReportIsDue()) {
-    Exchange();
+  Lane& lane = m_lanes[aLane];
+  while (WaitForWork(aLane)) {
+    SetBusy(lane, true);
+    Exchange(lane);
+    SetBusy(lane, false);
   }
 }
 
 void
-QuotaClient::Exchange()
+QuotaClient::Exchange(Lane& aLane)
 {
-  if (m_client == nullptr) {
-    SwitchToNextReplica();
+  if (aLane.client == nullptr) {
+    Connect(aLane);
   }
-  if (m_client == nullptr) {
-    HandleFailure("no control replica is known");
+  if (aLane.client == nullptr) {
+    HandleFailure(aLane, "no control replica is known");
     return;
   }
   const Deadline sentAt = SteadyClock::now();
   const wire::QuotaRequest report = m_pool.MakeReport(sentAt);
   wire::QuotaReply reply;
-  const Result<void> called = m_client->Call(
+  const Result<void> called = aLane.client->Call(
     sentAt + kExchangeTimeout, [&](wire::ControlPeerClient& aClient) { aClient.quota(reply, report); });
   const Deadline now = SteadyClock::now();
-  m_nextAttemptAt = now + kShortestInterval;
+  aLane.nextAttemptAt = now + kShortestInterval;
   if (called && reply.granted) {
-    m_isFollowing = false;
+    aLane.isFollowing = false;
     m_pool.Accept(report, reply, sentAt, now);
-    RecordContact(true, "");
+    RecordContact(aLane.client->Peer(), "");
     return;
   }
-  if (called && !m_isFollowing && Follow(reply.leader)) {
+  if (called && !aLane.isFollowing && Follow(aLane, reply.leader)) {
+    m_pool.ReportAgain();
     return;
   }
-  HandleFailure(called ? m_client->Peer().Text() + ": the replica doesn't lead" : called.error().message);
+  HandleFailure(aLane,
+                called ? aLane.client->Peer().Text() + ": the replica doesn't lead" : called.error().message);
 }
 
 void
-QuotaClient::HandleFailure(const std::string& aReason)
+QuotaClient::HandleFailure(Lane& aLane, const std::string& aReason)
 {
-  m_isFollowing = false;
-  m_nextAttemptAt = SteadyClock::now() + kRetryInterval;
+  aLane.isFollowing = false;
+  aLane.nextAttemptAt = SteadyClock::now() + kRetryInterval;
   m_pool.LoseContact(SteadyClock::now());
-  RecordContact(false, aReason);
-  SwitchToNextReplica();
-}
-
-void
-QuotaClient::ConnectTo(const Address& aAddress)
-{
-  m_client = std::make_unique<Client>(aAddress);
+  RecordContact(std::nullopt, aReason);
+  Connect(aLane);
 }
 
 bool
-QuotaClient::Follow(const std::string& aLeader)
+QuotaClient::Follow(Lane& aLane, const std::string& aLeader)
 {
   std::optional<Address> address;
   for (const ReplicaSettings& replica : m_replicas()) {
@@ -156,33 +178,39 @@
   if (const Result<Address> named = ParseAddress(aLeader); !address && named) {
     address = named.value();
   }
-  if (!address || address->Text() == m_client->Peer().Text()) {
+  if (!address || address->Text() == aLane.client->Peer().Text()) {
     return false;
   }
-  m_isFollowing = true;
-  ConnectTo(*address);
+  aLane.isFollowing = true;
+  aLane.client = std::make_unique<Client>(*address);
   return true;
 }
 
 void
-QuotaClient::SwitchToNextReplica()
+QuotaClient::Connect(Lane& aLane)
 {
   const std::vector<ReplicaSettings> replicas = m_replicas();
-  if (!replicas.empty()) {
-    ConnectTo(replicas[m_nextReplica++ % replicas.size()].address);
+  const std::lock_guard lock(m_mutex);
+  if (m_leader) {
+    aLane.client = std::make_unique<Client>(*m_leader);
+  } else if (!replicas.empty()) {
+    aLane.client = std::make_unique<Client>(replicas[m_nextReplica++ % replicas.size()].address);
   }
 }
 
 void
-QuotaClient::RecordContact(bool aHasContact, const std::string& aReason)
+QuotaClient::RecordContact(const std::optional<Address>& aLeader, const std::string& aReason)
 {
-  if (aHasContact == m_hasContact) {
-    return;
+  bool isChanged = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_leader = aLeader;
+    isChanged = m_hasContact != aLeader.has_value();
+    m_hasContact = aLeader.has_value();
   }
-  m_hasContact = aHasContact;
-  if (aHasContact) {
-    Log(Event::QuotaContactRestored, { { "leader", m_client->Peer().Text() } });
-  } else {
+  if (isChanged && aLeader) {
+    Log(Event::QuotaContactRestored, { { "leader", aLeader->Text() } });
+  } else if (isChanged) {
     Log(Event::QuotaContactLost, { { "reason", aReason } });
   }
 }
--- a/src/node/quotaclient.h
+++ b/src/node/quotaclient.h
@@ -7,10 +7,12 @@
 #include "wire/gen-cpp/ControlPeer.h"
 #include "wire/rpcclient.h"
 
+#include <array>
 #include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,8 +20,8 @@
 namespace mimosarun {
 
 /**
- * Reports a node's use of the teams' quotas to the leader of the control replicas and gets more granted, one
- * exchange at a time. Sends nothing where no team has a limit.
+ * Reports a node's use of the teams' quotas to the leader of the control replicas and gets more granted.
+ * Sends nothing where no team has a limit.
  */
 class QuotaClient
 {
@@ -47,31 +49,45 @@
 private:
   using Client = RpcClient<wire::ControlPeerClient>;
 
-  void Run();
-  /** Waits until a report is due; returns false as soon as BeginStop() is called. */
-  bool WaitUntilReportIsDue();
-  void Exchange();
-  void HandleFailure(const std::string& aReason);
+  /** One of the connections to the leader. */
+  struct Lane
+  {
+    std::unique_ptr<Client> client;
+    /** Whether the current replica was named as the leader by the one before. */
+    bool isFollowing = false;
+    Deadline nextAttemptAt{};
+    /** Whether a report is in flight; guarded by m_mutex. */
+    bool isBusy = false;
+    std::thread thread;
+  };
+
+  void Run(size_t aLane);
+  /** Waits until the lane has a report to send; returns false as soon as BeginStop() is called. */
+  bool WaitForWork(size_t aLane);
+  /** Returns when the lane has a report to send, or nothing if it has none. */
+  std::optional<Deadline> WorkAt(size_t aLane, Deadline aNow);
+  void SetBusy(Lane& aLane, bool aIsBusy);
+  void Exchange(Lane& aLane);
+  void HandleFailure(Lane& aLane, const std::string& aReason);
   /** Connects to the leader that a replica named; returns false if it isn't known or is that replica. */
-  bool Follow(const std::string& aLeader);
-  /** Connects to the replica after the current one. */
-  void SwitchToNextReplica();
-  void ConnectTo(const Address& aAddress);
-  void RecordContact(bool aHasContact, const std::string& aReason);
+  bool Follow(Lane& aLane, const std::string& aLeader);
+  /** Connects to the leader that answered last, or to the replica after the last one that was tried. */
+  void Connect(Lane& aLane);
+  void RecordContact(const std::optional<Address>& aLeader, const std::string& aReason);
 
   const ReplicaSource m_replicas;
   QuotaPool m_pool;
-  std::unique_ptr<Client> m_client;
-  size_t m_nextReplica = 0;
-  bool m_hasContact = true;
-  /** Whether the current replica was named as the leader by the one before. */
-  bool m_isFollowing = false;
-  Deadline m_nextAttemptAt{};
   std::mutex m_mutex;
   std::condition_variable m_wake;
-  bool m_isWoken = false;
+  /** Grows when a report becomes due earlier than the threads expect. */
+  uint64_t m_wakeCount = 0;
   bool m_stop = false;
-  std::thread m_thread;
+  size_t m_nextReplica = 0;
+  /** The leader that answered last, if it still did. */
+  std::optional<Address> m_leader;
+  bool m_hasContact = true;
+  /** The second one is used only for requests that begin to wait while a report of the first is in flight. */
+  std::array<Lane, 2> m_lanes;
 };
 
 } // namespace mimosarun
--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -142,8 +142,7 @@
 std::chrono::milliseconds
 QuotaLedger::Pause() const
 {
-  return std::max(kShortestPause,
-                  std::chrono::milliseconds(1000 * m_senders.size() / kAskingNodesPerSecond));
+  return std::max(kShortestPause, std::chrono::milliseconds(1000 * m_senders.size() / kAskingNodesPerSecond));
 }
 
 wire::QuotaReply
--- a/src/quota/quotaledger.h
+++ b/src/quota/quotaledger.h
@@ -42,9 +42,9 @@
 
 /**
  * Divides the quotas of the teams among the nodes: a token bucket per team, from which each grant is reserved
- * in full. Level and what nodes keep together never exceed the burst, so the requests of any window stay within
- * rate x window + burst, plus a debt that is part of the tolerance. What a node didn't use returns with its
- * next report. A node that is silent is charged at its fallback rate. Not thread-safe.
+ * in full. Level and what nodes keep together never exceed the burst, so the requests of any window stay
+ * within rate x window + burst, plus a debt that is part of the tolerance. What a node didn't use returns
+ * with its next report. A node that is silent is charged at its fallback rate. Not thread-safe.
  */
 class QuotaLedger
 {
--- a/src/quota/quotapool.cpp
+++ b/src/quota/quotapool.cpp
@@ -16,8 +16,8 @@
 static constexpr std::chrono::duration<double> kFallbackDepth{ 0.5 };
 static constexpr double kLeastFallbackDepth = 2;
 /**
- * Time over which the demand is averaged: short enough to follow a burst, and several reports long, as a report
- * that a request causes names a demand that holds for the ledger until the next one.
+ * Time over which the demand is averaged: short enough to follow a burst, and several reports long, as a
+ * report that a request causes names a demand that holds for the ledger until the next one.
  */
 static constexpr std::chrono::milliseconds kShortestDemandTime{ 2000 };
 static constexpr int kDemandIntervals = 2;
@@ -366,6 +366,15 @@
   Notify(notifications);
 }
 
+void
+QuotaPool::ReportAgain()
+{
+  const std::lock_guard lock(m_mutex);
+  for (auto& [name, share] : m_shares) {
+    share.reportedWaiter = 0;
+  }
+}
+
 void
 QuotaPool::LoseContact(Deadline aNow)
 {
--- a/src/quota/quotapool.h
+++ b/src/quota/quotapool.h
@@ -112,6 +112,9 @@
               Deadline aSentAt,
               Deadline aNow);
 
+  /** Names the requests that wait in the next report too, as a report in flight reached no ledger. */
+  void ReportAgain();
+
   /** From now on, expired grants are replaced by fallback rates. */
   void LoseContact(Deadline aNow);
 
