Quotas: late reports after a suspension, fallback rates by longer means, calm with many nodes

Cause: a ledger that resumed after 6 s charged the use of that time although its refill had overflowed, and refused all requests of the largest team for 2 s; requests of 1,111 nodes were refused as spare tokens took the bucket's last part.

--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -7,6 +7,8 @@
 
 namespace mimosarun {
 
+using Seconds = std::chrono::duration<double>;
+
 /** Nodes that may report in each second; with more nodes, each reports less often. */
 static constexpr size_t kReportingNodesPerSecond = 200;
 /** Free mode needs a bucket that is at least this full, and demand below this share of the rate. */
@@ -28,11 +30,15 @@
 static constexpr size_t kAskingNodesPerSecond = 600;
 /** A node that expects fewer requests than this until its next report keeps no spare token. */
 static constexpr double kLeastExpectedRequests = 0.1;
+/** Time over which the demand is averaged that divides the fallback rates. */
+static constexpr Seconds kMeanDemandTime{ 10 };
+/** A ledger without any request for this long was suspended, cut off or unused. */
+static constexpr std::chrono::milliseconds kSuspensionTime{ 1000 };
+/** Time in which the reports of all nodes arrive after that. */
+static constexpr std::chrono::milliseconds kCatchUpTime{ 1000 };
 /** Answer to a node that hasn't heard yet that the team has no limit any more. */
 static constexpr int64_t kUnlimitedTokens = 100000;
 
-using Seconds = std::chrono::duration<double>;
-
 /** Time that a node's demand covers at least; a team that used less than its rate so long has tokens left. */
 static constexpr Seconds kDemandTime{ 2 };
 
@@ -149,6 +155,10 @@
 QuotaLedger::Handle(const wire::QuotaRequest& aRequest, Deadline aNow)
 {
   ForgetSilentSenders(aNow);
+  if (aNow > m_handledAt + kSuspensionTime) {
+    m_catchUpUntil = aNow + kCatchUpTime;
+  }
+  m_handledAt = aNow;
   wire::QuotaReply reply;
   reply.granted = true;
   reply.version = m_numbers.NewestVersion();
@@ -183,6 +193,7 @@
   if (!aHolder.isSilent) {
     aAccount.kept -= aHolder.kept;
     aAccount.demand -= aHolder.demand;
+    aAccount.meanDemand -= aHolder.meanDemand;
   }
   aAccount.fallback -= aHolder.fallback;
   aAccount.inheritedFallback -= aHolder.inheritedFallback;
@@ -195,6 +206,7 @@
   if (!aHolder.isSilent) {
     aAccount.kept += aHolder.kept;
     aAccount.demand += aHolder.demand;
+    aAccount.meanDemand += aHolder.meanDemand;
   }
   aAccount.fallback += aHolder.fallback;
   aAccount.inheritedFallback += aHolder.inheritedFallback;
@@ -244,7 +256,26 @@
     aAccount.nextScanAt = aNow + kScanInterval;
     ChargeSilentHolders(aAccount, aNow);
   }
-  aAccount.level = std::min(aAccount.level, Depth(aAccount.limit) - aAccount.kept);
+  Cap(aAccount, aNow);
+}
+
+void
+QuotaLedger::Cap(Account& aAccount, Deadline aNow) const
+{
+  const double limit = Depth(aAccount.limit) - aAccount.kept;
+  const double excess = std::max(0.0, aAccount.level - limit);
+  aAccount.level -= excess;
+  aAccount.overflow = aNow < m_catchUpUntil ? aAccount.overflow + excess : 0;
+}
+
+void
+QuotaLedger::Charge(Account& aAccount, double aTokens, Deadline aNow) const
+{
+  // The use of a suspension is reported after its refill has filled the bucket, which lost the rest.
+  const double late = std::clamp(aTokens, 0.0, aAccount.overflow);
+  aAccount.overflow -= late;
+  aAccount.level -= aTokens - late;
+  Cap(aAccount, aNow);
 }
 
 double
@@ -297,8 +328,7 @@
     Subtract(aAccount, holder);
   }
   const auto used = static_cast<double>(aUsage.usedTotal - holder.usedTotal);
-  aAccount.level += holder.reserved + holder.silentCharge - used;
-  aAccount.level = std::min(aAccount.level, Depth(aAccount.limit) - aAccount.kept);
+  Charge(aAccount, used - holder.reserved - holder.silentCharge, aNow);
   // If the reply is lost, the node goes on with the grant before this one.
   const int64_t earlierAllowed = aNow < holder.allowedUntil ? holder.allowedTotal : 0;
   holder.usedTotal = aUsage.usedTotal;
@@ -307,6 +337,8 @@
   holder.silentCharge = 0;
   holder.isSilent = false;
   holder.demand = static_cast<double>(aUsage.demandMilli) / kQuotaMilli;
+  const Seconds elapsed = aNow - holder.heardAt;
+  holder.meanDemand += (1 - std::exp(-elapsed / kMeanDemandTime)) * (holder.demand - holder.meanDemand);
   holder.heardAt = aNow;
   holder.dueAt = aNow + Interval();
   holder.fallback = 0;
@@ -352,10 +384,17 @@
   const double share = aAccount.demand > 0 ? aHolder.demand / aAccount.demand : 1;
   const double regular = share * rate * pause;
   aHolder.carry += regular + share * std::max(0.0, level);
+  if (hasRoom) {
+    const double forWaiting = std::min(waiting, available);
+    const double unneeded = level - forWaiting - kFreeLevelShare * Depth(aAccount.limit);
+    const double extra = std::clamp(std::min(aHolder.carry, unneeded), 0.0, spare);
+    aHolder.carry = std::clamp(aHolder.carry - forWaiting - extra, 0.0, 1.0);
+    return static_cast<int64_t>(forWaiting + extra);
+  }
   const double wanted = std::min(waiting + spare, available);
   // Where a node's part of a pause's refill is less than a token, tokens go to the first calls that ask.
   const double entitled = regular < 1 ? std::max(aHolder.carry, std::min(waiting, 1.0)) : aHolder.carry;
-  const double tokens = std::floor(std::min(wanted, hasRoom ? std::max(entitled, waiting) : entitled));
+  const double tokens = std::floor(std::min(wanted, entitled));
   aHolder.carry = std::clamp(aHolder.carry - tokens, 0.0, 1.0);
   return static_cast<int64_t>(tokens);
 }
@@ -363,12 +402,11 @@
 double
 QuotaLedger::FallbackFor(const Account& aAccount, const Holder& aHolder, Deadline aNow) const
 {
-  if (aHolder.demand < kIdleDemand) {
+  if (aHolder.meanDemand < kIdleDemand) {
     return 0;
   }
   const double rate = aAccount.limit.requestsPerSecond;
-  const double proportional = rate * aHolder.demand / std::max(aAccount.demand, aHolder.demand);
-  const double wanted = std::min(kGenerosity * aHolder.demand, proportional);
+  const double wanted = rate * aHolder.meanDemand / (aAccount.meanDemand + aHolder.meanDemand);
   const double unheld = std::max(0.0, rate - aAccount.fallback);
   // Rates that nodes hold from the ledger before this one aren't all known until they have ended.
   const double limit = aNow < aAccount.learningUntil ? std::min(unheld, aHolder.inheritedFallback) : unheld;
--- a/src/quota/quotaledger.h
+++ b/src/quota/quotaledger.h
@@ -89,6 +89,8 @@
     /** Tokens charged for the time in which the node was silent. */
     double silentCharge = 0;
     double demand = 0;
+    /** Mean of the demand over a longer time, which rare requests change little. */
+    double meanDemand = 0;
     double fallback = 0;
     /** Rate that the node held when this ledger first heard from it. */
     double inheritedFallback = 0;
@@ -112,8 +114,11 @@
     /** Sums over the holders. */
     double kept = 0;
     double demand = 0;
+    double meanDemand = 0;
     double fallback = 0;
     double inheritedFallback = 0;
+    /** Tokens that a full bucket lost while this ledger catches up with late reports. */
+    double overflow = 0;
     /** Quota that heard holders left unused under an earlier ledger, less what they demanded beyond it. */
     double inheritedUnused = 0;
   };
@@ -137,6 +142,10 @@
   /** Refills the bucket and charges silent holders. */
   void Settle(Account& aAccount, Deadline aNow);
   void ChargeSilentHolders(Account& aAccount, Deadline aNow);
+  /** Limits the level to what the burst leaves beside the tokens that nodes keep. */
+  void Cap(Account& aAccount, Deadline aNow) const;
+  /** Charges what a holder used beyond the tokens taken for it; a negative number returns tokens. */
+  void Charge(Account& aAccount, double aTokens, Deadline aNow) const;
   /** Takes a holder out of the sums of its account. */
   static void Subtract(Account& aAccount, const Holder& aHolder);
   static void Add(Account& aAccount, const Holder& aHolder);
@@ -160,6 +169,9 @@
   std::map<std::string, Sender> m_senders;
   bool m_hasTeams = false;
   Deadline m_nextSenderScanAt{};
+  Deadline m_handledAt{};
+  /** Until then reports arrive that are late as this process was suspended or cut off. */
+  Deadline m_catchUpUntil{};
 };
 
 const char*
--- a/src/quota/quotapool.cpp
+++ b/src/quota/quotapool.cpp
@@ -15,12 +15,6 @@
 /** Time whose fallback requests may be admitted at once, so that ordinary bursts pass. */
 static constexpr std::chrono::duration<double> kFallbackDepth{ 0.5 };
 static constexpr double kLeastFallbackDepth = 2;
-/**
- * Time over which the demand is averaged: short enough to follow a burst, and several reports long, as a
- * report that a request causes names a demand that holds for the ledger until the next one.
- */
-static constexpr std::chrono::milliseconds kShortestDemandTime{ 2000 };
-static constexpr int kDemandIntervals = 2;
 /** Part of a grant whose use leads to an early report, so that later requests needn't wait for more. */
 static constexpr int64_t kEarlyReportDivisor = 4;
 /** Reports that are due within this time are sent with the others. */
@@ -180,7 +174,7 @@
       return ticket;
     }
     Share& share = entry->second;
-    share.demand.Add(aNow);
+    share.demand.Count();
     share.nextReportAt = share.nextReportAt.value_or(aNow + kQuotaReportInterval);
     const Deadline reportAt = *share.nextReportAt;
     ticket.verdict = DecideLocked(share, aNow);
@@ -292,7 +286,7 @@
     wire::QuotaUsage usage;
     usage.team = share.number;
     usage.usedTotal = share.used;
-    usage.demandMilli = static_cast<int32_t>(share.demand.PerSecond(aNow) * kQuotaMilli);
+    usage.demandMilli = static_cast<int32_t>(share.demand.Sample(aNow) * kQuotaMilli);
     usage.waiting = static_cast<int32_t>(share.waiting.size());
     usage.fallbackMilli = aNow < share.fallbackUntil ? static_cast<int32_t>(share.fallback * kQuotaMilli) : 0;
     report.usages.push_back(usage);
@@ -307,7 +301,6 @@
                             Deadline aSentAt,
                             Deadline aNow)
 {
-  aShare.demand.SetDecayTime(std::max(kShortestDemandTime, kDemandIntervals * aInterval), aNow);
   aShare.allowed = aGrant.allowedTotal;
   aShare.granted = std::max<int64_t>(0, aGrant.allowedTotal - aShare.used);
   aShare.grantedUntil = aSentAt + std::chrono::milliseconds(aGrant.validMillis);
@@ -319,8 +312,7 @@
   aShare.fallbackTokens = RandomFraction();
   const std::chrono::milliseconds due{ aGrant.dueMillis };
   aShare.refusedUntil = due.count() > 0 ? aNow + std::min(due, kLongestPause) : Deadline{};
-  const bool holdsNothing = aShare.granted == 0 && aGrant.fallbackMilli == 0;
-  aShare.nextReportAt = holdsNothing ? std::nullopt : std::optional(aSentAt + aInterval);
+  aShare.nextReportAt = aSentAt + aInterval;
 }
 
 void
@@ -360,6 +352,10 @@
         AdoptGrantLocked(
           share, *grant->second, std::chrono::milliseconds(aReply.intervalMillis), aSentAt, aNow);
         DecideWaitingLocked(share, aNow, notifications);
+        const bool holdsNothing = share.used >= share.allowed && share.fallback == 0;
+        if (holdsNothing && share.waiting.empty()) {
+          share.nextReportAt.reset();
+        }
       }
     }
   }
--- a/src/quota/quotapool.h
+++ b/src/quota/quotapool.h
@@ -2,7 +2,7 @@
 
 #include "common/clock.h"
 #include "configuration/configuration.h"
-#include "quota/decayedrate.h"
+#include "quota/demandestimate.h"
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <cstdint>
@@ -151,7 +151,7 @@
     Deadline fallbackAt{};
     /** Until then the ledger has no room. */
     Deadline refusedUntil{};
-    DecayedRate demand;
+    DemandEstimate demand;
     std::deque<Waiter> waiting;
     /** The newest request that waits and that a report without a reply yet names. */
     uint64_t reportedWaiter = 0;
