--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -15,6 +15,7 @@
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
 #include "rollout/versionsplitter.h"
+#include "quota/quotapool.h"
 #include "team/credentialgate.h"
 
 #include <atomic>
@@ -47,6 +48,8 @@
     RetryBudget::Options retryBudget;
     /** Null where no requests are quarantined. */
     const Quarantine* quarantine = nullptr;
+    /** Null where teams have no quotas. */
+    QuotaPool* quota = nullptr;
     /** Null where keys are honoured without a lease. */
     const CredentialLease* lease = nullptr;
     /** Hedged attempts allowed per call, for short idempotent calls; zero disables hedging. */
--- a/src/caller/stopreason.cpp
+++ b/src/caller/stopreason.cpp
@@ -24,6 +24,8 @@
       return "quarantined";
     case StopReason::CredentialExpired:
       return "credential-expired";
+    case StopReason::Quota:
+      return "quota";
   }
   return "none";
 }
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -23,6 +23,8 @@
   Quarantined,
   /** The node no longer knows whether the caller's key is still in force. */
   CredentialExpired,
+  /** The quota of the call's team is used up. */
+  Quota,
 };
 
 /** Returns the name for logs and metrics. */
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -63,6 +63,9 @@
   EventDescription{ Event::CredentialRefused, Severity::Info, "credential-refused" },
   EventDescription{ Event::CredentialLeaseExpired, Severity::Warning, "credential-lease-expired" },
   EventDescription{ Event::CredentialLeaseHeld, Severity::Info, "credential-lease-held" },
+  EventDescription{ Event::QuotaContactLost, Severity::Warning, "quota-contact-lost" },
+  EventDescription{ Event::QuotaContactRestored, Severity::Info, "quota-contact-restored" },
+  EventDescription{ Event::QuotaLedgerStarted, Severity::Info, "quota-ledger-started" },
 };
 
 std::span<const EventDescription>
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -71,6 +71,10 @@
   CredentialRefused = 530,
   CredentialLeaseExpired = 531,
   CredentialLeaseHeld = 532,
+
+  QuotaContactLost = 540,
+  QuotaContactRestored = 541,
+  QuotaLedgerStarted = 542,
 };
 
 enum class Severity
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -6,6 +6,7 @@
 #include "control/group.h"
 #include "control/groupclient.h"
 #include "control/groupplan.h"
+#include "control/quotaservice.h"
 #include "control/reportcollector.h"
 #include "control/reportstore.h"
 #include "control/rolloutmanager.h"
@@ -51,6 +52,7 @@
   OutcomeTable& Outcomes() { return m_outcomes; }
   const RolloutManager& Rollouts() const { return m_rollouts; }
   GroupClient& Client() { return m_client; }
+  QuotaService& Quotas() { return m_quotas; }
 
   /** Returns the number of claimed keys in all claim groups of this replica. */
   size_t ClaimCount() const;
@@ -145,6 +147,7 @@
   std::map<std::string, bool> m_silentReplicas;
   std::unique_ptr<Group<ConfigurationState>> m_configurationGroup;
   std::map<std::string, std::unique_ptr<Group<ClaimState>>> m_claimGroups;
+  QuotaService m_quotas;
   std::unique_ptr<RpcServer> m_server;
   std::atomic<bool> m_stop{ false };
   std::thread m_watcher;
--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -141,9 +141,9 @@
     aReturn = m_controller.Outcomes().All(SteadyClock::now());
   }
 
-  void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& /*aRequest*/) override
+  void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& aRequest) override
   {
-    aReturn.granted = false;
+    aReturn = m_controller.Quotas().Handle(aRequest);
   }
 
 private:
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "node/membertable.h"
 #include "node/peers.h"
 #include "node/rolloutlink.h"
+#include "node/quotaclient.h"
 #include "operators/answer.h"
 #include "operators/request.h"
 #include "process/metrics.h"
@@ -122,6 +123,7 @@
   RolloutLink m_rolloutLink;
   ControlLink m_control;
   CrashReporter m_crashReporter;
+  QuotaClient m_quotas;
   GroupClient m_groups;
   ClaimClient m_claims;
   EventLoops m_loops;
--- /dev/null
+++ b/src/node/quotaclient.cpp
@@ -0,0 +1,247 @@
+#include "node/quotaclient.h"
+
+#include "common/log.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace mimosarun {
+
+/** Longer than a reply from another region takes, with the leader's processor shared. */
+static constexpr std::chrono::milliseconds kExchangeTimeout{ 300 };
+static constexpr std::chrono::milliseconds kRetryInterval{ 100 };
+/** Shortest time between two exchanges, in which the requests that arrive are reported together. */
+static constexpr std::chrono::milliseconds kShortestInterval{ 5 };
+static constexpr std::chrono::milliseconds kIdleInterval{ 5000 };
+/** Bounds the number of time series; the teams beyond it are counted together. */
+static constexpr size_t kLabelledTeams = 100;
+
+QuotaClient::QuotaClient(const std::string& aNode, ReplicaSource aReplicas)
+  : m_replicas(std::move(aReplicas))
+  , m_pool({ .node = aNode, .incarnation = WallNow().time_since_epoch().count(), .onReportDue = [this] {
+              {
+                const std::lock_guard lock(m_mutex);
+                ++m_wakeCount;
+              }
+              m_wake.notify_all();
+            } })
+{
+}
+
+QuotaClient::~QuotaClient()
+{
+  Stop();
+}
+
+void
+QuotaClient::SetConfiguration(const SnapshotPointer& aSnapshot)
+{
+  m_pool.SetTeams(aSnapshot->version, aSnapshot->configuration.teams, SteadyClock::now());
+  if (!m_pool.HasLimits()) {
+    return;
+  }
+  const std::lock_guard lock(m_mutex);
+  for (size_t lane = 0; lane < m_lanes.size() && !m_stop; ++lane) {
+    if (!m_lanes[lane].thread.joinable()) {
+      m_lanes[lane].thread = std::thread([this, lane] { Run(lane); });
+    }
+  }
+}
+
+void
+QuotaClient::BeginStop()
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stop = true;
+  }
+  m_wake.notify_all();
+}
+
+void
+QuotaClient::Stop()
+{
+  BeginStop();
+  for (Lane& lane : m_lanes) {
+    if (lane.thread.joinable()) {
+      lane.thread.join();
+    }
+  }
+}
+
+// --- exchange --------------------------------------------------------------------------------------------
+
+std::optional<Deadline>
+QuotaClient::WorkAt(size_t aLane, Deadline aNow)
+{
+  if (aLane == 0) {
+    return m_pool.NextReportAt(aNow);
+  }
+  const std::lock_guard lock(m_mutex);
+  return m_lanes.front().isBusy && m_pool.HasUnreportedRequests() ? std::optional(aNow) : std::nullopt;
+}
+
+bool
+QuotaClient::WaitForWork(size_t aLane)
+{
+  const Lane& lane = m_lanes[aLane];
+  while (true) {
+    uint64_t wakeCount = 0;
+    {
+      const std::lock_guard lock(m_mutex);
+      wakeCount = m_wakeCount;
+    }
+    const Deadline now = SteadyClock::now();
+    const std::optional<Deadline> workAt = WorkAt(aLane, now);
+    const Deadline due = std::max(workAt.value_or(now + kIdleInterval), lane.nextAttemptAt);
+    std::unique_lock lock(m_mutex);
+    if (m_stop) {
+      return false;
+    }
+    if (workAt && due <= now) {
+      return true;
+    }
+    m_wake.wait_until(lock, due, [&] {
+      return m_stop || (m_wakeCount != wakeCount && SteadyClock::now() >= lane.nextAttemptAt);
+    });
+  }
+}
+
+void
+QuotaClient::SetBusy(Lane& aLane, bool aIsBusy)
+{
+  const std::lock_guard lock(m_mutex);
+  aLane.isBusy = aIsBusy;
+}
+
+void
+QuotaClient::Run(size_t aLane)
+{
+  Lane& lane = m_lanes[aLane];
+  while (WaitForWork(aLane)) {
+    SetBusy(lane, true);
+    Exchange(lane);
+    SetBusy(lane, false);
+  }
+}
+
+void
+QuotaClient::Exchange(Lane& aLane)
+{
+  if (aLane.client == nullptr) {
+    Connect(aLane);
+  }
+  if (aLane.client == nullptr) {
+    HandleFailure(aLane, "no control replica is known");
+    return;
+  }
+  const Deadline sentAt = SteadyClock::now();
+  const wire::QuotaRequest report = m_pool.MakeReport(sentAt);
+  wire::QuotaReply reply;
+  const Result<void> called = aLane.client->Call(
+    sentAt + kExchangeTimeout, [&](wire::ControlPeerClient& aClient) { aClient.quota(reply, report); });
+  const Deadline now = SteadyClock::now();
+  aLane.nextAttemptAt = now + kShortestInterval;
+  if (called && reply.granted) {
+    aLane.isFollowing = false;
+    m_pool.Accept(report, reply, sentAt, now);
+    RecordContact(aLane.client->Peer(), "");
+    return;
+  }
+  if (called && !aLane.isFollowing && Follow(aLane, reply.leader)) {
+    m_pool.ReportAgain();
+    return;
+  }
+  HandleFailure(aLane,
+                called ? aLane.client->Peer().Text() + ": the replica doesn't lead" : called.error().message);
+}
+
+void
+QuotaClient::HandleFailure(Lane& aLane, const std::string& aReason)
+{
+  aLane.isFollowing = false;
+  aLane.nextAttemptAt = SteadyClock::now() + kRetryInterval;
+  m_pool.LoseContact(SteadyClock::now());
+  RecordContact(std::nullopt, aReason);
+  Connect(aLane);
+}
+
+bool
+QuotaClient::Follow(Lane& aLane, const std::string& aLeader)
+{
+  std::optional<Address> address;
+  for (const ReplicaSettings& replica : m_replicas()) {
+    if (replica.name == aLeader) {
+      address = replica.address;
+    }
+  }
+  if (const Result<Address> named = ParseAddress(aLeader); !address && named) {
+    address = named.value();
+  }
+  if (!address || address->Text() == aLane.client->Peer().Text()) {
+    return false;
+  }
+  aLane.isFollowing = true;
+  aLane.client = std::make_unique<Client>(*address);
+  return true;
+}
+
+void
+QuotaClient::Connect(Lane& aLane)
+{
+  const std::vector<ReplicaSettings> replicas = m_replicas();
+  const std::lock_guard lock(m_mutex);
+  if (m_leader) {
+    aLane.client = std::make_unique<Client>(*m_leader);
+  } else if (!replicas.empty()) {
+    aLane.client = std::make_unique<Client>(replicas[m_nextReplica++ % replicas.size()].address);
+  }
+}
+
+void
+QuotaClient::RecordContact(const std::optional<Address>& aLeader, const std::string& aReason)
+{
+  bool isChanged = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_leader = aLeader;
+    isChanged = m_hasContact != aLeader.has_value();
+    m_hasContact = aLeader.has_value();
+  }
+  if (isChanged && aLeader) {
+    Log(Event::QuotaContactRestored, { { "leader", aLeader->Text() } });
+  } else if (isChanged) {
+    Log(Event::QuotaContactLost, { { "reason", aReason } });
+  }
+}
+
+// --- metrics ---------------------------------------------------------------------------------------------
+
+void
+QuotaClient::RefreshMetrics(Metrics& aMetrics) const
+{
+  std::map<std::string, QuotaCounts> counts;
+  for (const auto& [team, teamCounts] : m_pool.Counts()) {
+    const bool isLabelled = counts.contains(team) || counts.size() < kLabelledTeams;
+    QuotaCounts& sum = counts[isLabelled ? team : "other teams"];
+    sum.admitted += teamCounts.admitted;
+    sum.refused += teamCounts.refused;
+    sum.returned += teamCounts.returned;
+    sum.waited += teamCounts.waited;
+  }
+  for (const auto& [team, teamCounts] : counts) {
+    const std::pair<const char*, int64_t> values[] = { { "admitted", teamCounts.admitted },
+                                                       { "refused", teamCounts.refused },
+                                                       { "returned", teamCounts.returned },
+                                                       { "waited", teamCounts.waited } };
+    for (const auto& [decision, value] : values) {
+      prometheus::Counter& counter =
+        aMetrics.Counter("mimosarun_quota_requests_total",
+                         "Requests of teams with a quota, by what happened to them",
+                         { { "team", team }, { "decision", decision } });
+      counter.Increment(std::max(0.0, static_cast<double>(value) - counter.Value()));
+    }
+  }
+}
+
+} // namespace mimosarun
