--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -14,8 +14,8 @@
 #include "node/directory.h"
 #include "process/metrics.h"
 #include "quarantine/quarantine.h"
-#include "rollout/versionsplitter.h"
 #include "quota/quotapool.h"
+#include "rollout/versionsplitter.h"
 #include "team/credentialgate.h"
 
 #include <atomic>
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -262,8 +262,6 @@
       generation = newest;
       rolloutState = newestRolloutState;
       RefreshDirectory();
-      m_entry->SetNodeCount(m_table.Reachable("").size() + 1);
-      m_entry->SetDirectory(MakeDirectory(m_holder.Current()));
       const size_t nodeCount = m_table.Reachable("").size() + 1;
       m_entry->SetNodeCount(nodeCount);
       m_quotas.Pool().SetNodeCount(nodeCount);
--- a/src/operators/command.cpp
+++ b/src/operators/command.cpp
@@ -8,10 +8,10 @@
 
 namespace mimosarun {
 
-static constexpr std::array<std::string_view, 9> kShowSubjects{ "in-force",  "services", "routes",
-                                                                "targets",   "control",  "versions",
-                                                                "proposals", "nodes",    "rollouts" };
-                                                                "proposals", "nodes",    "teams" };
+static constexpr std::array<std::string_view, 10> kShowSubjects{ "in-force",  "services", "routes",
+                                                                 "targets",   "control",  "versions",
+                                                                 "proposals", "nodes",    "rollouts",
+                                                                 "teams" };
 
 /** Splits a command into words and reads them in order. */
 class TokenReader
@@ -252,8 +252,9 @@
 std::string
 CommandHelp()
 {
-  return "  show in-force | services | routes | targets | nodes | control | versions | proposals | rollouts\n"
-  return "  show in-force | services | routes | targets | nodes | control | versions | proposals | teams\n"
+  return "  show in-force | services | routes | targets | nodes | control | versions | proposals | rollouts "
+         "|\n"
+         "       teams\n"
          "       [where FIELD = VALUE [and FIELD = VALUE ...]]\n"
          "  propose FILE based on VERSION   store a configuration as a proposal\n"
          "  accept PROPOSAL                 put a proposal in force\n"
