Balancer: estimate the load of gates from outdated reports; refuse hopeless calls early

Cause: a choice trusted the wait of a gate's last report for 300 ms and knew of load only what its own entry sent, so entries with the same data chose the same gate. Gates rejected calls while others had free slots, and under overload each call was rejected by up to five gates in turn. A choice also copied and sorted the statistics of all gates.

Change: LoadEstimate keeps the calls of other entries at a gate as an average and the last report, whose difference counts less with its age; the entry's own open calls are added. The wait is computed from it with a margin for the uncertainty. GateStatistics is found once per directory; a choice considers up to 24 gates of a locality, and those further away only if they can be better. A call that two gates have rejected is refused if the others are expected to reject it too; the spread of Retry-After grows with the wait. Time is a parameter of Choose and RecordLoad.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -3,28 +3,34 @@
 #include "common/random.h"
 
 #include <algorithm>
-#include <functional>
-#include <iterator>
+#include <cmath>
 #include <utility>
 
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kLoadFreshness{ 300 };
+/** Age from which the average of a gate's reports isn't used any more. */
+static constexpr std::chrono::milliseconds kAverageLifetime{ 3000 };
 static constexpr std::chrono::milliseconds kFailurePenaltyFreshness{ 1500 };
-static constexpr int kFailuresToEject = 3;
-static constexpr std::chrono::milliseconds kFirstEjection{ 500 };
-static constexpr std::chrono::milliseconds kLongestEjection{ 8000 };
-static constexpr int kSmoothingDivisor = 8;
 static constexpr std::chrono::milliseconds kMinStallTimeout{ 250 };
 static constexpr int kStallTimeoutFactor = 5;
-/** Number of open attempts from which their median age is used. */
-static constexpr size_t kMinAttemptsForAge = 3;
 /** Random addition to the cost, so that gates of equal cost are all used. */
 static constexpr int64_t kJitterMicros = 500;
 /** A response time within the objective costs this part of it. */
 static constexpr int kOnTimeCostDivisor = 10;
 /** Open attempts older than this many times the mean time indicate a fault. */
 static constexpr int kOverdueFactor = 3;
+/** Part of the response time that an open attempt for each slot adds to it. */
+static constexpr int kLoadCostDivisor = 8;
+/** Gates of a locality that one choice considers; more of them hardly improve
+ * it. */
+static constexpr size_t kSampleSize = 24;
+/**
+ * Variance of the number of calls at a gate, for each call that is expected there. Calls of many entries that
+ * choose independently have 1; with 8 a tenth fewer calls were late in loadspreadtest, with 16 more calls
+ * left their failure domain.
+ */
+static constexpr double kLoadVariance = 8;
 
 void
 TriedGates::RecordRejection(const GateRejection& aRejection)
@@ -43,12 +49,6 @@
 {
 }
 
-Balancer::Shard&
-Balancer::ShardOf(const std::string& aNode)
-{
-  return m_shards[std::hash<std::string>{}(aNode) % m_shards.size()];
-}
-
 static std::chrono::microseconds
 Fraction(std::chrono::microseconds aTime, double aShare)
 {
@@ -75,54 +75,73 @@
   return costs.otherRegion;
 }
 
-/** Returns the cost of a response time: a small part of it, plus the whole time beyond aOnTimeLimit. */
+/** Returns the cost of a response time: a small part of it, plus the whole time
+ * beyond aOnTimeLimit. */
 static std::chrono::microseconds
 LatenessCost(std::chrono::microseconds aTime, std::chrono::microseconds aOnTimeLimit)
 {
   return std::max(std::chrono::microseconds(0), aTime - aOnTimeLimit) + aTime / kOnTimeCostDivisor;
 }
 
-/** Returns the median age of the open attempts, or zero if there are too few. */
-static std::chrono::microseconds
-MedianAge(const std::multiset<Deadline>& aSentTimes, Deadline aNow)
+Balancer::GatesByLocality
+Balancer::Group(const std::vector<GateInfo>& aGates)
 {
-  if (aSentTimes.size() < kMinAttemptsForAge) {
-    return std::chrono::microseconds(0);
+  GatesByLocality groups;
+  for (const GateInfo& gate : aGates) {
+    groups[static_cast<size_t>(gate.locality)].push_back(
+      { .gate = &gate, .statistics = m_statistics.Of(gate.node) });
+  }
+  for (std::vector<KnownGate>& group : groups) {
+    std::shuffle(group.begin(), group.end(), RandomEngine());
   }
-  const Deadline median = *std::next(aSentTimes.begin(), static_cast<std::ptrdiff_t>(aSentTimes.size() / 2));
-  return std::chrono::duration_cast<std::chrono::microseconds>(aNow - median);
+  return groups;
 }
 
-Balancer::GateView
-Balancer::ViewOf(const std::string& aNode, const std::string& aCostGroup, Deadline aNow)
+void
+Balancer::SetDirectory(GateDirectoryPointer aDirectory)
 {
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  const GateStats& stats = shard.stats[aNode];
-  const auto ofCostGroup = stats.meanTimeOfCostGroup.find(aCostGroup);
-  return { .openAttempts = stats.openAttempts.size(),
-           .medianOpenAge = MedianAge(stats.openAttempts, aNow),
-           .meanTime = stats.meanTime,
-           .meanTimeOfCostGroup = ofCostGroup == stats.meanTimeOfCostGroup.end()
-                                    ? std::chrono::microseconds(0)
-                                    : ofCostGroup->second,
-           .load = stats.load,
-           .loadReceivedAt = stats.loadReceivedAt,
-           .ejectedUntil = stats.ejectedUntil };
+  auto known = std::make_shared<KnownDirectory>();
+  for (const auto& [service, gates] : aDirectory->gates) {
+    known->gates.emplace(&gates, Group(gates));
+  }
+  for (const auto& [service, candidates] : aDirectory->candidates) {
+    known->gates.emplace(&candidates.gates, Group(candidates.gates));
+    known->gates.emplace(&candidates.canaries, Group(candidates.canaries));
+  }
+  known->directory = std::move(aDirectory);
+  const std::lock_guard lock(m_mutex);
+  m_directory = std::move(known);
+}
+
+/**
+ * Returns the expected number of calls without a slot when the number of calls is uncertain. It grows
+ * smoothly, so that a gate costs more already before it is full.
+ */
+static double
+ExpectedExcess(double aCalls, int aSlots)
+{
+  const double excess = aCalls + 1 - aSlots;
+  return (excess + std::sqrt(excess * excess + kLoadVariance * aCalls)) / 2;
 }
 
 Balancer::Candidate
-Balancer::MakeCandidate(const ObservedGate& aObserved, const TriedGates& aTriedGates, Deadline aNow)
+Balancer::MakeCandidate(const KnownGate& aGate,
+                        const TriedGates& aTriedGates,
+                        const CallRequirements& aRequirements,
+                        Deadline aNow)
 {
-  const GateInfo& gate = *aObserved.gate;
-  const GateView& view = aObserved.view;
+  Candidate candidate{ .gate = aGate.gate, .view = aGate.statistics->View(aRequirements.costGroup, aNow) };
+  const GateView& view = candidate.view;
   const bool isLoadFresh = aNow < view.loadReceivedAt + kLoadFreshness;
-  const int slots = std::max(1, isLoadFresh ? view.load.slots : gate.slots);
+  candidate.slots = std::max(1, isLoadFresh ? view.load.slots : aGate.gate->slots);
   const auto openAttempts = static_cast<int>(view.openAttempts);
-  Candidate candidate{ .gate = &gate };
-  candidate.queueWait =
-    std::max(view.meanTime, view.medianOpenAge) * std::max(0, openAttempts + 1 - slots) / slots;
-  candidate.isLoadKnown = isLoadFresh;
+  const auto callTime = std::max(view.meanTime, view.medianOpenAge);
+  candidate.queueWait = callTime * std::max(0, openAttempts + 1 - candidate.slots) / candidate.slots;
+  candidate.isLoadKnown = aNow < view.loadReceivedAt + kAverageLifetime;
+  if (candidate.isLoadKnown) {
+    const double excess = ExpectedExcess(view.otherCalls + openAttempts, candidate.slots);
+    candidate.queueWait = std::max(candidate.queueWait, Fraction(callTime, excess / candidate.slots));
+  }
   if (isLoadFresh) {
     candidate.queueWait = std::max(candidate.queueWait, view.load.queueWait);
   }
@@ -130,22 +149,24 @@
   if (candidate.isFailurePenaltyKnown) {
     candidate.failurePenalty = view.load.failurePenalty;
   }
-  if (const auto rejection = aTriedGates.rejectionWaits.find(gate.node);
+  if (const auto rejection = aTriedGates.rejectionWaits.find(aGate.gate->node);
       rejection != aTriedGates.rejectionWaits.end()) {
     candidate.queueWait = std::max(candidate.queueWait, rejection->second);
     candidate.isLoadKnown = true;
   }
+  candidate.isEjected = aNow < view.ejectedUntil;
   if (view.meanTimeOfCostGroup.count() > 0) {
     // Attempts that are open for too long show a fault before they end.
     const bool isOverdue = view.medianOpenAge > kOverdueFactor * view.meanTime;
     candidate.responseTime =
       std::max(view.meanTimeOfCostGroup, isOverdue ? view.medianOpenAge : std::chrono::microseconds(0));
-    candidate.responseTime += candidate.responseTime * openAttempts / (slots * kSmoothingDivisor);
+    candidate.responseTime += candidate.responseTime * openAttempts / (candidate.slots * kLoadCostDivisor);
   }
   return candidate;
 }
 
-/** Mean with half a sample of zero added, since the value of one gate may not hold for all. */
+/** Mean with half a sample of zero added, since the value of one gate may not
+ * hold for all. */
 struct DampedMean
 {
   std::chrono::microseconds sum{ 0 };
@@ -161,8 +182,9 @@
 };
 
 /**
- * Assumes the mean of the other gates for each value that a gate hasn't reported recently. Load differs
- * between failure domains, so the waits of gates nearby say nothing of those further away.
+ * Assumes the mean of the other gates for each value that a gate hasn't
+ * reported recently. Load differs between failure domains, so the waits of
+ * gates nearby say nothing of those further away.
  */
 void
 Balancer::FillInUnknowns(std::vector<Candidate>& aCandidates)
@@ -200,6 +222,8 @@
   FillInUnknowns(aCandidates);
   const auto onTimeLimit = Fraction(aRequirements.timeToObjective, m_options.distance.onTimeShare);
   for (Candidate& candidate : aCandidates) {
+    // A gate with a longer wait would probably reject the call.
+    candidate.waitsTooLong = candidate.queueWait > aRequirements.longestWait;
     candidate.distanceCost = DistanceCost(candidate.gate->locality, aRequirements);
     candidate.totalCost = candidate.distanceCost + candidate.failurePenalty +
                           LatenessCost(candidate.responseTime + candidate.queueWait, onTimeLimit) +
@@ -218,66 +242,91 @@
   return rejection == aTriedGates.rejectionWaits.end() || rejection->second <= aLongestWait;
 }
 
-std::vector<Balancer::ObservedGate>
-Balancer::UsableGates(const std::vector<GateInfo>& aGates,
-                      const TriedGates& aTriedGates,
-                      const CallRequirements& aRequirements,
-                      Deadline aNow)
+void
+Balancer::AddSample(std::vector<Candidate>& aCandidates,
+                    const std::vector<KnownGate>& aGates,
+                    const TriedGates& aTriedGates,
+                    const CallRequirements& aRequirements,
+                    Deadline aNow)
 {
-  std::vector<ObservedGate> gates;
-  gates.reserve(aGates.size());
-  for (const GateInfo& gate : aGates) {
-    if (MayAccept(gate.node, aTriedGates, aRequirements.longestWait)) {
-      gates.push_back({ .gate = &gate, .view = ViewOf(gate.node, aRequirements.costGroup, aNow) });
-    }
+  if (aGates.empty()) {
+    return;
   }
-  const auto isEjected = [aNow](const ObservedGate& aGate) { return aNow < aGate.view.ejectedUntil; };
-  const auto healthyGates =
-    gates.size() - static_cast<size_t>(std::count_if(gates.begin(), gates.end(), isEjected));
-  // If most gates fail, the fault is probably a common one, so all of them stay in use.
-  if (healthyGates * 2 >= gates.size() && healthyGates > 0) {
-    std::erase_if(gates, isEjected);
+  const auto lastIndex = static_cast<int64_t>(aGates.size()) - 1;
+  const auto first = static_cast<size_t>(RandomBetween(0, lastIndex));
+  size_t added = 0;
+  for (size_t index = 0; index < aGates.size() && added < kSampleSize; ++index) {
+    const KnownGate& gate = aGates[(first + index) % aGates.size()];
+    if (MayAccept(gate.gate->node, aTriedGates, aRequirements.longestWait)) {
+      aCandidates.push_back(MakeCandidate(gate, aTriedGates, aRequirements, aNow));
+      ++added;
+    }
   }
-  return gates;
 }
 
-GateChoice
-Balancer::ChooseCheapest(const std::vector<ObservedGate>& aGates,
-                         const TriedGates& aTriedGates,
-                         const CallRequirements& aRequirements) const
+/** Orders candidates by cost; those that would probably reject the call are
+ * last. */
+static constexpr auto kIsBetter = [](const auto& aLeft, const auto& aRight) {
+  return std::make_pair(aLeft.waitsTooLong, aLeft.totalCost) <
+         std::make_pair(aRight.waitsTooLong, aRight.totalCost);
+};
+
+std::vector<Balancer::Candidate>
+Balancer::Candidates(const GatesByLocality& aGates,
+                     const TriedGates& aTriedGates,
+                     const CallRequirements& aRequirements,
+                     Deadline aNow) const
 {
   std::vector<Candidate> candidates;
-  candidates.reserve(aGates.size());
-  const Deadline now = SteadyClock::now();
-  for (const ObservedGate& gate : aGates) {
-    candidates.push_back(MakeCandidate(gate, aTriedGates, now));
+  candidates.reserve(kSampleSize);
+  const auto isEjected = [](const Candidate& aCandidate) { return aCandidate.isEjected; };
+  const auto isKnown = [](const Candidate& aCandidate) { return aCandidate.responseTime.count() > 0; };
+  for (const Locality locality : { Locality::FailureDomain, Locality::Region, Locality::OtherRegion }) {
+    AddSample(candidates, aGates[static_cast<size_t>(locality)], aTriedGates, aRequirements, aNow);
+    if (candidates.size() < 2 || std::any_of(candidates.begin(), candidates.end(), isEjected) ||
+        std::none_of(candidates.begin(), candidates.end(), isKnown)) {
+      continue;
+    }
+    ComputeCosts(candidates, aRequirements);
+    std::nth_element(candidates.begin(), candidates.begin() + 1, candidates.end(), kIsBetter);
+    // Gates that are further away cost at least their distance, so they can't
+    // be better.
+    const auto nextLocality = locality == Locality::FailureDomain ? Locality::Region : Locality::OtherRegion;
+    if (!candidates[1].waitsTooLong && candidates[1].totalCost < DistanceCost(nextLocality, aRequirements)) {
+      return candidates;
+    }
+  }
+  const auto ejected = static_cast<size_t>(std::count_if(candidates.begin(), candidates.end(), isEjected));
+  // If most gates fail, the fault is probably a common one, so all of them stay
+  // in use.
+  if (ejected * 2 <= candidates.size() && ejected < candidates.size()) {
+    std::erase_if(candidates, isEjected);
   }
   ComputeCosts(candidates, aRequirements);
-  // A gate with a longer wait would probably reject the call.
-  const auto waitsTooLong = [&](const Candidate& aCandidate) {
-    return aCandidate.queueWait > aRequirements.longestWait;
-  };
-  const size_t compared = std::min<size_t>(2, candidates.size());
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(compared),
-                    candidates.end(),
-                    [&](const Candidate& aLeft, const Candidate& aRight) {
-                      return std::make_pair(waitsTooLong(aLeft), aLeft.totalCost) <
-                             std::make_pair(waitsTooLong(aRight), aRight.totalCost);
-                    });
-  const Candidate& best = candidates.front();
+  return candidates;
+}
+
+GateChoice
+Balancer::ChooseByCost(std::vector<Candidate>& aCandidates,
+                       const TriedGates& aTriedGates,
+                       const CallRequirements& aRequirements) const
+{
+  std::iter_swap(aCandidates.begin(), std::min_element(aCandidates.begin(), aCandidates.end(), kIsBetter));
+  const Candidate& best = aCandidates.front();
   GateChoice choice{ .gate = *best.gate,
                      .longestWait = std::chrono::microseconds::max(),
-                     .maxFailurePenalty = std::chrono::microseconds::max() };
-  if (candidates.size() > 1 && waitsTooLong(best) == waitsTooLong(candidates[1])) {
+                     .maxFailurePenalty = std::chrono::microseconds::max(),
+                     .expectsRejection = best.waitsTooLong };
+  const auto next = std::min_element(aCandidates.begin() + 1, aCandidates.end(), kIsBetter);
+  if (next != aCandidates.end() && best.waitsTooLong == next->waitsTooLong) {
     // The queue wait from which the next best gate costs less.
     const auto onTimeLimit = Fraction(aRequirements.timeToObjective, m_options.distance.onTimeShare);
     const auto slack = std::max(std::chrono::microseconds(0), onTimeLimit - best.responseTime);
     choice.longestWait = std::max(std::chrono::microseconds(0),
-                                  slack + candidates[1].totalCost - best.distanceCost - best.failurePenalty -
+                                  slack + next->totalCost - best.distanceCost - best.failurePenalty -
                                     LatenessCost(best.responseTime + slack, onTimeLimit));
     if (!aTriedGates.wasRejectedForFailures) {
-      choice.maxFailurePenalty = best.failurePenalty + candidates[1].totalCost - best.totalCost;
+      choice.maxFailurePenalty = best.failurePenalty + next->totalCost - best.totalCost;
     }
   }
   return choice;
@@ -286,29 +335,39 @@
 std::optional<GateChoice>
 Balancer::Choose(const std::vector<GateInfo>& aGates,
                  const TriedGates& aTriedGates,
-                 const CallRequirements& aRequirements)
+                 const CallRequirements& aRequirements,
+                 Deadline aNow)
 {
-  const std::vector<ObservedGate> usable =
-    UsableGates(aGates, aTriedGates, aRequirements, SteadyClock::now());
-  if (usable.empty()) {
+  std::shared_ptr<const KnownDirectory> directory;
+  {
+    const std::lock_guard lock(m_mutex);
+    directory = m_directory;
+  }
+  const auto known = directory->gates.find(&aGates);
+  std::vector<Candidate> candidates = known == directory->gates.end()
+                                        ? Candidates(Group(aGates), aTriedGates, aRequirements, aNow)
+                                        : Candidates(known->second, aTriedGates, aRequirements, aNow);
+  if (candidates.empty()) {
     return std::nullopt;
   }
-  const auto hasFewerOpenAttempts = [](const ObservedGate& aLeft, const ObservedGate& aRight) {
+  const auto hasFewerOpenAttempts = [](const Candidate& aLeft, const Candidate& aRight) {
     return aLeft.view.openAttempts < aRight.view.openAttempts;
   };
   switch (m_options.policy) {
     case BalancePolicy::Random: {
-      const auto lastIndex = static_cast<int64_t>(usable.size()) - 1;
-      return GateChoice{ .gate = *usable[static_cast<size_t>(RandomBetween(0, lastIndex))].gate,
+      const auto lastIndex = static_cast<int64_t>(candidates.size()) - 1;
+      return GateChoice{ .gate = *candidates[static_cast<size_t>(RandomBetween(0, lastIndex))].gate,
                          .longestWait = std::chrono::microseconds::max(),
                          .maxFailurePenalty = std::chrono::microseconds::max() };
     }
     case BalancePolicy::LeastInFlight:
-      return GateChoice{ .gate = *std::min_element(usable.begin(), usable.end(), hasFewerOpenAttempts)->gate,
-                         .longestWait = std::chrono::microseconds::max(),
-                         .maxFailurePenalty = std::chrono::microseconds::max() };
+      return GateChoice{
+        .gate = *std::min_element(candidates.begin(), candidates.end(), hasFewerOpenAttempts)->gate,
+        .longestWait = std::chrono::microseconds::max(),
+        .maxFailurePenalty = std::chrono::microseconds::max()
+      };
     case BalancePolicy::ExpectedTime:
-      return ChooseCheapest(usable, aTriedGates, aRequirements);
+      return ChooseByCost(candidates, aTriedGates, aRequirements);
   }
   return std::nullopt;
 }
@@ -316,85 +375,44 @@
 void
 Balancer::RecordSent(const std::string& aNode, CallClass aCallClass, Deadline aNow)
 {
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  GateStats& stats = shard.stats[aNode];
-  if (aCallClass == CallClass::Short) {
-    stats.openAttempts.insert(aNow);
-  }
-}
-
-static void
-UpdateSmoothedMean(std::chrono::microseconds& aMean, std::chrono::microseconds aTime)
-{
-  aMean = aMean.count() == 0 ? aTime : aMean + (aTime - aMean) / kSmoothingDivisor;
+  m_statistics.Of(aNode)->RecordSent(aCallClass, aNow);
 }
 
 void
 Balancer::RecordResult(const AttemptResult& aResult, Deadline aNow)
 {
-  Shard& shard = ShardOf(aResult.node);
-  const std::lock_guard lock(shard.mutex);
-  GateStats& stats = shard.stats[aResult.node];
-  const bool isShort = aResult.callClass == CallClass::Short;
-  if (const auto sent = stats.openAttempts.find(aResult.sentAt);
-      isShort && sent != stats.openAttempts.end()) {
-    stats.openAttempts.erase(sent);
-  }
-  const auto time = std::chrono::duration_cast<std::chrono::microseconds>(aNow - aResult.sentAt);
-  // An abandoned attempt would have taken at least as long as it was open.
-  const bool wasAbandonedLate = aResult.outcome == AttemptOutcome::Abandoned && time > stats.meanTime;
-  if (isShort && (aResult.outcome == AttemptOutcome::Answered || wasAbandonedLate)) {
-    UpdateSmoothedMean(stats.meanTime, time);
-    UpdateSmoothedMean(stats.meanTimeOfCostGroup[aResult.costGroup], time);
-  }
-  if (aResult.outcome == AttemptOutcome::Answered) {
-    stats.consecutiveFailures = 0;
-    return;
-  }
-  if (aResult.outcome == AttemptOutcome::Failed && ++stats.consecutiveFailures >= kFailuresToEject) {
-    const int doublings = std::min(stats.consecutiveFailures - kFailuresToEject, 4);
-    stats.ejectedUntil = aNow + std::min(kFirstEjection * (1 << doublings), kLongestEjection);
-  }
+  m_statistics.Of(aResult.node)->RecordResult(aResult, aNow);
 }
 
 void
-Balancer::RecordLoad(const std::string& aNode, const GateLoad& aLoad)
+Balancer::RecordLoad(const std::string& aNode, const GateLoad& aLoad, Deadline aNow)
 {
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  GateStats& stats = shard.stats[aNode];
-  stats.load = aLoad;
-  stats.loadReceivedAt = SteadyClock::now();
+  m_statistics.Of(aNode)->RecordLoad(aLoad, aNow);
 }
 
 std::chrono::microseconds
 Balancer::StallTimeout(const std::string& aNode)
 {
-  return std::max<std::chrono::microseconds>(
-    kMinStallTimeout, kStallTimeoutFactor * ViewOf(aNode, {}, SteadyClock::now()).meanTime);
+  const GateView view = m_statistics.Of(aNode)->View({}, SteadyClock::now());
+  return std::max<std::chrono::microseconds>(kMinStallTimeout, kStallTimeoutFactor * view.meanTime);
 }
 
 bool
 Balancer::HasAnsweredSince(const std::string& aNode, Deadline aTime)
 {
-  return ViewOf(aNode, {}, aTime).loadReceivedAt > aTime;
+  return m_statistics.Of(aNode)->View({}, aTime).loadReceivedAt > aTime;
 }
 
 void
 Balancer::RetireConnections(const std::string& aNode)
 {
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  ++shard.stats[aNode].connectionGeneration;
+  m_statistics.Of(aNode)->RetireConnections();
 }
 
 uint32_t
 Balancer::ConnectionGeneration(const std::string& aNode)
 {
-  Shard& shard = ShardOf(aNode);
-  const std::lock_guard lock(shard.mutex);
-  return shard.stats[aNode].connectionGeneration;
+  return m_statistics.Of(aNode)->ConnectionGeneration();
 }
 
 } // namespace mimosarun
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -1,44 +1,21 @@
 #pragma once
 
-#include "common/clock.h"
-#include "configuration/configuration.h"
+#include "caller/gatestatistics.h"
 #include "node/directory.h"
 
 #include <array>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace mimosarun {
 
-/** Load that a gate reported with a response. */
-struct GateLoad
-{
-  int slotsInUse = 0;
-  int slots = 1;
-  int queueLength = 0;
-  /** Time that another call would wait for a slot. */
-  std::chrono::microseconds queueWait{ 0 };
-  /** Added to the cost of the gate because its target fails calls. */
-  std::chrono::microseconds failurePenalty{ 0 };
-};
-
-/** How an attempt ended, as far as that shows the state of the gate. */
-enum class AttemptOutcome
-{
-  Answered,
-  /** Rejected for lack of slots; the gate is healthy but full. */
-  Rejected,
-  /** The gate was unreachable, or the connection broke. */
-  Failed,
-  /** Cancelled by the entry. */
-  Abandoned,
-};
-
 /** How a gate is chosen. Random and LeastInFlight are baselines for measurements. */
 enum class BalancePolicy
 {
@@ -82,16 +59,6 @@
   std::chrono::microseconds longestWait = std::chrono::microseconds::max();
 };
 
-/** Result of a completed attempt. */
-struct AttemptResult
-{
-  std::string node;
-  std::string costGroup;
-  CallClass callClass = CallClass::Short;
-  AttemptOutcome outcome = AttemptOutcome::Answered;
-  Deadline sentAt;
-};
-
 /** A chosen gate, with the limits beyond which the next best gate is the better choice. */
 struct GateChoice
 {
@@ -102,6 +69,8 @@
   std::chrono::microseconds maxFailurePenalty{ 0 };
   /** Whether the gate has rejected the call before. */
   bool isLastResort = false;
+  /** Whether the call can't wait as long as expected at this gate, nor at any other. */
+  bool expectsRejection = false;
 };
 
 /** A gate's rejection of a call, with what the gate reported. */
@@ -131,9 +100,10 @@
 };
 
 /**
- * Chooses gates by their response times, load, failures and distance. A gate that fails several times in a
- * row is ejected for a while, unless that would eject more than half of the candidates. Thread-safe; the
- * state is sharded by gate.
+ * Chooses gates by their response times, load, failures and distance. Reports of load are outdated, so the
+ * load is estimated from their average, their age and the entry's own calls. A gate that fails several times
+ * in a row is ejected for a while, unless that would eject more than half of the candidates. Of the gates of
+ * a locality, a choice considers a random sample of limited size. Thread-safe; the state is sharded by gate.
  */
 class Balancer
 {
@@ -146,6 +116,9 @@
 
   explicit Balancer(Options aOptions);
 
+  /** Looks up the statistics of a directory's gates once, so that choices among them needn't. */
+  void SetDirectory(GateDirectoryPointer aDirectory);
+
   /**
    * Returns the best gate that isn't excluded, or nothing if there is none. A gate that rejected the call is
    * assumed to have at least the queue wait that it reported then, and isn't chosen if the call can't wait
@@ -153,7 +126,8 @@
    */
   std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates,
                                    const TriedGates& aTriedGates,
-                                   const CallRequirements& aRequirements);
+                                   const CallRequirements& aRequirements,
+                                   Deadline aNow);
 
   /** Records that an attempt was sent to a gate. */
   void RecordSent(const std::string& aNode, CallClass aCallClass, Deadline aNow);
@@ -162,7 +136,7 @@
   void RecordResult(const AttemptResult& aResult, Deadline aNow);
 
   /** Records the load that a gate reported. */
-  void RecordLoad(const std::string& aNode, const GateLoad& aLoad);
+  void RecordLoad(const std::string& aNode, const GateLoad& aLoad, Deadline aNow);
 
   /** Returns the time within which a healthy gate nearly always begins its response. */
   std::chrono::microseconds StallTimeout(const std::string& aNode);
@@ -177,82 +151,70 @@
   uint32_t ConnectionGeneration(const std::string& aNode);
 
 private:
-  /** Statistics of one gate. */
-  struct GateStats
+  /** A gate with its statistics. */
+  struct KnownGate
   {
-    /** Send times of the open attempts of short calls. */
-    std::multiset<Deadline> openAttempts;
-    /** Smoothed mean times of all short calls, and of those of each cost group. */
-    std::chrono::microseconds meanTime{ 0 };
-    std::map<std::string, std::chrono::microseconds> meanTimeOfCostGroup;
-    GateLoad load;
-    /** When the gate last reported its load. */
-    Deadline loadReceivedAt{};
-    int consecutiveFailures = 0;
-    Deadline ejectedUntil{};
-    uint32_t connectionGeneration = 0;
+    const GateInfo* gate = nullptr;
+    GateStatisticsPointer statistics;
   };
 
-  struct Shard
-  {
-    std::mutex mutex;
-    std::map<std::string, GateStats> stats;
-  };
+  /** The gates of a service by locality, in random order, so that a part of the sequence is a sample. */
+  using GatesByLocality = std::array<std::vector<KnownGate>, 3>;
 
-  /** Copy of the statistics that a choice needs of one gate. */
-  struct GateView
+  /** The gates of a directory. It keeps the directory, so that no other list of gates has the same address.
+   */
+  struct KnownDirectory
   {
-    size_t openAttempts = 0;
-    /** Median age of the open attempts; zero if there are too few. */
-    std::chrono::microseconds medianOpenAge{ 0 };
-    std::chrono::microseconds meanTime{ 0 };
-    /** Mean time of the call's cost group; zero if no call of it has ended at the gate yet. */
-    std::chrono::microseconds meanTimeOfCostGroup{ 0 };
-    GateLoad load;
-    Deadline loadReceivedAt{};
-    Deadline ejectedUntil{};
+    GateDirectoryPointer directory;
+    std::unordered_map<const std::vector<GateInfo>*, GatesByLocality> gates;
   };
 
-  Shard& ShardOf(const std::string& aNode);
-  GateView ViewOf(const std::string& aNode, const std::string& aCostGroup, Deadline aNow);
-
   /** A gate with the parts of its cost. */
   struct Candidate
   {
     const GateInfo* gate = nullptr;
+    GateView view;
+    int slots = 1;
     std::chrono::microseconds queueWait{ 0 };
     std::chrono::microseconds failurePenalty{ 0 };
     /** Whether the gate reported its load and its failure penalty recently. */
     bool isLoadKnown = false;
     bool isFailurePenaltyKnown = false;
+    bool isEjected = false;
+    /** Whether the call would probably be rejected, as it can't wait that long. */
+    bool waitsTooLong = false;
     /** Expected response time without the wait for a slot; zero if unknown. */
     std::chrono::microseconds responseTime{ 0 };
     std::chrono::microseconds distanceCost{ 0 };
     std::chrono::microseconds totalCost{ 0 };
   };
 
+  GatesByLocality Group(const std::vector<GateInfo>& aGates);
   std::chrono::microseconds DistanceCost(Locality aLocality, const CallRequirements& aRequirements) const;
-
-  /** A gate with its statistics. */
-  struct ObservedGate
-  {
-    const GateInfo* gate = nullptr;
-    GateView view;
-  };
-
-  static Candidate MakeCandidate(const ObservedGate& aObserved, const TriedGates& aTriedGates, Deadline aNow);
+  static Candidate MakeCandidate(const KnownGate& aGate,
+                                 const TriedGates& aTriedGates,
+                                 const CallRequirements& aRequirements,
+                                 Deadline aNow);
   static void FillInUnknowns(std::vector<Candidate>& aCandidates);
   void ComputeCosts(std::vector<Candidate>& aCandidates, const CallRequirements& aRequirements) const;
-  std::vector<ObservedGate> UsableGates(const std::vector<GateInfo>& aGates,
-                                        const TriedGates& aTriedGates,
-                                        const CallRequirements& aRequirements,
-                                        Deadline aNow);
-  GateChoice ChooseCheapest(const std::vector<ObservedGate>& aGates,
-                            const TriedGates& aTriedGates,
-                            const CallRequirements& aRequirements) const;
+  static void AddSample(std::vector<Candidate>& aCandidates,
+                        const std::vector<KnownGate>& aGates,
+                        const TriedGates& aTriedGates,
+                        const CallRequirements& aRequirements,
+                        Deadline aNow);
+  /** Returns candidates that include the best ones, with their costs. */
+  std::vector<Candidate> Candidates(const GatesByLocality& aGates,
+                                    const TriedGates& aTriedGates,
+                                    const CallRequirements& aRequirements,
+                                    Deadline aNow) const;
+  GateChoice ChooseByCost(std::vector<Candidate>& aCandidates,
+                          const TriedGates& aTriedGates,
+                          const CallRequirements& aRequirements) const;
 
   const Options m_options;
-  std::array<Shard, 16> m_shards;
+  GateStatisticsTable m_statistics;
+  std::mutex m_mutex;
+  std::shared_ptr<const KnownDirectory> m_directory = std::make_shared<const KnownDirectory>();
 };
 
 } // namespace mimosarun
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -103,6 +103,7 @@
 void
 Entry::SetDirectory(GateDirectoryPointer aDirectory)
 {
+  m_balancer.SetDirectory(aDirectory);
   const std::lock_guard lock(m_mutex);
   m_directory = std::move(aDirectory);
 }
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -29,7 +29,8 @@
                                           .slots = m_hopResponse->slots,
                                           .queueLength = m_hopResponse->queueLength,
                                           .queueWait = m_hopResponse->queueWait,
-                                          .failurePenalty = m_hopResponse->failurePenalty });
+                                          .failurePenalty = m_hopResponse->failurePenalty },
+                                        SteadyClock::now());
   BeginStreamingIfLarge();
   return HeadAction::Accept;
 }
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -1,8 +1,8 @@
 #include "caller/entrycall.h"
 
+#include "caller/callwait.h"
 #include "caller/entry.h"
 #include "common/log.h"
-#include "common/random.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,21 +15,13 @@
 static constexpr std::chrono::milliseconds kRefusalGrace{ 30 };
 /** A short call without a response after this many median times may be on a stalled connection. */
 static constexpr int kStalledConnectionFactor = 10;
-/** Attempts that one call may send to gates. */
-static constexpr int kMaxGateAttempts = 5;
 /** Value in the request header that means any failure penalty. */
 static constexpr std::chrono::hours kUnlimitedPenalty{ 1 };
-/** Share of the time left until the objective that a call may wait for a slot. */
-static constexpr double kQueueWaitShare = 0.75;
-/** A call that misses its objective anyway may wait for the time to its deadline divided by this. */
-static constexpr int kLateQueueWaitDivisor = 8;
 static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 /** Longest time without TCP acknowledgement; a gate whose VM is down or cut off acknowledges nothing. */
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 600 };
 /** Gives a gate time to detect the broken connection before the call is resent to it. */
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
-static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
-static constexpr std::chrono::milliseconds kRetryAfterSpread{ 200 };
 
 static const char*
 OutcomeName(ForwardResult aResult)
@@ -144,16 +136,10 @@
 std::chrono::microseconds
 EntryCall::LongestAllowedWait(Deadline aNow) const
 {
-  using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  const microseconds medianTime = m_entry.MedianCallTime(*m_options.route);
-  const auto toObjective = duration_cast<microseconds>(m_options.objectiveDeadline - aNow) - medianTime;
-  if (toObjective.count() > 0) {
-    const auto share = static_cast<int64_t>(kQueueWaitShare * static_cast<double>(toObjective.count()));
-    return std::min(microseconds(share), duration_cast<microseconds>(m_options.deadline - aNow));
-  }
-  const auto toDeadline = duration_cast<microseconds>(m_options.deadline - aNow);
-  return std::max(microseconds(0), std::min(toDeadline - medianTime, toDeadline / kLateQueueWaitDivisor));
+  return mimosarun::LongestAllowedWait({ .objective = m_options.objectiveDeadline,
+                                         .deadline = m_options.deadline,
+                                         .medianTime = m_entry.MedianCallTime(*m_options.route) },
+                                       aNow);
 }
 
 StopReason
@@ -205,6 +191,9 @@
   if (!choice) {
     return StopSending(m_triedGates.rejectionWaits.empty() ? StopReason::NoGate : StopReason::WaitTooLong);
   }
+  if (choice->expectsRejection && m_triedGates.rejectionWaits.size() >= kRejectionsToGiveUp) {
+    return StopSending(StopReason::WaitTooLong);
+  }
   const std::chrono::microseconds longestWait = LongestAllowedWait(now);
   const bool wasRejected = m_triedGates.rejectionWaits.contains(choice->gate.node);
   if (const StopReason reason = ReserveAttempt(); reason != StopReason::None) {
@@ -251,11 +240,11 @@
     std::vector<GateInfo> rejecting = gates->second;
     std::erase_if(
       rejecting, [this](const GateInfo& aGate) { return !m_triedGates.rejectionWaits.contains(aGate.node); });
-    if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements)) {
+    if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements, aNow)) {
       return choice;
     }
   }
-  return m_entry.m_balancer.Choose(gates->second, m_triedGates, requirements);
+  return m_entry.m_balancer.Choose(gates->second, m_triedGates, requirements, aNow);
 }
 
 HttpRequest
@@ -614,16 +603,14 @@
   RecordOutcome(status, "complete", "");
 }
 
-std::optional<std::chrono::milliseconds>
+std::chrono::milliseconds
 EntryCall::RetryAfter() const
 {
-  std::chrono::microseconds wait = kMinRetryAfter;
+  std::chrono::microseconds longestWait{ 0 };
   for (const auto& [node, reportedWait] : m_triedGates.rejectionWaits) {
-    wait = std::max(wait, reportedWait);
+    longestWait = std::max(longestWait, reportedWait);
   }
-  // A random part spreads the retries of callers that were refused at the same time.
-  return std::chrono::ceil<std::chrono::milliseconds>(wait) +
-         std::chrono::milliseconds(RandomBetween(0, kRetryAfterSpread.count()));
+  return mimosarun::RetryAfter(longestWait);
 }
 
 void
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -90,7 +90,7 @@
   void GiveUp(int aStatus, const std::string& aReason);
   void Respond(HttpResponseHead aHead, std::string aBody);
   void Refuse(int aStatus, const std::string& aReason);
-  std::optional<std::chrono::milliseconds> RetryAfter() const;
+  std::chrono::milliseconds RetryAfter() const;
   void CancelAttemptsExcept(const EntryAttempt* aKept);
   void MarkDecided();
   void RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason);
--- a/src/caller/stopreason.h
+++ b/src/caller/stopreason.h
@@ -13,7 +13,7 @@
   GateAttemptLimit,
   /** No gate is left that hasn't failed or finally rejected the call. */
   NoGate,
-  /** Every gate that is left has rejected the call before, and the wait there is too long. */
+  /** The wait is too long at the gates that rejected the call, and probably at all that are left. */
   WaitTooLong,
   /** The call reached as many targets as its route allows. */
   RetryLimit,
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -42,7 +42,7 @@
   RecordCalls(balancer, "near", milliseconds(300));
   RecordCalls(balancer, "middle", milliseconds(150));
   RecordCalls(balancer, "far", milliseconds(150));
-  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements)->gate.node == "near");
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "near");
 }
 
 BOOST_AUTO_TEST_CASE(
@@ -52,9 +52,9 @@
   RecordCalls(balancer, "near", milliseconds(1500));
   RecordCalls(balancer, "middle", milliseconds(200));
   RecordCalls(balancer, "far", milliseconds(200));
-  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements)->gate.node == "middle");
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "middle");
   RecordCalls(balancer, "middle", milliseconds(1500));
-  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements)->gate.node == "far");
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "far");
 }
 
 BOOST_AUTO_TEST_CASE(a_call_waits_at_a_nearby_gate_only_while_that_is_the_better_choice)
@@ -63,7 +63,7 @@
   for (const GateInfo& gate : kGates) {
     RecordCalls(balancer, gate.node, milliseconds(200));
   }
-  const std::optional<GateChoice> choice = balancer.Choose(kGates, {}, kRequirements);
+  const std::optional<GateChoice> choice = balancer.Choose(kGates, {}, kRequirements, SteadyClock::now());
   BOOST_TEST(choice->gate.node == "near");
   // Responses are on time until 400 ms, and the gate in the same region costs 123 ms more.
   BOOST_TEST(choice->longestWait.count() > milliseconds(250) / std::chrono::microseconds(1));
@@ -82,13 +82,13 @@
   CallRequirements requirements = kRequirements;
   requirements.kilobytes = 5;
   // By cost alone, waiting nearby is better than the bytes of the call between failure domains.
-  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "near");
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements, SteadyClock::now())->gate.node == "near");
   requirements.longestWait = milliseconds(450);
-  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "middle");
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements, SteadyClock::now())->gate.node == "middle");
   triedGates.rejectionWaits["middle"] = milliseconds(500);
-  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements)->gate.node == "far");
+  BOOST_TEST(balancer.Choose(kGates, triedGates, requirements, SteadyClock::now())->gate.node == "far");
   triedGates.rejectionWaits["far"] = milliseconds(500);
-  BOOST_TEST(!balancer.Choose(kGates, triedGates, requirements));
+  BOOST_TEST(!balancer.Choose(kGates, triedGates, requirements, SteadyClock::now()));
 }
 
 // Guards against: all attempts of a call end in one full failure domain (docs/incidents/005).
@@ -107,10 +107,10 @@
   requirements.longestWait = milliseconds(300);
   triedGates.rejectionWaits["near"] = milliseconds(900);
   triedGates.rejectionWaits["near-0"] = milliseconds(900);
-  balancer.RecordLoad("near-1", { .slots = 6, .queueWait = milliseconds(900) });
-  balancer.RecordLoad("near-2", { .slots = 6, .queueWait = milliseconds(900) });
+  balancer.RecordLoad("near-1", { .slots = 6, .queueWait = milliseconds(900) }, SteadyClock::now());
+  balancer.RecordLoad("near-2", { .slots = 6, .queueWait = milliseconds(900) }, SteadyClock::now());
   // Nothing is known of the load of near-3, but the other gates nearby are full.
-  BOOST_TEST(balancer.Choose(gates, triedGates, requirements)->gate.node == "middle");
+  BOOST_TEST(balancer.Choose(gates, triedGates, requirements, SteadyClock::now())->gate.node == "middle");
 }
 
 // Guards against: a fault of all targets makes every gate reject the call (docs/incidents/005).
@@ -119,15 +119,15 @@
   Balancer balancer({ .distance = kTrafficCosts });
   for (const GateInfo& gate : kGates) {
     RecordCalls(balancer, gate.node, milliseconds(200));
-    balancer.RecordLoad(gate.node, { .slots = 6, .failurePenalty = milliseconds(600) });
+    balancer.RecordLoad(gate.node, { .slots = 6, .failurePenalty = milliseconds(600) }, SteadyClock::now());
   }
   TriedGates triedGates;
-  const GateChoice first = *balancer.Choose(kGates, triedGates, kRequirements);
+  const GateChoice first = *balancer.Choose(kGates, triedGates, kRequirements, SteadyClock::now());
   BOOST_TEST((first.maxFailurePenalty < milliseconds(1500)));
   triedGates.RecordRejection({ .node = first.gate.node,
                                .failurePenalty = milliseconds(1500),
                                .maxFailurePenalty = first.maxFailurePenalty });
-  const GateChoice second = *balancer.Choose(kGates, triedGates, kRequirements);
+  const GateChoice second = *balancer.Choose(kGates, triedGates, kRequirements, SteadyClock::now());
   BOOST_TEST((second.maxFailurePenalty == std::chrono::microseconds::max()));
 }
 
@@ -139,10 +139,10 @@
   }
   TriedGates triedGates;
   triedGates.rejectionWaits["near"] = milliseconds(700);
-  BOOST_TEST(balancer.Choose(kGates, triedGates, kRequirements)->gate.node == "middle");
+  BOOST_TEST(balancer.Choose(kGates, triedGates, kRequirements, SteadyClock::now())->gate.node == "middle");
   triedGates.rejectionWaits["middle"] = milliseconds(900);
   triedGates.rejectionWaits["far"] = milliseconds(2000);
-  BOOST_TEST(balancer.Choose(kGates, triedGates, kRequirements)->gate.node == "near");
+  BOOST_TEST(balancer.Choose(kGates, triedGates, kRequirements, SteadyClock::now())->gate.node == "near");
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_fails_calls_is_avoided_while_another_is_healthy)
@@ -151,8 +151,8 @@
   for (const GateInfo& gate : kGates) {
     RecordCalls(balancer, gate.node, milliseconds(200));
   }
-  balancer.RecordLoad("near", { .slots = 6, .failurePenalty = milliseconds(800) });
-  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements)->gate.node == "middle");
+  balancer.RecordLoad("near", { .slots = 6, .failurePenalty = milliseconds(800) }, SteadyClock::now());
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "middle");
 }
 
 BOOST_AUTO_TEST_CASE(a_gate_without_statistics_is_assumed_to_be_like_the_others)
@@ -160,7 +160,7 @@
   Balancer balancer({ .distance = kTrafficCosts });
   RecordCalls(balancer, "middle", milliseconds(200));
   RecordCalls(balancer, "far", milliseconds(200));
-  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements)->gate.node == "near");
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "near");
 }
 
 BOOST_AUTO_TEST_CASE(excluded_gates_are_not_chosen)
@@ -168,7 +168,7 @@
   Balancer balancer({ .distance = kTrafficCosts });
   TriedGates triedGates;
   triedGates.excluded = { "near", "middle", "far" };
-  BOOST_TEST(!balancer.Choose(kGates, triedGates, kRequirements).has_value());
+  BOOST_TEST(!balancer.Choose(kGates, triedGates, kRequirements, SteadyClock::now()).has_value());
 }
 
 static std::vector<GateInfo>
@@ -187,9 +187,10 @@
   const std::vector<GateInfo> gates = MakeGates(18);
   for (int number = 0; number < 6; ++number) {
     balancer.RecordLoad(gates[static_cast<size_t>(number)].node,
-                        { .slots = 6, .failurePenalty = milliseconds(800 + 10 * number) });
+                        { .slots = 6, .failurePenalty = milliseconds(800 + 10 * number) },
+                        SteadyClock::now());
   }
-  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kRequirements);
+  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kRequirements, SteadyClock::now());
   BOOST_TEST(choice->maxFailurePenalty.count() >= milliseconds(700) / std::chrono::microseconds(1));
 }
 
@@ -202,10 +203,11 @@
   }
   for (int number = 0; number < 6; ++number) {
     balancer.RecordLoad(gates[static_cast<size_t>(number)].node,
-                        { .slotsInUse = 6, .slots = 6, .queueLength = 12, .queueWait = milliseconds(600) });
+                        { .slotsInUse = 6, .slots = 6, .queueLength = 12, .queueWait = milliseconds(600) },
+                        SteadyClock::now());
   }
   // The other gates wouldn't serve the call sooner, so trying them one by one only costs time and traffic.
-  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kRequirements);
+  const std::optional<GateChoice> choice = balancer.Choose(gates, {}, kRequirements, SteadyClock::now());
   BOOST_TEST(choice->longestWait.count() >= milliseconds(550) / std::chrono::microseconds(1));
 }
 
@@ -214,9 +216,10 @@
   Balancer balancer({ .distance = kTrafficCosts });
   const std::vector<GateInfo> gates = MakeGates(18);
   balancer.RecordLoad("g4",
-                      { .slotsInUse = 6, .slots = 6, .queueLength = 12, .queueWait = milliseconds(900) });
-  balancer.RecordLoad("g9", { .slotsInUse = 1, .slots = 6 });
-  BOOST_TEST(balancer.Choose(gates, {}, kRequirements)->gate.node == "g9");
+                      { .slotsInUse = 6, .slots = 6, .queueLength = 12, .queueWait = milliseconds(900) },
+                      SteadyClock::now());
+  balancer.RecordLoad("g9", { .slotsInUse = 1, .slots = 6 }, SteadyClock::now());
+  BOOST_TEST(balancer.Choose(gates, {}, kRequirements, SteadyClock::now())->gate.node == "g9");
 }
 
 BOOST_AUTO_TEST_CASE(a_download_leaves_an_overloaded_failure_domain_but_not_one_that_is_in_time)
@@ -227,7 +230,7 @@
   RecordCalls(balancer, "near", milliseconds(600));
   RecordCalls(balancer, "middle", milliseconds(200));
   RecordCalls(balancer, "far", milliseconds(200));
-  BOOST_TEST(balancer.Choose(kGates, {}, download)->gate.node == "near");
+  BOOST_TEST(balancer.Choose(kGates, {}, download, SteadyClock::now())->gate.node == "near");
   RecordCalls(balancer, "near", milliseconds(2500), 60);
-  BOOST_TEST(balancer.Choose(kGates, {}, download)->gate.node == "middle");
+  BOOST_TEST(balancer.Choose(kGates, {}, download, SteadyClock::now())->gate.node == "middle");
 }
