Metrics of the choices among gates

Cause: nothing showed how old the load reports are that choices use, nor how evenly an entry sees the gates of a service loaded.

Change: ChoiceMetrics has the age of the report of each chosen gate, choices without a report, calls rejected by a gate that was expected to have room, and, computed when metrics are read, the mean and the highest load of each service's gates. balancertest: ejected domains, replaced directories, expected rejections, age of reports.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -113,6 +113,13 @@
   m_directory = std::move(known);
 }
 
+std::shared_ptr<const Balancer::KnownDirectory>
+Balancer::CurrentDirectory()
+{
+  const std::lock_guard lock(m_mutex);
+  return m_directory;
+}
+
 /**
  * Returns the expected number of calls without a slot when the number of calls is uncertain. It grows
  * smoothly, so that a gate costs more already before it is full.
@@ -139,6 +146,7 @@
   candidate.queueWait = callTime * std::max(0, openAttempts + 1 - candidate.slots) / candidate.slots;
   candidate.isLoadKnown = aNow < view.loadReceivedAt + kAverageLifetime;
   if (candidate.isLoadKnown) {
+    candidate.reportAge = std::chrono::duration_cast<std::chrono::microseconds>(aNow - view.loadReceivedAt);
     const double excess = ExpectedExcess(view.otherCalls + openAttempts, candidate.slots);
     candidate.queueWait = std::max(candidate.queueWait, Fraction(callTime, excess / candidate.slots));
   }
@@ -316,7 +324,8 @@
   GateChoice choice{ .gate = *best.gate,
                      .longestWait = std::chrono::microseconds::max(),
                      .maxFailurePenalty = std::chrono::microseconds::max(),
-                     .expectsRejection = best.waitsTooLong };
+                     .expectsRejection = best.waitsTooLong,
+                     .reportAge = best.reportAge };
   const auto next = std::min_element(aCandidates.begin() + 1, aCandidates.end(), kIsBetter);
   if (next != aCandidates.end() && best.waitsTooLong == next->waitsTooLong) {
     // The queue wait from which the next best gate costs less.
@@ -338,11 +347,7 @@
                  const CallRequirements& aRequirements,
                  Deadline aNow)
 {
-  std::shared_ptr<const KnownDirectory> directory;
-  {
-    const std::lock_guard lock(m_mutex);
-    directory = m_directory;
-  }
+  const std::shared_ptr<const KnownDirectory> directory = CurrentDirectory();
   const auto known = directory->gates.find(&aGates);
   std::vector<Candidate> candidates = known == directory->gates.end()
                                         ? Candidates(Group(aGates), aTriedGates, aRequirements, aNow)
@@ -403,6 +408,33 @@
   return m_statistics.Of(aNode)->View({}, aTime).loadReceivedAt > aTime;
 }
 
+std::vector<ServiceLoad>
+Balancer::ServiceLoads(Deadline aNow)
+{
+  const std::shared_ptr<const KnownDirectory> known = CurrentDirectory();
+  if (known->directory == nullptr) {
+    return {};
+  }
+  std::vector<ServiceLoad> loads;
+  for (const auto& [service, gates] : known->directory->gates) {
+    ServiceLoad load{ .service = service };
+    int reported = 0;
+    for (const std::vector<KnownGate>& group : known->gates.at(&gates)) {
+      for (const KnownGate& gate : group) {
+        const GateView view = gate.statistics->View({}, aNow);
+        if (aNow < view.loadReceivedAt + kAverageLifetime) {
+          const double calls = view.otherCalls + static_cast<double>(view.openAttempts);
+          const double gateLoad = calls / std::max(1, view.load.slots);
+          load.busiestLoad = std::max(load.busiestLoad, gateLoad);
+          load.meanLoad += (gateLoad - load.meanLoad) / ++reported;
+        }
+      }
+    }
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
 void
 Balancer::RetireConnections(const std::string& aNode)
 {
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -71,6 +71,16 @@
   bool isLastResort = false;
   /** Whether the call can't wait as long as expected at this gate, nor at any other. */
   bool expectsRejection = false;
+  /** Age of the gate's last report; nothing if it is too old to be used. */
+  std::optional<std::chrono::microseconds> reportAge;
+};
+
+/** Load of a service's gates as an entry sees it: running and waiting calls for each slot. */
+struct ServiceLoad
+{
+  std::string service;
+  double meanLoad = 0;
+  double busiestLoad = 0;
 };
 
 /** A gate's rejection of a call, with what the gate reported. */
@@ -144,6 +154,9 @@
   /** Returns whether a gate has responded to any call since a point in time. */
   bool HasAnsweredSince(const std::string& aNode, Deadline aTime);
 
+  /** Returns the load of the services in the directory; only gates with recent reports count. */
+  std::vector<ServiceLoad> ServiceLoads(Deadline aNow);
+
   /** Makes later attempts use none of the existing connections to a gate. */
   void RetireConnections(const std::string& aNode);
 
@@ -180,6 +193,8 @@
     /** Whether the gate reported its load and its failure penalty recently. */
     bool isLoadKnown = false;
     bool isFailurePenaltyKnown = false;
+    /** Age of the last report; nothing if it is too old to be used. */
+    std::optional<std::chrono::microseconds> reportAge;
     bool isEjected = false;
     /** Whether the call would probably be rejected, as it can't wait that long. */
     bool waitsTooLong = false;
@@ -189,6 +204,7 @@
     std::chrono::microseconds totalCost{ 0 };
   };
 
+  std::shared_ptr<const KnownDirectory> CurrentDirectory();
   GatesByLocality Group(const std::vector<GateInfo>& aGates);
   std::chrono::microseconds DistanceCost(Locality aLocality, const CallRequirements& aRequirements) const;
   static Candidate MakeCandidate(const KnownGate& aGate,
--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -28,6 +28,7 @@
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
   , m_balancer(m_options.balancer)
+  , m_choiceMetrics(*m_options.metrics)
   , m_retryBudget(m_options.retryBudget)
   , m_hedgeBudget({ .retriesPerRequest = m_options.hedgesPerCall, .baseRetries = 0 })
   , m_refusalLogLimit(kLoggedRefusalsPerSecond)
@@ -108,6 +109,12 @@
   m_directory = std::move(aDirectory);
 }
 
+void
+Entry::RefreshMetrics()
+{
+  m_choiceMetrics.SetLoads(m_balancer.ServiceLoads(SteadyClock::now()));
+}
+
 void
 Entry::BeginDrain(const DrainSchedule& aSchedule)
 {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -3,6 +3,7 @@
 #include "caller/balancer.h"
 #include "caller/callerprotocol.h"
 #include "caller/callhistory.h"
+#include "caller/choicemetrics.h"
 #include "caller/retrybudget.h"
 #include "caller/sharesplitter.h"
 #include "common/drainschedule.h"
@@ -73,6 +74,9 @@
   /** Returns the number of calls without a complete response. */
   int OpenCalls() const;
 
+  /** Updates the metrics that are computed when they are read. */
+  void RefreshMetrics();
+
   const CallHistory& History() const { return m_history; }
 
   /** Stops listening. */
@@ -127,6 +131,7 @@
 
   Options m_options;
   Balancer m_balancer;
+  ChoiceMetrics m_choiceMetrics;
   RetryBudget m_retryBudget;
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -10,6 +10,7 @@
   : m_call(std::move(aCall))
   , m_gate(aChoice.gate)
   , m_maxFailurePenalty(aChoice.maxFailurePenalty)
+  , m_expectsRejection(aChoice.expectsRejection)
   , m_sentAt(SteadyClock::now())
 {
 }
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -33,6 +33,8 @@
   const GateInfo m_gate;
   /** Highest failure penalty of the gate's target that the call accepts. */
   const std::chrono::microseconds m_maxFailurePenalty;
+  /** Whether the gate was expected to reject the call. */
+  const bool m_expectsRejection;
   const Deadline m_sentAt;
   ForwardHandle m_forwardHandle;
   /** The gate's report on the call, once the response has begun. */
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -201,6 +201,7 @@
   }
   choice->isLastResort = wasRejected;
   choice->longestWait = wasRejected ? longestWait : std::min(choice->longestWait, longestWait);
+  m_entry.m_choiceMetrics.RecordChoice(*choice);
   Send(*choice);
   return true;
 }
@@ -490,6 +491,9 @@
 EntryCall::OnRejected(EntryAttempt& aAttempt)
 {
   FinishAttempt(aAttempt, AttemptOutcome::Rejected, "not-run");
+  if (aAttempt.m_hopResponse->queueWait.count() > 0 && !aAttempt.m_expectsRejection) {
+    m_entry.m_choiceMetrics.RecordFullerGate();
+  }
   if (aAttempt.m_usedRetryBudget) {
     m_entry.m_retryBudget.Refund(m_service, SteadyClock::now());
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -281,6 +281,7 @@
     .Set(static_cast<double>(m_holder.Current()->version));
   m_metrics.Gauge("mimosarun_members", "Members this node can reach", {})
     .Set(static_cast<double>(m_table.Reachable("").size()));
+  m_entry->RefreshMetrics();
 }
 
 Answer
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -234,3 +234,97 @@
   RecordCalls(balancer, "near", milliseconds(2500), 60);
   BOOST_TEST(balancer.Choose(kGates, {}, download, SteadyClock::now())->gate.node == "middle");
 }
+
+static void
+RecordFailures(Balancer& aBalancer, const std::string& aNode, Deadline aNow)
+{
+  for (int failure = 0; failure < 3; ++failure) {
+    aBalancer.RecordSent(aNode, CallClass::Short, aNow);
+    aBalancer.RecordResult(
+      { .node = aNode, .costGroup = "r", .outcome = AttemptOutcome::Failed, .sentAt = aNow }, aNow);
+  }
+}
+
+// Guards against: only the gates nearby are considered although all of them fail.
+BOOST_AUTO_TEST_CASE(calls_leave_a_failure_domain_whose_gates_are_ejected_until_the_ejection_ends)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  const std::vector<GateInfo> gates{ MakeGate("near-0", Locality::FailureDomain),
+                                     MakeGate("near-1", Locality::FailureDomain),
+                                     MakeGate("middle-0", Locality::Region),
+                                     MakeGate("middle-1", Locality::Region) };
+  for (const GateInfo& gate : gates) {
+    RecordCalls(balancer, gate.node, milliseconds(20));
+  }
+  const Deadline now = SteadyClock::now();
+  RecordFailures(balancer, "near-0", now);
+  RecordFailures(balancer, "near-1", now);
+  BOOST_TEST((balancer.Choose(gates, {}, kRequirements, now)->gate.locality == Locality::Region));
+  BOOST_TEST((balancer.Choose(gates, {}, kRequirements, now + milliseconds(501))->gate.locality ==
+              Locality::FailureDomain));
+  RecordFailures(balancer, "middle-0", now);
+  BOOST_TEST((balancer.Choose(gates, {}, kRequirements, now)->gate.locality == Locality::FailureDomain));
+}
+
+// Guards against: a choice among the gates of a directory uses those of an earlier one.
+BOOST_AUTO_TEST_CASE(choices_follow_the_directory)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  for (const char* node : { "a", "b" }) {
+    const auto directory = std::make_shared<GateDirectory>();
+    directory->gates["s"] = { MakeGate(node, Locality::FailureDomain) };
+    balancer.SetDirectory(directory);
+    BOOST_TEST(balancer.Choose(directory->gates["s"], {}, kRequirements, SteadyClock::now())->gate.node ==
+               node);
+  }
+}
+
+// Guards against: a call is sent to gate after gate although it is known that none has room.
+BOOST_AUTO_TEST_CASE(a_call_expects_a_rejection_only_if_no_gate_may_have_room)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  CallRequirements requirements = kRequirements;
+  requirements.longestWait = milliseconds(300);
+  const Deadline now = SteadyClock::now();
+  for (const GateInfo& gate : kGates) {
+    RecordCalls(balancer, gate.node, milliseconds(200));
+    BOOST_TEST(!balancer.Choose(kGates, {}, requirements, now)->expectsRejection);
+    balancer.RecordLoad(
+      gate.node, { .slotsInUse = 6, .slots = 6, .queueLength = 12, .queueWait = milliseconds(900) }, now);
+  }
+  BOOST_TEST(balancer.Choose(kGates, {}, requirements, now)->expectsRejection);
+  // Reports that are too old prove nothing.
+  BOOST_TEST(!balancer.Choose(kGates, {}, requirements, now + milliseconds(3000))->expectsRejection);
+}
+
+BOOST_AUTO_TEST_CASE(an_old_report_counts_less_than_the_average)
+{
+  const Deadline start = SteadyClock::now();
+  LoadEstimate estimate;
+  for (int second = 0; second < 10; ++second) {
+    estimate.Record(2, start + std::chrono::seconds(second));
+  }
+  const Deadline last = start + milliseconds(9010);
+  estimate.Record(9, last);
+  BOOST_TEST(estimate.CallsAt(last, milliseconds(100)) > 8.9);
+  BOOST_TEST(estimate.CallsAt(last + milliseconds(100), milliseconds(100)) < 5);
+  BOOST_TEST(estimate.CallsAt(last + milliseconds(800), milliseconds(100)) < 2.2);
+}
+
+BOOST_AUTO_TEST_CASE(the_load_of_a_service_counts_gates_with_recent_reports_and_own_calls)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  const auto directory = std::make_shared<GateDirectory>();
+  directory->gates["s"] = kGates;
+  balancer.SetDirectory(directory);
+  const Deadline now = SteadyClock::now();
+  balancer.RecordLoad("near", { .slotsInUse = 6, .slots = 6 }, now);
+  balancer.RecordLoad("middle", { .slotsInUse = 0, .slots = 6 }, now);
+  balancer.RecordSent("middle", CallClass::Short, now);
+  balancer.RecordSent("middle", CallClass::Short, now);
+  balancer.RecordSent("middle", CallClass::Short, now);
+  const ServiceLoad load = balancer.ServiceLoads(now).at(0);
+  BOOST_TEST(load.service == "s");
+  BOOST_TEST(load.busiestLoad == 1.0, boost::test_tools::tolerance(1e-6));
+  BOOST_TEST(load.meanLoad == 0.75, boost::test_tools::tolerance(1e-6));
+}
