--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -28,6 +28,7 @@
 Entry::Entry(Options aOptions)
   : m_options(std::move(aOptions))
   , m_balancer(m_options.balancer)
+  , m_choiceMetrics(*m_options.metrics)
   , m_retryBudget(m_options.retryBudget)
   , m_hedgeBudget({ .retriesPerRequest = m_options.hedgesPerCall, .baseRetries = 0 })
   , m_credentials({ .lease = m_options.lease, .metrics = m_options.metrics })
@@ -104,10 +105,17 @@
 void
 Entry::SetDirectory(GateDirectoryPointer aDirectory)
 {
+  m_balancer.SetDirectory(aDirectory);
   const std::lock_guard lock(m_mutex);
   m_directory = std::move(aDirectory);
 }
 
+void
+Entry::RefreshMetrics()
+{
+  m_choiceMetrics.SetLoads(m_balancer.ServiceLoads(SteadyClock::now()));
+}
+
 void
 Entry::BeginDrain(const DrainSchedule& aSchedule)
 {
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -10,6 +10,7 @@
   : m_call(std::move(aCall))
   , m_gate(aChoice.gate)
   , m_maxFailurePenalty(aChoice.maxFailurePenalty)
+  , m_expectsRejection(aChoice.expectsRejection)
   , m_sentAt(SteadyClock::now())
 {
 }
@@ -29,7 +30,8 @@
                                           .slots = m_hopResponse->slots,
                                           .queueLength = m_hopResponse->queueLength,
                                           .queueWait = m_hopResponse->queueWait,
-                                          .failurePenalty = m_hopResponse->failurePenalty });
+                                          .failurePenalty = m_hopResponse->failurePenalty },
+                                        SteadyClock::now());
   BeginStreamingIfLarge();
   return HeadAction::Accept;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -330,6 +330,7 @@
   m_metrics.Gauge("mimosarun_members", "Members this node can reach", {})
     .Set(static_cast<double>(m_table.Reachable("").size()));
   m_quotas.RefreshMetrics(m_metrics);
+  m_entry->RefreshMetrics();
 }
 
 Answer
