--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -3,6 +3,7 @@
 #include "caller/callwait.h"
 #include "caller/entry.h"
 #include "common/log.h"
+#include "common/random.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,8 +23,7 @@
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 600 };
 /** Gives a gate time to detect the broken connection before the call is resent to it. */
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
-static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
-static constexpr std::chrono::milliseconds kRetryAfterSpread{ 200 };
+static constexpr std::chrono::milliseconds kQuotaRetrySpread{ 200 };
 static constexpr const char* kCredentialExpired =
   "the entry lost contact to control and can no longer check the key; use another";
 /** Retries of calls beyond a quota are spread over the time until it has room, divided by this. */
@@ -285,19 +285,18 @@
     }
   }
   const std::vector<GateInfo>& allowedGates = CallGates::AllowedGates(*directory, m_service);
-  auto choice = m_entry.m_balancer.Choose(gates, m_triedGates, requirements);
+  auto choice = m_entry.m_balancer.Choose(gates, m_triedGates, requirements, aNow);
   if (&gates == &allowedGates || allowedGates.empty()) {
     return choice;
   }
   if (!choice) {
-    return m_entry.m_balancer.Choose(allowedGates, m_triedGates, requirements);
+    return m_entry.m_balancer.Choose(allowedGates, m_triedGates, requirements, aNow);
   }
   // The allowed gates take the calls for which a candidate's gate has no room soon. A candidate that fails
   // calls still gets its share, since control couldn't tell otherwise.
   choice->longestWait = std::min(choice->longestWait, m_entry.MedianCallTime(*m_options.route));
   choice->maxFailurePenalty = kUnlimitedPenalty;
   return choice;
-  return m_entry.m_balancer.Choose(gates->second, m_triedGates, requirements, aNow);
 }
 
 HttpRequest
@@ -670,16 +669,15 @@
 std::chrono::milliseconds
 EntryCall::RetryAfter() const
 {
-  std::chrono::microseconds wait = m_quotaRetryAfter.value_or(kMinRetryAfter);
+  if (m_quotaRetryAfter) {
+    return std::chrono::ceil<std::chrono::milliseconds>(*m_quotaRetryAfter) +
+           std::chrono::milliseconds(RandomBetween(
+             0, std::max(kQuotaRetrySpread, *m_quotaRetryAfter / kQuotaRetrySpreadDivisor).count()));
+  }
   std::chrono::microseconds longestWait{ 0 };
   for (const auto& [node, reportedWait] : m_triedGates.rejectionWaits) {
     longestWait = std::max(longestWait, reportedWait);
   }
-  // A random part spreads the retries of callers that were refused at the same time.
-  const auto spread =
-    std::max(kRetryAfterSpread, m_quotaRetryAfter.value_or(kRetryAfterSpread) / kQuotaRetrySpreadDivisor);
-  return std::chrono::ceil<std::chrono::milliseconds>(wait) +
-         std::chrono::milliseconds(RandomBetween(0, spread.count()));
   return mimosarun::RetryAfter(longestWait);
 }
 
