Reports only of nodes that a roll-out concerns, without needless polls

Cause: control counts only reports on targets of the service; a node whose report was unchanged polled again every 10 ms. Change: other nodes send no report; without a report due soon a poll waits 250 ms.

--- a/src/node/rolloutlink.cpp
+++ b/src/node/rolloutlink.cpp
@@ -19,7 +19,7 @@
 }
 
 wire::NodeOutcomes
-RolloutLink::MakeReport(const wire::Member& aSelf, bool aWithCounts)
+RolloutLink::MakeReport(const wire::Member& aSelf)
 {
   wire::NodeOutcomes report;
   report.node = aSelf.name;
@@ -27,14 +27,12 @@
   report.sequence = ++m_sequence;
   report.appliedRevision = m_options.view->Revision();
   m_reportedRevision = report.appliedRevision;
-  if (aWithCounts) {
-    m_reportedTotal = m_options.outcomes->Total();
-    m_reportedOpenCalls = m_options.openCalls();
-    report.outcomes = m_options.outcomes->All();
-    report.serviceName = aSelf.serviceName;
-    report.version = aSelf.targetVersion;
-    report.openCalls = m_reportedOpenCalls;
-  }
+  m_reportedTotal = m_options.outcomes->Total();
+  m_reportedOpenCalls = m_options.openCalls();
+  report.outcomes = m_options.outcomes->All();
+  report.serviceName = aSelf.serviceName;
+  report.version = aSelf.targetVersion;
+  report.openCalls = m_reportedOpenCalls;
   return report;
 }
 
@@ -62,21 +60,17 @@
     m_reportUntil = aNow + kReportAfterEnd;
     m_options.outcomes->CountUntil(m_reportUntil);
   }
-  const bool concernsTarget = aNow < m_reportUntil;
-  if (!concernsTarget && !view.HasRunning()) {
+  if (aNow >= m_reportUntil) {
     return;
   }
-  // A node without a target of the service reports only the revision that it applies, with its usual polls.
-  if (!concernsTarget || IsReportDue(aNow)) {
-    aRequest.__set_outcomes(MakeReport(self, concernsTarget));
+  if (IsReportDue(aNow)) {
+    aRequest.__set_outcomes(MakeReport(self));
     m_nextReport = aNow + kReportInterval;
     m_repeatReportAt = aNow + kRepeatInterval;
   }
-  if (concernsTarget) {
-    const auto untilReport = std::chrono::ceil<std::chrono::milliseconds>(m_nextReport - aNow);
-    const auto wait = std::clamp(untilReport, kShortestWait, kReportInterval);
-    aRequest.waitMillis = std::min(aRequest.waitMillis, static_cast<int32_t>(wait.count()));
-  }
+  const auto untilReport = std::chrono::ceil<std::chrono::milliseconds>(m_nextReport - aNow);
+  const auto wait = untilReport.count() > 0 ? std::max(untilReport, kShortestWait) : kReportInterval;
+  aRequest.waitMillis = std::min(aRequest.waitMillis, static_cast<int32_t>(wait.count()));
 }
 
 void
--- a/src/node/rolloutlink.h
+++ b/src/node/rolloutlink.h
@@ -38,7 +38,7 @@
   void Apply(const wire::WatchRequest& aRequest, const wire::WatchReply& aReply, Deadline aNow);
 
 private:
-  wire::NodeOutcomes MakeReport(const wire::Member& aSelf, bool aWithCounts);
+  wire::NodeOutcomes MakeReport(const wire::Member& aSelf);
   /** Returns whether anything changed since the last report, or that one is old. */
   bool IsReportDue(Deadline aNow) const;
 
--- a/src/rollout/rolloutview.cpp
+++ b/src/rollout/rolloutview.cpp
@@ -291,15 +291,6 @@
   return record != nullptr && record->state == wire::RolloutState::Running;
 }
 
-bool
-RolloutView::HasRunning() const
-{
-  const std::lock_guard lock(m_mutex);
-  return std::any_of(m_records.begin(), m_records.end(), [](const auto& aRecord) {
-    return aRecord.second.state == wire::RolloutState::Running;
-  });
-}
-
 int64_t
 RolloutView::Revision() const
 {
--- a/src/rollout/rolloutview.h
+++ b/src/rollout/rolloutview.h
@@ -73,7 +73,6 @@
   std::optional<CandidateShare> ShareOf(const std::string& aService, Deadline aNow) const;
 
   bool IsRunning(const std::string& aService) const;
-  bool HasRunning() const;
 
   /** Whether some target names a version, so that roll-outs may concern this node. Doesn't lock. */
   bool HasVersions() const { return m_hasVersions; }
