New targets beside the canaries get calls at a steady rate

Cause: a fixed fifth of few canary calls left new targets without any for up to 7.5 s (rollouts, 160 calls/s), and would be needlessly many calls to far targets at high rates.

--- a/src/caller/callgates.cpp
+++ b/src/caller/callgates.cpp
@@ -21,14 +21,16 @@
 const std::vector<GateInfo>&
 CallGates::ForAttempt(const GateDirectory& aDirectory,
                       const std::string& aService,
-                      VersionSplitter& aSplitter)
+                      VersionSplitter& aSplitter,
+                      Deadline aNow)
 {
   const auto found = aDirectory.candidates.find(aService);
   if (!std::exchange(m_isFirst, false) || found == aDirectory.candidates.end()) {
     return AllowedGates(aDirectory, aService);
   }
   const CandidateGates& candidates = found->second;
-  const GateTurn turn = aSplitter.Next(aService, candidates.permille);
+  const GateTurn turn = aSplitter.Next(
+    aService, { .permille = candidates.permille, .turnsPerSecond = candidates.turnsPerSecond }, aNow);
   switch (turn.group) {
     case GateGroup::Allowed:
       break;
@@ -37,7 +39,7 @@
       return isSpread ? candidates.gates : candidates.canaries;
     }
     case GateGroup::OneCandidate:
-      m_oneCandidate = { candidates.gates[turn.turn % candidates.gates.size()] };
+      m_oneCandidate = { candidates.others[turn.turn % candidates.others.size()] };
       return m_oneCandidate;
   }
   return AllowedGates(aDirectory, aService);
--- a/src/caller/callgates.h
+++ b/src/caller/callgates.h
@@ -22,7 +22,8 @@
    */
   const std::vector<GateInfo>& ForAttempt(const GateDirectory& aDirectory,
                                           const std::string& aService,
-                                          VersionSplitter& aSplitter);
+                                          VersionSplitter& aSplitter,
+                                          Deadline aNow);
 
   /** Returns the gates that any call may be sent to. */
   static const std::vector<GateInfo>& AllowedGates(const GateDirectory& aDirectory,
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -237,7 +237,8 @@
 EntryCall::ChooseGate(Deadline aNow)
 {
   const GateDirectoryPointer directory = m_entry.CurrentDirectory();
-  const std::vector<GateInfo>& gates = m_gates.ForAttempt(*directory, m_service, m_entry.m_versionSplitter);
+  const std::vector<GateInfo>& gates =
+    m_gates.ForAttempt(*directory, m_service, m_entry.m_versionSplitter, aNow);
   const CallRequirements requirements = RequirementsAt(aNow);
   if (m_gateAttempts == kMaxGateAttempts - 1) {
     // This is the last attempt, so the call waits at the best of the gates that rejected it.
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -38,6 +38,9 @@
   std::vector<GateInfo> gates;
   /** Gates that get most of the calls; empty if all get the same. */
   std::vector<GateInfo> canaries;
+  /** The gates that aren't canaries, and the rate at which this node sends calls to them in turn. */
+  std::vector<GateInfo> others;
+  double turnsPerSecond = 0;
   int permille = 0;
   /** Revision of the roll-out that set the share. */
   int64_t revision = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -213,7 +213,7 @@
                                                        .version = member.targetVersion });
     }
   }
-  SeparateVersions(*directory, m_rollouts, SteadyClock::now());
+  SeparateVersions(*directory, m_rollouts, aMembers.size(), SteadyClock::now());
   return directory;
 }
 
--- a/src/node/versiongates.cpp
+++ b/src/node/versiongates.cpp
@@ -5,6 +5,12 @@
 
 namespace mimosarun {
 
+/**
+ * Calls that a new target gets from all nodes together, beside canary calls. A target without any for four
+ * seconds costs money; with calls that arrive at random at this rate, such a pause happens once in 400 times.
+ */
+static constexpr double kCallsPerSecond = 1.5;
+
 ServiceVersions
 CountVersions(const std::vector<wire::Member>& aMembers)
 {
@@ -23,7 +29,7 @@
 }
 
 static CandidateGates
-MakeCandidates(std::vector<GateInfo> aGates, const CandidateShare& aShare)
+MakeCandidates(std::vector<GateInfo> aGates, const CandidateShare& aShare, size_t aNodes)
 {
   CandidateGates candidates{ .permille = aShare.permille, .revision = aShare.revision };
   std::vector<std::string> names;
@@ -34,16 +40,17 @@
   const std::vector<std::string> canaries =
     RolloutView::ChooseCanaries(aShare.version, std::move(names), aShare.canaryTargets);
   for (const GateInfo& gate : aGates) {
-    if (std::find(canaries.begin(), canaries.end(), gate.node) != canaries.end()) {
-      candidates.canaries.push_back(gate);
-    }
+    const bool isCanary = std::find(canaries.begin(), canaries.end(), gate.node) != canaries.end();
+    (isCanary ? candidates.canaries : candidates.others).push_back(gate);
   }
+  candidates.turnsPerSecond = kCallsPerSecond * static_cast<double>(candidates.others.size()) /
+                              static_cast<double>(std::max<size_t>(1, aNodes));
   candidates.gates = std::move(aGates);
   return candidates;
 }
 
 void
-SeparateVersions(GateDirectory& aDirectory, const RolloutView& aRollouts, Deadline aNow)
+SeparateVersions(GateDirectory& aDirectory, const RolloutView& aRollouts, size_t aNodes, Deadline aNow)
 {
   if (!aRollouts.HasVersions()) {
     return;
@@ -60,7 +67,7 @@
     gates = std::move(allowed);
     const std::optional<CandidateShare> share = aRollouts.ShareOf(service, aNow);
     if (share && !candidates.empty()) {
-      aDirectory.candidates[service] = MakeCandidates(std::move(candidates), *share);
+      aDirectory.candidates[service] = MakeCandidates(std::move(candidates), *share, aNodes);
     }
   }
 }
--- a/src/rollout/versionsplitter.h
+++ b/src/rollout/versionsplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,10 +16,18 @@
   Allowed,
   /** The candidate's gates that get most of its calls. */
   Canaries,
-  /** One of the candidate's gates, in turn. */
+  /** One of the candidate's other gates, in turn. */
   OneCandidate,
 };
 
+/** Which calls of a service its candidate gets. */
+struct CandidateCalls
+{
+  int permille = 0;
+  /** Rate at which this node sends calls to the gates outside of the canaries, if it has as many. */
+  double turnsPerSecond = 0;
+};
+
 /** The gates for one call. */
 struct GateTurn
 {
@@ -35,18 +45,22 @@
 {
 public:
   /** Returns the gates for the next call of a service whose candidate has a share. */
-  GateTurn Next(const std::string& aService, int aPermille);
+  GateTurn Next(const std::string& aService, const CandidateCalls& aCandidate, Deadline aNow);
 
 private:
   struct Credits
   {
     /** Thousandths of a call that the candidate may get; below one call after each call. */
     int64_t candidate = 0;
-    /** Candidate calls that gates outside of the canaries may get. */
-    double turn = 0;
+    /** Calls due at gates outside of the canaries, by time and as a part of the candidate's calls. */
+    double dueTurns = 0;
+    double allowedTurns = 0;
+    Deadline updatedAt{};
     size_t nextTurn = 0;
   };
 
+  static bool TakeTurn(Credits& aCredits, double aTurnsPerSecond, Deadline aNow);
+
   std::mutex m_mutex;
   std::map<std::string, Credits> m_credits;
 };
