--- a/tests/harness/testclient.cpp
+++ b/tests/harness/testclient.cpp
@@ -51,6 +51,9 @@
   if (!aRequest.key.empty()) {
     list = curl_slist_append(list, ("Idempotency-Key: " + aRequest.key).c_str());
   }
+  for (const std::string& header : aRequest.headers) {
+    list = curl_slist_append(list, header.c_str());
+  }
   curl_easy_setopt(handle, CURLOPT_URL, ("http://" + aTo.Text() + aRequest.path).c_str());
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
--- a/tests/harness/testclient.h
+++ b/tests/harness/testclient.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -29,6 +30,8 @@
   std::string key;
   std::string body;
   std::chrono::milliseconds timeout{ 3000 };
+  /** Further headers, such as "Name: value". */
+  std::vector<std::string> headers;
 };
 
 /** Sends requests one after the other; each address has a connection that is kept until the peer closes it.
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -49,11 +49,14 @@
 int
 PlatformTarget::SendHeartbeat(const std::string& aState)
 {
-  const std::string body = "{\"service\":\"" + m_options.service + "\",\"address\":\"" +
-                           m_options.address.Text() + "\",\"zone\":\"north\",\"version\":\"" +
-                           m_options.version + "\",\"capacity\":4," + "\"state\":\"" + aState +
-                           "\",\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(m_startedAtMillis) +
-                           ",\"seq\":" + std::to_string(++m_sequence) + "}";
+  std::string body;
+  {
+    const std::lock_guard lock(m_mutex);
+    body = "{\"service\":\"" + m_options.service + "\",\"address\":\"" + m_options.address.Text() +
+           "\",\"zone\":\"north\",\"version\":\"" + m_options.version + "\",\"capacity\":4,\"state\":\"" +
+           aState + "\",\"warmupLeft\":\"0ms\",\"born\":" + std::to_string(m_startedAtMillis) +
+           ",\"seq\":" + std::to_string(++m_sequence) + "}";
+  }
   return StatusOf(SendRawRequest(m_options.heartbeatAddress,
                                  "POST /-/Instances.Heartbeat/" + m_options.id +
                                    " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
@@ -63,10 +66,26 @@
 void
 PlatformTarget::BeginIncarnation()
 {
+  const std::lock_guard lock(m_mutex);
   ++m_startedAtMillis;
   m_sequence = 0;
 }
 
+void
+PlatformTarget::BeginVersion(const std::string& aVersion)
+{
+  BeginIncarnation();
+  const std::lock_guard lock(m_mutex);
+  m_options.version = aVersion;
+}
+
+std::string
+PlatformTarget::Version() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_options.version;
+}
+
 std::map<std::string, int>
 PlatformTarget::RunCounts() const
 {
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -56,6 +56,9 @@
   /** Begins a new incarnation with the same identifier. */
   void BeginIncarnation();
 
+  /** Begins a new incarnation with the same identifier and another version. */
+  void BeginVersion(const std::string& aVersion);
+
   /** Sets how long later requests run. */
   void SetWorkTime(std::chrono::milliseconds aTime);
 
@@ -71,7 +74,7 @@
   /** Returns the requests that ran, in the order in which they began. */
   std::vector<TargetRun> Runs() const;
 
-  const std::string& Version() const { return m_options.version; }
+  std::string Version() const;
 
   /** Returns the number of requests whose headers the system must not have sent. */
   int InvalidRequestCount() const { return m_invalidRequestCount; }
