--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -335,6 +335,12 @@
   return {};
 }
 
+Address
+PlatformMesh::ControlAddress(size_t aReplica) const
+{
+  return { .host = Host(VmOfReplica(aReplica)), .port = kControl };
+}
+
 Address
 PlatformMesh::EntryAddress(size_t aNode) const
 {
