--- a/tests/harness/testclient.h
+++ b/tests/harness/testclient.h
@@ -32,6 +32,7 @@
   std::string body;
   std::chrono::milliseconds timeout{ 3000 };
   /** Additional headers ("Name: value"). */
+  /** Further headers, such as "Name: value". */
   std::vector<std::string> headers;
 };
 
