--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -12,6 +12,11 @@
 static constexpr std::chrono::milliseconds kRetryInterval{ 100 };
 /** Shortest time between two exchanges, in which the requests that arrive are reported together. */
 static constexpr std::chrono::milliseconds kShortestInterval{ 5 };
+/**
+ * Time from a report to one on the second connection. With about half of a round trip to another region, each
+ * request that waits has its reply within one and a half.
+ */
+static constexpr std::chrono::milliseconds kStagger{ 20 };
 static constexpr std::chrono::milliseconds kIdleInterval{ 5000 };
 /** Bounds the number of time series; the teams beyond it are counted together. */
 static constexpr size_t kLabelledTeams = 100;
@@ -78,7 +83,10 @@
     return m_pool.NextReportAt(aNow);
   }
   const std::lock_guard lock(m_mutex);
-  return m_lanes.front().isBusy && m_pool.HasUnreportedRequests() ? std::optional(aNow) : std::nullopt;
+  const Lane& first = m_lanes.front();
+  return first.isBusy && m_pool.HasUnreportedRequests()
+           ? std::optional(std::max(aNow, first.sentAt + kStagger))
+           : std::nullopt;
 }
 
 bool
@@ -112,6 +120,7 @@
 {
   const std::lock_guard lock(m_mutex);
   aLane.isBusy = aIsBusy;
+  aLane.sentAt = SteadyClock::now();
 }
 
 void
--- a/src/node/quotaclient.h
+++ b/src/node/quotaclient.h
@@ -58,6 +58,8 @@
     Deadline nextAttemptAt{};
     /** Whether a report is in flight; guarded by m_mutex. */
     bool isBusy = false;
+    /** When the report in flight was sent; guarded by m_mutex. */
+    Deadline sentAt{};
     std::thread thread;
   };
 
--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -11,8 +11,10 @@
 
 /** Nodes that may report in each second; with more nodes, each reports less often. */
 static constexpr size_t kReportingNodesPerSecond = 200;
-/** Free mode needs a bucket that is at least this full, and demand below this share of the rate. */
-static constexpr double kFreeLevelShare = 1.0 / 3;
+/** Part of a bucket's depth that is only for requests that wait already, and its least number of tokens. */
+static constexpr double kWaitingShare = 1.0 / 3;
+static constexpr double kLeastForWaiting = 6;
+/** Free mode needs tokens beyond those, and demand below this share of the rate. */
 static constexpr double kFreeDemandShare = 0.7;
 /** A node gets this many times its recent demand, so that an ordinary burst needs no further request. */
 static constexpr double kGenerosity = 2;
@@ -287,13 +289,21 @@
   return kDebtShare * (tolerance.burstShare * quota + static_cast<double>(tolerance.slack));
 }
 
+double
+QuotaLedger::WaitingLevel(const Account& aAccount, Deadline aNow) const
+{
+  const double kept = std::max(kWaitingShare * Depth(aAccount.limit), kLeastForWaiting);
+  // A new ledger doesn't know yet how much of the tolerance was used before it.
+  return aNow < aAccount.learningUntil ? kept : kept - DebtLimit(aAccount);
+}
+
 QuotaMode
-QuotaLedger::ModeOf(const Account& aAccount, Deadline aNow)
+QuotaLedger::ModeOf(const Account& aAccount, Deadline aNow) const
 {
   if (aNow < aAccount.learningUntil) {
     return QuotaMode::Learning;
   }
-  const bool isFree = aAccount.level > kFreeLevelShare * Depth(aAccount.limit) &&
+  const bool isFree = aAccount.level > WaitingLevel(aAccount, aNow) &&
                       aAccount.demand < kFreeDemandShare * aAccount.limit.requestsPerSecond;
   return isFree ? QuotaMode::Free : QuotaMode::Limited;
 }
@@ -373,12 +383,12 @@
   if (ModeOf(aAccount, aNow) == QuotaMode::Free) {
     // The last part of the bucket is for calls that wait already.
     const double forWaiting = std::min(waiting, level + DebtLimit(aAccount));
-    const double unneeded = level - forWaiting - kFreeLevelShare * Depth(aAccount.limit);
+    const double unneeded = level - forWaiting - WaitingLevel(aAccount, aNow);
     return static_cast<int64_t>(forWaiting + std::clamp(unneeded, 0.0, spare));
   }
   // The demand is an estimate over a few seconds, whose deviation is about half of this.
   const bool isBelowLimit = aAccount.demand < rate + std::sqrt(rate);
-  const bool hasRoom = isBelowLimit || level > kFreeLevelShare * Depth(aAccount.limit);
+  const bool hasRoom = isBelowLimit || level > kWaitingShare * Depth(aAccount.limit);
   const double available = std::max(0.0, level + (isBelowLimit ? DebtLimit(aAccount) : 0));
   const double pause = Seconds(Pause()).count();
   const double share = aAccount.demand > 0 ? aHolder.demand / aAccount.demand : 1;
@@ -386,7 +396,7 @@
   aHolder.carry += regular + share * std::max(0.0, level);
   if (hasRoom) {
     const double forWaiting = std::min(waiting, available);
-    const double unneeded = level - forWaiting - kFreeLevelShare * Depth(aAccount.limit);
+    const double unneeded = level - forWaiting - WaitingLevel(aAccount, aNow);
     const double extra = std::clamp(std::min(aHolder.carry, unneeded), 0.0, spare);
     aHolder.carry = std::clamp(aHolder.carry - forWaiting - extra, 0.0, 1.0);
     return static_cast<int64_t>(forWaiting + extra);
--- a/src/quota/quotaledger.h
+++ b/src/quota/quotaledger.h
@@ -160,7 +160,9 @@
   double FallbackFor(const Account& aAccount, const Holder& aHolder, Deadline aNow) const;
   std::chrono::milliseconds TimeUntilRoom(const Account& aAccount, Deadline aNow) const;
   double DebtLimit(const Account& aAccount) const;
-  static QuotaMode ModeOf(const Account& aAccount, Deadline aNow);
+  /** Returns the level from which on tokens are for requests that wait already. */
+  double WaitingLevel(const Account& aAccount, Deadline aNow) const;
+  QuotaMode ModeOf(const Account& aAccount, Deadline aNow) const;
   static double RefillRate(const Account& aAccount, Deadline aNow);
 
   const Options m_options;
--- a/tests/quota/quotasimulation.cpp
+++ b/tests/quota/quotasimulation.cpp
@@ -11,6 +11,7 @@
 static constexpr int64_t kTimeoutMillis = 300;
 static constexpr int64_t kRetryMillis = 100;
 static constexpr int64_t kPauseMillis = 5;
+static constexpr int64_t kStaggerMillis = 20;
 static constexpr size_t kDomains = 4;
 
 template<typename Message>
@@ -164,7 +165,9 @@
     return;
   }
   const auto next = node.pool->NextReportAt(Now());
-  const bool isNeeded = aLane == 0 || (node.lanes[0].isInFlight && node.pool->HasUnreportedRequests());
+  const bool isNeeded =
+    aLane == 0 || (node.lanes[0].isInFlight && m_millis >= node.lanes[0].sentAt + kStaggerMillis &&
+                   node.pool->HasUnreportedRequests());
   if (m_millis < lane.nextAttemptAt || !next || *next > Now() || !isNeeded) {
     return;
   }
