--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -3,6 +3,7 @@
 #include "caller/balancer.h"
 #include "caller/callgates.h"
 #include "caller/callhistory.h"
+#include "caller/callwait.h"
 #include "caller/entryattempt.h"
 #include "caller/quotaadmission.h"
 #include "configuration/snapshot.h"
@@ -72,7 +73,7 @@
    * of the budget.
    */
   StopReason ReserveAttempt();
-  CallRequirements RequirementsAt(Deadline aNow) const;
+  CallTimes Times() const;
   /** Sends a further attempt beside the open ones, if possible to another gate; returns whether it did. */
   bool SendParallel();
   void Send(const GateChoice& aChoice);
