--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -174,6 +174,8 @@
 EntryCall::HasValidCredential() const
 {
   return m_entry.m_credentials.MaySend(*m_options.snapshot, *m_options.route, SteadyClock::now());
+}
+
 CallTimes
 EntryCall::Times() const
 {
@@ -265,11 +267,6 @@
   const GateDirectoryPointer directory = m_entry.CurrentDirectory();
   const std::vector<GateInfo>& gates =
     m_gates.ForAttempt(*directory, m_service, m_entry.m_versionSplitter, aNow);
-  const CallRequirements requirements = RequirementsAt(aNow);
-  const auto gates = directory->gates.find(m_service);
-  if (gates == directory->gates.end()) {
-    return std::nullopt;
-  }
   const CallRequirements requirements = m_entry.RequirementsOf(*m_options.route, Times(), aNow);
   if (m_gateAttempts == kMaxGateAttempts - 1) {
     // This is the last attempt, so the call waits at the best of the gates that rejected it.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,8 +2,8 @@
 
 #include "common/log.h"
 #include "node/nodeservice.h"
-#include "node/versiongates.h"
 #include "node/routeanswer.h"
+#include "node/versiongates.h"
 #include "operators/command.h"
 #include "operators/memberanswer.h"
 
--- a/tests/harness/testclient.h
+++ b/tests/harness/testclient.h
@@ -31,7 +31,6 @@
   std::string key;
   std::string body;
   std::chrono::milliseconds timeout{ 3000 };
-  /** Additional headers ("Name: value"). */
   /** Further headers, such as "Name: value". */
   std::vector<std::string> headers;
 };
