--- a/tests/mesh/rollouts.cpp
+++ b/tests/mesh/rollouts.cpp
@@ -238,7 +238,7 @@
 struct Fixture
 {
   Fixture()
-    : mesh("rollouts", Nodes())
+    : mesh("rollouts", { .nodes = Nodes() })
   {
     BOOST_REQUIRE(mesh.Start());
     BOOST_REQUIRE(mesh.ReplaceConfiguration("r3", Document()) == 200);
