--- a/src/control/quotaservice.cpp
+++ b/src/control/quotaservice.cpp
@@ -14,7 +14,7 @@
 static constexpr std::chrono::milliseconds kFirstConfirmationWait{ 70 };
 /** Leadership is confirmed until this long after the last request. */
 static constexpr std::chrono::seconds kUseTime{ 10 };
-static constexpr size_t kRecentConfigurations = 4;
+static constexpr size_t kRecentConfigurations = 3;
 
 QuotaService::QuotaService(Options aOptions)
   : m_options(std::move(aOptions))
@@ -57,6 +57,18 @@
   }
 }
 
+std::map<std::string, Team>
+QuotaService::TeamsOf(const Snapshot& aSnapshot) const
+{
+  const Configuration& parsed = aSnapshot.configuration;
+  // A replica that replays a validated document keeps only its text; see MakeValidatedSnapshot().
+  if (aSnapshot.version == 0 || !parsed.services.empty() || !parsed.teams.empty()) {
+    return parsed.teams;
+  }
+  const Result<Configuration> configuration = m_options.parser(aSnapshot.text);
+  return configuration ? configuration.value().teams : std::map<std::string, Team>{};
+}
+
 void
 QuotaService::UpdateLocked(const wire::GroupStatus& aStatus, const SnapshotPointer& aSnapshot, Deadline aNow)
 {
@@ -69,7 +81,7 @@
     m_ledger = std::make_unique<QuotaLedger>(
       QuotaLedger::Options{ .tolerance = m_options.tolerance, .startedAt = aNow });
     for (const auto& [version, snapshot] : m_recent) {
-      m_ledger->AddVersion(version, snapshot->configuration.teams);
+      m_ledger->AddVersion(version, TeamsOf(*snapshot));
     }
     m_term = aStatus.term;
     m_version = -1;
@@ -78,7 +90,7 @@
   if (aSnapshot->version == m_version) {
     return;
   }
-  const std::map<std::string, Team>& teams = aSnapshot->configuration.teams;
+  const std::map<std::string, Team> teams = TeamsOf(*aSnapshot);
   const bool isNew = m_version < 0;
   m_version = aSnapshot->version;
   m_ledger->SetTeams(m_version, teams, aNow);
