--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -320,6 +320,20 @@
   return m_nodeUpdates.UpdateFrom(aHeldVersion, *m_current, m_history);
 }
 
+SnapshotPointer
+ConfigurationState::CurrentWithTeams() const
+{
+  const std::lock_guard lock(m_mutex);
+  if (m_current->configuration.hasTeams || !m_nodeUpdates.HasTeams(*m_current)) {
+    return m_current;
+  }
+  if (m_withTeams == nullptr || m_withTeams->version != m_current->version) {
+    const Result<SnapshotPointer> parsed = MakeSnapshot(m_current->version, m_current->text, m_parser);
+    m_withTeams = parsed ? parsed.value() : m_current;
+  }
+  return m_withTeams;
+}
+
 bool
 ConfigurationState::HasTeams() const
 {
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -59,6 +59,12 @@
   /** Returns whether the current version has teams. */
   bool HasTeams() const;
 
+  /**
+   * Returns the version accepted last, with its parsed configuration if it has teams. A document that
+   * replaced another one as a whole isn't parsed otherwise.
+   */
+  SnapshotPointer CurrentWithTeams() const;
+
   std::vector<wire::Proposal> Proposals() const;
   std::vector<VersionSummary> Versions() const;
 
@@ -88,6 +94,8 @@
   mutable std::mutex m_mutex;
   mutable std::condition_variable m_changed;
   SnapshotPointer m_current;
+  /** The parsed result of CurrentWithTeams(), kept until there is a newer version. */
+  mutable SnapshotPointer m_withTeams;
   UpdateHistory m_history;
   mutable NodeUpdates m_nodeUpdates;
   std::vector<VersionSummary> m_versions;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -56,7 +56,7 @@
         .tolerance = m_settings.quota,
         .status = [this] { return Status(kConfigurationGroup); },
         .confirm = [this](Deadline aDeadline) { return ConfirmLeadership(kConfigurationGroup, aDeadline); },
-        .configuration = [this] { return m_configuration.Current(); } })
+        .configuration = [this] { return m_configuration.CurrentWithTeams(); } })
 {
 }
 
--- a/src/operators/controlcommandrunner.cpp
+++ b/src/operators/controlcommandrunner.cpp
@@ -282,22 +282,16 @@
 Answer
 ControlCommandRunner::ShowTeams()
 {
-  Answer answer{ .columns = { "team",
-                              "priority",
-                              "rate",
-                              "burst",
-                              "demand",
-                              "level",
-                              "kept",
-                              "mode",
-                              "holders",
-                              "silent" } };
+  Answer answer{
+    .columns = { "team", "priority", "rate", "burst", "demand", "level", "kept", "mode", "holders", "silent" }
+  };
   std::map<std::string, QuotaState> states;
   const std::optional<std::vector<QuotaState>> held = m_controller.Quotas().States();
   for (const QuotaState& state : held.value_or(std::vector<QuotaState>{})) {
     states.emplace(state.team, state);
   }
-  for (const auto& [name, team] : m_controller.Configuration().Current()->configuration.teams) {
+  const SnapshotPointer current = m_controller.Configuration().CurrentWithTeams();
+  for (const auto& [name, team] : current->configuration.teams) {
     std::vector<std::string> row{ name,
                                   std::to_string(team.priority),
                                   team.requestsPerSecond > 0 ? FormatNumber(team.requestsPerSecond) : "any",
