--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -68,6 +68,7 @@
         .confirm = [this](Deadline aDeadline) { return ConfirmLeadership(kConfigurationGroup, aDeadline); },
         .configuration = [this] { return m_configuration.Current(); },
         .parser = std::move(aParser) })
+        .configuration = [this] { return m_configuration.CurrentWithTeams(); } })
 {
 }
 
