--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -50,7 +50,7 @@
   , m_validity(ConfirmerOptions())
   , m_rollouts(
       { .limits = m_settings.rollout,
-        .parser = aParser,
+        .parser = std::move(aParser),
         .isLeader = [this] { return Status(kConfigurationGroup).leader == m_settings.name; },
         .submit = [this](const wire::Command& aCommand,
                          Deadline aDeadline) { return Submit(kConfigurationGroup, aCommand, aDeadline); },
@@ -66,8 +66,6 @@
         .tolerance = m_settings.quota,
         .status = [this] { return Status(kConfigurationGroup); },
         .confirm = [this](Deadline aDeadline) { return ConfirmLeadership(kConfigurationGroup, aDeadline); },
-        .configuration = [this] { return m_configuration.Current(); },
-        .parser = std::move(aParser) })
         .configuration = [this] { return m_configuration.CurrentWithTeams(); } })
 {
 }
--- a/src/control/quotaservice.cpp
+++ b/src/control/quotaservice.cpp
@@ -57,18 +57,6 @@
   }
 }
 
-std::map<std::string, Team>
-QuotaService::TeamsOf(const Snapshot& aSnapshot) const
-{
-  const Configuration& parsed = aSnapshot.configuration;
-  // A replica that replays a validated document keeps only its text; see MakeValidatedSnapshot().
-  if (aSnapshot.version == 0 || !parsed.services.empty() || !parsed.teams.empty()) {
-    return parsed.teams;
-  }
-  const Result<Configuration> configuration = m_options.parser(aSnapshot.text);
-  return configuration ? configuration.value().teams : std::map<std::string, Team>{};
-}
-
 void
 QuotaService::UpdateLocked(const wire::GroupStatus& aStatus, const SnapshotPointer& aSnapshot, Deadline aNow)
 {
@@ -81,7 +69,7 @@
     m_ledger = std::make_unique<QuotaLedger>(
       QuotaLedger::Options{ .tolerance = m_options.tolerance, .startedAt = aNow });
     for (const auto& [version, snapshot] : m_recent) {
-      m_ledger->AddVersion(version, TeamsOf(*snapshot));
+      m_ledger->AddVersion(version, snapshot->configuration.teams);
     }
     m_term = aStatus.term;
     m_version = -1;
@@ -90,7 +78,7 @@
   if (aSnapshot->version == m_version) {
     return;
   }
-  const std::map<std::string, Team> teams = TeamsOf(*aSnapshot);
+  const std::map<std::string, Team>& teams = aSnapshot->configuration.teams;
   const bool isNew = m_version < 0;
   m_version = aSnapshot->version;
   m_ledger->SetTeams(m_version, teams, aNow);
--- a/src/control/quotaservice.h
+++ b/src/control/quotaservice.h
@@ -34,8 +34,6 @@
     /** Confirms by a quorum that this replica leads. */
     std::function<wire::ReadIndex(Deadline)> confirm;
     std::function<SnapshotPointer()> configuration;
-    /** Parses documents whose snapshots have no parsed form. */
-    DocumentParser parser;
   };
 
   explicit QuotaService(Options aOptions);
@@ -57,7 +55,6 @@
   /** Follows the leadership and the configuration. */
   void UpdateLocked(const wire::GroupStatus& aStatus, const SnapshotPointer& aSnapshot, Deadline aNow);
   void RememberLocked(const SnapshotPointer& aSnapshot);
-  std::map<std::string, Team> TeamsOf(const Snapshot& aSnapshot) const;
   bool IsInUseLocked(Deadline aNow) const;
   bool IsConfirmedLocked(Deadline aNow) const;
   /** Has a quorum confirm that this replica leads. */
