--- a/src/rollout/latencycomparison.cpp
+++ b/src/rollout/latencycomparison.cpp
@@ -14,17 +14,22 @@
 static constexpr double kHighQuantile = 0.95;
 /** Distance of a slow response from the old version's high quantile, in buckets: 1.7 times the time. */
 static constexpr double kSlowDistance = 1.25;
+/** Additional distance for a target whose speed isn't known yet; it may be on a slow machine. */
+static constexpr double kUnknownSpeedDistance = 0.75;
 /** Responses that a target needs for an estimate of its speed. */
 static constexpr int64_t kLeastOfTarget = 8;
 /** Responses of the old version without which a route isn't compared. */
 static constexpr int64_t kLeastOfOld = 8;
-static constexpr double kLeastOfAllRoutes = 10;
-static constexpr double kLeastOfRoute = 6;
+static constexpr double kLeastOfAllRoutes = 12;
+static constexpr double kLeastOfRoute = 10;
 /** A smaller difference of means is never taken for slowness: one bucket, 1.5 times the time. */
 static constexpr double kLeastShift = 1.0;
 /** Variance of targets' speeds from 0.5 to 1.6, in squared buckets. */
 static constexpr double kLeastSpread = 0.69;
-static constexpr double kDeviations = 2;
+static constexpr double kDeviations = 2.4;
+/** With fewer deviations, two targets on slow machines looked like a slow version. */
+static constexpr double kDeviationsOfFew = 2.75;
+static constexpr size_t kFewTargets = 4;
 
 LatencyComparison::RouteTimes::RouteTimes()
   : slow(kLeastSlowRate)
@@ -36,18 +41,17 @@
 {
 }
 
-std::optional<RateSample>
+RateSample
 LatencyComparison::SlowResponses(const RouteTimes& aRoute,
                                  const TargetSpeed& aSpeed,
                                  const LatencyCounts::Buckets& aBuckets) const
 {
-  if (aSpeed.Total() < kLeastOfTarget) {
-    return std::nullopt;
+  double shift = kUnknownSpeedDistance + (aSpeed.IsWarm() ? 0 : kColdShift);
+  if (aSpeed.Total() >= kLeastOfTarget) {
+    shift = aSpeed.LowQuartile() - m_oldSpeed.LowQuartile();
   }
-  const double speedShift = aSpeed.LowQuartile() - m_oldSpeed.LowQuartile();
-  const double limit = aRoute.old.Quantile(kHighQuantile) + speedShift + kSlowDistance;
-  return RateSample{ .responses = static_cast<double>(CountOf(aBuckets)),
-                     .events = CountBeyond(aBuckets, limit) };
+  const double limit = aRoute.old.Quantile(kHighQuantile) + kSlowDistance + shift;
+  return { .responses = static_cast<double>(CountOf(aBuckets)), .events = CountBeyond(aBuckets, limit) };
 }
 
 void
@@ -64,10 +68,9 @@
     return;
   }
   TargetSpeed& speed = m_candidates.try_emplace(aResponses.target, aNow).first->second;
-  if (const auto slow = SlowResponses(route, speed, aResponses.buckets)) {
-    route.slow.Add(*slow, {}, aNow);
-    m_slow.Add(*slow, {}, aNow);
-  }
+  const RateSample slow = SlowResponses(route, speed, aResponses.buckets);
+  route.slow.Add(slow, {}, aNow);
+  m_slow.Add(slow, {}, aNow);
   speed.Add(aResponses.route, aResponses.buckets, route.old.Quantile(0.5), aNow);
 }
 
@@ -77,10 +80,9 @@
   RouteTimes& route = m_routes[aResponses.route];
   if (route.old.Total() >= kLeastOfOld) {
     TargetSpeed& speed = m_olds.try_emplace(aResponses.target).first->second;
-    if (const auto slow = SlowResponses(route, speed, aResponses.buckets)) {
-      route.slow.Add({}, *slow, aNow);
-      m_slow.Add({}, *slow, aNow);
-    }
+    const RateSample slow = SlowResponses(route, speed, aResponses.buckets);
+    route.slow.Add({}, slow, aNow);
+    m_slow.Add({}, slow, aNow);
     const double median = route.old.Quantile(0.5);
     speed.Add(aResponses.route, aResponses.buckets, median, aNow);
     m_oldSpeed.Add(aResponses.route, aResponses.buckets, median, aNow);
@@ -171,7 +173,9 @@
   const TargetsMean old = MeanOf(olds, spread, variance);
   const double shift = candidate.mean - old.mean;
   const double deviation = std::sqrt(candidate.variance + old.variance);
-  if (candidate.responses < aLeastResponses || shift < kLeastShift + kDeviations * deviation) {
+  const bool isFew = std::min(candidate.targets, old.targets) < kFewTargets;
+  const double deviations = isFew ? kDeviationsOfFew : kDeviations;
+  if (candidate.responses < aLeastResponses || shift < kLeastShift + deviations * deviation) {
     return std::nullopt;
   }
   std::ostringstream text;
--- a/src/rollout/latencycomparison.h
+++ b/src/rollout/latencycomparison.h
@@ -56,10 +56,10 @@
     RateComparison slow;
   };
 
-  /** Returns how many of the responses are slow for their target, or nothing while that can't be said. */
-  std::optional<RateSample> SlowResponses(const RouteTimes& aRoute,
-                                          const TargetSpeed& aSpeed,
-                                          const LatencyCounts::Buckets& aBuckets) const;
+  /** Returns how many of the responses are slow for their target. */
+  RateSample SlowResponses(const RouteTimes& aRoute,
+                           const TargetSpeed& aSpeed,
+                           const LatencyCounts::Buckets& aBuckets) const;
   double OldLowQuartile() const;
   std::optional<std::string> FindSlowTargets(const MeanOfTarget& aMeanOf, double aLeastResponses) const;
 
--- a/src/rollout/latencycounts.cpp
+++ b/src/rollout/latencycounts.cpp
@@ -58,8 +58,12 @@
   if (m_total == 0) {
     return std::chrono::microseconds(0);
   }
-  const double bucket = std::clamp(std::ceil(Quantile(aQuantile)), 0.0, LatencyBuckets::kCount - 1.0);
-  return LatencyBuckets::UpperLimit(static_cast<size_t>(bucket));
+  const double position = std::clamp(Quantile(aQuantile), 0.0, LatencyBuckets::kCount - 1.0);
+  const auto bucket = static_cast<size_t>(position);
+  const std::chrono::duration<double, std::micro> lower = LatencyBuckets::UpperLimit(bucket);
+  const std::chrono::duration<double, std::micro> upper = LatencyBuckets::UpperLimit(bucket + 1);
+  const double share = position - static_cast<double>(bucket);
+  return std::chrono::duration_cast<std::chrono::microseconds>(lower + share * (upper - lower));
 }
 
 } // namespace mimosarun
--- a/src/rollout/latencycounts.h
+++ b/src/rollout/latencycounts.h
@@ -22,7 +22,7 @@
   /** Returns the position of a quantile, interpolated within its bucket. */
   double Quantile(double aQuantile) const;
 
-  /** Returns the upper limit of the bucket of a quantile, or zero without responses. */
+  /** Returns the time of a quantile, interpolated within its bucket, or zero without responses. */
   std::chrono::microseconds QuantileTime(double aQuantile) const;
 
 private:
--- a/src/rollout/ratecomparison.cpp
+++ b/src/rollout/ratecomparison.cpp
@@ -11,10 +11,22 @@
 static constexpr size_t kShortSpanSlots = 4;
 /** Weight of former slots in the old version's rate, in responses. */
 static constexpr double kFormerResponses = 100;
-/** Fewer events are never a verdict. */
-static constexpr double kLeastEvents = 4;
-/** Likelihood ratio as a natural logarithm: e^10 keeps hundreds of looks at ten routes below 1% of errors. */
-static constexpr double kLogLikelihoodRatio = 10;
+/** Natural logarithm of the likelihood ratio; with 10, four failures by chance ended a good version in
+ * simulations. */
+static constexpr double kLogLikelihoodRatio = 12;
+/** What a verdict needs. */
+struct VerdictLimits
+{
+  double events = 0;
+  /** Natural logarithm of the likelihood ratio. */
+  double logRatio = 0;
+};
+
+/** With a logarithm of 10, four failures by chance ended a good version in simulations. */
+static constexpr VerdictLimits kJudged{ .events = 4, .logRatio = 12 };
+/** Of slots whose reports may still be missing; a common fault that the candidate's nodes report first has
+ * fewer. */
+static constexpr VerdictLimits kUnjudged{ .events = 8, .logRatio = 20 };
 /** A smaller increase isn't taken for a fault of the version, however significant it is. */
 static constexpr double kLeastRatio = 1.5;
 static constexpr double kDeviations = 2;
@@ -66,7 +78,12 @@
 {
   m_oldRate =
     (m_current.old.events + kFormerResponses * m_oldRate) / (m_current.old.responses + kFormerResponses);
-  m_current.oldRate = m_oldRate;
+  m_oldTotal.responses += m_current.old.responses;
+  m_oldTotal.events += m_current.old.events;
+  // The smoothed rate soon forgets rare events.
+  m_current.oldRate = std::max(m_oldRate,
+                               (m_oldTotal.events + kFormerResponses * m_leastRate) /
+                                 (m_oldTotal.responses + kFormerResponses));
   const Sum judged = Judge(m_beforeLast, m_last, m_current);
   m_total += judged;
   m_recent.push_back(judged);
@@ -112,15 +129,15 @@
 }
 
 std::optional<RateExcess>
-RateComparison::ExcessOf(const Sum& aSum)
+RateComparison::ExcessOf(const Sum& aSum, const VerdictLimits& aLimits)
 {
   const double expected = aSum.expected + kDeviations * std::sqrt(aSum.variance);
-  if (aSum.events < kLeastEvents || aSum.events < kLeastRatio * expected) {
+  if (aSum.events < aLimits.events || aSum.events < kLeastRatio * expected) {
     return std::nullopt;
   }
   // Log likelihood ratio of two Poisson rates, that of the events and the expected one.
   const double logRatio = aSum.events * std::log(aSum.events / expected) - (aSum.events - expected);
-  if (logRatio < kLogLikelihoodRatio) {
+  if (logRatio < aLimits.logRatio) {
     return std::nullopt;
   }
   // The smoothed rate follows a common fault slowly if the service has few requests.
@@ -133,6 +150,18 @@
   return RateExcess{ .responses = aSum.responses, .events = aSum.events, .expected = aSum.expected };
 }
 
+RateComparison::Sum
+RateComparison::Unjudged() const
+{
+  Slot current = m_current;
+  current.oldRate = std::max(m_last.oldRate,
+                             (current.old.events + kFormerResponses * m_oldRate) /
+                               (current.old.responses + kFormerResponses));
+  Sum sum = Judge(m_beforeLast, m_last, current);
+  sum += Judge(m_last, current, current);
+  return sum;
+}
+
 std::optional<RateExcess>
 RateComparison::Find(Deadline aNow)
 {
@@ -141,12 +170,13 @@
   for (size_t age = 1; age <= m_recent.size(); ++age) {
     span += m_recent[m_recent.size() - age];
     if (age == kShortSpanSlots || age == kLongSpanSlots) {
-      if (const auto excess = ExcessOf(span)) {
+      if (const auto excess = ExcessOf(span, kJudged)) {
         return excess;
       }
     }
   }
-  return ExcessOf(m_total);
+  const std::optional<RateExcess> excess = ExcessOf(m_total, kJudged);
+  return excess ? excess : ExcessOf(Unjudged(), kUnjudged);
 }
 
 } // namespace mimosarun
--- a/src/rollout/ratecomparison.h
+++ b/src/rollout/ratecomparison.h
@@ -22,6 +22,8 @@
   double expected = 0;
 };
 
+struct VerdictLimits;
+
 /**
  * Sequential test whether an event, such as a failure, is more frequent in the responses of the candidate
  * than in those of the old version over the same time. Reports on the two versions arrive up to half a second
@@ -66,10 +68,12 @@
   void EndSlots(Deadline aNow);
   void EndSlot();
   Sum Judge(const Slot& aBefore, const Slot& aSlot, const Slot& aAfter) const;
-  static std::optional<RateExcess> ExcessOf(const Sum& aSum);
+  Sum Unjudged() const;
+  static std::optional<RateExcess> ExcessOf(const Sum& aSum, const VerdictLimits& aLimits);
 
   const double m_leastRate;
   double m_oldRate;
+  RateSample m_oldTotal;
   Deadline m_slotEndsAt{};
   Slot m_current;
   /** The two slots that ended last. */
--- a/src/rollout/rolloutpolicy.cpp
+++ b/src/rollout/rolloutpolicy.cpp
@@ -33,9 +33,13 @@
 /** The rate for the rest of the time may be lower than it is now. */
 static constexpr double kRateFall = 0.85;
 /** Part of the exposure that the canary gets where the switch needs more than the limit leaves. */
-static constexpr double kCanaryPart = 0.3;
+static constexpr double kCanaryPart = 0.2;
 static constexpr double kLoadPart = 0.35;
 /** More targets than these hardly show more. */
+/** A load step that gives less of the load of an old target shows little that the canary doesn't. */
+static constexpr double kLeastLoad = 0.9;
+/** With less, a canary target isn't worth the concentration. */
+static constexpr double kLeastCanaryLoad = 0.7;
 static constexpr double kWantedLoadShare = 0.15;
 
 /** Reports reach the leader within half a second; the rate and the targets are known after this time. */
@@ -44,7 +48,7 @@
 static constexpr milliseconds kSwitchTime{ 900 };
 /** After so many responses without a fault, the switch may take its whole time in spite of the exposure
  * limit. */
-static constexpr int64_t kConvincingResponses = 150;
+static constexpr int64_t kConvincingResponses = 300;
 static constexpr milliseconds kLeastDrainTime{ 100 };
 static constexpr milliseconds kCanaryChangeInterval{ 2500 };
 static constexpr double kCanaryChange = 1.6;
@@ -56,10 +60,12 @@
 /** Time of an election, which the switch outlasts where the exposure limit leaves room. */
 static constexpr milliseconds kElectionTime{ 2000 };
 /** Nodes that don't report, such as entries of other services, apply a share within this time. */
-static constexpr milliseconds kApplyTime{ 300 };
+static constexpr milliseconds kApplyTime{ 250 };
 static constexpr milliseconds kQuietTime{ 250 };
 /** A step of the leader's loop and a commit. */
-static constexpr milliseconds kCommitTime{ 250 };
+static constexpr milliseconds kCommitTime{ 200 };
+/** Delay of a decision by the interval of the leader's loop, on average. */
+static constexpr milliseconds kStepTime{ 50 };
 /** Responses of the new version without which the switch doesn't start. */
 static constexpr int64_t kLeastResponses = 5;
 /** Fewer new targets in relation to the old ones wouldn't carry the load. */
@@ -111,12 +117,15 @@
            .reason = aReason };
 }
 
-/** Returns the number of targets that carry about as much load as an old one at a share of the calls. */
+/**
+ * Returns the number of targets that carry about as much load as an old one at a share of the calls; zero if
+ * not even one would, since calls to all targets then show more of their speeds.
+ */
 static int
 CanaryTargets(int aPermille, int aTargets)
 {
-  const double share = static_cast<double>(aPermille) / kWhole;
-  return std::max(1, static_cast<int>(std::floor(kConcentration * share * aTargets + kRoundingUp)));
+  const double targets = kConcentration * aPermille * aTargets / kWhole;
+  return targets < kLeastCanaryLoad ? 0 : std::max(1, static_cast<int>(std::floor(targets + kRoundingUp)));
 }
 
 static int
@@ -159,6 +168,9 @@
 {
   const double oneTarget = 1 / (kConcentration * std::max(1, aProgress.fleet.candidateTargets));
   const double limit = std::clamp(kLoadPart * (aExposure / aLoadTime), 0.02, 0.5);
+  if (limit < kLeastLoad * oneTarget) {
+    return 0;
+  }
   const double targets = std::max(1.0, std::floor(std::min(limit, kWantedLoadShare) / oneTarget));
   return std::min(targets * oneTarget, limit);
 }
@@ -173,7 +185,7 @@
     return kSwitchTime + drainTime;
   }
   // Without time for reports, the switch relies on what nodes and calls usually need.
-  const milliseconds shortest = kApplyTime + drainTime + kCommitTime;
+  const milliseconds shortest = kApplyTime + drainTime + kCommitTime + kStepTime;
   return std::clamp(std::chrono::duration_cast<milliseconds>(aExposure),
                     shortest,
                     std::max(shortest, kSwitchTime + drainTime));
@@ -247,7 +259,7 @@
   const double rate = aProgress.responsesPerSecond.value_or(0);
   const double expected =
     rate * Seconds(aProgress.sinceChange).count() * aProgress.candidatePermille / kWhole;
-  const int64_t needed = std::min(kLeastResponses, static_cast<int64_t>(expected / 2));
+  const int64_t needed = std::min(kLeastResponses, static_cast<int64_t>(expected / 4));
   if (aProgress.candidateResponses < needed) {
     return "waits for responses of the new version: " + std::to_string(aProgress.candidateResponses);
   }
--- a/src/rollout/versionevidence.cpp
+++ b/src/rollout/versionevidence.cpp
@@ -63,6 +63,7 @@
                                std::map<std::string, Increase>& aIncreases)
 {
   const Target target{ aReport.node, aReport.incarnation };
+  const bool isFirst = !m_counts.contains(target);
   if (aReport.version == m_options.candidate) {
     m_latency.SeeCandidate(target, aNow);
   }
@@ -85,7 +86,10 @@
     RateSample& sum = isCandidate ? ofRoute.candidate : ofRoute.old;
     sum.responses += sample.responses;
     sum.events += sample.events;
-    if (isCandidate) {
+    if (isCandidate && isFirst && !m_options.isFollowedFromOrder) {
+      // Former responses of a target may be from the time when it was cold.
+      m_candidateLatency += increase.buckets;
+    } else if (isCandidate) {
       m_latency.AddCandidate({ .target = target, .route = outcomes.route, .buckets = increase.buckets },
                              aNow);
       m_candidateLatency += increase.buckets;
