--- a/src/control/controlservice.cpp
+++ b/src/control/controlservice.cpp
@@ -10,6 +10,9 @@
 
 static constexpr std::chrono::milliseconds kMaxWait{ 10000 };
 static constexpr std::chrono::milliseconds kJoinWait{ 1200 };
+/** Older outcomes were pulled before, and reports on ended roll-outs needn't cross the links again and again.
+ */
+static constexpr std::chrono::milliseconds kOutcomesAge{ 30000 };
 /** Enough for the nodes of a region that has one replica left. */
 static constexpr int64_t kMaximumConnections = 1024;
 
@@ -135,6 +138,9 @@
   void outcomes(std::vector<wire::NodeOutcomes>& aReturn) override
   {
     aReturn = m_controller.Outcomes().All(SteadyClock::now());
+    std::erase_if(aReturn, [](const wire::NodeOutcomes& aReport) {
+      return std::chrono::milliseconds(aReport.ageMillis) > kOutcomesAge;
+    });
   }
 
   void quota(wire::QuotaReply& aReturn, const wire::QuotaRequest& /*aRequest*/) override
