Quotas: a new ledger grants at once if the nodes have restarted too

Change: reports name the age of the process. A ledger gives out the part of a rate that no heard process holds, in proportion to the share of restarted processes among the heard ones, since nobody else can hold it then.

--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -436,6 +436,8 @@
   // Version of the configuration that numbers the teams.
   4: i64 version = 0,
   5: list<QuotaUsage> usages,
+  // Time since the node's process started; negative if it isn't known.
+  6: i64 ageMillis = -1,
 }
 
 // What a node may use of a team's quota.
--- a/src/control/quotaservice.cpp
+++ b/src/control/quotaservice.cpp
@@ -14,7 +14,7 @@
 static constexpr std::chrono::milliseconds kFirstConfirmationWait{ 70 };
 /** Leadership is confirmed until this long after the last request. */
 static constexpr std::chrono::seconds kUseTime{ 10 };
-static constexpr size_t kRecentConfigurations = 3;
+static constexpr size_t kRecentConfigurations = 4;
 
 QuotaService::QuotaService(Options aOptions)
   : m_options(std::move(aOptions))
--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -23,13 +23,16 @@
 
 QuotaClient::QuotaClient(const std::string& aNode, ReplicaSource aReplicas)
   : m_replicas(std::move(aReplicas))
-  , m_pool({ .node = aNode, .incarnation = WallNow().time_since_epoch().count(), .onReportDue = [this] {
-              {
-                const std::lock_guard lock(m_mutex);
-                ++m_wakeCount;
-              }
-              m_wake.notify_all();
-            } })
+  , m_pool({ .node = aNode,
+             .incarnation = WallNow().time_since_epoch().count(),
+             .startedAt = SteadyClock::now(),
+             .onReportDue = [this] {
+               {
+                 const std::lock_guard lock(m_mutex);
+                 ++m_wakeCount;
+               }
+               m_wake.notify_all();
+             } })
 {
 }
 
--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -36,6 +36,8 @@
 static constexpr Seconds kMeanDemandTime{ 10 };
 /** A ledger without any request for this long was suspended, cut off or unused. */
 static constexpr std::chrono::milliseconds kSuspensionTime{ 1000 };
+/** Time in which most nodes report to a new ledger. */
+static constexpr std::chrono::milliseconds kSurveyTime{ 600 };
 /** Time in which the reports of all nodes arrive after that. */
 static constexpr std::chrono::milliseconds kCatchUpTime{ 1000 };
 /** Answer to a node that hasn't heard yet that the team has no limit any more. */
@@ -111,7 +113,22 @@
   if (sender.incarnation != 0 && aRequest.incarnation != sender.incarnation) {
     ForgetHolders(aRequest.node);
   }
-  sender = { .incarnation = aRequest.incarnation, .sequence = aRequest.sequence, .heardAt = aNow };
+  const std::chrono::milliseconds age(aRequest.ageMillis);
+  const bool isRestarted =
+    age >= std::chrono::milliseconds(0) && aNow - age > m_options.startedAt - kQuotaFallbackTime &&
+    std::none_of(aRequest.usages.begin(), aRequest.usages.end(), [](const auto& aUsage) {
+      return aUsage.fallbackMilli > 0;
+    });
+  // A process that holds nothing at its first report gets its rates from this ledger.
+  const bool isKnownProcess = sender.incarnation == aRequest.incarnation;
+  const bool wasRestarted = sender.isRestarted;
+  sender = { .incarnation = aRequest.incarnation,
+             .sequence = aRequest.sequence,
+             .heardAt = aNow,
+             .isRestarted = isKnownProcess ? wasRestarted : isRestarted };
+  if (sender.isRestarted != wasRestarted) {
+    m_restartedSenders = sender.isRestarted ? m_restartedSenders + 1 : m_restartedSenders - 1;
+  }
   return true;
 }
 
@@ -138,6 +155,8 @@
   m_nextSenderScanAt = aNow + kQuotaFallbackTime;
   std::erase_if(m_senders,
                 [&](const auto& aEntry) { return aNow > aEntry.second.heardAt + 2 * kQuotaFallbackTime; });
+  m_restartedSenders = static_cast<size_t>(std::count_if(
+    m_senders.begin(), m_senders.end(), [](const auto& aEntry) { return aEntry.second.isRestarted; }));
 }
 
 std::chrono::milliseconds
@@ -221,6 +240,38 @@
   return aNow < aAccount.learningUntil ? std::min(rate, aAccount.inheritedFallback) : rate;
 }
 
+double
+QuotaLedger::RestartedShare(Deadline aNow) const
+{
+  if (m_senders.empty() || aNow < m_options.startedAt + kSurveyTime) {
+    return 0;
+  }
+  return static_cast<double>(m_restartedSenders) / static_cast<double>(m_senders.size());
+}
+
+double
+QuotaLedger::RateOfEndedProcesses(const Account& aAccount, Deadline aNow) const
+{
+  // What no heard process holds belongs to processes that have ended or to nodes that are cut off. The share
+  // of restarts among the heard nodes tells which: it is small unless the fleet was restarted.
+  const double unheld = aAccount.limit.requestsPerSecond - aAccount.inheritedFallback;
+  return RestartedShare(aNow) * std::max(0.0, unheld);
+}
+
+void
+QuotaLedger::CreditEndedProcesses(Account& aAccount, Deadline aNow) const
+{
+  const Deadline learningUntil = aAccount.learningUntil;
+  if (learningUntil == Deadline{} || aNow > learningUntil + kQuotaFallbackTime) {
+    return;
+  }
+  const Seconds elapsed = std::min(aNow, learningUntil) - m_options.startedAt;
+  const double total = RateOfEndedProcesses(aAccount, aNow) * elapsed.count();
+  const double credit = std::max(0.0, total - aAccount.restartCredit);
+  aAccount.restartCredit += credit;
+  aAccount.level += credit;
+}
+
 void
 QuotaLedger::ChargeSilentHolders(Account& aAccount, Deadline aNow)
 {
@@ -254,6 +305,7 @@
   const Seconds elapsed = aNow - aAccount.settledAt;
   aAccount.settledAt = aNow;
   aAccount.level += elapsed.count() * RefillRate(aAccount, aNow);
+  CreditEndedProcesses(aAccount, aNow);
   if (aNow >= aAccount.nextScanAt) {
     aAccount.nextScanAt = aNow + kScanInterval;
     ChargeSilentHolders(aAccount, aNow);
@@ -427,7 +479,8 @@
 QuotaLedger::TimeUntilRoom(const Account& aAccount, Deadline aNow) const
 {
   const auto pause = Pause();
-  const double refill = RefillRate(aAccount, aNow);
+  const double learned = aNow < aAccount.learningUntil ? RateOfEndedProcesses(aAccount, aNow) : 0;
+  const double refill = RefillRate(aAccount, aNow) + learned;
   if (refill <= 0) {
     return std::max(pause, TimeLeft(aAccount.learningUntil, aNow));
   }
--- a/src/quota/quotaledger.h
+++ b/src/quota/quotaledger.h
@@ -119,6 +119,8 @@
     double inheritedFallback = 0;
     /** Tokens that a full bucket lost while this ledger catches up with late reports. */
     double overflow = 0;
+    /** Tokens of ended processes that were added while the ledger learns. */
+    double restartCredit = 0;
     /** Quota that heard holders left unused under an earlier ledger, less what they demanded beyond it. */
     double inheritedUnused = 0;
   };
@@ -129,6 +131,8 @@
     int64_t incarnation = 0;
     int64_t sequence = 0;
     Deadline heardAt{};
+    /** Whether the process has started too late to hold anything of an earlier ledger. */
+    bool isRestarted = false;
   };
 
   /** Returns whether a request isn't older than one that was handled. */
@@ -136,6 +140,12 @@
   /** Drops what earlier processes of a node held; it counts as used. */
   void ForgetHolders(const std::string& aNode);
   void ForgetSilentSenders(Deadline aNow);
+  /** Returns the share of the heard nodes whose processes hold nothing of an earlier ledger. */
+  double RestartedShare(Deadline aNow) const;
+  /** Returns the part of a team's rate that no running process holds from an earlier ledger. */
+  double RateOfEndedProcesses(const Account& aAccount, Deadline aNow) const;
+  /** Adds the tokens of that part since the start of this ledger. */
+  void CreditEndedProcesses(Account& aAccount, Deadline aNow) const;
   std::chrono::milliseconds Interval() const;
   /** Returns the shortest time until a node that was granted too little asks again. */
   std::chrono::milliseconds Pause() const;
@@ -169,6 +179,7 @@
   TeamNumbers m_numbers;
   std::map<std::string, Account> m_accounts;
   std::map<std::string, Sender> m_senders;
+  size_t m_restartedSenders = 0;
   bool m_hasTeams = false;
   Deadline m_nextSenderScanAt{};
   Deadline m_handledAt{};
--- a/src/quota/quotapool.cpp
+++ b/src/quota/quotapool.cpp
@@ -276,6 +276,9 @@
   report.incarnation = m_options.incarnation;
   report.sequence = ++m_sequence;
   report.version = m_version;
+  report.ageMillis =
+    std::chrono::floor<std::chrono::milliseconds>(std::max(aNow, m_options.startedAt) - m_options.startedAt)
+      .count();
   for (auto& [name, share] : m_shares) {
     const bool isDue = share.nextReportAt && *share.nextReportAt <= aNow + kReportJoinTime;
     if (!isDue && !HasNewWaiter(share)) {
--- a/src/quota/quotapool.h
+++ b/src/quota/quotapool.h
@@ -57,6 +57,8 @@
   {
     std::string node;
     int64_t incarnation = 0;
+    /** When this process started. */
+    Deadline startedAt{};
     /** Is called without a lock when a report becomes due earlier than NextReportAt() said. */
     std::function<void()> onReportDue;
   };
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -8166,6 +8166,10 @@
 void QuotaRequest::__set_usages(const std::vector<QuotaUsage> & val) {
   this->usages = val;
 }
+
+void QuotaRequest::__set_ageMillis(const int64_t val) {
+  this->ageMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
 {
   obj.printTo(out);
@@ -8246,6 +8250,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8291,6 +8303,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8303,6 +8319,7 @@
   swap(a.sequence, b.sequence);
   swap(a.version, b.version);
   swap(a.usages, b.usages);
+  swap(a.ageMillis, b.ageMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -8312,6 +8329,7 @@
   sequence = other327.sequence;
   version = other327.version;
   usages = other327.usages;
+  ageMillis = other327.ageMillis;
   __isset = other327.__isset;
 }
 QuotaRequest::QuotaRequest(QuotaRequest&& other328) noexcept {
@@ -8320,6 +8338,7 @@
   sequence = other328.sequence;
   version = other328.version;
   usages = std::move(other328.usages);
+  ageMillis = other328.ageMillis;
   __isset = other328.__isset;
 }
 QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other329) {
@@ -8328,6 +8347,7 @@
   sequence = other329.sequence;
   version = other329.version;
   usages = other329.usages;
+  ageMillis = other329.ageMillis;
   __isset = other329.__isset;
   return *this;
 }
@@ -8337,6 +8357,7 @@
   sequence = other330.sequence;
   version = other330.version;
   usages = std::move(other330.usages);
+  ageMillis = other330.ageMillis;
   __isset = other330.__isset;
   return *this;
 }
@@ -8348,6 +8369,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "version=" << to_string(version);
   out << ", " << "usages=" << to_string(usages);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -2961,12 +2961,13 @@
 std::ostream& operator<<(std::ostream& out, const QuotaUsage& obj);
 
 typedef struct _QuotaRequest__isset {
-  _QuotaRequest__isset() : node(false), incarnation(true), sequence(true), version(true), usages(false) {}
+  _QuotaRequest__isset() : node(false), incarnation(true), sequence(true), version(true), usages(false), ageMillis(true) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
   bool version :1;
   bool usages :1;
+  bool ageMillis :1;
 } _QuotaRequest__isset;
 
 class QuotaRequest : public virtual ::apache::thrift::TBase {
@@ -2980,7 +2981,8 @@
                : node(),
                  incarnation(0LL),
                  sequence(0LL),
-                 version(0LL) {
+                 version(0LL),
+                 ageMillis(-1LL) {
   }
 
   virtual ~QuotaRequest() noexcept;
@@ -2989,6 +2991,7 @@
   int64_t sequence;
   int64_t version;
   std::vector<QuotaUsage>  usages;
+  int64_t ageMillis;
 
   _QuotaRequest__isset __isset;
 
@@ -3002,6 +3005,8 @@
 
   void __set_usages(const std::vector<QuotaUsage> & val);
 
+  void __set_ageMillis(const int64_t val);
+
   bool operator == (const QuotaRequest & rhs) const
   {
     if (!(node == rhs.node))
@@ -3014,6 +3019,8 @@
       return false;
     if (!(usages == rhs.usages))
       return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
     return true;
   }
   bool operator != (const QuotaRequest &rhs) const {
--- a/tests/platform/platformquotatest.cpp
+++ b/tests/platform/platformquotatest.cpp
@@ -75,7 +75,8 @@
 // nodes can't find by the names of the platform.
 BOOST_AUTO_TEST_CASE(a_team_is_held_to_its_quota)
 {
-  PlatformMesh mesh("platformquota", ",\"quotaWindow=5s\",\"quotaBurst=0.1\",\"quotaSlack=20\"");
+  PlatformMesh mesh("platformquota",
+                    { .bounds = ",\"quotaWindow=5s\",\"quotaBurst=0.1\",\"quotaSlack=20\"" });
   BOOST_REQUIRE(mesh.Start());
   BOOST_TEST(mesh.ReplaceConfiguration("r3", MakeDocument(4, "\"ratePerS\":10,\"burst\":5")) == 200);
   BOOST_REQUIRE(WaitUntil(kWaitLimit, [&] {
--- a/tests/quota/quotaledgertest.cpp
+++ b/tests/quota/quotaledgertest.cpp
@@ -119,6 +119,38 @@
   BOOST_TEST(ledger.States(kStart).front().level < 0);
 }
 
+static wire::QuotaRequest
+MakeReportOfProcess(const std::string& aNode, milliseconds aAge, double aDemand)
+{
+  wire::QuotaRequest request = MakeReport(aNode, 1, 0, 10, aDemand);
+  request.ageMillis = aAge.count();
+  return request;
+}
+
+// Guards against eight seconds without any quota after all nodes and the leader have lost power.
+BOOST_AUTO_TEST_CASE(a_new_ledger_grants_at_once_if_the_nodes_have_restarted_too)
+{
+  QuotaLedger ledger({ .tolerance = {}, .startedAt = kStart });
+  ledger.SetTeams(1, OneTeam(100, 100), kStart);
+  const Deadline now = kStart + milliseconds(1000);
+  for (const std::string node : { "a", "b", "c", "d" }) {
+    BOOST_TEST(Granted(ledger, MakeReportOfProcess(node, milliseconds(900), 15), now) >= 10);
+  }
+}
+
+// Guards against quota that a node which is cut off still uses at its fallback rate.
+BOOST_AUTO_TEST_CASE(a_new_ledger_holds_back_what_a_running_process_may_hold)
+{
+  QuotaLedger ledger({ .tolerance = {}, .startedAt = kStart });
+  ledger.SetTeams(1, OneTeam(100, 100), kStart);
+  const Deadline now = kStart + milliseconds(1000);
+  for (const std::string node : { "a", "b", "c", "d" }) {
+    ledger.Handle(MakeReportOfProcess(node, seconds(60), 15), now);
+  }
+  const QuotaState state = ledger.States(now).front();
+  BOOST_TEST(state.level + state.kept <= 0);
+}
+
 // Guards against a team that is refused at first because its limit is new.
 BOOST_AUTO_TEST_CASE(a_team_that_appears_under_a_ledger_has_a_full_bucket)
 {
