--- a/src/caller/quotaadmission.cpp
+++ b/src/caller/quotaadmission.cpp
@@ -4,8 +4,11 @@
 
 namespace mimosarun {
 
-/** Longest time that a call waits for a grant; a reply from another region takes about half of it. */
-static constexpr std::chrono::milliseconds kLongestQuotaWait{ 80 };
+/**
+ * Longest time that a call waits for a grant. A reply from another region takes about 45 ms, the first one,
+ * with two connections to open, three times as long; a refused caller would come back later than that.
+ */
+static constexpr std::chrono::milliseconds kLongestQuotaWait{ 200 };
 
 QuotaAdmission::QuotaAdmission(QuotaPool& aPool, std::string aTeam, EventLoop& aLoop)
   : m_pool(aPool)
