--- a/src/control/quotaservice.cpp
+++ b/src/control/quotaservice.cpp
@@ -1,7 +1,6 @@
 #include "control/quotaservice.h"
 
 #include "common/log.h"
-#include "quota/windowedquota.h"
 
 #include <algorithm>
 
@@ -82,7 +81,7 @@
   const std::map<std::string, Team>& teams = aSnapshot->configuration.teams;
   const bool isNew = m_version < 0;
   m_version = aSnapshot->version;
-  m_ledger->SetTeams(m_version, WindowedQuotas(teams, m_options.tolerance), aNow);
+  m_ledger->SetTeams(m_version, teams, aNow);
   m_hasLimits = std::any_of(
     teams.begin(), teams.end(), [](const auto& aTeam) { return aTeam.second.requestsPerSecond > 0; });
   if (isNew && m_hasLimits) {
