Balancer: an uncertain wait nearby is no reason to leave the failure domain

Cause: the margin for an uncertain load was part of a gate's wait, also when gates of different localities were compared, so calls paid for a distance to avoid a wait that was only possible. Change: only the differences of the margins within a locality count.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -147,8 +147,11 @@
   candidate.isLoadKnown = aNow < view.loadReceivedAt + kAverageLifetime;
   if (candidate.isLoadKnown) {
     candidate.reportAge = std::chrono::duration_cast<std::chrono::microseconds>(aNow - view.loadReceivedAt);
-    const double excess = ExpectedExcess(view.otherCalls + openAttempts, candidate.slots);
+    const double calls = view.otherCalls + openAttempts;
+    const double excess = std::max(0.0, calls + 1 - candidate.slots);
+    const double uncertainExcess = ExpectedExcess(calls, candidate.slots);
     candidate.queueWait = std::max(candidate.queueWait, Fraction(callTime, excess / candidate.slots));
+    candidate.waitMargin = Fraction(callTime, (uncertainExcess - excess) / candidate.slots);
   }
   if (isLoadFresh) {
     candidate.queueWait = std::max(candidate.queueWait, view.load.queueWait);
@@ -200,12 +203,14 @@
   std::chrono::microseconds timeSum{ 0 };
   int knownTimes = 0;
   std::map<Locality, DampedMean> meanWaits;
+  std::map<Locality, DampedMean> meanMargins;
   DampedMean meanPenalty;
   for (const Candidate& candidate : aCandidates) {
     timeSum += candidate.responseTime;
     knownTimes += candidate.responseTime.count() > 0 ? 1 : 0;
     if (candidate.isLoadKnown) {
       meanWaits[candidate.gate->locality].Add(candidate.queueWait);
+      meanMargins[candidate.gate->locality].Add(candidate.waitMargin);
     }
     if (candidate.isFailurePenaltyKnown) {
       meanPenalty.Add(candidate.failurePenalty);
@@ -217,6 +222,7 @@
     }
     if (!candidate.isLoadKnown) {
       candidate.queueWait = std::max(candidate.queueWait, meanWaits[candidate.gate->locality].Value());
+      candidate.waitMargin = meanMargins[candidate.gate->locality].Value();
     }
     if (!candidate.isFailurePenaltyKnown) {
       candidate.failurePenalty = meanPenalty.Value();
@@ -229,12 +235,19 @@
 {
   FillInUnknowns(aCandidates);
   const auto onTimeLimit = Fraction(aRequirements.timeToObjective, m_options.distance.onTimeShare);
+  // An uncertain wait nearby is no reason to pay for a distance, so only the differences of margins count.
+  std::map<Locality, std::chrono::microseconds> leastMargins;
+  for (const Candidate& candidate : aCandidates) {
+    auto& least = leastMargins.try_emplace(candidate.gate->locality, candidate.waitMargin).first->second;
+    least = std::min(least, candidate.waitMargin);
+  }
   for (Candidate& candidate : aCandidates) {
+    const auto wait = candidate.queueWait + candidate.waitMargin - leastMargins[candidate.gate->locality];
     // A gate with a longer wait would probably reject the call.
-    candidate.waitsTooLong = candidate.queueWait > aRequirements.longestWait;
+    candidate.waitsTooLong = wait > aRequirements.longestWait;
     candidate.distanceCost = DistanceCost(candidate.gate->locality, aRequirements);
     candidate.totalCost = candidate.distanceCost + candidate.failurePenalty +
-                          LatenessCost(candidate.responseTime + candidate.queueWait, onTimeLimit) +
+                          LatenessCost(candidate.responseTime + wait, onTimeLimit) +
                           std::chrono::microseconds(RandomBetween(0, kJitterMicros));
   }
 }
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -211,6 +211,8 @@
     GateView view;
     int slots = 1;
     std::chrono::microseconds queueWait{ 0 };
+    /** Added to the wait as the load isn't known exactly; only compares gates of one locality. */
+    std::chrono::microseconds waitMargin{ 0 };
     std::chrono::microseconds failurePenalty{ 0 };
     /** Whether the gate reported its load and its failure penalty recently. */
     bool isLoadKnown = false;
