crashes: the test waits until it can see that the target has ended

Cause: the test looked for the ended process right after the response. Change: it waits for the end, at most a second. The same ends are required.

--- a/tests/mesh/crashes.cpp
+++ b/tests/mesh/crashes.cpp
@@ -13,6 +13,8 @@
 static constexpr size_t kCrashLimit = 3;
 /** Enough for each event loop of a gate to keep a connection to the target. */
 static constexpr int kWarmUpCalls = 20;
+/** A process closes its connections before its parent can see that it has ended. */
+static constexpr std::chrono::milliseconds kEndLimit{ 1000 };
 
 static size_t
 EndedTargets(Mesh& aMesh)
@@ -54,7 +56,7 @@
       Send(mesh.ProcessOf(node).callerAddress, deadly);
     }
   }
-  BOOST_REQUIRE(EndedTargets(mesh) >= kCrashLimit);
+  BOOST_REQUIRE(WaitUntil(kEndLimit, [&] { return EndedTargets(mesh) >= kCrashLimit; }));
   std::this_thread::sleep_for(kStableWindow);
   const size_t ended = EndedTargets(mesh);
   SendThroughEachEntry(mesh, deadly);
@@ -78,7 +80,7 @@
     BOOST_REQUIRE(Send(entry, { .path = "/books/item" }).status == 200);
   }
   const TestResponse response = Send(entry, { .path = "/books/item?crash=1" });
-  BOOST_TEST(EndedTargets(mesh) > 0U);
+  BOOST_TEST(WaitUntil(kEndLimit, [&] { return EndedTargets(mesh) > 0; }));
   BOOST_TEST(response.status == 502);
   BOOST_TEST(response.outcome != "not-run");
 }
