Remove an unused constant and correct comments that no longer fit

Cause: a merge left kLogLikelihoodRatio unused beside the constant that replaced it, and a doc comment without its constant in rolloutpolicy.cpp. The limit of a version's length stood twice. Change: the unused constant and the stray comment are removed, the limit moves to targetwatch.h, QuotaClient's Lane is named Connection and kGenerosity kDemandFactor; comments are corrected. Result: builds; balancertest and quotaledgertest pass.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -22,8 +22,7 @@
 static constexpr int kOverdueFactor = 3;
 /** Part of the response time that an open attempt for each slot adds to it. */
 static constexpr int kLoadCostDivisor = 8;
-/** Gates of a locality that one choice considers; more of them hardly improve
- * it. */
+/** Gates of a locality that one choice considers; more of them hardly improve it. */
 static constexpr size_t kSampleSize = 24;
 /**
  * Variance of the number of calls at a gate, for each call that is expected there. Calls of many entries that
@@ -75,8 +74,7 @@
   return costs.otherRegion;
 }
 
-/** Returns the cost of a response time: a small part of it, plus the whole time
- * beyond aOnTimeLimit. */
+/** Returns the cost of a response time: a small part of it, plus the whole time beyond aOnTimeLimit. */
 static std::chrono::microseconds
 LatenessCost(std::chrono::microseconds aTime, std::chrono::microseconds aOnTimeLimit)
 {
@@ -176,8 +174,7 @@
   return candidate;
 }
 
-/** Mean with half a sample of zero added, since the value of one gate may not
- * hold for all. */
+/** Mean with half a sample of zero added, since the value of one gate may not hold for all. */
 struct DampedMean
 {
   std::chrono::microseconds sum{ 0 };
@@ -193,9 +190,8 @@
 };
 
 /**
- * Assumes the mean of the other gates for each value that a gate hasn't
- * reported recently. Load differs between failure domains, so the waits of
- * gates nearby say nothing of those further away.
+ * Assumes the mean of the other gates for each value that a gate hasn't reported recently. Load differs
+ * between failure domains, so the waits of gates nearby say nothing of those further away.
  */
 void
 Balancer::FillInUnknowns(std::vector<Candidate>& aCandidates)
@@ -285,8 +281,7 @@
   }
 }
 
-/** Orders candidates by cost; those that would probably reject the call are
- * last. */
+/** Orders candidates by cost; those that would probably reject the call are last. */
 static constexpr auto kIsBetter = [](const auto& aLeft, const auto& aRight) {
   return std::make_pair(aLeft.waitsTooLong, aLeft.totalCost) <
          std::make_pair(aRight.waitsTooLong, aRight.totalCost);
@@ -310,16 +305,14 @@
     }
     ComputeCosts(candidates, aRequirements);
     std::nth_element(candidates.begin(), candidates.begin() + 1, candidates.end(), kIsBetter);
-    // Gates that are further away cost at least their distance, so they can't
-    // be better.
+    // Gates that are further away cost at least their distance, so they can't be better.
     const auto nextLocality = locality == Locality::FailureDomain ? Locality::Region : Locality::OtherRegion;
     if (!candidates[1].waitsTooLong && candidates[1].totalCost < DistanceCost(nextLocality, aRequirements)) {
       return candidates;
     }
   }
   const auto ejected = static_cast<size_t>(std::count_if(candidates.begin(), candidates.end(), isEjected));
-  // If most gates fail, the fault is probably a common one, so all of them stay
-  // in use.
+  // If most gates fail, the fault is probably a common one, so all of them stay in use.
   if (ejected * 2 <= candidates.size() && ejected < candidates.size()) {
     std::erase_if(candidates, isEjected);
   }
--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -49,9 +49,9 @@
     return;
   }
   const std::lock_guard lock(m_mutex);
-  for (size_t lane = 0; lane < m_lanes.size() && !m_stop; ++lane) {
-    if (!m_lanes[lane].thread.joinable()) {
-      m_lanes[lane].thread = std::thread([this, lane] { Run(lane); });
+  for (size_t connection = 0; connection < m_connections.size() && !m_stop; ++connection) {
+    if (!m_connections[connection].thread.joinable()) {
+      m_connections[connection].thread = std::thread([this, connection] { Run(connection); });
     }
   }
 }
@@ -70,9 +70,9 @@
 QuotaClient::Stop()
 {
   BeginStop();
-  for (Lane& lane : m_lanes) {
-    if (lane.thread.joinable()) {
-      lane.thread.join();
+  for (Connection& connection : m_connections) {
+    if (connection.thread.joinable()) {
+      connection.thread.join();
     }
   }
 }
@@ -80,22 +80,22 @@
 // --- exchange --------------------------------------------------------------------------------------------
 
 std::optional<Deadline>
-QuotaClient::WorkAt(size_t aLane, Deadline aNow)
+QuotaClient::WorkAt(size_t aConnection, Deadline aNow)
 {
-  if (aLane == 0) {
+  if (aConnection == 0) {
     return m_pool.NextReportAt(aNow);
   }
   const std::lock_guard lock(m_mutex);
-  const Lane& first = m_lanes.front();
+  const Connection& first = m_connections.front();
   return first.isBusy && m_pool.HasUnreportedRequests()
            ? std::optional(std::max(aNow, first.sentAt + kStagger))
            : std::nullopt;
 }
 
 bool
-QuotaClient::WaitForWork(size_t aLane)
+QuotaClient::WaitForWork(size_t aConnection)
 {
-  const Lane& lane = m_lanes[aLane];
+  const Connection& connection = m_connections[aConnection];
   while (true) {
     uint64_t wakeCount = 0;
     {
@@ -103,8 +103,8 @@
       wakeCount = m_wakeCount;
     }
     const Deadline now = SteadyClock::now();
-    const std::optional<Deadline> workAt = WorkAt(aLane, now);
-    const Deadline due = std::max(workAt.value_or(now + kIdleInterval), lane.nextAttemptAt);
+    const std::optional<Deadline> workAt = WorkAt(aConnection, now);
+    const Deadline due = std::max(workAt.value_or(now + kIdleInterval), connection.nextAttemptAt);
     std::unique_lock lock(m_mutex);
     if (m_stop) {
       return false;
@@ -113,73 +113,74 @@
       return true;
     }
     m_wake.wait_until(lock, due, [&] {
-      return m_stop || (m_wakeCount != wakeCount && SteadyClock::now() >= lane.nextAttemptAt);
+      return m_stop || (m_wakeCount != wakeCount && SteadyClock::now() >= connection.nextAttemptAt);
     });
   }
 }
 
 void
-QuotaClient::SetBusy(Lane& aLane, bool aIsBusy)
+QuotaClient::SetBusy(Connection& aConnection, bool aIsBusy)
 {
   const std::lock_guard lock(m_mutex);
-  aLane.isBusy = aIsBusy;
-  aLane.sentAt = SteadyClock::now();
+  aConnection.isBusy = aIsBusy;
+  aConnection.sentAt = SteadyClock::now();
 }
 
 void
-QuotaClient::Run(size_t aLane)
+QuotaClient::Run(size_t aConnection)
 {
-  Lane& lane = m_lanes[aLane];
-  while (WaitForWork(aLane)) {
-    SetBusy(lane, true);
-    Exchange(lane);
-    SetBusy(lane, false);
+  Connection& connection = m_connections[aConnection];
+  while (WaitForWork(aConnection)) {
+    SetBusy(connection, true);
+    Exchange(connection);
+    SetBusy(connection, false);
   }
 }
 
 void
-QuotaClient::Exchange(Lane& aLane)
+QuotaClient::Exchange(Connection& aConnection)
 {
-  if (aLane.client == nullptr) {
-    Connect(aLane);
+  if (aConnection.client == nullptr) {
+    Connect(aConnection);
   }
-  if (aLane.client == nullptr) {
-    HandleFailure(aLane, "no control replica is known");
+  if (aConnection.client == nullptr) {
+    HandleFailure(aConnection, "no control replica is known");
     return;
   }
   const Deadline sentAt = SteadyClock::now();
   const wire::QuotaRequest report = m_pool.MakeReport(sentAt);
   wire::QuotaReply reply;
-  const Result<void> called = aLane.client->Call(
+  const Result<void> called = aConnection.client->Call(
     sentAt + kExchangeTimeout, [&](wire::ControlPeerClient& aClient) { aClient.quota(reply, report); });
   const Deadline now = SteadyClock::now();
-  aLane.nextAttemptAt = now + kShortestInterval;
+  aConnection.nextAttemptAt = now + kShortestInterval;
   if (called && reply.granted) {
-    aLane.isFollowing = false;
+    aConnection.isFollowing = false;
     m_pool.Accept(report, reply, sentAt, now);
-    RecordContact(aLane.client->Peer(), "");
+    RecordContact(aConnection.client->Peer(), "");
     return;
   }
-  if (called && !aLane.isFollowing && Follow(aLane, reply.leader)) {
+  if (called && !aConnection.isFollowing && Follow(aConnection, reply.leader)) {
     m_pool.ReportAgain();
     return;
   }
-  HandleFailure(aLane,
-                called ? aLane.client->Peer().Text() + ": the replica doesn't lead" : called.error().message);
+  HandleFailure(aConnection,
+                called ? aConnection.client->Peer().Text() + ": the replica doesn't lead"
+                       : called.error().message);
 }
 
 void
-QuotaClient::HandleFailure(Lane& aLane, const std::string& aReason)
+QuotaClient::HandleFailure(Connection& aConnection, const std::string& aReason)
 {
-  aLane.isFollowing = false;
-  aLane.nextAttemptAt = SteadyClock::now() + kRetryInterval;
+  aConnection.isFollowing = false;
+  aConnection.nextAttemptAt = SteadyClock::now() + kRetryInterval;
   m_pool.LoseContact(SteadyClock::now());
   RecordContact(std::nullopt, aReason);
-  Connect(aLane);
+  Connect(aConnection);
 }
 
 bool
-QuotaClient::Follow(Lane& aLane, const std::string& aLeader)
+QuotaClient::Follow(Connection& aConnection, const std::string& aLeader)
 {
   std::optional<Address> address;
   for (const ReplicaSettings& replica : m_replicas()) {
@@ -190,23 +191,23 @@
   if (const Result<Address> named = ParseAddress(aLeader); !address && named) {
     address = named.value();
   }
-  if (!address || address->Text() == aLane.client->Peer().Text()) {
+  if (!address || address->Text() == aConnection.client->Peer().Text()) {
     return false;
   }
-  aLane.isFollowing = true;
-  aLane.client = std::make_unique<Client>(*address);
+  aConnection.isFollowing = true;
+  aConnection.client = std::make_unique<Client>(*address);
   return true;
 }
 
 void
-QuotaClient::Connect(Lane& aLane)
+QuotaClient::Connect(Connection& aConnection)
 {
   const std::vector<ReplicaSettings> replicas = m_replicas();
   const std::lock_guard lock(m_mutex);
   if (m_leader) {
-    aLane.client = std::make_unique<Client>(*m_leader);
+    aConnection.client = std::make_unique<Client>(*m_leader);
   } else if (!replicas.empty()) {
-    aLane.client = std::make_unique<Client>(replicas[m_nextReplica++ % replicas.size()].address);
+    aConnection.client = std::make_unique<Client>(replicas[m_nextReplica++ % replicas.size()].address);
   }
 }
 
--- a/src/node/quotaclient.h
+++ b/src/node/quotaclient.h
@@ -36,10 +36,10 @@
 
   QuotaPool& Pool() { return m_pool; }
 
-  /** Sets the teams of a configuration; the first one with a limit starts the thread. */
+  /** Sets the teams of a configuration; the first one with a limit starts the threads. */
   void SetConfiguration(const SnapshotPointer& aSnapshot);
 
-  /** Requests the end of the thread without waiting for it. */
+  /** Requests the end of the threads without waiting for it. */
   void BeginStop();
   void Stop();
 
@@ -50,7 +50,7 @@
   using Client = RpcClient<wire::ControlPeerClient>;
 
   /** One of the connections to the leader. */
-  struct Lane
+  struct Connection
   {
     std::unique_ptr<Client> client;
     /** Whether the current replica was named as the leader by the one before. */
@@ -63,18 +63,18 @@
     std::thread thread;
   };
 
-  void Run(size_t aLane);
-  /** Waits until the lane has a report to send; returns false as soon as BeginStop() is called. */
-  bool WaitForWork(size_t aLane);
-  /** Returns when the lane has a report to send, or nothing if it has none. */
-  std::optional<Deadline> WorkAt(size_t aLane, Deadline aNow);
-  void SetBusy(Lane& aLane, bool aIsBusy);
-  void Exchange(Lane& aLane);
-  void HandleFailure(Lane& aLane, const std::string& aReason);
+  void Run(size_t aConnection);
+  /** Waits until the connection has a report to send; returns false as soon as BeginStop() is called. */
+  bool WaitForWork(size_t aConnection);
+  /** Returns when the connection has a report to send, or nothing if it has none. */
+  std::optional<Deadline> WorkAt(size_t aConnection, Deadline aNow);
+  void SetBusy(Connection& aConnection, bool aIsBusy);
+  void Exchange(Connection& aConnection);
+  void HandleFailure(Connection& aConnection, const std::string& aReason);
   /** Connects to the leader that a replica named; returns false if it isn't known or is that replica. */
-  bool Follow(Lane& aLane, const std::string& aLeader);
+  bool Follow(Connection& aConnection, const std::string& aLeader);
   /** Connects to the leader that answered last, or to the replica after the last one that was tried. */
-  void Connect(Lane& aLane);
+  void Connect(Connection& aConnection);
   void RecordContact(const std::optional<Address>& aLeader, const std::string& aReason);
 
   const ReplicaSource m_replicas;
@@ -89,7 +89,7 @@
   std::optional<Address> m_leader;
   bool m_hasContact = true;
   /** The second one is used only for requests that begin to wait while a report of the first is in flight. */
-  std::array<Lane, 2> m_lanes;
+  std::array<Connection, 2> m_connections;
 };
 
 } // namespace mimosarun
--- a/src/quota/quotaledger.cpp
+++ b/src/quota/quotaledger.cpp
@@ -17,7 +17,7 @@
 /** Free mode needs tokens beyond those, and demand below this share of the rate. */
 static constexpr double kFreeDemandShare = 0.7;
 /** A node gets this many times its recent demand, so that an ordinary burst needs no further request. */
-static constexpr double kGenerosity = 2;
+static constexpr double kDemandFactor = 2;
 /**
  * Part of the tolerance by which a bucket may go into debt. A new ledger doesn't know of the debt, so a
  * change of the leader within a window can incur it twice; the rest covers late charges of silent holders.
@@ -430,7 +430,7 @@
   const auto waiting = static_cast<double>(aWaiting);
   const double interval = Seconds(Interval()).count();
   const double expected = aHolder.demand * interval;
-  const double spare = expected >= kLeastExpectedRequests ? kGenerosity * expected + 1 : 0;
+  const double spare = expected >= kLeastExpectedRequests ? kDemandFactor * expected + 1 : 0;
   const double level = aAccount.level;
   if (ModeOf(aAccount, aNow) == QuotaMode::Free) {
     // The last part of the bucket is for calls that wait already.
--- a/src/rollout/outcometable.h
+++ b/src/rollout/outcometable.h
@@ -13,7 +13,7 @@
 namespace mimosarun {
 
 /**
- * The newest cumulative counts of each life of each node's process, so that lost, repeated and reordered
+ * The newest cumulative counts of each incarnation of each node, so that lost, repeated and reordered
  * reports are harmless. Thread-safe.
  */
 class OutcomeTable
--- a/src/rollout/ratecomparison.cpp
+++ b/src/rollout/ratecomparison.cpp
@@ -11,10 +11,8 @@
 static constexpr size_t kShortSpanSlots = 4;
 /** Weight of former slots in the old version's rate, in responses. */
 static constexpr double kFormerResponses = 100;
-/** Natural logarithm of the likelihood ratio; with 10, four failures by chance ended a good version in
- * simulations. */
-static constexpr double kLogLikelihoodRatio = 12;
-/** What a verdict needs. */
+
+/** What a verdict needs at least. */
 struct VerdictLimits
 {
   double events = 0;
@@ -24,13 +22,16 @@
 
 /** With a logarithm of 10, four failures by chance ended a good version in simulations. */
 static constexpr VerdictLimits kJudged{ .events = 4, .logRatio = 12 };
-/** Of slots whose reports may still be missing; a common fault that the candidate's nodes report first has
- * fewer. */
+/**
+ * For slots that include some whose reports may still be missing. A fault of both versions that the
+ * candidate's nodes report first stays below these limits.
+ */
 static constexpr VerdictLimits kUnjudged{ .events = 8, .logRatio = 20 };
 /** A smaller increase isn't taken for a fault of the version, however significant it is. */
 static constexpr double kLeastRatio = 1.5;
 static constexpr double kDeviations = 2;
-/** Likelihood ratio for the plain comparison of both versions, and the weight of the former rate in it. */
+/** Natural logarithm of the likelihood ratio for the plain comparison of both versions, and the weight of the
+ * former rate in it. */
 static constexpr double kTwoRatesRatio = 6;
 static constexpr double kPriorResponses = 40;
 
--- a/src/rollout/rolloutpolicy.cpp
+++ b/src/rollout/rolloutpolicy.cpp
@@ -24,7 +24,7 @@
 static constexpr double kLeastRate = 10;
 /** Part of canary calls that nodes send to the canary targets. */
 static constexpr double kConcentration = 0.8;
-/** Each canary target rather gets up to a third more calls than an old one than fewer. */
+/** Added before rounding down, so that a canary target gets more calls than an old one rather than fewer. */
 static constexpr double kRoundingUp = 0.25;
 
 /** Parts of the exposure limit that the plan uses; the rest covers a rate that falls later. */
@@ -35,8 +35,8 @@
 /** Part of the exposure that the canary gets where the switch needs more than the limit leaves. */
 static constexpr double kCanaryPart = 0.2;
 static constexpr double kLoadPart = 0.35;
-/** More targets than these hardly show more. */
-/** A load step that gives less of the load of an old target shows little that the canary doesn't. */
+/** A load step that gives a target less than this part of an old one's load shows little that the canary
+ * doesn't. */
 static constexpr double kLeastLoad = 0.9;
 /** With less, a canary target isn't worth the concentration. */
 static constexpr double kLeastCanaryLoad = 0.7;
--- a/src/rollout/versionevidence.cpp
+++ b/src/rollout/versionevidence.cpp
@@ -12,7 +12,7 @@
 static constexpr std::chrono::milliseconds kShortestRateSpan{ 450 };
 /** A rate from few responses is uncertain, and too low a one would expose too many requests. */
 static constexpr double kRateDeviations = 2;
-/** Without any response, more than these would be unlikely. */
+/** If no response arrived, more than this number of expected ones is unlikely (5%). */
 static constexpr double kUnseenResponses = 3;
 /** The first reports only say from where to count, and the last ones are a little old. */
 static constexpr std::chrono::milliseconds kReportDelay{ 250 };
--- a/src/target/announcementserver.cpp
+++ b/src/target/announcementserver.cpp
@@ -7,8 +7,6 @@
 static constexpr int kMaximumSlots = 10000;
 static constexpr size_t kBodyLimitBytes = 64UL * 1024;
 static constexpr size_t kMaximumConnections = 64;
-/** Every node holds the version of every target. */
-static constexpr size_t kMaximumVersionLength = 200;
 
 AnnouncementServer::AnnouncementServer(Options aOptions)
   : m_options(std::move(aOptions))
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -12,6 +12,9 @@
 
 namespace mimosarun {
 
+/** Limits the version that a target names, since every node holds the version of every target. */
+inline constexpr size_t kMaximumVersionLength = 200;
+
 /** State of the target of this node. */
 struct TargetState
 {
