--- a/src/node/versiongates.cpp
+++ b/src/node/versiongates.cpp
@@ -6,8 +6,9 @@
 namespace mimosarun {
 
 /**
- * Calls that a new target gets from all nodes together, beside canary calls. A target without any for four
- * seconds costs money; with calls that arrive at random at this rate, such a pause happens once in 400 times.
+ * Calls per second that each new target gets from all nodes together, beside canary calls. Operators pay for
+ * a target that is idle for four seconds; with calls that arrive at random at this rate, such a pause happens
+ * once in 400 times.
  */
 static constexpr double kCallsPerSecond = 1.5;
 
--- a/tests/mesh/rollouts.cpp
+++ b/tests/mesh/rollouts.cpp
@@ -17,7 +17,7 @@
 static constexpr size_t kBadResponsesUntilLimit = 50;
 static constexpr double kExposureShare = 0.1;
 static constexpr size_t kExposureSlack = 50;
-/** A target without requests for this long costs money. */
+/** Operators pay for a target that gets no request for this long. */
 static constexpr milliseconds kLongestIdleTime{ 4000 };
 static constexpr int kCallers = 16;
 static constexpr milliseconds kCallInterval{ 100 };
