Roll-outs: the product's own names for the versions of a roll-out and of a target

Cause: the platform's word targetVersion stood in the messages and in 40 places of the product, for two things: the version that is rolled out, and the version of a target's software. Field numbers are the same.

--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -46,7 +46,7 @@
 // The latest roll-out of a service.
 struct RolloutRecord {
   1: string serviceName,
-  2: string targetVersion,
+  2: string candidateVersion,
   3: i64 durationMillis = 0,
   4: i64 orderedAtMicros = 0,
   5: RolloutState state = RolloutState.Running,
@@ -322,7 +322,7 @@
   // How long the target stays slow after its start, as it said last.
   14: i32 warmUpMillis = 0,
   // Version of the target's software, if it names one.
-  15: optional string targetVersion,
+  15: optional string softwareVersion,
 }
 
 // Members that are sent together.
--- a/src/control/rolloutmanager.cpp
+++ b/src/control/rolloutmanager.cpp
@@ -118,7 +118,7 @@
     followed.orderedAtMicros = aRollout.record.orderedAtMicros;
     followed.decidesFrom = isFollowedFromOrder ? aNow : aNow + kFirstReportsTime;
     followed.evidence = std::make_unique<VersionEvidence>(VersionEvidence::Options{
-      .candidate = aRollout.record.targetVersion, .isFollowedFromOrder = isFollowedFromOrder });
+      .candidate = aRollout.record.candidateVersion, .isFollowedFromOrder = isFollowedFromOrder });
   }
   return followed;
 }
@@ -132,7 +132,7 @@
   using std::chrono::milliseconds;
   const wire::RolloutRecord& record = aRollout.record;
   const FleetStatus fleet =
-    StatusOf(aReports, { .candidate = record.targetVersion, .revision = record.revision });
+    StatusOf(aReports, { .candidate = record.candidateVersion, .revision = record.revision });
   return { .duration = milliseconds(record.durationMillis),
            .elapsed = aRollout.Elapsed(aNow, WallNow()),
            .stage = ParseRolloutStage(record.stage),
@@ -218,7 +218,7 @@
   const VersionTotals old = aEvidence.Old();
   Log(EventOf(aDecision.state),
       { { "service", record.serviceName },
-        { "version", record.targetVersion },
+        { "version", record.candidateVersion },
         { "stage", change.stage },
         { "permille", change.candidatePermille },
         { "canary-targets", change.canaryTargets },
--- a/src/control/rolloutstate.cpp
+++ b/src/control/rolloutstate.cpp
@@ -52,7 +52,8 @@
 static bool
 IsSameOrder(const wire::RolloutRecord& aRecord, const wire::RolloutRecord& aOrder)
 {
-  return aRecord.targetVersion == aOrder.targetVersion && aRecord.durationMillis == aOrder.durationMillis;
+  return aRecord.candidateVersion == aOrder.candidateVersion &&
+         aRecord.durationMillis == aOrder.durationMillis;
 }
 
 /** Returns whether an order may be a repetition of the one that led to a record. */
@@ -71,7 +72,7 @@
 RolloutState::Start(const wire::Command& aCommand, Deadline aNow)
 {
   const wire::RolloutRecord& order = aCommand.rollout;
-  if (order.serviceName.empty() || order.targetVersion.empty() || order.durationMillis <= 0) {
+  if (order.serviceName.empty() || order.candidateVersion.empty() || order.durationMillis <= 0) {
     return MakeFailedResult(wire::ResultCode::Invalid,
                             "a roll-out needs a service, a version and a duration above zero");
   }
@@ -85,21 +86,21 @@
     }
     if (former.state == wire::RolloutState::Running) {
       return MakeFailedResult(wire::ResultCode::Taken,
-                              order.serviceName + ": the roll-out of version '" + former.targetVersion +
+                              order.serviceName + ": the roll-out of version '" + former.candidateVersion +
                                 "' is running; wait for its end or end it first");
     }
     record.rejectedVersions = former.rejectedVersions;
-    std::erase(record.rejectedVersions, order.targetVersion);
+    std::erase(record.rejectedVersions, order.candidateVersion);
   }
   record.serviceName = order.serviceName;
-  record.targetVersion = order.targetVersion;
+  record.candidateVersion = order.candidateVersion;
   record.durationMillis = order.durationMillis;
   record.orderedAtMicros = aCommand.atMicros;
   record.stage = kOrderedStage;
   record.reason = "ordered by " + (aCommand.author.empty() ? std::string("an operator") : aCommand.author);
   Log(Event::RolloutStarted,
       { { "service", record.serviceName },
-        { "version", record.targetVersion },
+        { "version", record.candidateVersion },
         { "millis", record.durationMillis },
         { "author", aCommand.author } });
   return Store(std::move(record), aNow, aNow);
@@ -127,8 +128,8 @@
   record.reason = change.reason;
   record.elapsedMillis = std::max(record.elapsedMillis, change.elapsedMillis);
   if (isRolledBack) {
-    std::erase(record.rejectedVersions, record.targetVersion);
-    record.rejectedVersions.push_back(record.targetVersion);
+    std::erase(record.rejectedVersions, record.candidateVersion);
+    record.rejectedVersions.push_back(record.candidateVersion);
     if (record.rejectedVersions.size() > kRejectedVersionLimit) {
       record.rejectedVersions.erase(record.rejectedVersions.begin());
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -183,8 +183,8 @@
     aSelf.phase = aState.phase;
     aSelf.slots = aState.slots;
     aSelf.warmUpMillis = static_cast<int32_t>(aState.warmUpLeft.count());
-    aSelf.targetVersion = aState.version;
-    aSelf.__isset.targetVersion = !aState.version.empty();
+    aSelf.softwareVersion = aState.version;
+    aSelf.__isset.softwareVersion = !aState.version.empty();
   });
   m_gossiper.SpreadNow();
 }
@@ -219,7 +219,7 @@
                                                        .locality = LocalityOf(member, m_settings),
                                                        .slots = member.slots,
                                                        .incarnation = member.incarnation,
-                                                       .version = member.targetVersion });
+                                                       .version = member.softwareVersion });
     }
   }
   SeparateVersions(*directory, m_rollouts, aMembers.size(), SteadyClock::now());
@@ -241,12 +241,12 @@
 {
   const wire::Member self = m_table.Self();
   const bool isForbidden =
-    self.phase == wire::TargetPhase::Ready && m_rollouts.IsForbidden(self.serviceName, self.targetVersion);
+    self.phase == wire::TargetPhase::Ready && m_rollouts.IsForbidden(self.serviceName, self.softwareVersion);
   if (m_isVersionForbidden.exchange(isForbidden) != isForbidden) {
     Log(isForbidden ? Event::TargetVersionForbidden : Event::TargetVersionAllowed,
         { { "target", self.targetName },
           { "service", self.serviceName },
-          { "version", self.targetVersion },
+          { "version", self.softwareVersion },
           { "revision", m_rollouts.Revision() } });
   }
 }
--- a/src/node/rolloutlink.cpp
+++ b/src/node/rolloutlink.cpp
@@ -31,7 +31,7 @@
   m_reportedOpenCalls = m_options.openCalls();
   report.outcomes = m_options.outcomes->All();
   report.serviceName = aSelf.serviceName;
-  report.version = aSelf.targetVersion;
+  report.version = aSelf.softwareVersion;
   report.openCalls = m_reportedOpenCalls;
   return report;
 }
--- a/src/node/versiongates.cpp
+++ b/src/node/versiongates.cpp
@@ -21,9 +21,9 @@
       continue;
     }
     if (member.phase == wire::TargetPhase::Ready) {
-      ++versions[member.serviceName][member.targetVersion].ready;
+      ++versions[member.serviceName][member.softwareVersion].ready;
     } else if (member.phase == wire::TargetPhase::Starting) {
-      ++versions[member.serviceName][member.targetVersion].starting;
+      ++versions[member.serviceName][member.softwareVersion].starting;
     }
   }
   return versions;
--- a/src/operators/command.cpp
+++ b/src/operators/command.cpp
@@ -184,7 +184,7 @@
   if (!aWords.ConsumeIf("to")) {
     return ExpectedError("'to VERSION'", aWords.Next());
   }
-  MIMOSARUN_TRY(command.targetVersion, ParseName(aWords, "a version"));
+  MIMOSARUN_TRY(command.candidateVersion, ParseName(aWords, "a version"));
   if (!aWords.ConsumeIf("within")) {
     return ExpectedError("'within SECONDS'", aWords.Next());
   }
--- a/src/operators/command.h
+++ b/src/operators/command.h
@@ -43,7 +43,7 @@
   /** The newer version of a diff. */
   int64_t secondNumber = 0;
   /** Version of the software that a roll-out moves calls to. */
-  std::string targetVersion;
+  std::string candidateVersion;
   std::vector<Condition> conditions;
 };
 
--- a/src/operators/controlcommandrunner.cpp
+++ b/src/operators/controlcommandrunner.cpp
@@ -431,7 +431,7 @@
     const int64_t elapsed =
       isRunning ? rollout.Elapsed(SteadyClock::now(), WallNow()).count() : record.elapsedMillis;
     answer.rows.push_back({ record.serviceName,
-                            record.targetVersion,
+                            record.candidateVersion,
                             Name(record.state),
                             record.stage,
                             std::to_string(record.candidatePermille),
@@ -462,7 +462,7 @@
   }
   wire::RolloutRecord order;
   order.serviceName = aCommand.subject;
-  order.targetVersion = aCommand.targetVersion;
+  order.candidateVersion = aCommand.candidateVersion;
   order.durationMillis = std::chrono::milliseconds(std::chrono::seconds(aCommand.firstNumber)).count();
   wire::Command command;
   command.kind = wire::CommandKind::StartRollout;
--- a/src/rollout/rolloutview.cpp
+++ b/src/rollout/rolloutview.cpp
@@ -25,7 +25,7 @@
 static bool
 IsRejected(const wire::RolloutRecord& aRecord, const std::string& aVersion)
 {
-  if (aVersion == aRecord.targetVersion) {
+  if (aVersion == aRecord.candidateVersion) {
     return aRecord.state == wire::RolloutState::RolledBack;
   }
   const auto& rejected = aRecord.rejectedVersions;
@@ -51,7 +51,7 @@
 {
   Log(Event::RolloutApplied,
       { { "service", aRecord.serviceName },
-        { "target-version", aRecord.targetVersion },
+        { "target-version", aRecord.candidateVersion },
         { "state", StateName(aRecord.state) },
         { "stage", aRecord.stage },
         { "permille", aRecord.candidatePermille },
@@ -76,7 +76,7 @@
     }
     records[record.serviceName] = record;
     if (record.state == wire::RolloutState::Completed) {
-      m_inForce[record.serviceName] = { .version = record.targetVersion };
+      m_inForce[record.serviceName] = { .version = record.candidateVersion };
     }
   }
   m_records = std::move(records);
@@ -147,7 +147,7 @@
   if (record == nullptr) {
     return false;
   }
-  const bool isTarget = aVersion == record->targetVersion;
+  const bool isTarget = aVersion == record->candidateVersion;
   // An order that names the version in force moves no calls.
   const bool isCandidate =
     isTarget && record->state == wire::RolloutState::Running && HasOtherTargetsLocked(aService, aVersion);
@@ -169,7 +169,7 @@
   };
   const std::pair<const std::string, VersionTargets>* best = nullptr;
   for (const auto& entry : versions->second) {
-    const bool isCandidate = isRunning && entry.first == record->targetVersion;
+    const bool isCandidate = isRunning && entry.first == record->candidateVersion;
     if (entry.second.ready == 0 || isCandidate || IsExcludedLocked(aService, entry.first)) {
       continue;
     }
@@ -248,7 +248,7 @@
   }
   const std::optional<std::string> inForce = VersionInForceLocked(aService);
   const bool isRunning = record != nullptr && record->state == wire::RolloutState::Running;
-  if (isRunning && aVersion == record->targetVersion) {
+  if (isRunning && aVersion == record->candidateVersion) {
     return inForce == aVersion ? VersionStanding::Allowed : VersionStanding::Candidate;
   }
   if (!inForce || *inForce == aVersion) {
@@ -277,7 +277,7 @@
     return std::nullopt;
   }
   const bool isFull = record->candidatePermille >= kFullPermille;
-  return CandidateShare{ .version = record->targetVersion,
+  return CandidateShare{ .version = record->candidateVersion,
                          .permille = isFull || HasContactLocked(aNow) ? record->candidatePermille : 0,
                          .revision = record->revision,
                          .canaryTargets = record->canaryTargets };
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -191,7 +191,7 @@
     return;
   }
   m_targetName = target->name;
-  m_targetVersion = target->version;
+  m_softwareVersion = target->version;
   m_sentAt = now;
   m_targetAddress = target->address;
   HttpRequest request = m_request;
@@ -344,7 +344,7 @@
   // A streamed response takes as long as its receiver does.
   const Deadline endedAt = m_streamedAt.value_or(SteadyClock::now());
   m_gate.CountResult({ .service = m_hop.service,
-                       .version = m_targetVersion,
+                       .version = m_softwareVersion,
                        .route = m_hop.route,
                        .end = aEnd,
                        .time = duration_cast<microseconds>(endedAt - m_sentAt),
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -107,7 +107,7 @@
   bool m_retried = false;
   Deadline m_admittedAt{};
   std::string m_targetName;
-  std::string m_targetVersion;
+  std::string m_softwareVersion;
   Address m_targetAddress;
   /** When the call was sent to the target last, and when the response to it began to be passed on. */
   Deadline m_sentAt{};
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -613,8 +613,8 @@
   this->serviceName = val;
 }
 
-void RolloutRecord::__set_targetVersion(const std::string& val) {
-  this->targetVersion = val;
+void RolloutRecord::__set_candidateVersion(const std::string& val) {
+  this->candidateVersion = val;
 }
 
 void RolloutRecord::__set_durationMillis(const int64_t val) {
@@ -694,8 +694,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->targetVersion);
-          this->__isset.targetVersion = true;
+          xfer += iprot->readString(this->candidateVersion);
+          this->__isset.candidateVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -815,8 +815,8 @@
   xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->targetVersion);
+  xfer += oprot->writeFieldBegin("candidateVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->candidateVersion);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("durationMillis", ::apache::thrift::protocol::T_I64, 3);
@@ -875,7 +875,7 @@
 void swap(RolloutRecord &a, RolloutRecord &b) {
   using ::std::swap;
   swap(a.serviceName, b.serviceName);
-  swap(a.targetVersion, b.targetVersion);
+  swap(a.candidateVersion, b.candidateVersion);
   swap(a.durationMillis, b.durationMillis);
   swap(a.orderedAtMicros, b.orderedAtMicros);
   swap(a.state, b.state);
@@ -891,7 +891,7 @@
 
 RolloutRecord::RolloutRecord(const RolloutRecord& other15) {
   serviceName = other15.serviceName;
-  targetVersion = other15.targetVersion;
+  candidateVersion = other15.candidateVersion;
   durationMillis = other15.durationMillis;
   orderedAtMicros = other15.orderedAtMicros;
   state = other15.state;
@@ -906,7 +906,7 @@
 }
 RolloutRecord::RolloutRecord(RolloutRecord&& other16) noexcept {
   serviceName = std::move(other16.serviceName);
-  targetVersion = std::move(other16.targetVersion);
+  candidateVersion = std::move(other16.candidateVersion);
   durationMillis = other16.durationMillis;
   orderedAtMicros = other16.orderedAtMicros;
   state = other16.state;
@@ -921,7 +921,7 @@
 }
 RolloutRecord& RolloutRecord::operator=(const RolloutRecord& other17) {
   serviceName = other17.serviceName;
-  targetVersion = other17.targetVersion;
+  candidateVersion = other17.candidateVersion;
   durationMillis = other17.durationMillis;
   orderedAtMicros = other17.orderedAtMicros;
   state = other17.state;
@@ -937,7 +937,7 @@
 }
 RolloutRecord& RolloutRecord::operator=(RolloutRecord&& other18) noexcept {
   serviceName = std::move(other18.serviceName);
-  targetVersion = std::move(other18.targetVersion);
+  candidateVersion = std::move(other18.candidateVersion);
   durationMillis = other18.durationMillis;
   orderedAtMicros = other18.orderedAtMicros;
   state = other18.state;
@@ -955,7 +955,7 @@
   using ::apache::thrift::to_string;
   out << "RolloutRecord(";
   out << "serviceName=" << to_string(serviceName);
-  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "candidateVersion=" << to_string(candidateVersion);
   out << ", " << "durationMillis=" << to_string(durationMillis);
   out << ", " << "orderedAtMicros=" << to_string(orderedAtMicros);
   out << ", " << "state=" << to_string(state);
@@ -5670,9 +5670,9 @@
   this->warmUpMillis = val;
 }
 
-void Member::__set_targetVersion(const std::string& val) {
-  this->targetVersion = val;
-__isset.targetVersion = true;
+void Member::__set_softwareVersion(const std::string& val) {
+  this->softwareVersion = val;
+__isset.softwareVersion = true;
 }
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
@@ -5820,8 +5820,8 @@
         break;
       case 15:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->targetVersion);
-          this->__isset.targetVersion = true;
+          xfer += iprot->readString(this->softwareVersion);
+          this->__isset.softwareVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5899,9 +5899,9 @@
   xfer += oprot->writeI32(this->warmUpMillis);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.targetVersion) {
-    xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 15);
-    xfer += oprot->writeString(this->targetVersion);
+  if (this->__isset.softwareVersion) {
+    xfer += oprot->writeFieldBegin("softwareVersion", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeString(this->softwareVersion);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -5925,7 +5925,7 @@
   swap(a.slots, b.slots);
   swap(a.version, b.version);
   swap(a.warmUpMillis, b.warmUpMillis);
-  swap(a.targetVersion, b.targetVersion);
+  swap(a.softwareVersion, b.softwareVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -5944,7 +5944,7 @@
   slots = other209.slots;
   version = other209.version;
   warmUpMillis = other209.warmUpMillis;
-  targetVersion = other209.targetVersion;
+  softwareVersion = other209.softwareVersion;
   __isset = other209.__isset;
 }
 Member::Member(Member&& other210) noexcept {
@@ -5962,7 +5962,7 @@
   slots = other210.slots;
   version = other210.version;
   warmUpMillis = other210.warmUpMillis;
-  targetVersion = std::move(other210.targetVersion);
+  softwareVersion = std::move(other210.softwareVersion);
   __isset = other210.__isset;
 }
 Member& Member::operator=(const Member& other211) {
@@ -5980,7 +5980,7 @@
   slots = other211.slots;
   version = other211.version;
   warmUpMillis = other211.warmUpMillis;
-  targetVersion = other211.targetVersion;
+  softwareVersion = other211.softwareVersion;
   __isset = other211.__isset;
   return *this;
 }
@@ -5999,7 +5999,7 @@
   slots = other212.slots;
   version = other212.version;
   warmUpMillis = other212.warmUpMillis;
-  targetVersion = std::move(other212.targetVersion);
+  softwareVersion = std::move(other212.softwareVersion);
   __isset = other212.__isset;
   return *this;
 }
@@ -6020,7 +6020,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "version=" << to_string(version);
   out << ", " << "warmUpMillis=" << to_string(warmUpMillis);
-  out << ", " << "targetVersion="; (__isset.targetVersion ? (out << to_string(targetVersion)) : (out << "<null>"));
+  out << ", " << "softwareVersion="; (__isset.softwareVersion ? (out << to_string(softwareVersion)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -348,9 +348,9 @@
 std::ostream& operator<<(std::ostream& out, const Replica& obj);
 
 typedef struct _RolloutRecord__isset {
-  _RolloutRecord__isset() : serviceName(false), targetVersion(false), durationMillis(true), orderedAtMicros(true), state(true), stage(false), candidatePermille(true), revision(true), reason(false), elapsedMillis(true), rejectedVersions(false), canaryTargets(true) {}
+  _RolloutRecord__isset() : serviceName(false), candidateVersion(false), durationMillis(true), orderedAtMicros(true), state(true), stage(false), candidatePermille(true), revision(true), reason(false), elapsedMillis(true), rejectedVersions(false), canaryTargets(true) {}
   bool serviceName :1;
-  bool targetVersion :1;
+  bool candidateVersion :1;
   bool durationMillis :1;
   bool orderedAtMicros :1;
   bool state :1;
@@ -372,7 +372,7 @@
   RolloutRecord& operator=(RolloutRecord&&) noexcept;
   RolloutRecord() noexcept
                 : serviceName(),
-                  targetVersion(),
+                  candidateVersion(),
                   durationMillis(0LL),
                   orderedAtMicros(0LL),
                   state(static_cast<RolloutState::type>(0)),
@@ -386,7 +386,7 @@
 
   virtual ~RolloutRecord() noexcept;
   std::string serviceName;
-  std::string targetVersion;
+  std::string candidateVersion;
   int64_t durationMillis;
   int64_t orderedAtMicros;
   /**
@@ -406,7 +406,7 @@
 
   void __set_serviceName(const std::string& val);
 
-  void __set_targetVersion(const std::string& val);
+  void __set_candidateVersion(const std::string& val);
 
   void __set_durationMillis(const int64_t val);
 
@@ -432,7 +432,7 @@
   {
     if (!(serviceName == rhs.serviceName))
       return false;
-    if (!(targetVersion == rhs.targetVersion))
+    if (!(candidateVersion == rhs.candidateVersion))
       return false;
     if (!(durationMillis == rhs.durationMillis))
       return false;
@@ -2091,7 +2091,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigurationImage& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true), warmUpMillis(true), targetVersion(false) {}
+  _Member__isset() : name(false), incarnation(true), revision(true), state(true), region(false), failureDomain(false), peerAddress(false), gateAddress(false), serviceName(false), targetName(false), phase(true), slots(true), version(true), warmUpMillis(true), softwareVersion(false) {}
   bool name :1;
   bool incarnation :1;
   bool revision :1;
@@ -2106,7 +2106,7 @@
   bool slots :1;
   bool version :1;
   bool warmUpMillis :1;
-  bool targetVersion :1;
+  bool softwareVersion :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -2131,7 +2131,7 @@
            slots(0),
            version(0LL),
            warmUpMillis(0),
-           targetVersion() {
+           softwareVersion() {
   }
 
   virtual ~Member() noexcept;
@@ -2157,7 +2157,7 @@
   int32_t slots;
   int64_t version;
   int32_t warmUpMillis;
-  std::string targetVersion;
+  std::string softwareVersion;
 
   _Member__isset __isset;
 
@@ -2189,7 +2189,7 @@
 
   void __set_warmUpMillis(const int32_t val);
 
-  void __set_targetVersion(const std::string& val);
+  void __set_softwareVersion(const std::string& val);
 
   bool operator == (const Member & rhs) const
   {
@@ -2221,9 +2221,9 @@
       return false;
     if (!(warmUpMillis == rhs.warmUpMillis))
       return false;
-    if (__isset.targetVersion != rhs.__isset.targetVersion)
+    if (__isset.softwareVersion != rhs.__isset.softwareVersion)
       return false;
-    else if (__isset.targetVersion && !(targetVersion == rhs.targetVersion))
+    else if (__isset.softwareVersion && !(softwareVersion == rhs.softwareVersion))
       return false;
     return true;
   }
--- a/tests/membership/rolloutlinktest.cpp
+++ b/tests/membership/rolloutlinktest.cpp
@@ -23,7 +23,7 @@
 {
   wire::RolloutRecord record;
   record.serviceName = aService;
-  record.targetVersion = "v2";
+  record.candidateVersion = "v2";
   record.state = aState;
   record.revision = aRevision;
   wire::RolloutSet set;
@@ -44,7 +44,7 @@
     table.UpdateSelf(kNow, [&](wire::Member& aSelf) {
       aSelf.serviceName = "books";
       aSelf.phase = wire::TargetPhase::Ready;
-      aSelf.__set_targetVersion(aVersion);
+      aSelf.__set_softwareVersion(aVersion);
     });
     view.SetTargets(CountVersions({ table.Self() }), kNow);
   }
--- a/tests/membership/versiongatestest.cpp
+++ b/tests/membership/versiongatestest.cpp
@@ -14,7 +14,7 @@
   member.name = aName;
   member.serviceName = "books";
   member.phase = aPhase;
-  member.__set_targetVersion(aVersion);
+  member.__set_softwareVersion(aVersion);
   return member;
 }
 
@@ -23,7 +23,7 @@
 {
   GateDirectory directory;
   for (const wire::Member& member : aMembers) {
-    directory.gates[member.serviceName].push_back({ .node = member.name, .version = member.targetVersion });
+    directory.gates[member.serviceName].push_back({ .node = member.name, .version = member.softwareVersion });
   }
   return directory;
 }
@@ -33,7 +33,7 @@
 {
   wire::RolloutRecord record;
   record.serviceName = "books";
-  record.targetVersion = "v2";
+  record.candidateVersion = "v2";
   record.state = aState;
   record.candidatePermille = 40;
   record.canaryTargets = 1;
--- a/tests/rollout/rolloutmanagertest.cpp
+++ b/tests/rollout/rolloutmanagertest.cpp
@@ -37,7 +37,7 @@
     order.atMicros = WallNow().time_since_epoch().count();
     wire::RolloutRecord record;
     record.serviceName = "books";
-    record.targetVersion = "v2";
+    record.candidateVersion = "v2";
     record.durationMillis = kDuration.count();
     order.__set_rollout(record);
     Apply(order);
--- a/tests/rollout/rolloutstatetest.cpp
+++ b/tests/rollout/rolloutstatetest.cpp
@@ -17,7 +17,7 @@
   entry.command.atMicros = aAtSeconds * kMicrosPerSecond;
   wire::RolloutRecord order;
   order.serviceName = "books";
-  order.targetVersion = aVersion;
+  order.candidateVersion = aVersion;
   order.durationMillis = aDurationMillis;
   entry.command.__set_rollout(order);
   return aState.Apply(entry);
@@ -50,7 +50,7 @@
   BOOST_TEST(state.RolloutRevision() == 1);
   BOOST_TEST((Order(state, "v3", 12000, 101).code == wire::ResultCode::Taken));
   BOOST_TEST((Order(state, "v2", 13000, 101).code == wire::ResultCode::Taken));
-  BOOST_TEST(state.FindRollout("books")->record.targetVersion == "v2");
+  BOOST_TEST(state.FindRollout("books")->record.candidateVersion == "v2");
 }
 
 BOOST_AUTO_TEST_CASE(an_order_that_is_repeated_soon_after_the_end_starts_nothing)
--- a/tests/rollout/rolloutviewtest.cpp
+++ b/tests/rollout/rolloutviewtest.cpp
@@ -13,14 +13,14 @@
 static const std::string kService = "books";
 
 static wire::RolloutRecord
-Record(const std::string& aTargetVersion,
+Record(const std::string& aCandidateVersion,
        wire::RolloutState::type aState,
        int64_t aRevision,
        int aPermille = 40)
 {
   wire::RolloutRecord record;
   record.serviceName = kService;
-  record.targetVersion = aTargetVersion;
+  record.candidateVersion = aCandidateVersion;
   record.state = aState;
   record.revision = aRevision;
   record.candidatePermille = aPermille;
