Nodes log what they still had to send when they end

What callers saw: downloads that ended early when a node left. Nothing that the node logged named the request or told whether its response was unfinished, in the kernel or complete.

Event 509 now has the open calls and the undelivered responses of entry and gate, and event 513 names each response of which the peer lacks bytes when the process ends, with the bytes that weren't written and those that the peer hadn't acknowledged. A connection is asked on its own loop, once, at the end of the drain.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -344,6 +344,7 @@
   if (options.callId.empty()) {
     options.callId = m_options.node + "-" + RandomIdentifier().substr(0, kCallIdSuffixLength);
   }
+  aExchange->SetCallId(options.callId);
   SnapshotPointer snapshot;
   std::optional<DrainSchedule> drainSchedule;
   {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -83,6 +83,9 @@
   /** Returns the number of calls without a complete response. */
   int OpenCalls() const;
 
+  /** Returns the responses of which callers don't have all bytes. */
+  std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
+
   /** Updates the metrics that are computed when they are read. */
   void RefreshMetrics();
 
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -63,6 +63,7 @@
   TargetRateLimitChanged = 510,
   TargetCrashed = 511,
   RequestQuarantined = 512,
+  ResponseUndelivered = 513,
 
   RolloutApplied = 520,
   TargetVersionForbidden = 521,
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -25,6 +25,9 @@
   const HttpRequest& Request() const { return m_request; }
   EventLoop& Loop() const { return m_loop; }
 
+  /** Sets the identifier by which logs name the request. */
+  void SetCallId(std::string aCallId) { m_callId = std::move(aCallId); }
+
   /** Returns when the request had been read completely. */
   Deadline ReceivedAt() const { return m_receivedAt; }
 
@@ -72,6 +75,7 @@
   void NotifyConnection();
 
   HttpRequest m_request;
+  std::string m_callId;
   EventLoop& m_loop;
   const Deadline m_receivedAt;
   Stage m_stage = Stage::Waiting;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -109,6 +109,31 @@
   m_shared->closing = true;
 }
 
+std::vector<UndeliveredResponse>
+HttpServer::UndeliveredResponses() const
+{
+  std::vector<std::shared_ptr<ServerConnection>> connections;
+  {
+    const std::lock_guard lock(m_shared->mutex);
+    for (ServerConnection* const connection : m_shared->openConnections) {
+      if (auto locked = connection->weak_from_this().lock()) {
+        connections.push_back(std::move(locked));
+      }
+    }
+  }
+  std::vector<UndeliveredResponse> undelivered;
+  for (std::shared_ptr<ServerConnection>& connection : connections) {
+    std::promise<std::vector<UndeliveredResponse>> found;
+    EventLoop& loop = connection->Loop();
+    // The last reference must end on the loop.
+    loop.Dispatch(
+      [connection = std::move(connection), &found] { found.set_value(connection->UndeliveredResponses()); });
+    const auto responses = found.get_future().get();
+    undelivered.insert(undelivered.end(), responses.begin(), responses.end());
+  }
+  return undelivered;
+}
+
 void
 HttpServer::SetLimits(const HttpLimits& aLimits)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,10 +10,15 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
+class ServerConnection;
+
 /** Limits on the requests that a server accepts. */
 struct HttpLimits
 {
@@ -25,6 +30,19 @@
   std::chrono::milliseconds idleTimeout{ 30000 };
 };
 
+/** A response of which the peer doesn't have all bytes yet. */
+struct UndeliveredResponse
+{
+  /** Empty if the handler named none. */
+  std::string callId;
+  /** Whether further bytes of the response are expected from the handler. */
+  bool isWaiting = false;
+  /** Bytes that haven't been written to the socket. */
+  size_t unsentBytes = 0;
+  /** Bytes that were written to the socket and that the peer hasn't acknowledged; nothing if unknown. */
+  std::optional<size_t> unacknowledgedBytes;
+};
+
 /** Why a request can't be read, with the status of the response. */
 struct UnreadableRequest
 {
@@ -65,6 +83,10 @@
   /** From now on, closes each connection after the response to the last request that it has read. */
   void CloseAfterResponses();
 
+  /** Returns the responses of which the peers don't have all bytes; not to be called on a loop of the server.
+   */
+  std::vector<UndeliveredResponse> UndeliveredResponses() const;
+
   /** Changes the limits for requests that begin after this call. */
   void SetLimits(const HttpLimits& aLimits);
 
@@ -78,6 +100,7 @@
     std::mutex mutex;
     HttpLimits limits;
     std::atomic<size_t> connections{ 0 };
+    std::set<ServerConnection*> openConnections;
     std::atomic<bool> closing{ false };
   };
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -42,11 +42,15 @@
   , m_timer(aLoop.Context())
 {
   ++m_shared->connections;
+  const std::lock_guard lock(m_shared->mutex);
+  m_shared->openConnections.insert(this);
 }
 
 ServerConnection::~ServerConnection()
 {
   --m_shared->connections;
+  const std::lock_guard lock(m_shared->mutex);
+  m_shared->openConnections.erase(this);
 }
 
 // --- requests --------------------------------------------------------------------------------------------
@@ -331,6 +335,7 @@
 {
   const ExchangePointer finished = m_exchanges.front();
   m_exchanges.pop_front();
+  m_lastCallId = finished->m_callId;
   finished->m_onCancel = nullptr;
   if (!finished->m_keepAlive) {
     Linger();
@@ -346,6 +351,25 @@
   SendPending();
 }
 
+std::vector<UndeliveredResponse>
+ServerConnection::UndeliveredResponses()
+{
+  std::vector<UndeliveredResponse> undelivered;
+  const std::optional<size_t> unacknowledged = m_closed ? std::nullopt : UnacknowledgedBytes(m_socket);
+  if (m_exchanges.empty() && unacknowledged.value_or(0) > 0) {
+    undelivered.push_back({ .callId = m_lastCallId, .unacknowledgedBytes = unacknowledged });
+  }
+  for (const ExchangePointer& exchange : m_exchanges) {
+    const bool isFirst = exchange == m_exchanges.front();
+    undelivered.push_back({ .callId = exchange->m_callId,
+                            .isWaiting = exchange->m_stage == Exchange::Stage::Waiting ||
+                                         exchange->m_stage == Exchange::Stage::Started,
+                            .unsentBytes = exchange->m_body.size() + (isFirst ? m_output.size() : 0),
+                            .unacknowledgedBytes = isFirst ? unacknowledged : std::nullopt });
+  }
+  return undelivered;
+}
+
 // --- end -------------------------------------------------------------------------------------------------
 
 void
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -33,6 +34,11 @@
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
+  EventLoop& Loop() const { return m_loop; }
+
+  /** Returns the responses of which the peer doesn't have all bytes; only on the connection's loop. */
+  std::vector<UndeliveredResponse> UndeliveredResponses();
+
   /** Sends the available output of the first exchange. */
   void SendPending();
 
@@ -68,6 +74,8 @@
   std::optional<Parser> m_parser;
   boost::asio::steady_timer m_timer;
   std::deque<ExchangePointer> m_exchanges;
+  /** Identifier of the call whose response was written last. */
+  std::string m_lastCallId;
   /** Keeps the connection alive while it doesn't read, as its pipeline is full. */
   std::shared_ptr<ServerConnection> m_selfWhileFull;
   std::string m_output;
--- a/src/http/sockets.cpp
+++ b/src/http/sockets.cpp
@@ -1,7 +1,9 @@
 #include "http/sockets.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace mimosarun {
@@ -15,4 +17,14 @@
   ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof timeoutMs);
 }
 
+std::optional<size_t>
+UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  int bytes = 0;
+  if (!aSocket.is_open() || ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 } // namespace mimosarun
--- a/src/http/sockets.h
+++ b/src/http/sockets.h
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 
 namespace mimosarun {
 
@@ -13,4 +15,8 @@
 void
 ConfigureSocket(boost::asio::ip::tcp::socket& aSocket, std::chrono::milliseconds aUnacknowledgedTimeout);
 
+/** Returns how many bytes the peer hasn't acknowledged yet; nothing if the socket can't tell or is closed. */
+std::optional<size_t>
+UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace mimosarun
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,8 @@
 static constexpr std::chrono::milliseconds kLeaseCheckInterval{ 250 };
 static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
 static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
+/** Limit of log records about undelivered responses on each side. */
+static constexpr size_t kLoggedUndelivered = 20;
 
 static wire::Member
 MakeSelfRecord(const ProcessSettings& aSettings)
@@ -318,7 +320,37 @@
   m_entry->StopListening();
   BeginStoppingBackground();
   const bool finished = WaitForCallsToEnd(end);
-  Log(Event::GateDrained, { { "finished", finished ? "yes" : "no" } });
+  LogDrained(finished);
+}
+
+static void
+LogUndelivered(const char* aSide, const std::vector<UndeliveredResponse>& aResponses)
+{
+  for (size_t i = 0; i < std::min(aResponses.size(), kLoggedUndelivered); ++i) {
+    const UndeliveredResponse& response = aResponses[i];
+    Log(Event::ResponseUndelivered,
+        { { "call", response.callId },
+          { "side", aSide },
+          { "waiting", response.isWaiting ? "yes" : "no" },
+          { "unsent", response.unsentBytes },
+          { "unacknowledged",
+            response.unacknowledgedBytes ? std::to_string(*response.unacknowledgedBytes) : "unknown" } });
+  }
+}
+
+void
+Node::LogDrained(bool aFinished) const
+{
+  const auto atEntry = m_entry->UndeliveredResponses();
+  const auto atGate = m_gate->UndeliveredResponses();
+  Log(Event::GateDrained,
+      { { "finished", aFinished ? "yes" : "no" },
+        { "entry-calls", m_entry->OpenCalls() },
+        { "gate-calls", m_gate->OpenCalls() },
+        { "entry-undelivered", atEntry.size() },
+        { "gate-undelivered", atGate.size() } });
+  LogUndelivered("entry", atEntry);
+  LogUndelivered("gate", atGate);
 }
 
 // --- operators -------------------------------------------------------------------------------------------
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -104,6 +104,8 @@
   void BeginStoppingBackground();
   /** Returns whether all calls have ended before the deadline. */
   bool WaitForCallsToEnd(Deadline aDeadline) const;
+  /** Logs the end of the drain, and the responses that are cut off by the end of the process. */
+  void LogDrained(bool aFinished) const;
   Answer ShowInForce() const;
   Answer ExplainCall(const std::string& aCall) const;
   Answer ExplainRoute(const std::vector<Condition>& aRequest) const;
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -244,6 +244,7 @@
         .body = "this address only accepts calls from entries; send the call to an entry\n" });
     return;
   }
+  aExchange->SetCallId(hop->callId);
   const auto call =
     std::make_shared<GateCall>(*this, ++m_lastCallNumber, aExchange, *hop, std::move(request));
   if (hop->repeatPolicy != RepeatPolicy::Idempotent) {
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -81,6 +81,9 @@
   /** Returns the number of calls that hold a slot or wait for one. */
   int OpenCalls() const;
 
+  /** Returns the responses of which entries don't have all bytes. */
+  std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
+
 private:
   friend class GateCall;
 
