HTTP server: a response that ends during a write is sent with its end

Without a stop the caller waited until its deadline.

Cause: the end of a response without an announced length, the empty chunk, is a write of its own. A connection took a response for finished when its handler had ended it and no body was left. If the handler ended it while the last bytes were being written, both held when that write returned, and the empty chunk was never sent. The caller couldn't know that the response was whole. The node could: its call had ended, so it left without a trace of it.

Both were chunked.

Now the exchange remembers whether its end was passed to the socket, and only then the connection goes on to the next response.

Measured: httptest a_response_that_ends_during_a_write_has_its_end failed before (timed out, without a length only) and passes.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -83,6 +83,8 @@
   /** Part of the body that hasn't been sent yet. */
   std::string m_body;
   bool m_headSent = false;
+  /** The end of the response was passed to the socket, which with chunks is a write of its own. */
+  bool m_endSent = false;
   bool m_writerWaits = false;
   bool m_cancelled = false;
   bool m_firstInPipeline = false;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -269,6 +269,7 @@
       output += "0\r\n\r\n";
     }
   }
+  aFirst.m_endSent = aFirst.m_stage == Exchange::Stage::Finished;
   return output;
 }
 
@@ -319,12 +320,11 @@
     return;
   }
   const ExchangePointer first = m_exchanges.front();
-  const bool allSent = first->m_headSent && first->m_body.empty();
-  if (allSent && first->m_stage == Exchange::Stage::Finished) {
+  if (first->m_endSent) {
     FinishFirst();
     return;
   }
-  if (allSent) {
+  if (first->m_headSent && first->m_body.empty()) {
     first->NotifyDrained();
   }
   SendPending();
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -8,7 +8,9 @@
 #include <future>
 #include <limits>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <utility>
 
 using namespace mimosarun;
 using std::chrono::milliseconds;
@@ -144,6 +146,78 @@
   }
 }
 
+/** Records a response and stops reading at the first bytes of its body until the transfer is resumed. */
+class PausingRecorder : public ResponseRecorder
+{
+public:
+  bool OnBody(std::string_view aBytes) override
+  {
+    ResponseRecorder::OnBody(aBytes);
+    if (std::exchange(m_paused, true)) {
+      return true;
+    }
+    paused.set_value();
+    return false;
+  }
+
+  std::promise<void> paused;
+
+private:
+  bool m_paused = false;
+};
+
+/** More than the sockets of a connection hold. */
+static constexpr size_t kLongBodyBytes = 32UL * 1024 * 1024;
+
+/** Streams a body that the sockets can't hold, ends it while it is being written, and returns the result. */
+static ForwardResult
+TransferEndedDuringWrite(std::optional<uint64_t> aContentLength, bool aComplete, std::string& aReceived)
+{
+
+  ManualServer server;
+  EventLoops loops(1);
+  Forwarder forwarder;
+  const auto recorder = std::make_shared<PausingRecorder>();
+  std::promise<ForwardHandle> handle;
+  loops.First().Dispatch([&] {
+    handle.set_value(forwarder.Start(
+      loops.First(),
+      { .destination = server.Where(),
+        .request = { .method = "GET", .path = "/", .requestTarget = "/", .headers = {}, .body = {} },
+        .deadline = SteadyClock::now() + std::chrono::seconds(5) },
+      recorder));
+  });
+  const ExchangePointer exchange = server.Exchange(0);
+  exchange->Loop().Dispatch([&] {
+    exchange->Start({ .status = 200, .headers = {}, .contentLength = aContentLength });
+    exchange->Write(std::string(kLongBodyBytes, 'x'));
+    exchange->Finish(aComplete);
+  });
+  recorder->paused.get_future().wait();
+  loops.First().Dispatch([transfer = handle.get_future().get()] { transfer.Resume(); });
+  const ForwardResult result = recorder->result.get_future().get();
+  loops.Stop();
+  aReceived = recorder->body;
+  return result;
+}
+
+// Guards against: a response without an announced length lacks its end if its last bytes are still being
+// written when the handler ends it, so the caller waits until the node closes the connection.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_during_a_write_has_its_end)
+{
+  std::string received;
+  BOOST_TEST((TransferEndedDuringWrite(std::nullopt, true, received) == ForwardResult::Complete));
+  BOOST_TEST(received.size() == kLongBodyBytes);
+  BOOST_TEST((TransferEndedDuringWrite(kLongBodyBytes, true, received) == ForwardResult::Complete));
+  BOOST_TEST(received.size() == kLongBodyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_response_that_breaks_off_during_a_write_does_not_look_complete)
+{
+  std::string received;
+  BOOST_TEST((TransferEndedDuringWrite(std::nullopt, false, received) == ForwardResult::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_first_in_the_pipeline_after_the_earlier_responses)
 {
   ManualServer server;
