Nodes end when their peers have the responses, not when calls have ended

What callers could see: a leaving node's gate counted a call as ended when the target had sent its last byte. What still waited in the process for a slow entry was cut off by the end of the process, and the entry had to break off its response. Bytes in the kernel are lost too if the end of the process resets the connection.

Cause: the process decided that it was done by its own count of calls, not by what its peers have.

Each server now counts the requests without a completely written response and asks the kernel which connections have unacknowledged bytes; a drain ends when entry and gate have none. HttpServer::Drain() does the same for servers that stand alone. A connection is asked again only if it wrote since all its bytes were acknowledged.

Measured: httptest a_server_is_drained_when_slow_peers_have_their_responses (the function is new, so it wasn't seen failing).

--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -83,7 +83,10 @@
   /** Returns the number of calls without a complete response. */
   int OpenCalls() const;
 
-  /** Returns the responses of which callers don't have all bytes. */
+  /** Returns whether callers have all bytes of all responses. */
+  bool HasDelivered() const { return m_server->HasDelivered(); }
+
+  /** Returns the responses of which callers lack bytes. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
 
   /** Updates the metrics that are computed when they are read. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/dispatch.hpp>
 
 #include <future>
+#include <thread>
 
 namespace mimosarun {
 
@@ -12,6 +13,7 @@
 
 /** Delay after a failed accept, for example when the process has run out of file descriptors. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
+static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
 
 Result<std::unique_ptr<HttpServer>>
 HttpServer::Start(Options aOptions)
@@ -109,31 +111,57 @@
   m_shared->closing = true;
 }
 
-std::vector<UndeliveredResponse>
-HttpServer::UndeliveredResponses() const
+std::map<EventLoop*, std::vector<std::shared_ptr<ServerConnection>>>
+HttpServer::ConnectionsByLoop() const
 {
-  std::vector<std::shared_ptr<ServerConnection>> connections;
-  {
-    const std::lock_guard lock(m_shared->mutex);
-    for (ServerConnection* const connection : m_shared->openConnections) {
-      if (auto locked = connection->weak_from_this().lock()) {
-        connections.push_back(std::move(locked));
-      }
+  std::map<EventLoop*, std::vector<std::shared_ptr<ServerConnection>>> connections;
+  const std::lock_guard lock(m_shared->mutex);
+  for (ServerConnection* const connection : m_shared->openConnections) {
+    if (auto locked = connection->weak_from_this().lock()) {
+      connections[&locked->Loop()].push_back(std::move(locked));
     }
   }
+  return connections;
+}
+
+std::vector<UndeliveredResponse>
+HttpServer::UndeliveredResponses() const
+{
   std::vector<UndeliveredResponse> undelivered;
-  for (std::shared_ptr<ServerConnection>& connection : connections) {
-    std::promise<std::vector<UndeliveredResponse>> found;
-    EventLoop& loop = connection->Loop();
-    // The last reference must end on the loop.
-    loop.Dispatch(
-      [connection = std::move(connection), &found] { found.set_value(connection->UndeliveredResponses()); });
-    const auto responses = found.get_future().get();
-    undelivered.insert(undelivered.end(), responses.begin(), responses.end());
+  for (auto& [loop, connections] : ConnectionsByLoop()) {
+    std::promise<void> collected;
+    // The connections are passed on, as their last references must end on the loop.
+    loop->Dispatch([&undelivered, &collected, onLoop = std::move(connections)] {
+      for (const auto& connection : onLoop) {
+        connection->AppendUndelivered(undelivered);
+      }
+      collected.set_value();
+    });
+    collected.get_future().wait();
   }
   return undelivered;
 }
 
+bool
+HttpServer::HasDelivered() const
+{
+  return m_shared->openExchanges == 0 && UndeliveredResponses().empty();
+}
+
+bool
+HttpServer::Drain(Deadline aDeadline)
+{
+  StopListening();
+  CloseAfterResponses();
+  while (SteadyClock::now() < aDeadline) {
+    if (HasDelivered()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+  return false;
+}
+
 void
 HttpServer::SetLimits(const HttpLimits& aLimits)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -83,10 +84,18 @@
   /** From now on, closes each connection after the response to the last request that it has read. */
   void CloseAfterResponses();
 
-  /** Returns the responses of which the peers don't have all bytes; not to be called on a loop of the server.
-   */
+  /** Returns the responses of which the peers lack bytes; not to be called on a loop of the server. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const;
 
+  /** Returns whether the peers have all bytes of all responses; not to be called on a loop of the server. */
+  bool HasDelivered() const;
+
+  /**
+   * Stops listening, and waits until the peers have all responses to the requests that were read. Returns
+   * whether they had before the deadline; not to be called on a loop of the server.
+   */
+  bool Drain(Deadline aDeadline);
+
   /** Changes the limits for requests that begin after this call. */
   void SetLimits(const HttpLimits& aLimits);
 
@@ -100,6 +109,8 @@
     std::mutex mutex;
     HttpLimits limits;
     std::atomic<size_t> connections{ 0 };
+    /** Requests that were read and whose responses weren't written completely. */
+    std::atomic<size_t> openExchanges{ 0 };
     std::set<ServerConnection*> openConnections;
     std::atomic<bool> closing{ false };
   };
@@ -107,6 +118,7 @@
   HttpServer() = default;
 
   Result<void> Listen();
+  std::map<EventLoop*, std::vector<std::shared_ptr<ServerConnection>>> ConnectionsByLoop() const;
   void Accept();
 
   std::shared_ptr<Shared> m_shared = std::make_shared<Shared>();
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -49,6 +49,7 @@
 ServerConnection::~ServerConnection()
 {
   --m_shared->connections;
+  m_shared->openExchanges -= m_exchanges.size();
   const std::lock_guard lock(m_shared->mutex);
   m_shared->openConnections.erase(this);
 }
@@ -206,6 +207,7 @@
 {
   aExchange->m_connection = weak_from_this();
   m_exchanges.push_back(aExchange);
+  ++m_shared->openExchanges;
   if (m_exchanges.size() == 1) {
     aExchange->BecomeFirstInPipeline();
   }
@@ -297,6 +299,7 @@
     return;
   }
   m_writing = true;
+  m_allAcknowledged = false;
   boost::asio::async_write(
     m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const auto& aError, size_t) {
       self->OnWritten(aError);
@@ -335,6 +338,7 @@
 {
   const ExchangePointer finished = m_exchanges.front();
   m_exchanges.pop_front();
+  --m_shared->openExchanges;
   m_lastCallId = finished->m_callId;
   finished->m_onCancel = nullptr;
   if (!finished->m_keepAlive) {
@@ -351,23 +355,25 @@
   SendPending();
 }
 
-std::vector<UndeliveredResponse>
-ServerConnection::UndeliveredResponses()
+void
+ServerConnection::AppendUndelivered(std::vector<UndeliveredResponse>& aResponses)
 {
-  std::vector<UndeliveredResponse> undelivered;
-  const std::optional<size_t> unacknowledged = m_closed ? std::nullopt : UnacknowledgedBytes(m_socket);
-  if (m_exchanges.empty() && unacknowledged.value_or(0) > 0) {
-    undelivered.push_back({ .callId = m_lastCallId, .unacknowledgedBytes = unacknowledged });
+  if (m_closed || (m_exchanges.empty() && m_allAcknowledged)) {
+    return;
+  }
+  const std::optional<size_t> unacknowledged = UnacknowledgedBytes(m_socket);
+  m_allAcknowledged = !m_writing && unacknowledged.value_or(0) == 0;
+  if (m_exchanges.empty() && !m_allAcknowledged) {
+    aResponses.push_back({ .callId = m_lastCallId, .unacknowledgedBytes = unacknowledged });
   }
   for (const ExchangePointer& exchange : m_exchanges) {
     const bool isFirst = exchange == m_exchanges.front();
-    undelivered.push_back({ .callId = exchange->m_callId,
-                            .isWaiting = exchange->m_stage == Exchange::Stage::Waiting ||
-                                         exchange->m_stage == Exchange::Stage::Started,
-                            .unsentBytes = exchange->m_body.size() + (isFirst ? m_output.size() : 0),
-                            .unacknowledgedBytes = isFirst ? unacknowledged : std::nullopt });
+    aResponses.push_back({ .callId = exchange->m_callId,
+                           .isWaiting = exchange->m_stage == Exchange::Stage::Waiting ||
+                                        exchange->m_stage == Exchange::Stage::Started,
+                           .unsentBytes = exchange->m_body.size() + (isFirst ? m_output.size() : 0),
+                           .unacknowledgedBytes = isFirst ? unacknowledged : std::nullopt });
   }
-  return undelivered;
 }
 
 // --- end -------------------------------------------------------------------------------------------------
@@ -451,6 +457,7 @@
   boost::system::error_code ignored;
   m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   m_socket.close(ignored);
+  m_shared->openExchanges -= m_exchanges.size();
   for (const ExchangePointer& exchange : std::exchange(m_exchanges, {})) {
     exchange->Cancel();
   }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -36,8 +36,8 @@
 
   EventLoop& Loop() const { return m_loop; }
 
-  /** Returns the responses of which the peer doesn't have all bytes; only on the connection's loop. */
-  std::vector<UndeliveredResponse> UndeliveredResponses();
+  /** Appends the responses of which the peer lacks bytes; only on the connection's loop. */
+  void AppendUndelivered(std::vector<UndeliveredResponse>& aResponses);
 
   /** Sends the available output of the first exchange. */
   void SendPending();
@@ -84,6 +84,8 @@
   bool m_lingering = false;
   bool m_reading = false;
   bool m_writing = false;
+  /** Nothing was written since the peer had acknowledged all bytes. */
+  bool m_allAcknowledged = true;
   bool m_rejected = false;
   bool m_closed = false;
   bool m_lastRequestRead = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -292,10 +292,12 @@
 }
 
 bool
-Node::WaitForCallsToEnd(Deadline aDeadline) const
+Node::WaitForResponses(Deadline aDeadline) const
 {
   while (SteadyClock::now() < aDeadline) {
-    if (m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0) {
+    const bool haveEnded = m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0;
+    // The response to a call that has ended may still wait for a slow peer.
+    if (haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered()) {
       return true;
     }
     std::this_thread::sleep_for(kDrainPollInterval);
@@ -319,7 +321,7 @@
   std::this_thread::sleep_until(acceptUntil);
   m_entry->StopListening();
   BeginStoppingBackground();
-  const bool finished = WaitForCallsToEnd(end);
+  const bool finished = WaitForResponses(end);
   LogDrained(finished);
 }
 
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -78,10 +78,13 @@
   /** Stops listening and ends the gate's own threads; open calls get no response. */
   void Stop();
 
-  /** Returns the number of calls that hold a slot or wait for one. */
+  /** Returns the number of calls that hold a slot or wait for one; their responses may be sent later. */
   int OpenCalls() const;
 
-  /** Returns the responses of which entries don't have all bytes. */
+  /** Returns whether entries have all bytes of all responses. */
+  bool HasDelivered() const { return m_server->HasDelivered(); }
+
+  /** Returns the responses of which entries lack bytes. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
 
 private:
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace mimosarun;
 using std::chrono::milliseconds;
@@ -36,6 +37,8 @@
 
   const Address& Where() const { return m_address; }
 
+  HttpServer& Http() { return *m_server; }
+
   ExchangePointer Exchange(size_t aIndex)
   {
     BOOST_REQUIRE(WaitUntil(std::chrono::seconds(3), [&] {
@@ -169,35 +172,63 @@
 /** More than the sockets of a connection hold. */
 static constexpr size_t kLongBodyBytes = 32UL * 1024 * 1024;
 
+/** A request whose sender stops reading at the first bytes of the response's body until it is resumed. */
+class PausedTransfer
+{
+public:
+  PausedTransfer()
+    : m_loops(1)
+  {
+    std::promise<ForwardHandle> handle;
+    m_loops.First().Dispatch([&] {
+      handle.set_value(m_forwarder.Start(
+        m_loops.First(),
+        { .destination = m_server.Where(),
+          .request = { .method = "GET", .path = "/", .requestTarget = "/", .headers = {}, .body = {} },
+          .deadline = SteadyClock::now() + std::chrono::seconds(5) },
+        m_recorder));
+    });
+    m_handle = handle.get_future().get();
+  }
+
+  ~PausedTransfer() { m_loops.Stop(); }
+
+  PausedTransfer(const PausedTransfer&) = delete;
+  PausedTransfer& operator=(const PausedTransfer&) = delete;
+
+  ManualServer& Server() { return m_server; }
+  void WaitUntilPaused() { m_recorder->paused.get_future().wait(); }
+  void Resume()
+  {
+    m_loops.First().Dispatch([handle = m_handle] { handle.Resume(); });
+  }
+  ForwardResult Result() { return m_recorder->result.get_future().get(); }
+  /** Returns the body that was received before the result was there. */
+  const std::string& Body() const { return m_recorder->body; }
+
+private:
+  ManualServer m_server;
+  EventLoops m_loops;
+  Forwarder m_forwarder;
+  const std::shared_ptr<PausingRecorder> m_recorder = std::make_shared<PausingRecorder>();
+  ForwardHandle m_handle;
+};
+
 /** Streams a body that the sockets can't hold, ends it while it is being written, and returns the result. */
 static ForwardResult
 TransferEndedDuringWrite(std::optional<uint64_t> aContentLength, bool aComplete, std::string& aReceived)
 {
-
-  ManualServer server;
-  EventLoops loops(1);
-  Forwarder forwarder;
-  const auto recorder = std::make_shared<PausingRecorder>();
-  std::promise<ForwardHandle> handle;
-  loops.First().Dispatch([&] {
-    handle.set_value(forwarder.Start(
-      loops.First(),
-      { .destination = server.Where(),
-        .request = { .method = "GET", .path = "/", .requestTarget = "/", .headers = {}, .body = {} },
-        .deadline = SteadyClock::now() + std::chrono::seconds(5) },
-      recorder));
-  });
-  const ExchangePointer exchange = server.Exchange(0);
+  PausedTransfer transfer;
+  const ExchangePointer exchange = transfer.Server().Exchange(0);
   exchange->Loop().Dispatch([&] {
     exchange->Start({ .status = 200, .headers = {}, .contentLength = aContentLength });
     exchange->Write(std::string(kLongBodyBytes, 'x'));
     exchange->Finish(aComplete);
   });
-  recorder->paused.get_future().wait();
-  loops.First().Dispatch([transfer = handle.get_future().get()] { transfer.Resume(); });
-  const ForwardResult result = recorder->result.get_future().get();
-  loops.Stop();
-  aReceived = recorder->body;
+  transfer.WaitUntilPaused();
+  transfer.Resume();
+  const ForwardResult result = transfer.Result();
+  aReceived = transfer.Body();
   return result;
 }
 
@@ -218,6 +249,44 @@
   BOOST_TEST((TransferEndedDuringWrite(std::nullopt, false, received) == ForwardResult::Broken));
 }
 
+// Guards against: a process ends because its calls have ended, while a slow peer lacks bytes of a response.
+BOOST_AUTO_TEST_CASE(a_server_is_drained_when_slow_peers_have_their_responses)
+{
+  PausedTransfer transfer;
+  const ExchangePointer exchange = transfer.Server().Exchange(0);
+  exchange->SetCallId("call-1");
+  exchange->Loop().Dispatch([&] {
+    exchange->Start({ .status = 200, .headers = {} });
+    exchange->Write(std::string(kLongBodyBytes, 'x'));
+    exchange->Finish(true);
+  });
+  transfer.WaitUntilPaused();
+  HttpServer& server = transfer.Server().Http();
+  BOOST_TEST(!server.Drain(SteadyClock::now() + milliseconds(200)));
+  const std::vector<UndeliveredResponse> undelivered = server.UndeliveredResponses();
+  BOOST_REQUIRE(undelivered.size() == 1u);
+  BOOST_TEST(undelivered.front().callId == "call-1");
+  BOOST_TEST(!undelivered.front().isWaiting);
+  BOOST_TEST(undelivered.front().unsentBytes + undelivered.front().unacknowledgedBytes.value_or(0) > 0u);
+  transfer.Resume();
+  BOOST_TEST(server.Drain(SteadyClock::now() + std::chrono::seconds(5)));
+  BOOST_TEST((transfer.Result() == ForwardResult::Complete));
+  BOOST_TEST(transfer.Body().size() == kLongBodyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  const ExchangePointer exchange = server.Exchange(0);
+  BOOST_TEST(!server.Http().Drain(SteadyClock::now() + milliseconds(50)));
+  BOOST_TEST(server.Http().UndeliveredResponses().front().isWaiting);
+  exchange->Respond({ .status = 200 });
+  BOOST_TEST(server.Http().Drain(SteadyClock::now() + std::chrono::seconds(3)));
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_first_in_the_pipeline_after_the_earlier_responses)
 {
   ManualServer server;
