HTTP server: a slow peer gets the last response of a connection

What callers could see: a caller that asks for the connection to be closed, or whose node leaves, gets only a part of a large response if it takes longer than a second to read it and sends another byte meanwhile.

Cause: a second after the last response was written into the kernel the connection was closed, whether or not the peer had it. From then on the kernel answers further bytes of the peer with a reset and drops what it still had to send.

The connection now stays half-closed while the kernel has unacknowledged bytes. A peer that is gone ends it by the limit for unacknowledged data.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -436,7 +436,11 @@
 ServerConnection::OnTimer()
 {
   const bool requestBegun = m_buffer.size() > 0 || m_parser->is_header_done();
-  if (m_lingering) {
+  if (m_lingering && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
+    // Closed now, the connection would be reset by further bytes of the peer. A peer that is gone fails the
+    // read within the limit for unacknowledged bytes.
+    ResetTimer();
+  } else if (m_lingering) {
     Close();
   } else if (requestBegun && !m_rejected) {
     RespondWithError({ .status = 408, .reason = "the request took too long to arrive; send it again" });
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -274,6 +274,20 @@
   BOOST_TEST(transfer.Body().size() == kLongBodyBytes);
 }
 
+// Guards against: a connection that is closed a second after its last response is reset by further bytes of a
+// slow peer, which then loses the rest of that response.
+BOOST_AUTO_TEST_CASE(a_slow_peer_gets_the_last_response_of_a_connection)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200, .headers = {}, .body = std::string(3UL * 1024 * 1024, 'x') });
+  // Longer than a server waits for the end of a peer that has all bytes.
+  std::this_thread::sleep_for(milliseconds(1500));
+  caller.Send("GET / HTTP/1.1\r\n");
+  BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
