Operators' servers outlive the requests that they handle

What operators could see: a control replica that got SIGTERM while it handled an order ended by a signal.

Cause: OperatorApi and OperatorServer destroyed the HTTP server and its loops before the workers, which then responded on loops that no longer existed.

The workers end first now; requests that arrive meanwhile are rejected, as the pool is stopped.

That the freed loop is what ended it was read, not traced.

--- a/src/operators/operatorserver.cpp
+++ b/src/operators/operatorserver.cpp
@@ -27,6 +27,12 @@
   return server;
 }
 
+OperatorServer::~OperatorServer()
+{
+  // Workers respond on loops of the server, which must exist until the last one has ended.
+  m_workers.Stop();
+}
+
 static int
 StatusOf(AnswerCode aCode)
 {
--- a/src/operators/operatorserver.h
+++ b/src/operators/operatorserver.h
@@ -29,6 +29,15 @@
 
   static Result<std::unique_ptr<OperatorServer>> Start(Options aOptions);
 
+  /** Drops commands that still wait for a worker; waits for those that run. */
+  ~OperatorServer();
+
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
+
+  /** Stops listening, and returns whether all commands that were read had their responses at the deadline. */
+  bool Drain(Deadline aDeadline) { return m_server->Drain(aDeadline); }
+
 private:
   explicit OperatorServer(Options aOptions);
 
