Control: a replica that leaves answers the operators' requests that it has read

What operators could see: an order that a replica had read before it got SIGTERM ended with a closed connection, also if the log had committed it; it had to be sent again to learn its outcome.

Event 107 says whether all were sent.

Measured: lostreplicastest an_operator_gets_an_answer_from_a_replica_that_leaves got no response before (status 0, the replica ended by a signal) and gets 503 now.

--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -12,6 +12,7 @@
   EventDescription{ Event::SettingsReloaded, Severity::Info, "settings-reloaded" },
   EventDescription{ Event::SettingsRefused, Severity::Warning, "settings-refused" },
   EventDescription{ Event::ProcessEndedAtDeadline, Severity::Warning, "process-ended-at-deadline" },
+  EventDescription{ Event::OperatorsDrained, Severity::Info, "operators-drained" },
   EventDescription{ Event::GroupFormed, Severity::Info, "group-formed" },
   EventDescription{ Event::LeaderElected, Severity::Info, "leader-elected" },
   EventDescription{ Event::LeaderSteppedDown, Severity::Warning, "leader-stepped-down" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -14,6 +14,7 @@
   SettingsReloaded = 104,
   SettingsRefused = 105,
   ProcessEndedAtDeadline = 106,
+  OperatorsDrained = 107,
 
   GroupFormed = 200,
   LeaderElected = 201,
--- a/src/mimosarund/main.cpp
+++ b/src/mimosarund/main.cpp
@@ -17,6 +17,8 @@
 
 static constexpr int kExitFailure = 1;
 static constexpr int kExitInvalidInput = 2;
+/** Longer than a command may run. */
+static constexpr std::chrono::milliseconds kOperatorDrainTime{ 9000 };
 static constexpr const char* kVersion = "mimosarund 0.1.0";
 
 /** Options of the command line. */
@@ -76,6 +78,8 @@
   Log(Event::ProcessStarted, { { "role", "control" } });
   aSignal.Wait();
   Log(Event::ProcessStopping);
+  const bool isDrained = server.value()->Drain(SteadyClock::now() + kOperatorDrainTime);
+  Log(Event::OperatorsDrained, { { "finished", isDrained ? "yes" : "no" } });
   return 0;
 }
 
@@ -101,6 +105,7 @@
   aSignal.Wait();
   Log(Event::ProcessStopping);
   node.Shutdown();
+  server.value()->Drain(SteadyClock::now() + kOperatorDrainTime);
   node.Stop();
   return 0;
 }
--- a/tests/platform/lostreplicastest.cpp
+++ b/tests/platform/lostreplicastest.cpp
@@ -70,3 +70,24 @@
     return mesh.ReplaceConfiguration("r8", PlatformMesh::Document(9), kSuccessor) == 200;
   }));
 }
+
+// Guards against: a replica that gets SIGTERM closes the connection of an order that it has read without an
+// answer.
+BOOST_AUTO_TEST_CASE(an_operator_gets_an_answer_from_a_replica_that_leaves)
+{
+  PlatformMesh mesh("leavingreplica");
+  BOOST_REQUIRE(mesh.Start());
+  // Without the others the order can't be accepted, and its answer takes as long as the replica waits for
+  // them.
+  mesh.replicas[1].Signal(SIGSTOP);
+  mesh.replicas[2].Signal(SIGSTOP);
+  std::thread leaving([&mesh] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    mesh.replicas[0].Signal(SIGTERM);
+  });
+  BOOST_TEST(mesh.ReplaceConfiguration("r3", PlatformMesh::Document(8)) == 503);
+  leaving.join();
+  int status = -1;
+  BOOST_TEST(mesh.replicas[0].WaitForEnd(std::chrono::seconds(2), status));
+  BOOST_TEST(status == 0);
+}
