--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -168,6 +168,8 @@
     return Fail(ErrorKind::StorageFailed,
                 m_folder + ": " + code.message() + "; create the folder or free space");
   }
+  // The folder's own name is durable only after this.
+  BOOST_OUTCOME_TRYV(SyncFolder(std::filesystem::absolute(m_folder).parent_path().string()));
   JournalContent content;
   MIMOSARUN_TRY(content.ballot, ReadRecordFile<wire::Ballot>(PathOf(kBallotFileName)));
   MIMOSARUN_TRY(content.snapshot, ReadRecordFile<wire::SnapshotFile>(PathOf(kSnapshotFileName)));
@@ -178,8 +180,9 @@
     if (::ftruncate(m_logDescriptor, m_logLengthBytes) != 0) {
       return StorageError("cut " + PathOf(kLogFileName));
     }
-    BOOST_OUTCOME_TRYV(Sync());
   }
+  // A process that was killed before its sync leaves entries that no sync has covered.
+  BOOST_OUTCOME_TRYV(Sync());
   stored.commitIndex = ReadCommitIndex(stored);
   return stored;
 }
@@ -264,6 +267,8 @@
     identity.term = aInitial.value_or(WallNow().time_since_epoch().count());
     BOOST_OUTCOME_TRYV(ReplaceFile(path, MakeRecord(Encode(identity))));
   }
+  // A process that was killed as it created the file may have left it without this sync.
+  BOOST_OUTCOME_TRYV(SyncFolder(aFolder));
   MIMOSARUN_TRY(const wire::Ballot identity, ReadRecordFile<wire::Ballot>(path));
   return identity.term;
 }
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -36,7 +36,7 @@
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
-  /** Opens or creates the folder's files and returns their content. */
+  /** Opens or creates the folder's files and returns their content, which is durable then. */
   Result<JournalContent> Open();
 
   /** Stores the term and the vote. */
