--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -545,7 +545,10 @@
   RecordLeaderHeard(aMessage.sender, aNow);
   reply.term = m_ballot.term;
   reply.granted = true;
-  if (aMessage.logIndex > m_commitIndex) {
+  if (m_log.TermAt(aMessage.logIndex) == aMessage.logTerm) {
+    // This replica holds all that the snapshot covers, and may have confirmed entries after it.
+    m_commitIndex = std::max(m_commitIndex, aMessage.logIndex);
+  } else if (aMessage.logIndex > m_commitIndex) {
     wire::SnapshotFile snapshot;
     snapshot.index = aMessage.logIndex;
     snapshot.term = aMessage.logTerm;
--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -439,6 +439,37 @@
   BOOST_TEST(!core.IsCaughtUp(emptied.name));
 }
 
+// Guards against: a snapshot that was sent on a late message makes a follower drop entries after it that it
+// has confirmed and that were committed by that.
+BOOST_AUTO_TEST_CASE(a_snapshot_of_entries_that_a_follower_holds_leaves_the_later_ones)
+{
+  RaftState state{ .snapshot = MakeGroupOf({ "a", "b", "c" }) };
+  for (int64_t index = 1; index <= 10; ++index) {
+    state.entries.emplace_back();
+    state.entries.back().index = index;
+    state.entries.back().term = 1;
+  }
+  const Deadline now{ std::chrono::hours(1) };
+  RaftCore follower({ .group = "g", .name = "b", .incarnation = 1, .seed = 1 }, state, now);
+  wire::RaftMessage message;
+  message.kind = wire::RaftKind::Snapshot;
+  message.sender = "a";
+  message.senderIncarnation = 1;
+  message.receiver = "b";
+  message.receiverIncarnation = 1;
+  message.term = 1;
+  message.logIndex = 5;
+  message.logTerm = 1;
+  message.members = state.snapshot.members;
+  follower.Receive(message, now);
+  BOOST_TEST(follower.LastIndex() == 10);
+  BOOST_TEST(follower.CommitIndex() == 5);
+  BOOST_TEST(follower.TakeCommittedEntries().size() == 5u);
+  const RaftOutput output = follower.TakeOutput();
+  BOOST_TEST(!output.installedSnapshot.has_value());
+  BOOST_TEST(output.messages.back().logIndex == 5);
+}
+
 /** Returns the messages of a given kind in a leader's output by receiver, and clears the output. */
 static std::map<std::string, int>
 SentAppends(RaftCore& aLeader)
