HTTP server: a connection isn't idle while its peer lacks bytes

What callers could see: a caller that takes longer than the idle limit to read a large response, and sends another byte meanwhile, gets only a part of it.

Cause: the limit for idle connections counts from the last write into the kernel, and the connection is then closed. Further bytes of the peer are answered with a reset, and the kernel drops what it still had to send. Class of fault: as with the linger time, what was handed to the kernel was taken for what the peer has.

The connection now stays open while the kernel has unacknowledged bytes.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -436,7 +436,8 @@
 ServerConnection::OnTimer()
 {
   const bool requestBegun = m_buffer.size() > 0 || m_parser->is_header_done();
-  if (m_lingering && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
+  const bool isIdle = m_exchanges.empty() && !requestBegun;
+  if ((m_lingering || isIdle) && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
     // Closed now, the connection would be reset by further bytes of the peer. A peer that is gone fails the
     // read within the limit for unacknowledged bytes.
     ResetTimer();
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -288,6 +288,20 @@
   BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
 }
 
+// Guards against: the limit for idle connections ends a connection while a slow peer lacks bytes of its last
+// response; further bytes of the peer then reset it.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_idle_while_its_peer_lacks_bytes)
+{
+  ManualServer server;
+  server.Http().SetLimits({ .idleTimeout = milliseconds(300) });
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200, .headers = {}, .body = std::string(3UL * 1024 * 1024, 'x') });
+  std::this_thread::sleep_for(milliseconds(1000));
+  caller.Send("GET / HTTP/1.1\r\n");
+  BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
