HTTP server: connections made before the end of listening are served

What callers could see: a whole request, sent over a new connection just before the entry of a leaving node stops listening, gets neither an answer nor a refusal, but a reset.

Cause: closing the acceptor resets the connections that the kernel has established and that nobody has accepted. A connection that had been accepted, but whose handler ran after the acceptor was closed, was dropped as well.

The server now accepts what the kernel has established before it closes the acceptor, and serves a connection that was accepted before. A server that is being destroyed begins no connection.

Connections that are established between the last accept and the close are still reset.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -33,6 +33,7 @@
 
 HttpServer::~HttpServer()
 {
+  m_shared->ended = true;
   StopListening();
   if (m_ownLoops) {
     m_ownLoops->Stop();
@@ -65,7 +66,12 @@
 {
   EventLoop& loop = m_loops->Next();
   m_acceptor->async_accept(
-    loop.Context(), [this, acceptor = m_acceptor, &loop](const auto& aError, tcp::socket aSocket) {
+    loop.Context(),
+    [this, shared = m_shared, acceptor = m_acceptor, &loop](const auto& aError, tcp::socket aSocket) {
+      if (!aError) {
+        Serve(shared, std::move(aSocket), loop);
+      }
+      // The server may have ended together with its acceptor.
       if (aError == boost::asio::error::operation_aborted || !acceptor->is_open()) {
         return;
       }
@@ -77,13 +83,33 @@
         });
         return;
       }
-      if (m_shared->connections < m_shared->options.maximumConnections) {
-        ServerConnection::Begin(std::move(aSocket), m_shared, loop);
-      }
       Accept();
     });
 }
 
+void
+HttpServer::Serve(const std::shared_ptr<Shared>& aShared, tcp::socket aSocket, EventLoop& aLoop)
+{
+  if (!aShared->ended && aShared->connections < aShared->options.maximumConnections) {
+    ServerConnection::Begin(std::move(aSocket), aShared, aLoop);
+  }
+}
+
+void
+HttpServer::AcceptEstablished()
+{
+  boost::system::error_code error;
+  m_acceptor->non_blocking(true, error);
+  while (!error) {
+    EventLoop& loop = m_loops->Next();
+    tcp::socket socket(loop.Context());
+    m_acceptor->accept(socket, error);
+    if (!error) {
+      Serve(m_shared, std::move(socket), loop);
+    }
+  }
+}
+
 void
 HttpServer::StopListening()
 {
@@ -100,7 +126,11 @@
   if (m_loops->First().Context().stopped()) {
     close();
   } else {
-    m_loops->First().Dispatch(close);
+    m_loops->First().Dispatch([&] {
+      // Closing the acceptor resets the connections that the kernel has established and nobody has accepted.
+      AcceptEstablished();
+      close();
+    });
   }
   closed.get_future().wait();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -78,7 +78,7 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  /** Accepts no further connections; open connections aren't affected. */
+  /** Accepts no further connections; those that are established aren't affected. */
   void StopListening();
 
   /** From now on, closes each connection after the response to the last request that it has read. */
@@ -113,6 +113,8 @@
     std::atomic<size_t> openExchanges{ 0 };
     std::set<ServerConnection*> openConnections;
     std::atomic<bool> closing{ false };
+    /** The server is being destroyed, so no connection may begin to use its handler. */
+    std::atomic<bool> ended{ false };
   };
 
   HttpServer() = default;
@@ -120,6 +122,12 @@
   Result<void> Listen();
   std::map<EventLoop*, std::vector<std::shared_ptr<ServerConnection>>> ConnectionsByLoop() const;
   void Accept();
+  /** Serves a connection, unless there are too many or the server has ended. */
+  static void Serve(const std::shared_ptr<Shared>& aShared,
+                    boost::asio::ip::tcp::socket aSocket,
+                    EventLoop& aLoop);
+  /** Serves the connections that the kernel has established; only on the acceptor's loop. */
+  void AcceptEstablished();
 
   std::shared_ptr<Shared> m_shared = std::make_shared<Shared>();
   std::unique_ptr<EventLoops> m_ownLoops;
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -302,6 +302,29 @@
   BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
 }
 
+// Guards against: a connection that the kernel established before the server stopped listening is dropped
+// with its request, which then gets neither an answer nor a refusal.
+BOOST_AUTO_TEST_CASE(connections_made_before_the_end_of_listening_are_served)
+{
+  ManualServer server;
+  RawConnection first(server.Where());
+  first.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::promise<void> goOn;
+  server.Exchange(0)->Loop().Dispatch([&goOn] { goOn.get_future().wait(); });
+  RawConnection second(server.Where());
+  RawConnection third(server.Where());
+  second.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  third.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::thread stopping([&server] { server.Http().StopListening(); });
+  std::this_thread::sleep_for(milliseconds(50));
+  goOn.set_value();
+  stopping.join();
+  server.Exchange(1)->Respond({ .status = 200 });
+  server.Exchange(2)->Respond({ .status = 200 });
+  BOOST_TEST(second.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(third.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
