HTTP server: a closing server answers a request whose body it is reading

What callers could see: a pipelined request whose body was being read when the response before it was sent by a leaving node was discarded without a response.

Cause: a response closes the connection if no bytes are buffered after its request. The bytes of a head and a part of a body are in the parser, not in the buffer, so such a request was overlooked.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -117,6 +117,12 @@
   return m_exchanges.size() >= kPipelineLimit;
 }
 
+bool
+ServerConnection::HasRequestBegun() const
+{
+  return m_buffer.size() > 0 || m_parser->is_header_done();
+}
+
 bool
 ServerConnection::ParseBuffered()
 {
@@ -253,7 +259,7 @@
   std::string output;
   if (!aFirst.m_headSent) {
     aFirst.m_headSent = true;
-    const bool isLast = m_exchanges.size() == 1 && m_buffer.size() == 0;
+    const bool isLast = m_exchanges.size() == 1 && !HasRequestBegun();
     if (m_shared->closing && isLast) {
       m_lastRequestRead = true;
       aFirst.m_keepAlive = false;
@@ -435,7 +441,7 @@
 void
 ServerConnection::OnTimer()
 {
-  const bool requestBegun = m_buffer.size() > 0 || m_parser->is_header_done();
+  const bool requestBegun = HasRequestBegun();
   const bool isIdle = m_exchanges.empty() && !requestBegun;
   if ((m_lingering || isIdle) && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
     // Closed now, the connection would be reset by further bytes of the peer. A peer that is gone fails the
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -50,6 +50,8 @@
   void OnRead(const boost::system::error_code& aError, size_t aLength);
   bool ParseBuffered();
   bool IsPipelineFull() const;
+  /** Returns whether a part of the next request has arrived. */
+  bool HasRequestBegun() const;
   void SendContinueIfExpected();
   void HandleRequest();
   void RejectUnreadable(const boost::system::error_code& aError);
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -325,6 +325,25 @@
   BOOST_TEST(third.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against: the response before a request whose body is being read closes the connection, so that
+// request is discarded.
+BOOST_AUTO_TEST_CASE(a_closing_server_answers_a_request_whose_body_it_is_reading)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n01234");
+  const ExchangePointer first = server.Exchange(0);
+  std::this_thread::sleep_for(milliseconds(50));
+  server.Http().CloseAfterResponses();
+  first->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  caller.Send("56789");
+  server.Exchange(1)->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).find("Connection: close") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
