HTTP server: a drain waits for requests that are being read

What callers could see: a request of which a part had arrived when the last other call of a leaving node ended got neither an answer nor a refusal, as the process ended before it read the rest.

Cause: a drain counts the requests that were read completely.

A connection that has read a part of a request now counts as one with an undelivered response. It holds a drain at most until the drain's end, as an unfinished response does.

Measured: httptest a_server_is_not_drained_while_a_request_arrives failed before (drained at once) and passes now (3 of 3 runs).

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -91,8 +91,8 @@
   bool HasDelivered() const;
 
   /**
-   * Stops listening, and waits until the peers have all responses to the requests that were read. Returns
-   * whether they had before the deadline; not to be called on a loop of the server.
+   * Stops listening, and waits until the peers have all responses to the requests of which a part was read.
+   * Returns whether they had before the deadline; not to be called on a loop of the server.
    */
   bool Drain(Deadline aDeadline);
 
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -364,9 +364,13 @@
 void
 ServerConnection::AppendUndelivered(std::vector<UndeliveredResponse>& aResponses)
 {
-  if (m_closed || (m_exchanges.empty() && m_allAcknowledged)) {
+  const bool isReadingRequest = !m_rejected && !m_lastRequestRead && !m_lingering && HasRequestBegun();
+  if (m_closed || (m_exchanges.empty() && m_allAcknowledged && !isReadingRequest)) {
     return;
   }
+  if (isReadingRequest) {
+    aResponses.push_back({ .callId = {}, .isWaiting = true });
+  }
   const std::optional<size_t> unacknowledged = UnacknowledgedBytes(m_socket);
   m_allAcknowledged = !m_writing && unacknowledged.value_or(0) == 0;
   if (m_exchanges.empty() && !m_allAcknowledged) {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -36,7 +36,10 @@
 
   EventLoop& Loop() const { return m_loop; }
 
-  /** Appends the responses of which the peer lacks bytes; only on the connection's loop. */
+  /**
+   * Appends the responses of which the peer lacks bytes, also one for a request that is being read; only on
+   * the connection's loop.
+   */
   void AppendUndelivered(std::vector<UndeliveredResponse>& aResponses);
 
   /** Sends the available output of the first exchange. */
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -344,6 +344,20 @@
              std::string::npos);
 }
 
+// Guards against: a process ends while the rest of a request arrives, so the request gets no response.
+BOOST_AUTO_TEST_CASE(a_server_is_not_drained_while_a_request_arrives)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n01234");
+  std::this_thread::sleep_for(milliseconds(50));
+  BOOST_TEST(!server.Http().Drain(SteadyClock::now() + milliseconds(100)));
+  caller.Send("56789");
+  server.Exchange(0)->Respond({ .status = 200 });
+  BOOST_TEST(server.Http().Drain(SteadyClock::now() + std::chrono::seconds(3)));
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
