--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -117,6 +117,12 @@
   return m_exchanges.size() >= kPipelineLimit;
 }
 
+bool
+ServerConnection::HasRequestBegun() const
+{
+  return m_buffer.size() > 0 || m_parser->is_header_done();
+}
+
 bool
 ServerConnection::ParseBuffered()
 {
@@ -253,7 +259,7 @@
   std::string output;
   if (!aFirst.m_headSent) {
     aFirst.m_headSent = true;
-    const bool isLast = m_exchanges.size() == 1 && m_buffer.size() == 0;
+    const bool isLast = m_exchanges.size() == 1 && !HasRequestBegun();
     if (m_shared->closing && isLast) {
       m_lastRequestRead = true;
       aFirst.m_keepAlive = false;
@@ -358,9 +364,13 @@
 void
 ServerConnection::AppendUndelivered(std::vector<UndeliveredResponse>& aResponses)
 {
-  if (m_closed || (m_exchanges.empty() && m_allAcknowledged)) {
+  const bool isReadingRequest = !m_rejected && !m_lastRequestRead && !m_lingering && HasRequestBegun();
+  if (m_closed || (m_exchanges.empty() && m_allAcknowledged && !isReadingRequest)) {
     return;
   }
+  if (isReadingRequest) {
+    aResponses.push_back({ .callId = {}, .isWaiting = true });
+  }
   const std::optional<size_t> unacknowledged = UnacknowledgedBytes(m_socket);
   m_allAcknowledged = !m_writing && unacknowledged.value_or(0) == 0;
   if (m_exchanges.empty() && !m_allAcknowledged) {
@@ -435,8 +445,9 @@
 void
 ServerConnection::OnTimer()
 {
-  const bool requestBegun = m_buffer.size() > 0 || m_parser->is_header_done();
-  if (m_lingering && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
+  const bool requestBegun = HasRequestBegun();
+  const bool isIdle = m_exchanges.empty() && !requestBegun;
+  if ((m_lingering || isIdle) && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
     // Closed now, the connection would be reset by further bytes of the peer. A peer that is gone fails the
     // read within the limit for unacknowledged bytes.
     ResetTimer();
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -36,7 +36,10 @@
 
   EventLoop& Loop() const { return m_loop; }
 
-  /** Appends the responses of which the peer lacks bytes; only on the connection's loop. */
+  /**
+   * Appends the responses of which the peer lacks bytes, also one for a request that is being read; only on
+   * the connection's loop.
+   */
   void AppendUndelivered(std::vector<UndeliveredResponse>& aResponses);
 
   /** Sends the available output of the first exchange. */
@@ -50,6 +53,8 @@
   void OnRead(const boost::system::error_code& aError, size_t aLength);
   bool ParseBuffered();
   bool IsPipelineFull() const;
+  /** Returns whether a part of the next request has arrived. */
+  bool HasRequestBegun() const;
   void SendContinueIfExpected();
   void HandleRequest();
   void RejectUnreadable(const boost::system::error_code& aError);
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -288,6 +288,76 @@
   BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
 }
 
+// Guards against: the limit for idle connections ends a connection while a slow peer lacks bytes of its last
+// response; further bytes of the peer then reset it.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_idle_while_its_peer_lacks_bytes)
+{
+  ManualServer server;
+  server.Http().SetLimits({ .idleTimeout = milliseconds(300) });
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200, .headers = {}, .body = std::string(3UL * 1024 * 1024, 'x') });
+  std::this_thread::sleep_for(milliseconds(1000));
+  caller.Send("GET / HTTP/1.1\r\n");
+  BOOST_TEST(caller.Receive(milliseconds(1500)).size() > 3UL * 1024 * 1024);
+}
+
+// Guards against: a connection that the kernel established before the server stopped listening is dropped
+// with its request, which then gets neither an answer nor a refusal.
+BOOST_AUTO_TEST_CASE(connections_made_before_the_end_of_listening_are_served)
+{
+  ManualServer server;
+  RawConnection first(server.Where());
+  first.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::promise<void> goOn;
+  server.Exchange(0)->Loop().Dispatch([&goOn] { goOn.get_future().wait(); });
+  RawConnection second(server.Where());
+  RawConnection third(server.Where());
+  second.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  third.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::thread stopping([&server] { server.Http().StopListening(); });
+  std::this_thread::sleep_for(milliseconds(50));
+  goOn.set_value();
+  stopping.join();
+  server.Exchange(1)->Respond({ .status = 200 });
+  server.Exchange(2)->Respond({ .status = 200 });
+  BOOST_TEST(second.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(third.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against: the response before a request whose body is being read closes the connection, so that
+// request is discarded.
+BOOST_AUTO_TEST_CASE(a_closing_server_answers_a_request_whose_body_it_is_reading)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+              "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n01234");
+  const ExchangePointer first = server.Exchange(0);
+  std::this_thread::sleep_for(milliseconds(50));
+  server.Http().CloseAfterResponses();
+  first->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  caller.Send("56789");
+  server.Exchange(1)->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).find("Connection: close") !=
+             std::string::npos);
+}
+
+// Guards against: a process ends while the rest of a request arrives, so the request gets no response.
+BOOST_AUTO_TEST_CASE(a_server_is_not_drained_while_a_request_arrives)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n01234");
+  std::this_thread::sleep_for(milliseconds(50));
+  BOOST_TEST(!server.Http().Drain(SteadyClock::now() + milliseconds(100)));
+  caller.Send("56789");
+  server.Exchange(0)->Respond({ .status = 200 });
+  BOOST_TEST(server.Http().Drain(SteadyClock::now() + std::chrono::seconds(3)));
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
