Soak: callers that download large bodies over kept connections, and rounds of planned stops

DownloadCallers download bodies of 20 KB to 1 MB, two thirds of the connections at a limited pace, and use a connection until the node closes it.

--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kAcceptPoll{ 50 };
@@ -31,9 +33,12 @@
   return ::poll(&ready, 1, static_cast<int>(aTime.count())) > 0;
 }
 
-RawConnection::RawConnection(const Address& aTo)
+RawConnection::RawConnection(const Address& aTo, int aReceiveBufferBytes)
   : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
+  if (aReceiveBufferBytes > 0) {
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &aReceiveBufferBytes, sizeof aReceiveBufferBytes);
+  }
   const sockaddr_in address = SocketAddress(aTo);
   m_connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
 }
@@ -78,6 +83,19 @@
   }
 }
 
+bool
+RawConnection::ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const
+{
+  if (!WaitReadable(m_socket, aTime)) {
+    return true;
+  }
+  const size_t before = aBytes.size();
+  aBytes.resize(before + aLimit);
+  const ssize_t length = ::recv(m_socket, aBytes.data() + before, aLimit, 0);
+  aBytes.resize(before + static_cast<size_t>(std::max<ssize_t>(length, 0)));
+  return length > 0;
+}
+
 Address
 RawServer::FreeAddress()
 {
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -15,7 +15,9 @@
 class RawConnection
 {
 public:
-  explicit RawConnection(const Address& aTo);
+  /** Connects. aReceiveBufferBytes limits what the kernel holds for a slow reader; zero leaves its default.
+   */
+  explicit RawConnection(const Address& aTo, int aReceiveBufferBytes = 0);
   ~RawConnection();
 
   RawConnection(const RawConnection&) = delete;
@@ -32,6 +34,9 @@
   /** Returns the bytes that arrive until they contain aText, the peer closes or aTime is over. */
   std::string ReceiveUntil(const std::string& aText, std::chrono::milliseconds aTime) const;
 
+  /** Appends the bytes that arrive next within aTime, up to a limit; returns false if the peer has closed. */
+  bool ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const;
+
 private:
   int m_socket = -1;
   bool m_connected = false;
--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -1,4 +1,5 @@
 #include "harness/bookings.h"
+#include "harness/downloads.h"
 #include "harness/soakfaults.h"
 
 #include <cxxopts.hpp>
@@ -10,6 +11,10 @@
 
 static constexpr std::chrono::milliseconds kStartLimit{ 30000 };
 static constexpr int kBookingsPerRound = 200;
+/** Time of a round in which all faults are planned, without the time in which the last nodes leave. */
+static constexpr std::chrono::milliseconds kPlannedRound{ 6000 };
+static constexpr int kBookingsPerBatch = 50;
+static constexpr std::chrono::milliseconds kBatchPause{ 300 };
 /** Time within which a change must be in force on all nodes once the faults have ended. */
 static constexpr std::chrono::milliseconds kInForceLimit{ 4000 };
 
@@ -46,11 +51,62 @@
   int m_regressions = 0;
 };
 
+struct SoakOptions
+{
+  std::chrono::seconds time{ 0 };
+  uint64_t seed = 1;
+  int targetsPerDomain = 1;
+  /** Every round has planned faults only, in place of the rounds that the seed draws. */
+  bool plannedOnly = false;
+};
+
+/** Books in batches until aEnd. */
+static std::vector<Booking>
+BookUntil(Mesh& aMesh, const std::string& aPrefix, Deadline aEnd, std::mt19937_64& aRandom)
+{
+  std::vector<Booking> all;
+  for (int batch = 0; SteadyClock::now() < aEnd; ++batch) {
+    const std::vector<Booking> bookings =
+      BookMany(aMesh, aPrefix + std::to_string(batch) + "-", kBookingsPerBatch, aRandom());
+    all.insert(all.end(), bookings.begin(), bookings.end());
+    std::this_thread::sleep_for(kBatchPause);
+  }
+  return all;
+}
+
+/** What the callers of a round saw. */
+struct RoundResult
+{
+  std::vector<Booking> bookings;
+  DownloadSummary downloads;
+};
+
+/** Books and downloads while faults are injected. */
+static RoundResult
+RunRound(Mesh& aMesh, const std::string& aName, bool aPlannedOnly, uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::atomic<bool> stop{ false };
+  std::thread faults([&, seed = random()] {
+    aPlannedOnly ? InjectPlannedStops(aMesh, stop, seed) : InjectSoakFaults(aMesh, stop, seed);
+  });
+  DownloadCallers callers(aMesh,
+                          { .prefix = "get-" + aName + "-", .seed = random(), .plannedOnly = aPlannedOnly });
+  const std::string prefix = "soak-" + aName + "-";
+  RoundResult result;
+  result.bookings = aPlannedOnly ? BookUntil(aMesh, prefix, SteadyClock::now() + kPlannedRound, random)
+                                 : BookMany(aMesh, prefix, kBookingsPerRound, random());
+  stop = true;
+  faults.join();
+  result.downloads = callers.Finish();
+  return result;
+}
+
 static int
-Soak(std::chrono::seconds aTime, uint64_t aSeed, int aTargetsPerDomain)
+Soak(const SoakOptions& aOptions)
 {
-  MeshOptions options = SmallMesh("soak" + std::to_string(aSeed));
-  options.targetsPerDomain = aTargetsPerDomain;
+  MeshOptions options = SmallMesh("soak" + std::to_string(aOptions.seed));
+  options.targetsPerDomain = aOptions.targetsPerDomain;
   options.regions = { { "east", { "east-1", "east-2" } }, { "west", { "west-1", "west-2" } } };
   options.replicaDomains = { "east-1", "east-2", "west-1", "west-2", "east-1" };
   Mesh mesh(options);
@@ -63,24 +119,22 @@
                                  }) &&
                        mesh.WaitServing(kStartLimit);
   if (!running) {
-    std::cerr << "the deployment did not start; see the logs in run/soak" << aSeed << "\n";
+    std::cerr << "the deployment did not start; see the logs in run/soak" << aOptions.seed << "\n";
     return 1;
   }
   VersionMonitor monitor;
   int lateChanges = 0;
   std::vector<Booking> all;
-  std::mt19937_64 random(aSeed);
-  const Deadline end = SteadyClock::now() + aTime;
+  DownloadSummary downloads;
+  std::mt19937_64 random(aOptions.seed);
+  const Deadline end = SteadyClock::now() + aOptions.time;
   for (int round = 0; SteadyClock::now() < end; ++round) {
-    std::atomic<bool> stop{ false };
-    std::thread faults([&, seed = random()] { InjectSoakFaults(mesh, stop, seed); });
-    const bool cut = random() % 3 == 0;
+    const bool plannedOnly = random() % 3 == 0 || aOptions.plannedOnly;
+    const bool cut = random() % 3 == 0 && !plannedOnly;
     mesh.SetRegionFault("east", "west", { .dropAll = cut });
-    const std::vector<Booking> bookings =
-      BookMany(mesh, "soak-" + std::to_string(round) + "-", kBookingsPerRound, random());
-    all.insert(all.end(), bookings.begin(), bookings.end());
-    stop = true;
-    faults.join();
+    const RoundResult result = RunRound(mesh, std::to_string(round), plannedOnly, random());
+    all.insert(all.end(), result.bookings.begin(), result.bookings.end());
+    downloads.Add(result.downloads);
     mesh.SetRegionFault("east", "west", {});
     int64_t roundVersion = 0;
     const bool accepted = WaitUntil(kStartLimit, [&] {
@@ -90,10 +144,14 @@
     lateChanges += accepted && mesh.WaitInForce(roundVersion, kInForceLimit) ? 0 : 1;
     monitor.Check(mesh);
     const BookingSummary summary = CheckBookings(mesh, all);
-    std::cout << "round " << round << (cut ? " with a cut" : "") << ": " << summary.complete << " of "
-              << summary.bookings << " complete, " << summary.ranTwice << " twice, " << summary.falseNotRun
-              << " false not-run, " << summary.lost << " lost, " << monitor.Regressions() << " steps back, "
-              << lateChanges << " late changes" << std::endl;
+    std::cout << "round " << round
+              << (cut           ? " with a cut"
+                  : plannedOnly ? " of planned stops"
+                                : "")
+              << ": " << summary.complete << " of " << summary.bookings << " complete, " << summary.ranTwice
+              << " twice, " << summary.falseNotRun << " false not-run, " << summary.lost << " lost, "
+              << monitor.Regressions() << " steps back, " << lateChanges << " late changes; "
+              << Describe(result.downloads) << std::endl;
   }
   int64_t last = 0;
   WaitUntil(kStartLimit, [&] {
@@ -101,9 +159,10 @@
     return last > 0;
   });
   const bool converged = last > 0 && mesh.WaitInForce(last, kStartLimit);
-  const bool holds =
-    CheckBookings(mesh, all).HasNoViolation() && monitor.Regressions() == 0 && lateChanges == 0 && converged;
-  std::cout << "seed " << aSeed << ": " << (holds ? "all promises held" : "a promise was broken")
+  const bool holds = CheckBookings(mesh, all).HasNoViolation() && downloads.HasNoViolation() &&
+                     monitor.Regressions() == 0 && lateChanges == 0 && converged;
+  std::cout << Describe(downloads) << "\nseed " << aOptions.seed << ": "
+            << (holds ? "all promises held" : "a promise was broken")
             << (converged ? "" : ", nodes did not converge") << "\n";
   return holds ? 0 : 1;
 }
@@ -117,7 +176,8 @@
     "seed", "Seed of the faults", cxxopts::value<uint64_t>()->default_value("1"))(
     "targets",
     "Targets of each service in each failure domain; each has a node and so two processes",
-    cxxopts::value<int>()->default_value("1"))("help", "Print help");
+    cxxopts::value<int>()->default_value("1"))("planned", "Only planned faults, in all rounds")("help",
+                                                                                                "Print help");
   const auto parsed = options.parse(aCount, aValues);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
@@ -125,5 +185,8 @@
   }
   const auto time = parsed.count("seconds") > 0 ? std::chrono::seconds(parsed["seconds"].as<int>())
                                                 : std::chrono::minutes(parsed["minutes"].as<int>());
-  return Soak(time, parsed["seed"].as<uint64_t>(), parsed["targets"].as<int>());
+  return Soak({ .time = time,
+                .seed = parsed["seed"].as<uint64_t>(),
+                .targetsPerDomain = parsed["targets"].as<int>(),
+                .plannedOnly = parsed.count("planned") > 0 });
 }
--- a/tests/harness/soakfaults.cpp
+++ b/tests/harness/soakfaults.cpp
@@ -4,11 +4,18 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
+#include <map>
 #include <thread>
 
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kPlannedStopLimit{ 15000 };
+/** Longer than nodes wait for their calls. */
+static constexpr std::chrono::milliseconds kLongestLeave{ 40000 };
+/** Time after its start in which a node isn't stopped, so that callers have connections to it. */
+static constexpr std::chrono::milliseconds kTimeBetweenStops{ 2000 };
+static constexpr std::chrono::milliseconds kLeaveCheck{ 20 };
 static constexpr std::chrono::milliseconds kSuspensionTime{ 1500 };
 /** Repetitions of a request that ends targets, at random entries. */
 static constexpr int kRepetitions = 4;
@@ -100,4 +107,75 @@
   }
 }
 
+/** Stops nodes as planned and starts those that have ended. */
+class PlannedStops
+{
+public:
+  explicit PlannedStops(Mesh& aMesh)
+    : m_mesh(aMesh)
+  {
+  }
+
+  /** Sends SIGTERM to a random node, but never to more than half of the nodes at once. */
+  void StopOne(std::mt19937_64& aRandom)
+  {
+    const std::string node = RandomNode(m_mesh, aRandom);
+    const auto now = SteadyClock::now();
+    const bool isYoung = m_startedAt.contains(node) && now < m_startedAt[node] + kTimeBetweenStops;
+    if (isYoung || m_leaving.contains(node) || 2 * m_leaving.size() >= m_mesh.Nodes().size()) {
+      return;
+    }
+    m_mesh.ProcessOf(node).process.Signal(SIGTERM);
+    m_leaving[node] = now;
+  }
+
+  /** Starts the nodes that have ended, and those that have not ended in time. */
+  void Restart()
+  {
+    const auto now = SteadyClock::now();
+    std::erase_if(m_leaving, [&](const auto& aLeaving) {
+      const auto& [node, since] = aLeaving;
+      const bool isLate = now >= since + kLongestLeave;
+      if (m_mesh.ProcessOf(node).process.Running() && !isLate) {
+        return false;
+      }
+      if (isLate) {
+        std::cout << "  " << node << " did not end in time\n";
+      }
+      m_mesh.StartProcess(node);
+      m_startedAt[node] = now;
+      return true;
+    });
+  }
+
+  bool AnyLeaving() const { return !m_leaving.empty(); }
+
+private:
+  Mesh& m_mesh;
+  std::map<std::string, Deadline> m_leaving;
+  std::map<std::string, Deadline> m_startedAt;
+};
+
+void
+InjectPlannedStops(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  PlannedStops stops(aMesh);
+  Deadline next = SteadyClock::now() + kTimeBetweenStops / 2;
+  while (!aStop || stops.AnyLeaving()) {
+    if (!aStop && SteadyClock::now() >= next) {
+      if (random() % 10 == 0) {
+        HangUpAll(aMesh);
+      } else {
+        stops.StopOne(random);
+      }
+      // Mostly while the one before is leaving, sometimes after its end.
+      const uint64_t longestGap = random() % 4 == 0 ? 2500 : 600;
+      next = SteadyClock::now() + std::chrono::milliseconds(random() % longestGap);
+    }
+    stops.Restart();
+    std::this_thread::sleep_for(kLeaveCheck);
+  }
+}
+
 } // namespace mimosarun
--- a/tests/harness/soakfaults.h
+++ b/tests/harness/soakfaults.h
@@ -14,4 +14,12 @@
 void
 InjectSoakFaults(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed);
 
+/**
+ * Sends SIGTERM to nodes in series and at overlapping times, and hang-up signals to all processes, until
+ * aStop is set. Each stopped node is started again when it has ended; returns when all have. No node is
+ * stopped in its first seconds.
+ */
+void
+InjectPlannedStops(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed);
+
 } // namespace mimosarun
