--- a/tests/harness/downloads.cpp
+++ b/tests/harness/downloads.cpp
@@ -22,6 +22,8 @@
 static constexpr size_t kSpreadAroundLimitBytes = 2048;
 static constexpr size_t kSlowestBytesPerSecond = 100UL * 1000;
 static constexpr size_t kFastestBytesPerSecond = 2000UL * 1000;
+/** As on an Ethernet; with the segments of the loopback device, the kernel takes a whole response at once. */
+static constexpr int kSegmentBytes = 1448;
 static constexpr size_t kReadBytes = 16UL * 1024;
 static constexpr std::chrono::milliseconds kReadPoll{ 20 };
 /** Time of the slowest downloads. Short in rounds that stop nodes one by one, which wait for their calls. */
@@ -117,8 +119,11 @@
     pace.bytesPerSecond = DrawLogUniform(kSlowestBytesPerSecond, kFastestBytesPerSecond, aRandom);
     pace.receiveBufferBytes = static_cast<int>(DrawLogUniform(4096, kBufferedResponseBytes, aRandom));
   }
-  const RawConnection connection(m_mesh.ProcessOf(aNode).callerAddress, pace.receiveBufferBytes);
+  const RawConnection connection(
+    m_mesh.ProcessOf(aNode).callerAddress,
+    { .receiveBufferBytes = pace.receiveBufferBytes, .segmentBytes = kSegmentBytes });
   bool open = connection.IsConnected();
+  std::string unexpected;
   for (int number = 0; open && !m_stop; ++number) {
     Download download{ .key = aPrefix + std::to_string(number),
                        .node = aNode,
@@ -133,6 +138,7 @@
     }
     std::this_thread::sleep_for(kShortestPause +
                                 std::chrono::milliseconds(aRandom() % kLongestPauseMilliseconds));
+    open = open && connection.ReceiveSome(unexpected, 1, std::chrono::milliseconds(0));
   }
 }
 
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -1,6 +1,7 @@
 #include "harness/rawserver.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,11 +34,21 @@
   return ::poll(&ready, 1, static_cast<int>(aTime.count())) > 0;
 }
 
-RawConnection::RawConnection(const Address& aTo, int aReceiveBufferBytes)
+RawConnection::RawConnection(const Address& aTo)
+  : RawConnection(aTo, {})
+{
+}
+
+RawConnection::RawConnection(const Address& aTo, const Limits& aLimits)
   : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-  if (aReceiveBufferBytes > 0) {
-    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &aReceiveBufferBytes, sizeof aReceiveBufferBytes);
+  if (aLimits.receiveBufferBytes > 0) {
+    const int bytes = aLimits.receiveBufferBytes;
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
+  if (aLimits.segmentBytes > 0) {
+    const int bytes = aLimits.segmentBytes;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &bytes, sizeof bytes);
   }
   const sockaddr_in address = SocketAddress(aTo);
   m_connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -15,9 +15,16 @@
 class RawConnection
 {
 public:
-  /** Connects. aReceiveBufferBytes limits what the kernel holds for a slow reader; zero leaves its default.
-   */
-  explicit RawConnection(const Address& aTo, int aReceiveBufferBytes = 0);
+  /** Limits of the kernel for a connection; zero leaves its defaults. */
+  struct Limits
+  {
+    int receiveBufferBytes = 0;
+    /** Largest segment of the peer, which sizes its send buffer by it. */
+    int segmentBytes = 0;
+  };
+
+  explicit RawConnection(const Address& aTo);
+  RawConnection(const Address& aTo, const Limits& aLimits);
   ~RawConnection();
 
   RawConnection(const RawConnection&) = delete;
