Soak: what a node's kernel sends after the node's end counts as lost

A VM ends with its node, so bytes that only the kernel holds at the end of the process don't reach the caller; on one machine they do. A download with such bytes now counts as a violation of its own.

--- a/tests/harness/downloads.cpp
+++ b/tests/harness/downloads.cpp
@@ -5,8 +5,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cerrno>
 #include <cmath>
+#include <csignal>
 #include <iostream>
+#include <optional>
 #include <set>
 
 namespace mimosarun {
@@ -65,6 +68,7 @@
   refused += aOther.refused;
   crossedClose += aOther.crossedClose;
   cut += aOther.cut;
+  sentAfterEnd += aOther.sentAfterEnd;
   falseNotRun += aOther.falseNotRun;
   wrongBody += aOther.wrongBody;
   unjudged += aOther.unjudged;
@@ -76,6 +80,7 @@
   return "downloads: " + std::to_string(aSummary.complete) + " complete, " +
          std::to_string(aSummary.refused) + " refused, " + std::to_string(aSummary.crossedClose) +
          " crossed a close, " + std::to_string(aSummary.cut) + " cut, " +
+         std::to_string(aSummary.sentAfterEnd) + " sent after the end, " +
          std::to_string(aSummary.falseNotRun) + " false not-run, " + std::to_string(aSummary.wrongBody) +
          " wrong, " + std::to_string(aSummary.unjudged) + " not judged";
 }
@@ -113,15 +118,16 @@
 void
 DownloadCallers::UseConnection(const std::string& aNode, const std::string& aPrefix, std::mt19937_64& aRandom)
 {
-  Pace pace;
+  Conditions conditions;
   const bool isSlow = aRandom() % 3 != 0;
   if (isSlow) {
-    pace.bytesPerSecond = DrawLogUniform(kSlowestBytesPerSecond, kFastestBytesPerSecond, aRandom);
-    pace.receiveBufferBytes = static_cast<int>(DrawLogUniform(4096, kBufferedResponseBytes, aRandom));
+    conditions.bytesPerSecond = DrawLogUniform(kSlowestBytesPerSecond, kFastestBytesPerSecond, aRandom);
+    conditions.receiveBufferBytes = static_cast<int>(DrawLogUniform(4096, kBufferedResponseBytes, aRandom));
   }
   const RawConnection connection(
     m_mesh.ProcessOf(aNode).callerAddress,
-    { .receiveBufferBytes = pace.receiveBufferBytes, .segmentBytes = kSegmentBytes });
+    { .receiveBufferBytes = conditions.receiveBufferBytes, .segmentBytes = kSegmentBytes });
+  conditions.process = m_mesh.ProcessOf(aNode).process.Id();
   bool open = connection.IsConnected();
   std::string unexpected;
   for (int number = 0; open && !m_stop; ++number) {
@@ -129,7 +135,7 @@
                        .node = aNode,
                        .bodyBytes = DrawBodyBytes(aRandom) };
     const auto start = SteadyClock::now();
-    open = Fetch(connection, pace, download);
+    open = Fetch(connection, conditions, download);
     download.time = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - start);
     download.endedAt = WallNow();
     {
@@ -153,14 +159,23 @@
   return std::min(kReadBytes, allowed - std::min(allowed, aReceivedBytes));
 }
 
+static bool
+HasEnded(pid_t aProcess)
+{
+  return aProcess > 0 && ::kill(aProcess, 0) != 0 && errno == ESRCH;
+}
+
 /** Sends a request and reads the response; returns whether the connection can be used for another. */
 bool
-DownloadCallers::Fetch(const RawConnection& aConnection, const Pace& aPace, Download& aDownload) const
+DownloadCallers::Fetch(const RawConnection& aConnection,
+                       const Conditions& aConditions,
+                       Download& aDownload) const
 {
   const auto longest = m_options.plannedOnly ? kLongestPlannedDownload : kLongestOtherDownload;
   const auto timeout = m_options.plannedOnly ? kPlannedTimeout : kOtherTimeout;
   const size_t slowest = aDownload.bodyBytes * 1000 / static_cast<size_t>(longest.count());
-  const size_t bytesPerSecond = aPace.bytesPerSecond == 0 ? 0 : std::max(aPace.bytesPerSecond, slowest);
+  const size_t bytesPerSecond =
+    aConditions.bytesPerSecond == 0 ? 0 : std::max(aConditions.bytesPerSecond, slowest);
   const std::string& service = m_mesh.Options().services[aDownload.bodyBytes % 2];
   const bool sent = aConnection.Send(
     "GET /" + service + "/long/" + aDownload.key + "?bytes=" + std::to_string(aDownload.bodyBytes) +
@@ -172,7 +187,11 @@
   const auto start = SteadyClock::now();
   std::string bytes;
   bool open = sent;
+  std::optional<size_t> bytesAtEnd;
   while (open && !parser.is_done() && !aDownload.abandoned) {
+    if (!bytesAtEnd && HasEnded(aConditions.process)) {
+      bytesAtEnd = aDownload.receivedBytes + aConnection.HeldBytes();
+    }
     const auto now = SteadyClock::now();
     const size_t limit = AllowedBytes(bytesPerSecond, aDownload.receivedBytes, now - start);
     if (limit == 0) {
@@ -188,6 +207,7 @@
     aDownload.abandoned = m_stop && !m_options.plannedOnly;
     open = open && now < start + timeout + kGiveUpDelay;
   }
+  aDownload.bytesAfterEnd = aDownload.receivedBytes - bytesAtEnd.value_or(aDownload.receivedBytes);
   if (parser.is_header_done()) {
     aDownload.status = static_cast<int>(parser.get().result_int());
     aDownload.outcome = std::string(parser.get()["Mimosarun-Outcome"]);
@@ -203,6 +223,9 @@
 DownloadSummary
 DownloadCallers::Judge(const Download& aDownload, bool aRan) const
 {
+  if (aDownload.complete && aDownload.bytesAfterEnd > 0 && m_options.plannedOnly) {
+    return { .sentAfterEnd = 1 };
+  }
   if (aDownload.complete && aDownload.status == 200) {
     return aDownload.bodyIsRight ? DownloadSummary{ .complete = 1 } : DownloadSummary{ .wrongBody = 1 };
   }
@@ -248,11 +271,13 @@
     all.Add(judged);
     if (!judged.HasNoViolation() || judged.crossedClose > 0) {
       std::cout << (judged.cut > 0            ? "  cut: "
+                    : judged.sentAfterEnd > 0 ? "  sent after the end: "
                     : judged.crossedClose > 0 ? "  crossed the close: "
                                               : "  wrong: ")
                 << download.key << " at " << download.node << ": " << download.receivedBytes << " bytes of "
                 << download.bodyBytes << ", status " << download.status << " " << download.outcome << ", "
-                << (ran ? "ran" : "did not run") << ", " << download.time.count() << " ms, ended at "
+                << (ran ? "ran" : "did not run") << ", " << download.time.count() << " ms, "
+                << download.bytesAfterEnd << " bytes after the node's end, ended at "
                 << download.endedAt.time_since_epoch().count() << "\n";
     }
   }
--- a/tests/harness/downloads.h
+++ b/tests/harness/downloads.h
@@ -31,6 +31,8 @@
   bool bodyIsRight = false;
   /** The caller gave up because its round ended. */
   bool abandoned = false;
+  /** Bytes that the caller's kernel received after the node's process had ended. */
+  size_t bytesAfterEnd = 0;
   std::chrono::milliseconds time{ 0 };
   WallTime endedAt;
 };
@@ -45,6 +47,8 @@
   int crossedClose = 0;
   /** Responses that ended early, and requests that ran but got no response. */
   int cut = 0;
+  /** Complete responses whose last bytes the node's kernel sent after its process; they end with the VM. */
+  int sentAfterEnd = 0;
   /** Responses with the outcome not-run to requests that are in a ledger. */
   int falseNotRun = 0;
   /** Complete responses with status 200 and another body than that asked for. */
@@ -53,7 +57,7 @@
   int unjudged = 0;
 
   void Add(const DownloadSummary& aOther);
-  bool HasNoViolation() const { return cut == 0 && falseNotRun == 0 && wrongBody == 0; }
+  bool HasNoViolation() const { return cut == 0 && sentAfterEnd == 0 && falseNotRun == 0 && wrongBody == 0; }
 };
 
 /** Returns the counts as text. */
@@ -87,9 +91,10 @@
   DownloadSummary Finish();
 
 private:
-  /** How the caller of a connection reads. */
-  struct Pace
+  /** The process at the other end of a connection and how the caller reads. */
+  struct Conditions
   {
+    pid_t process = -1;
     /** Zero means that it reads as fast as it can. */
     size_t bytesPerSecond = 0;
     int receiveBufferBytes = 0;
@@ -97,7 +102,7 @@
 
   void Run(uint64_t aCaller);
   void UseConnection(const std::string& aNode, const std::string& aPrefix, std::mt19937_64& aRandom);
-  bool Fetch(const RawConnection& aConnection, const Pace& aPace, Download& aDownload) const;
+  bool Fetch(const RawConnection& aConnection, const Conditions& aConditions, Download& aDownload) const;
   DownloadSummary Judge(const Download& aDownload, bool aRan) const;
 
   Mesh& m_mesh;
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -107,6 +108,14 @@
   return length > 0;
 }
 
+size_t
+RawConnection::HeldBytes() const
+{
+  int bytes = 0;
+  ::ioctl(m_socket, FIONREAD, &bytes);
+  return static_cast<size_t>(bytes);
+}
+
 Address
 RawServer::FreeAddress()
 {
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -44,6 +44,9 @@
   /** Appends the bytes that arrive next within aTime, up to a limit; returns false if the peer has closed. */
   bool ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const;
 
+  /** Returns how many received bytes the kernel holds. */
+  size_t HeldBytes() const;
+
 private:
   int m_socket = -1;
   bool m_connected = false;
--- a/tests/harness/soakfaults.cpp
+++ b/tests/harness/soakfaults.cpp
@@ -15,7 +15,7 @@
 static constexpr std::chrono::milliseconds kLongestLeave{ 40000 };
 /** Time after its start in which a node isn't stopped, so that callers have connections to it. */
 static constexpr std::chrono::milliseconds kTimeBetweenStops{ 2000 };
-static constexpr std::chrono::milliseconds kLeaveCheck{ 20 };
+static constexpr std::chrono::milliseconds kLeaveCheck{ 5 };
 static constexpr std::chrono::milliseconds kSuspensionTime{ 1500 };
 /** Repetitions of a request that ends targets, at random entries. */
 static constexpr int kRepetitions = 4;
