Soak: links between VMs of 15 Mbit/s that hold few bytes

The fault proxy took up to a megabyte of each response at once, so the bytes of a large response never waited in the gate's process, and a gate that leaves too early cut nothing. Links can now limit what a connection holds and its bandwidth, and the soak passes the traffic within a failure domain through them too.

--- a/tests/harness/mesh.cpp
+++ b/tests/harness/mesh.cpp
@@ -182,9 +182,15 @@
     process.settingsFile = m_options.folder + "/" + name + ".json";
     process.logFile = m_options.folder + "/" + name + ".log";
   }
-  m_proxy.AddLink("domains", { .delay = m_options.domainDelay });
+  m_proxy.AddLink("domains",
+                  { .delay = m_options.domainDelay,
+                    .connectionBytesPerSecond = m_options.connectionBytesPerSecond,
+                    .heldBytes = m_options.linkHeldBytes });
   m_proxy.AddLink("regions",
-                  { .delay = m_options.regionDelay, .bytesPerSecond = m_options.regionBytesPerSecond });
+                  { .delay = m_options.regionDelay,
+                    .bytesPerSecond = m_options.regionBytesPerSecond,
+                    .connectionBytesPerSecond = m_options.connectionBytesPerSecond,
+                    .heldBytes = m_options.linkHeldBytes });
   WriteSettings();
 }
 
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -61,6 +61,9 @@
   std::chrono::microseconds domainDelay{ 0 };
   std::chrono::microseconds regionDelay{ 0 };
   int64_t regionBytesPerSecond = 0;
+  /** LinkOptions::connectionBytesPerSecond and heldBytes of all links. */
+  int64_t connectionBytesPerSecond = 0;
+  size_t linkHeldBytes = 0;
   /** Also sends traffic inside a failure domain through the proxy, so that its bytes are counted. */
   bool countDomainTraffic = false;
   /** Additional options of the nodes' command line. */
--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -13,6 +13,9 @@
 static constexpr int kBookingsPerRound = 200;
 /** Time of a round in which all faults are planned, without the time in which the last nodes leave. */
 static constexpr std::chrono::milliseconds kPlannedRound{ 6000 };
+/** 15 Mbit/s. */
+static constexpr int64_t kConnectionBytesPerSecond = 15L * 1000 * 1000 / 8;
+static constexpr size_t kLinkHeldBytes = 16UL * 1024;
 static constexpr int kBookingsPerBatch = 50;
 static constexpr std::chrono::milliseconds kBatchPause{ 300 };
 /** Time within which a change must be in force on all nodes once the faults have ended. */
@@ -107,6 +110,10 @@
 {
   MeshOptions options = SmallMesh("soak" + std::to_string(aOptions.seed));
   options.targetsPerDomain = aOptions.targetsPerDomain;
+  // As between VMs, where the bytes of a large response wait in the gate's process.
+  options.connectionBytesPerSecond = kConnectionBytesPerSecond;
+  options.linkHeldBytes = kLinkHeldBytes;
+  options.countDomainTraffic = true;
   options.regions = { { "east", { "east-1", "east-2" } }, { "west", { "west-1", "west-2" } } };
   options.replicaDomains = { "east-1", "east-2", "west-1", "west-2", "east-1" };
   Mesh mesh(options);
--- a/tests/standin/faultproxy.cpp
+++ b/tests/standin/faultproxy.cpp
@@ -16,6 +16,8 @@
 
 static constexpr size_t kReadBytes = 64UL * 1024;
 static constexpr size_t kQueueLimitBytes = 1024UL * 1024;
+/** As on an Ethernet; peers size their send buffers by the segments. */
+static constexpr int kSegmentBytes = 1448;
 static constexpr std::chrono::milliseconds kLongestPoll{ 50 };
 
 struct FaultProxy::Link
@@ -50,6 +52,8 @@
   bool blocked = false;
   bool ended = false;
   bool endForwarded = false;
+  /** Time at which the connection's own bandwidth has sent all bytes that it received. */
+  Deadline freeAt{};
 };
 
 struct FaultProxy::Connection
@@ -61,10 +65,24 @@
   /** Events registered with epoll for each socket; a disconnected socket isn't registered any more. */
   std::array<uint32_t, 2> watchedEvents{ EPOLLIN, EPOLLIN };
   std::array<bool, 2> disconnected{ false, false };
+  size_t queueLimitBytes = kQueueLimitBytes;
   bool dropsBytes = false;
   bool closed = false;
 };
 
+/** Reserves time for bytes on a bandwidth, zero being unlimited, and returns when they have been sent. */
+static Deadline
+Reserve(Deadline& aFreeAt, Deadline aNow, ssize_t aBytes, int64_t aBytesPerSecond)
+{
+  aFreeAt = std::max(aFreeAt, aNow);
+  if (aBytesPerSecond > 0) {
+    const std::chrono::duration<double> time(static_cast<double>(aBytes) /
+                                             static_cast<double>(aBytesPerSecond));
+    aFreeAt += std::chrono::duration_cast<Deadline::duration>(time);
+  }
+  return aFreeAt;
+}
+
 static sockaddr_in
 ToSocketAddress(const Address& aAddress)
 {
@@ -82,6 +100,16 @@
   ::setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+/** Must be called before the socket listens or connects. */
+static void
+LimitHeldBytes(int aSocket, size_t aBytes)
+{
+  const int bytes = static_cast<int>(aBytes);
+  ::setsockopt(aSocket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  ::setsockopt(aSocket, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof kSegmentBytes);
+}
+
 FaultProxy::FaultProxy()
   : m_epoll(::epoll_create1(EPOLL_CLOEXEC))
   , m_wakeup(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
@@ -124,12 +152,15 @@
   path->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(path->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const std::lock_guard lock(m_mutex);
+  path->link = aOptions.link.empty() ? nullptr : m_links.at(aOptions.link).get();
+  if (path->link != nullptr && path->link->options.heldBytes > 0) {
+    LimitHeldBytes(path->socket, path->link->options.heldBytes);
+  }
   const sockaddr_in address = ToSocketAddress(aOptions.listen);
   const bool listens =
     ::bind(path->socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
     ::listen(path->socket, 512) == 0;
-  const std::lock_guard lock(m_mutex);
-  path->link = aOptions.link.empty() ? nullptr : m_links.at(aOptions.link).get();
   epoll_event event{ .events = EPOLLIN, .data = { .ptr = path.get() } };
   ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, path->socket, &event);
   m_paths.push_back(std::move(path));
@@ -203,7 +234,7 @@
     const Direction& outgoing = aConnection.directions[side];
     const Direction& incoming = aConnection.directions[1 - side];
     uint32_t events = 0;
-    if (!outgoing.ended && outgoing.queuedBytes < kQueueLimitBytes) {
+    if (!outgoing.ended && outgoing.queuedBytes < aConnection.queueLimitBytes) {
       events |= EPOLLIN;
     }
     if (incoming.blocked) {
@@ -229,6 +260,10 @@
     const int connecting = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     SetNoDelay(accepted);
     SetNoDelay(connecting);
+    const size_t heldBytes = aPath.link == nullptr ? 0 : aPath.link->options.heldBytes;
+    if (heldBytes > 0) {
+      LimitHeldBytes(connecting, heldBytes);
+    }
     const sockaddr_in address = ToSocketAddress(aPath.options.connect);
     const int connected = ::connect(connecting, reinterpret_cast<const sockaddr*>(&address), sizeof address);
     if (connected != 0 && errno != EINPROGRESS) {
@@ -239,6 +274,7 @@
     const auto connection = std::make_shared<Connection>();
     connection->path = &aPath;
     connection->sockets = { accepted, connecting };
+    connection->queueLimitBytes = heldBytes > 0 ? heldBytes : kQueueLimitBytes;
     for (const int socket : connection->sockets) {
       m_connectionsBySocket[socket] = connection;
       epoll_event event{ .events = EPOLLIN, .data = { .fd = socket } };
@@ -295,13 +331,10 @@
   Deadline release = now;
   if (Link* link = aConnection.path->link) {
     Deadline& freeAt = link->freeAt[static_cast<size_t>(aSide)];
-    freeAt = std::max(freeAt, now);
-    if (link->options.bytesPerSecond > 0) {
-      const std::chrono::duration<double> time(static_cast<double>(count) /
-                                               static_cast<double>(link->options.bytesPerSecond));
-      freeAt += std::chrono::duration_cast<Deadline::duration>(time);
-    }
-    release = freeAt + link->options.delay;
+    const Deadline linkSent = Reserve(freeAt, now, count, link->options.bytesPerSecond);
+    const Deadline connectionSent =
+      Reserve(direction.freeAt, now, count, link->options.connectionBytesPerSecond);
+    release = std::max(linkSent, connectionSent) + link->options.delay;
     link->bytes += static_cast<uint64_t>(count);
     aConnection.path->bytes += static_cast<uint64_t>(count);
   }
--- a/tests/standin/faultproxy.h
+++ b/tests/standin/faultproxy.h
@@ -34,6 +34,11 @@
   std::chrono::microseconds delay{ 0 };
   /** Zero means unlimited. */
   int64_t bytesPerSecond = 0;
+  /** Bandwidth of each connection in each direction, in addition; zero means unlimited. */
+  int64_t connectionBytesPerSecond = 0;
+  /** Bytes that each direction of a connection holds, and each socket about as many; zero means a megabyte.
+   */
+  size_t heldBytes = 0;
 };
 
 /**
