Soak: a gate's VM ends with its node, and more stops overlap

When a stopped node has ended, the fault proxy loses what the node's kernel still holds for the entries.

--- a/tests/harness/soakfaults.cpp
+++ b/tests/harness/soakfaults.cpp
@@ -119,14 +119,22 @@
   /** Sends SIGTERM to a random node, but never to more than half of the nodes at once. */
   void StopOne(std::mt19937_64& aRandom)
   {
-    const std::string node = RandomNode(m_mesh, aRandom);
     const auto now = SteadyClock::now();
-    const bool isYoung = m_startedAt.contains(node) && now < m_startedAt[node] + kTimeBetweenStops;
-    if (isYoung || m_leaving.contains(node) || 2 * m_leaving.size() >= m_mesh.Nodes().size()) {
+    std::vector<std::string> nodes = m_mesh.Nodes();
+    if (2 * m_leaving.size() >= nodes.size()) {
       return;
     }
-    m_mesh.ProcessOf(node).process.Signal(SIGTERM);
-    m_leaving[node] = now;
+    std::shuffle(nodes.begin(), nodes.end(), aRandom);
+    const auto node = std::find_if(nodes.begin(), nodes.end(), [&](const std::string& aNode) {
+      return !m_leaving.contains(aNode) &&
+             (!m_startedAt.contains(aNode) || now >= m_startedAt[aNode] + kTimeBetweenStops);
+    });
+    if (node != nodes.end()) {
+      m_mesh.ProcessOf(*node).process.Signal(SIGTERM);
+      m_leaving[*node] = now;
+      ++m_stops;
+      m_mostAtOnce = std::max(m_mostAtOnce, m_leaving.size());
+    }
   }
 
   /** Starts the nodes that have ended, and those that have not ended in time. */
@@ -142,6 +150,7 @@
       if (isLate) {
         std::cout << "  " << node << " did not end in time\n";
       }
+      m_mesh.Proxy().EndHost(m_mesh.ProcessOf(node).gateAddress);
       m_mesh.StartProcess(node);
       m_startedAt[node] = now;
       return true;
@@ -149,11 +158,15 @@
   }
 
   bool AnyLeaving() const { return !m_leaving.empty(); }
+  int Stops() const { return m_stops; }
+  size_t MostAtOnce() const { return m_mostAtOnce; }
 
 private:
   Mesh& m_mesh;
   std::map<std::string, Deadline> m_leaving;
   std::map<std::string, Deadline> m_startedAt;
+  int m_stops = 0;
+  size_t m_mostAtOnce = 0;
 };
 
 void
@@ -176,6 +189,7 @@
     stops.Restart();
     std::this_thread::sleep_for(kLeaveCheck);
   }
+  std::cout << "  " << stops.Stops() << " planned stops, up to " << stops.MostAtOnce() << " at once\n";
 }
 
 } // namespace mimosarun
--- a/tests/standin/faultproxy.cpp
+++ b/tests/standin/faultproxy.cpp
@@ -196,6 +196,28 @@
   }
 }
 
+void
+FaultProxy::EndHost(const Address& aListener)
+{
+  const std::lock_guard lock(m_mutex);
+  for (const auto& [socket, connection] : m_connectionsBySocket) {
+    const bool isAccepted = socket == connection->sockets[0];
+    if (isAccepted || connection->closed || connection->path->options.connect != aListener) {
+      continue;
+    }
+    if (!connection->directions[1].ended) {
+      Read(*connection, 1);
+    }
+    if (!connection->closed) {
+      connection->directions[1].ended = true;
+      connection->disconnected[1] = true;
+      ::epoll_ctl(m_epoll, EPOLL_CTL_DEL, socket, nullptr);
+      m_activeConnections.insert(connection);
+    }
+  }
+  RemoveClosedConnections();
+}
+
 void
 FaultProxy::ResetOpenConnections(const std::string& aFrom, const std::string& aTo)
 {
--- a/tests/standin/faultproxy.h
+++ b/tests/standin/faultproxy.h
@@ -78,6 +78,12 @@
   /** Drops all further bytes of the connections that are open now; new connections aren't affected. */
   void DropBytesOfOpenConnections(const std::string& aFrom, const std::string& aTo);
 
+  /**
+   * Ends the connections to a listening address whose VM has just ended: what its kernel still holds is lost,
+   * what has been received from it is forwarded.
+   */
+  void EndHost(const Address& aListener);
+
   /** Resets the open connections from aFrom to aTo. */
   void ResetOpenConnections(const std::string& aFrom, const std::string& aTo);
 
