--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -1,10 +1,14 @@
 #include "harness/rawserver.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kAcceptPoll{ 50 };
@@ -32,8 +36,21 @@
 }
 
 RawConnection::RawConnection(const Address& aTo)
+  : RawConnection(aTo, {})
+{
+}
+
+RawConnection::RawConnection(const Address& aTo, const Limits& aLimits)
   : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
+  if (aLimits.receiveBufferBytes > 0) {
+    const int bytes = aLimits.receiveBufferBytes;
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
+  if (aLimits.segmentBytes > 0) {
+    const int bytes = aLimits.segmentBytes;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &bytes, sizeof bytes);
+  }
   const sockaddr_in address = SocketAddress(aTo);
   m_connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
 }
@@ -78,6 +95,27 @@
   }
 }
 
+bool
+RawConnection::ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const
+{
+  if (!WaitReadable(m_socket, aTime)) {
+    return true;
+  }
+  const size_t before = aBytes.size();
+  aBytes.resize(before + aLimit);
+  const ssize_t length = ::recv(m_socket, aBytes.data() + before, aLimit, 0);
+  aBytes.resize(before + static_cast<size_t>(std::max<ssize_t>(length, 0)));
+  return length > 0;
+}
+
+size_t
+RawConnection::HeldBytes() const
+{
+  int bytes = 0;
+  ::ioctl(m_socket, FIONREAD, &bytes);
+  return static_cast<size_t>(bytes);
+}
+
 Address
 RawServer::FreeAddress()
 {
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -15,7 +15,16 @@
 class RawConnection
 {
 public:
+  /** Limits of the kernel for a connection; zero leaves its defaults. */
+  struct Limits
+  {
+    int receiveBufferBytes = 0;
+    /** Largest segment of the peer, which sizes its send buffer by it. */
+    int segmentBytes = 0;
+  };
+
   explicit RawConnection(const Address& aTo);
+  RawConnection(const Address& aTo, const Limits& aLimits);
   ~RawConnection();
 
   RawConnection(const RawConnection&) = delete;
@@ -32,6 +41,12 @@
   /** Returns the bytes that arrive until they contain aText, the peer closes or aTime is over. */
   std::string ReceiveUntil(const std::string& aText, std::chrono::milliseconds aTime) const;
 
+  /** Appends the bytes that arrive next within aTime, up to a limit; returns false if the peer has closed. */
+  bool ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const;
+
+  /** Returns how many received bytes the kernel holds. */
+  size_t HeldBytes() const;
+
 private:
   int m_socket = -1;
   bool m_connected = false;
--- a/tests/harness/soakfaults.cpp
+++ b/tests/harness/soakfaults.cpp
@@ -4,11 +4,18 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
+#include <map>
 #include <thread>
 
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kPlannedStopLimit{ 15000 };
+/** Longer than nodes wait for their calls. */
+static constexpr std::chrono::milliseconds kLongestLeave{ 40000 };
+/** Time after its start in which a node isn't stopped, so that callers have connections to it. */
+static constexpr std::chrono::milliseconds kTimeBetweenStops{ 2000 };
+static constexpr std::chrono::milliseconds kLeaveCheck{ 5 };
 static constexpr std::chrono::milliseconds kSuspensionTime{ 1500 };
 /** Repetitions of a request that ends targets, at random entries. */
 static constexpr int kRepetitions = 4;
@@ -100,4 +107,89 @@
   }
 }
 
+/** Stops nodes as planned and starts those that have ended. */
+class PlannedStops
+{
+public:
+  explicit PlannedStops(Mesh& aMesh)
+    : m_mesh(aMesh)
+  {
+  }
+
+  /** Sends SIGTERM to a random node, but never to more than half of the nodes at once. */
+  void StopOne(std::mt19937_64& aRandom)
+  {
+    const auto now = SteadyClock::now();
+    std::vector<std::string> nodes = m_mesh.Nodes();
+    if (2 * m_leaving.size() >= nodes.size()) {
+      return;
+    }
+    std::shuffle(nodes.begin(), nodes.end(), aRandom);
+    const auto node = std::find_if(nodes.begin(), nodes.end(), [&](const std::string& aNode) {
+      return !m_leaving.contains(aNode) &&
+             (!m_startedAt.contains(aNode) || now >= m_startedAt[aNode] + kTimeBetweenStops);
+    });
+    if (node != nodes.end()) {
+      m_mesh.ProcessOf(*node).process.Signal(SIGTERM);
+      m_leaving[*node] = now;
+      ++m_stops;
+      m_mostAtOnce = std::max(m_mostAtOnce, m_leaving.size());
+    }
+  }
+
+  /** Starts the nodes that have ended, and those that have not ended in time. */
+  void Restart()
+  {
+    const auto now = SteadyClock::now();
+    std::erase_if(m_leaving, [&](const auto& aLeaving) {
+      const auto& [node, since] = aLeaving;
+      const bool isLate = now >= since + kLongestLeave;
+      if (m_mesh.ProcessOf(node).process.Running() && !isLate) {
+        return false;
+      }
+      if (isLate) {
+        std::cout << "  " << node << " did not end in time\n";
+      }
+      m_mesh.Proxy().EndHost(m_mesh.ProcessOf(node).gateAddress);
+      m_mesh.StartProcess(node);
+      m_startedAt[node] = now;
+      return true;
+    });
+  }
+
+  bool AnyLeaving() const { return !m_leaving.empty(); }
+  int Stops() const { return m_stops; }
+  size_t MostAtOnce() const { return m_mostAtOnce; }
+
+private:
+  Mesh& m_mesh;
+  std::map<std::string, Deadline> m_leaving;
+  std::map<std::string, Deadline> m_startedAt;
+  int m_stops = 0;
+  size_t m_mostAtOnce = 0;
+};
+
+void
+InjectPlannedStops(Mesh& aMesh, const std::atomic<bool>& aStop, uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  PlannedStops stops(aMesh);
+  Deadline next = SteadyClock::now() + kTimeBetweenStops / 2;
+  while (!aStop || stops.AnyLeaving()) {
+    if (!aStop && SteadyClock::now() >= next) {
+      if (random() % 10 == 0) {
+        HangUpAll(aMesh);
+      } else {
+        stops.StopOne(random);
+      }
+      // Mostly while the one before is leaving, sometimes after its end.
+      const uint64_t longestGap = random() % 4 == 0 ? 2500 : 600;
+      next = SteadyClock::now() + std::chrono::milliseconds(random() % longestGap);
+    }
+    stops.Restart();
+    std::this_thread::sleep_for(kLeaveCheck);
+  }
+  std::cout << "  " << stops.Stops() << " planned stops, up to " << stops.MostAtOnce() << " at once\n";
+}
+
 } // namespace mimosarun
--- a/tests/standin/faultproxy.h
+++ b/tests/standin/faultproxy.h
@@ -34,6 +34,11 @@
   std::chrono::microseconds delay{ 0 };
   /** Zero means unlimited. */
   int64_t bytesPerSecond = 0;
+  /** Bandwidth of each connection in each direction, in addition; zero means unlimited. */
+  int64_t connectionBytesPerSecond = 0;
+  /** Bytes that each direction of a connection holds, and each socket about as many; zero means a megabyte.
+   */
+  size_t heldBytes = 0;
 };
 
 /**
@@ -73,6 +78,12 @@
   /** Drops all further bytes of the connections that are open now; new connections aren't affected. */
   void DropBytesOfOpenConnections(const std::string& aFrom, const std::string& aTo);
 
+  /**
+   * Ends the connections to a listening address whose VM has just ended: what its kernel still holds is lost,
+   * what has been received from it is forwarded.
+   */
+  void EndHost(const Address& aListener);
+
   /** Resets the open connections from aFrom to aTo. */
   void ResetOpenConnections(const std::string& aFrom, const std::string& aTo);
 
