Raft: a replica votes by the members that the candidate knows

Cause: a silent voter is replaced in two steps; after the first the group has four voters, the silent one among them, and needs the three others. If the leader had stored the entry of that step on itself and one other replica when it was cut off or lost power, the promoted replica didn't hold the entry. It took itself for a learner, or knew no members at all, and never answered the two that needed its vote. The group then had no leader for good: all that was acknowledged was on its disks and couldn't be read any more.

Replies still count from known members only.

--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -295,7 +295,7 @@
 void
 RaftCore::OnVoteRequest(const wire::RaftMessage& aMessage, Deadline aNow)
 {
-  if (!IsVoter() || HeardLeaderRecently(aNow)) {
+  if (HeardLeaderRecently(aNow)) {
     return;
   }
   const bool preVote = aMessage.kind == RaftKind::PreVote;
@@ -693,9 +693,13 @@
     return;
   }
   const wire::Replica* sender = FindMember(aMessage.sender);
-  const bool fromLeader = aMessage.kind == RaftKind::Append || aMessage.kind == RaftKind::Snapshot;
+  const bool isReply = aMessage.kind == RaftKind::PreVoteReply || aMessage.kind == RaftKind::VoteReply ||
+                       aMessage.kind == RaftKind::AppendReply;
   const bool isKnownSender = sender != nullptr && sender->incarnation == aMessage.senderIncarnation;
-  if (!isKnownSender && !fromLeader) {
+  // Requests come by the members in the sender's log, which may be newer than this replica's: it may have
+  // been made a voter by an entry that it doesn't hold yet, and the others may need its vote to send it the
+  // entry.
+  if (!isKnownSender && isReply) {
     return;
   }
   switch (aMessage.kind) {
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -74,8 +74,8 @@
   void Tick(Deadline aNow);
 
   /**
-   * Handles a message. Ignores messages for another incarnation, and those of unknown senders except Append
-   * and Snapshot.
+   * Handles a message. Ignores messages for another incarnation, and replies of unknown senders. Votes are
+   * granted by the members that the candidate knows, of which this replica is a voter.
    */
   void Receive(const wire::RaftMessage& aMessage, Deadline aNow);
 
--- a/tests/control/simulateddisk.cpp
+++ b/tests/control/simulateddisk.cpp
@@ -180,6 +180,12 @@
   gFaults = aFaults;
 }
 
+int
+SimulatedDisk::OperationsLeft()
+{
+  return gFaults.operationsLeft;
+}
+
 bool
 SimulatedDisk::WasKilled()
 {
@@ -252,6 +258,17 @@
   gFaults = faults;
 }
 
+void
+SimulatedDisk::LoseDisk(const std::string& aFolder)
+{
+  const std::string folder = fs::weakly_canonical(aFolder).string();
+  std::erase_if(gDurableNames, [&](const auto& aEntry) {
+    return aEntry.first == folder || aEntry.first.starts_with(folder + "/");
+  });
+  fs::remove_all(folder);
+  fs::create_directory(folder);
+}
+
 } // namespace mimosarun
 
 using namespace mimosarun;
--- a/tests/control/simulateddisk.h
+++ b/tests/control/simulateddisk.h
@@ -28,6 +28,8 @@
   /** Sets the faults of the operations that follow. */
   static void SetFaults(const DiskFaults& aFaults);
 
+  static int OperationsLeft();
+
   /** Returns whether the operations ran out; all later ones failed without effect. */
   static bool WasKilled();
 
@@ -36,6 +38,9 @@
    * write present, missing or torn, and each name that changed since the last sync of its folder old or new.
    */
   static void LosePower(const std::string& aFolder, std::mt19937_64& aRandom);
+
+  /** Empties a folder for good. */
+  static void LoseDisk(const std::string& aFolder);
 };
 
 } // namespace mimosarun
