Entry: record a call before its response is sent

Cause: EntryCall::Refuse and Respond sent the response and then added the call to the history, so an operator whose 'explain call' overtook that was told that the entry holds no such call. Change: both record first. The recorded time no longer includes the making of the response.

--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -653,10 +653,10 @@
 {
   MarkDecided();
   CancelAttemptsExcept(nullptr);
+  RecordOutcome(aHead.status, "complete", "");
   m_entry.m_options.codec.finishResponse(aHead, m_options.callId);
-  const int status = aHead.status;
-  m_exchange->Respond({ .status = status, .headers = std::move(aHead.headers), .body = std::move(aBody) });
-  RecordOutcome(status, "complete", "");
+  m_exchange->Respond(
+    { .status = aHead.status, .headers = std::move(aHead.headers), .body = std::move(aBody) });
 }
 
 std::chrono::milliseconds
@@ -678,13 +678,13 @@
 EntryCall::Refuse(int aStatus, const std::string& aReason)
 {
   MarkDecided();
+  RecordOutcome(aStatus, m_mayHaveRun ? "unknown" : "not-run", aReason);
   const CallOutcome outcome = m_mayHaveRun ? CallOutcome::Unknown : CallOutcome::NotRun;
   m_exchange->Respond(m_entry.m_options.codec.refuse({ .status = aStatus,
                                                        .outcome = outcome,
                                                        .reason = aReason,
                                                        .callId = m_options.callId,
                                                        .retryAfter = RetryAfter() }));
-  RecordOutcome(aStatus, m_mayHaveRun ? "unknown" : "not-run", aReason);
 }
 
 void
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -106,6 +106,10 @@
   std::chrono::milliseconds RetryAfter() const;
   void CancelAttemptsExcept(const EntryAttempt* aKept);
   void MarkDecided();
+  /**
+   * Records how the call ended. Called before a response is sent whole, since operators may ask about a call
+   * as soon as its caller has the response.
+   */
   void RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason);
 
   Entry& m_entry;
