Entry: record a streamed call when its response begins

Cause: a streamed call was recorded after the end of its response, and not at all if its caller left before. With a Content-Length the caller has the whole response before the entry sees its end, so no order of steps at the end suffices. Change: the call is recorded with the outcome 'streaming' before its head is sent; the record of its end replaces that one, with 'cut' if the caller leaves. Counters and log are unchanged. Result: two new cases of callrecordtest.

--- a/src/caller/callhistory.h
+++ b/src/caller/callhistory.h
@@ -20,6 +20,9 @@
   std::chrono::microseconds duration{ 0 };
 };
 
+/** Outcome of a call whose response is being streamed. */
+inline constexpr const char* kStreamingOutcome = "streaming";
+
 /** Result of a call, for the command 'explain call'. */
 struct CallRecord
 {
@@ -35,6 +38,8 @@
   StopReason stopReason = StopReason::None;
   /** Gates of the service that the call was never sent to. */
   size_t untriedGates = 0;
+  /** Whether a record was added when the response began, which the final one replaces. */
+  bool isStreamed = false;
   std::chrono::microseconds duration{ 0 };
   std::vector<AttemptRecord> attempts;
 };
@@ -43,6 +48,7 @@
 class CallHistory
 {
 public:
+  /** Adds a record; the final one of a streamed call replaces the one that was added at its beginning. */
   void Add(CallRecord aRecord);
   std::optional<CallRecord> Find(const std::string& aCallId) const;
 
@@ -53,6 +59,8 @@
     std::deque<CallRecord> records;
   };
 
+  /** Returns whether the shard had the record of the call's beginning. */
+  static bool ReplaceStreaming(Shard& aShard, const CallRecord& aRecord);
   const Shard& ShardOf(const std::string& aCallId) const;
 
   std::array<Shard, 8> m_shards;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -461,6 +461,12 @@
 {
   if (!m_decided) {
     RecordOutcome(0, m_mayHaveRun || !m_attempts.empty() ? "unknown" : "not-run", "the caller disconnected");
+  } else if (m_record.outcome == kStreamingOutcome) {
+    // Neither counted nor logged: the caller ended a response that it was receiving.
+    m_record.outcome = "cut";
+    m_record.reason = "the caller disconnected";
+    m_record.duration = Since(m_receivedAt);
+    m_entry.m_history.Add(m_record);
   }
   MarkDecided();
   CancelAttemptsExcept(nullptr);
@@ -499,9 +505,9 @@
   m_streamedAttempt = &aAttempt;
   CancelAttemptsExcept(&aAttempt);
   HttpResponseHead head = aAttempt.m_head;
+  RecordStreaming(head.status);
   m_entry.m_options.codec.finishResponse(head, m_options.callId);
   m_exchange->OnDrain([handle = aAttempt.m_forwardHandle] { handle.Resume(); });
-  m_record.status = head.status;
   m_exchange->Start(std::move(head));
   if (!aAttempt.m_body.empty()) {
     m_exchange->Write(std::exchange(aAttempt.m_body, {}));
@@ -509,6 +515,16 @@
   return true;
 }
 
+void
+EntryCall::RecordStreaming(int aStatus)
+{
+  m_record.status = aStatus;
+  m_record.outcome = kStreamingOutcome;
+  m_record.isStreamed = true;
+  m_record.duration = Since(m_receivedAt);
+  m_entry.m_history.Add(m_record);
+}
+
 void
 EntryCall::OnAttemptAnswered(EntryAttempt& aAttempt)
 {
@@ -518,8 +534,8 @@
   FinishAttempt(aAttempt, failed ? AttemptOutcome::Failed : AttemptOutcome::Answered, "complete");
   ++m_targetAttempts;
   if (m_streamedAttempt == &aAttempt) {
-    m_exchange->Finish(true);
     RecordOutcome(status, "complete", "");
+    m_exchange->Finish(true);
     return;
   }
   if (m_decided) {
@@ -592,8 +608,8 @@
 {
   FinishAttempt(aAttempt, AttemptOutcome::Failed, OutcomeName(aResult));
   if (m_streamedAttempt == &aAttempt) {
-    m_exchange->Finish(false);
     RecordOutcome(m_record.status, "cut", "the response broke off");
+    m_exchange->Finish(false);
     return;
   }
   if (m_decided) {
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -100,6 +100,8 @@
   void FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
+  /** Adds a record of a call whose response begins. */
+  void RecordStreaming(int aStatus);
   void GiveUp(int aStatus, const std::string& aReason);
   void Respond(HttpResponseHead aHead, std::string aBody);
   void Refuse(int aStatus, const std::string& aReason);
--- a/tests/caller/callrecordtest.cpp
+++ b/tests/caller/callrecordtest.cpp
@@ -6,12 +6,17 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace mimosarun;
 
+/** A response of this size is streamed. */
+static constexpr size_t kStreamedBytes = 200UL * 1024;
+
 static const std::string kServices = R"({
   "services": { "books": { "homeRegion": "east" } },
   "routes": {
@@ -20,6 +25,15 @@
 
 static const std::string kTeams = R"(, "teams": { "till": { "keys": ["till-key"] } })";
 
+/** Returns a directory with one gate. */
+static GateDirectoryPointer
+DirectoryOf(const Address& aGate)
+{
+  auto directory = std::make_shared<GateDirectory>();
+  directory->gates["books"] = { { .node = "gate", .target = "books-1", .address = aGate } };
+  return directory;
+}
+
 /** A gate that responds to each request with a body of one size. */
 class FakeGate
 {
@@ -34,12 +48,7 @@
     m_server = HttpServer::Start({ .address = m_address, .handler = handle }).value();
   }
 
-  GateDirectoryPointer Directory() const
-  {
-    auto directory = std::make_shared<GateDirectory>();
-    directory->gates["books"] = { { .node = "gate", .target = "books-1", .address = m_address } };
-    return directory;
-  }
+  const Address& ListenAddress() const { return m_address; }
 
 private:
   const Address m_address = RawServer::FreeAddress();
@@ -124,7 +133,7 @@
 {
   const FakeGate gate(100);
   ObservedEntry entry(kServices + "}");
-  entry.SetDirectory(gate.Directory());
+  entry.SetDirectory(DirectoryOf(gate.ListenAddress()));
   const TestResponse response = Send(entry.ListenAddress(), { .path = "/items/1" });
   BOOST_TEST(response.status == 200);
   BOOST_TEST(entry.Responses() == 1);
@@ -143,3 +152,53 @@
   BOOST_TEST(entry.Responses() == 1);
   BOOST_TEST(entry.ResponsesWithoutRecord() == 0);
 }
+
+// Guards against a streamed response whose last byte arrives before its call is recorded.
+BOOST_AUTO_TEST_CASE(a_streamed_call_is_recorded_before_its_response_begins)
+{
+  constexpr int kCalls = 100;
+  const FakeGate gate(kStreamedBytes);
+  ObservedEntry entry(kServices + "}");
+  entry.SetDirectory(DirectoryOf(gate.ListenAddress()));
+  TestClient client;
+  std::vector<std::string> calls;
+  for (int call = 0; call < kCalls; ++call) {
+    const TestResponse response = client.Send(entry.ListenAddress(), { .path = "/items/1" });
+    BOOST_TEST(response.transferComplete);
+    BOOST_TEST(response.body.size() == kStreamedBytes);
+    BOOST_TEST(entry.Find(response.callId).has_value());
+    calls.push_back(response.callId);
+  }
+  BOOST_TEST(entry.Responses() == kCalls);
+  BOOST_TEST(entry.ResponsesWithoutRecord() == 0);
+  BOOST_TEST(WaitUntil(std::chrono::seconds(5), [&] {
+    return std::all_of(calls.begin(), calls.end(), [&](const std::string& aCallId) {
+      return entry.Find(aCallId).value_or(CallRecord{}).outcome == "complete";
+    });
+  }));
+}
+
+// Guards against a call that seems to be streaming after its caller has left.
+BOOST_AUTO_TEST_CASE(a_call_whose_caller_leaves_during_the_response_is_recorded_as_cut)
+{
+  HttpHeaders headers;
+  WriteHop(headers, HopResponse{ .slots = 1 });
+  const EndlessServer gate("HTTP/1.1 200 OK\r\n" + headers.front().name + ": " + headers.front().value +
+                             "\r\n\r\n",
+                           std::string(kStreamedBytes, 'x'));
+  ObservedEntry entry(kServices + "}");
+  entry.SetDirectory(DirectoryOf(gate.ListenAddress()));
+  std::string callId;
+  {
+    const RawConnection caller(entry.ListenAddress());
+    caller.Send("GET /items/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string head = caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(5));
+    const std::string name = "Mimosarun-Call: ";
+    const size_t begin = head.find(name);
+    BOOST_REQUIRE(begin != std::string::npos);
+    callId = head.substr(begin + name.size(), head.find("\r\n", begin) - begin - name.size());
+    BOOST_REQUIRE(entry.Find(callId).has_value());
+    BOOST_TEST(entry.Find(callId)->outcome == "streaming");
+  }
+  BOOST_TEST(WaitUntil(std::chrono::seconds(5), [&] { return entry.Find(callId)->outcome == "cut"; }));
+}
