Entry: class CallRecorder for the ends of calls

Cause: EntryCall::RecordOutcome wrote to the history, the metrics and the log, with members of Entry. Change: CallRecorder has the history, the counters of outcomes and the limit of logged refusals. Behaviour is unchanged.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -11,7 +11,6 @@
 
 static constexpr size_t kCallIdSuffixLength = 16;
 static constexpr int kHedgeFactor = 2;
-static constexpr int kLoggedRefusalsPerSecond = 10;
 static constexpr std::chrono::milliseconds kLongestTimeout{ 3600000 };
 static constexpr int kFullTimeoutDivisor = 50;
 static constexpr double kTimeoutSmoothing = 32;
@@ -31,21 +30,15 @@
   , m_choiceMetrics(*m_options.metrics)
   , m_retryBudget(m_options.retryBudget)
   , m_hedgeBudget({ .retriesPerRequest = m_options.hedgesPerCall, .baseRetries = 0 })
+  , m_recorder(*m_options.metrics)
   , m_credentials({ .lease = m_options.lease, .metrics = m_options.metrics })
-  , m_refusalLogLimit(kLoggedRefusalsPerSecond)
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const GateDirectory>())
 {
   Metrics& metrics = *m_options.metrics;
-  const std::string help = "Calls of this entry by outcome";
-  m_completeCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "complete" } });
-  m_notRunCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "not-run" } });
-  m_unknownCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "unknown" } });
   m_retryCounter = &metrics.Counter("mimosarun_entry_retries_total", "Attempts after the first", {});
   m_quarantinedCounter =
     &metrics.Counter("mimosarun_entry_quarantined_total", "Calls refused as they are quarantined", {});
-  m_callTimeHistogram =
-    &metrics.SecondsHistogram("mimosarun_entry_call_seconds", "Time of calls from arrival to the end", {});
 }
 
 Result<std::unique_ptr<Entry>>
@@ -213,17 +206,6 @@
   return stats.fullTimeoutShare > kMinFullTimeoutShare ? timeSpent : std::chrono::milliseconds(0);
 }
 
-void
-Entry::CountRefusal(const CallRecord& aRecord) const
-{
-  m_options.metrics
-    ->Counter(
-      "mimosarun_entry_refusals_total",
-      "Calls that didn't run, by why no further gate was tried",
-      { { "stopped", Name(aRecord.stopReason) }, { "gates_left", aRecord.untriedGates > 0 ? "yes" : "no" } })
-    .Increment();
-}
-
 bool
 Entry::TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit)
 {
@@ -308,7 +290,7 @@
 void
 Entry::RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal)
 {
-  m_notRunCounter->Increment();
+  m_recorder.CountImmediateRefusal();
   aExchange->Respond(m_options.codec.refuse(aRefusal));
 }
 
@@ -320,12 +302,12 @@
                         const std::string& aCallId)
 {
   const RefusalDetails details = m_credentials.Refuse(aVerdict, aSnapshot, aRoute, aCallId);
-  m_history.Add({ .callId = aCallId,
-                  .route = aRoute.name,
-                  .version = aSnapshot.version,
-                  .status = details.status,
-                  .outcome = "not-run",
-                  .reason = std::string(Name(aVerdict)) + ": " + details.reason });
+  m_recorder.Add({ .callId = aCallId,
+                   .route = aRoute.name,
+                   .version = aSnapshot.version,
+                   .status = details.status,
+                   .outcome = "not-run",
+                   .reason = std::string(Name(aVerdict)) + ": " + details.reason });
   RefuseImmediately(aExchange, details);
 }
 
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -2,7 +2,7 @@
 
 #include "caller/balancer.h"
 #include "caller/callerprotocol.h"
-#include "caller/callhistory.h"
+#include "caller/callrecorder.h"
 #include "caller/callwait.h"
 #include "caller/choicemetrics.h"
 #include "caller/retrybudget.h"
@@ -10,7 +10,6 @@
 #include "caller/sharesplitter.h"
 #include "common/drainschedule.h"
 #include "common/quantileestimate.h"
-#include "common/ratelimit.h"
 #include "configuration/snapshot.h"
 #include "http/forwarder.h"
 #include "http/server.h"
@@ -90,7 +89,7 @@
    * it. */
   RouteExplanation ExplainRoute(const std::string& aHost, const HttpRequest& aRequest, Deadline aNow);
 
-  const CallHistory& History() const { return m_history; }
+  const CallHistory& History() const { return m_recorder.History(); }
 
   /** Stops listening. */
   void Stop();
@@ -126,8 +125,6 @@
    * timeouts vary.
    */
   std::chrono::milliseconds EstimateTimeSpent(const Route& aRoute, std::chrono::milliseconds aTimeout);
-  /** Counts a call that was sent to gates and didn't run, by why it was sent to no further one. */
-  void CountRefusal(const CallRecord& aRecord) const;
   bool TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void ReleaseLimit(const std::string& aLimit);
   GateDirectoryPointer CurrentDirectory() const;
@@ -156,10 +153,8 @@
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
   VersionSplitter m_versionSplitter;
-  CallHistory m_history;
+  CallRecorder m_recorder;
   CredentialGate m_credentials;
-  /** Limits the log records of refused calls, which are very frequent under overload. */
-  RateLimit m_refusalLogLimit;
   mutable std::mutex m_mutex;
   SnapshotPointer m_snapshot;
   GateDirectoryPointer m_directory;
@@ -171,12 +166,8 @@
   std::mutex m_limitMutex;
   std::map<std::string, int64_t> m_limitUsage;
   std::atomic<int> m_openCalls{ 0 };
-  prometheus::Counter* m_completeCounter = nullptr;
-  prometheus::Counter* m_notRunCounter = nullptr;
-  prometheus::Counter* m_unknownCounter = nullptr;
   prometheus::Counter* m_retryCounter = nullptr;
   prometheus::Counter* m_quarantinedCounter = nullptr;
-  prometheus::Histogram* m_callTimeHistogram = nullptr;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -466,7 +466,7 @@
     m_record.outcome = "cut";
     m_record.reason = "the caller disconnected";
     m_record.duration = Since(m_receivedAt);
-    m_entry.m_history.Add(m_record);
+    m_entry.m_recorder.Add(m_record);
   }
   MarkDecided();
   CancelAttemptsExcept(nullptr);
@@ -522,7 +522,7 @@
   m_record.outcome = kStreamingOutcome;
   m_record.isStreamed = true;
   m_record.duration = Since(m_receivedAt);
-  m_entry.m_history.Add(m_record);
+  m_entry.m_recorder.Add(m_record);
 }
 
 void
@@ -725,17 +725,6 @@
   }
 }
 
-static std::string
-AttemptsText(const std::vector<AttemptRecord>& aAttempts)
-{
-  std::string text;
-  for (const AttemptRecord& attempt : aAttempts) {
-    text += (text.empty() ? "" : " ") + attempt.node + ":" + attempt.outcome + ":" +
-            std::to_string(attempt.duration.count());
-  }
-  return text;
-}
-
 void
 EntryCall::RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason)
 {
@@ -743,41 +732,15 @@
   m_record.outcome = aOutcome;
   m_record.reason = aReason;
   m_record.duration = Since(m_receivedAt);
-  m_entry.m_callTimeHistogram->Observe(std::chrono::duration<double>(m_record.duration).count());
   if (aOutcome == "complete") {
-    m_entry.m_completeCounter->Increment();
     m_entry.RecordCallTime(*m_options.route, m_record.duration);
   } else if (aOutcome == "not-run") {
     if (m_quota) {
       m_quota->Cancel();
     }
-    m_entry.m_notRunCounter->Increment();
     m_record.untriedGates = CountUntriedGates();
-    m_entry.CountRefusal(m_record);
-    if (m_entry.m_refusalLogLimit.Allow()) {
-      Log(Event::CallRefused,
-          { { "call", m_options.callId },
-            { "route", m_record.route },
-            { "status", aStatus },
-            { "reason", aReason },
-            { "stopped", Name(m_record.stopReason) },
-            { "untried", m_record.untriedGates },
-            { "version", m_record.version },
-            { "attempts", AttemptsText(m_record.attempts) },
-            { "micros", m_record.duration.count() } });
-    }
-  } else {
-    m_entry.m_unknownCounter->Increment();
-    Log(Event::CallUnknown,
-        { { "call", m_options.callId },
-          { "route", m_record.route },
-          { "status", aStatus },
-          { "reason", aReason },
-          { "version", m_record.version },
-          { "attempts", AttemptsText(m_record.attempts) },
-          { "micros", m_record.duration.count() } });
-  }
-  m_entry.m_history.Add(m_record);
+  }
+  m_entry.m_recorder.RecordEnd(m_record);
 }
 
 } // namespace mimosarun
