Entry: modules for the options of a call and the request to a gate

Cause: EntryCall built the request to a gate itself. Change: MakeGateRequest() in gaterequest.h builds it from its parts; EntryCall::Options is CallOptions in calloptions.h, so that modules needn't include EntryCall. Behaviour is unchanged.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -136,6 +136,13 @@
   return m_directory;
 }
 
+std::string
+Entry::LocalService() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_localService;
+}
+
 void
 Entry::RecordCallSize(const Route& aRoute, size_t aBytes)
 {
@@ -385,14 +392,14 @@
   const auto call = std::make_shared<EntryCall>(
     *this,
     aExchange,
-    EntryCall::Options{ .callId = options.callId,
-                        .snapshot = snapshot,
-                        .route = route,
-                        .team = credential.team == nullptr ? "" : credential.team->name,
-                        .teamPriority = credential.team == nullptr ? 0 : credential.team->priority,
-                        .teamRate = credential.team == nullptr ? 0 : credential.team->requestsPerSecond,
-                        .deadline = now + std::min(timeout, route->timeout),
-                        .objectiveDeadline = now + objective - EstimateTimeSpent(*route, timeout) });
+    CallOptions{ .callId = options.callId,
+                 .snapshot = snapshot,
+                 .route = route,
+                 .team = credential.team == nullptr ? "" : credential.team->name,
+                 .teamPriority = credential.team == nullptr ? 0 : credential.team->priority,
+                 .teamRate = credential.team == nullptr ? 0 : credential.team->requestsPerSecond,
+                 .deadline = now + std::min(timeout, route->timeout),
+                 .objectiveDeadline = now + objective - EstimateTimeSpent(*route, timeout) });
   call->Start();
 }
 
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -128,6 +128,8 @@
   bool TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void ReleaseLimit(const std::string& aLimit);
   GateDirectoryPointer CurrentDirectory() const;
+  /** Returns the service of the target of this node; empty if there is none. */
+  std::string LocalService() const;
   CallRequirements RequirementsOf(const Route& aRoute, const CallTimes& aTimes, Deadline aNow) const;
   /** Records the body bytes of a request and its response. */
   void RecordCallSize(const Route& aRoute, size_t aBytes);
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/callwait.h"
 #include "caller/entry.h"
+#include "caller/gaterequest.h"
 #include "common/log.h"
 #include "common/random.h"
 
@@ -16,8 +17,6 @@
 static constexpr std::chrono::milliseconds kRefusalGrace{ 30 };
 /** A short call without a response after this many median times may be on a stalled connection. */
 static constexpr int kStalledConnectionFactor = 10;
-/** Value in the request header that means any failure penalty. */
-static constexpr std::chrono::hours kUnlimitedPenalty{ 1 };
 static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 /** Longest time without TCP acknowledgement; a gate whose VM is down or cut off acknowledges nothing. */
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 600 };
@@ -54,7 +53,7 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - aStart);
 }
 
-EntryCall::EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions)
+EntryCall::EntryCall(Entry& aEntry, ExchangePointer aExchange, CallOptions aOptions)
   : m_entry(aEntry)
   , m_exchange(std::move(aExchange))
   , m_loop(m_exchange->Loop())
@@ -292,45 +291,6 @@
   return choice;
 }
 
-HttpRequest
-EntryCall::MakeGateRequest(Deadline aNow, const GateChoice& aChoice) const
-{
-  using std::chrono::milliseconds;
-  const Route& route = *m_options.route;
-  HttpRequest request = m_exchange->Request();
-  std::string localService;
-  {
-    const std::lock_guard lock(m_entry.m_mutex);
-    localService = m_entry.m_localService;
-  }
-  m_entry.m_options.codec.prepareForTarget(request.headers, localService);
-  if (m_options.snapshot->configuration.hasTeams) {
-    m_entry.m_options.codec.setTeam(request.headers, m_options.team);
-  }
-  HopRequest hop{ .callId = m_options.callId,
-                  .service = m_service,
-                  .route = route.name,
-                  .repeatPolicy = route.repeatPolicy,
-                  .callClass = route.callClass,
-                  .priority = route.priority,
-                  .expectedCost = route.expectedCost,
-                  .timeLeft = TimeLeft(m_options.deadline, aNow),
-                  .timeToObjective = std::chrono::floor<milliseconds>(m_options.objectiveDeadline - aNow),
-                  .longestWait = std::chrono::ceil<milliseconds>(aChoice.longestWait),
-                  .maxFailurePenalty = std::chrono::ceil<milliseconds>(
-                    std::min<std::chrono::microseconds>(aChoice.maxFailurePenalty, kUnlimitedPenalty)),
-                  .isLastResort = aChoice.isLastResort,
-                  .sentToIncarnation = m_isResending ? aChoice.gate.incarnation : 0,
-                  .team = m_options.team,
-                  .teamPriority = m_options.teamPriority,
-                  .teamRate = m_options.teamRate };
-  if (route.repeatPolicy == RepeatPolicy::Keyed) {
-    hop.homeRegion = m_options.snapshot->configuration.services.at(m_service).homeRegion;
-  }
-  WriteHop(request.headers, hop);
-  return request;
-}
-
 void
 EntryCall::Send(const GateChoice& aChoice)
 {
@@ -343,7 +303,14 @@
   attempt->m_forwardHandle = m_entry.m_options.forwarder->Start(
     m_loop,
     { .destination = aChoice.gate.address,
-      .request = MakeGateRequest(attempt->m_sentAt, aChoice),
+      .request = MakeGateRequest({ .call = m_options,
+                                   .request = m_exchange->Request(),
+                                   .service = m_service,
+                                   .choice = aChoice,
+                                   .localService = m_entry.LocalService(),
+                                   .isResent = m_isResending },
+                                 m_entry.m_options.codec,
+                                 attempt->m_sentAt),
       .deadline = m_options.deadline + 2 * kRefusalGrace,
       .connectTimeout = kConnectTimeout,
       .unacknowledgedTimeout = kUnacknowledgedTimeout,
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -3,11 +3,10 @@
 #include "caller/balancer.h"
 #include "caller/callgates.h"
 #include "caller/callhistory.h"
+#include "caller/calloptions.h"
 #include "caller/callwait.h"
 #include "caller/entryattempt.h"
 #include "caller/quotaadmission.h"
-#include "configuration/snapshot.h"
-#include "hop/hopheaders.h"
 #include "http/refusal.h"
 #include "http/server.h"
 
@@ -26,23 +25,7 @@
 class EntryCall : public std::enable_shared_from_this<EntryCall>
 {
 public:
-  struct Options
-  {
-    std::string callId;
-    SnapshotPointer snapshot;
-    /** Owned by the snapshot. */
-    const Route* route = nullptr;
-    /** Name of the caller's team; empty on public routes and where there are no teams. */
-    std::string team;
-    int64_t teamPriority = 0;
-    /** Requests per second of the quota of the team; zero if it has none. */
-    double teamRate = 0;
-    Deadline deadline;
-    /** Until then a response has its full value to the caller. */
-    Deadline objectiveDeadline;
-  };
-
-  EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions);
+  EntryCall(Entry& aEntry, ExchangePointer aExchange, CallOptions aOptions);
   ~EntryCall();
 
   /**
@@ -81,7 +64,6 @@
   void ResendTo(const GateInfo& aGate);
   /** Returns how long the call may wait for a slot of a gate. */
   std::chrono::microseconds LongestAllowedWait(Deadline aNow) const;
-  HttpRequest MakeGateRequest(Deadline aNow, const GateChoice& aChoice) const;
 
   /** Starts a timer that detects that the connection of an attempt may be stalled. */
   void WatchForStall(const AttemptPointer& aAttempt);
@@ -117,7 +99,7 @@
   Entry& m_entry;
   const ExchangePointer m_exchange;
   EventLoop& m_loop;
-  const Options m_options;
+  const CallOptions m_options;
   const Deadline m_receivedAt;
   std::string m_service;
   boost::asio::steady_timer m_deadlineTimer;
