Entry: class GateSelector for the gates of a call

Cause: EntryCall chose the gates of its attempts and decided when to stop, beside its timers and responses. Change: GateSelector keeps the gates that were tried, counts the attempts and returns the next gate or the StopReason. Behaviour is unchanged.

--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -97,6 +97,7 @@
 private:
   friend class EntryCall;
   friend class EntryAttempt;
+  friend class GateSelector;
 
   explicit Entry(Options aOptions);
 
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -63,6 +63,7 @@
   , m_deadlineTimer(m_loop.Context())
   , m_hedgeTimer(m_loop.Context())
   , m_halfTimer(m_loop.Context())
+  , m_gateSelector(m_entry, m_options, m_service)
 {
   m_record.callId = m_options.callId;
   m_record.route = m_options.route->name;
@@ -123,7 +124,7 @@
     return;
   }
   m_quotaRetryAfter = aVerdict.retryAfter;
-  StopSending(StopReason::Quota);
+  m_record.stopReason = StopReason::Quota;
   Refuse(429, "the quota of team '" + m_options.team + "' is used up");
 }
 
@@ -170,135 +171,26 @@
 }
 
 bool
-EntryCall::HasValidCredential() const
+EntryCall::SendNext(const std::set<std::string>& aAvoidedGates)
 {
-  return m_entry.m_credentials.MaySend(*m_options.snapshot, *m_options.route, SteadyClock::now());
-}
-
-CallTimes
-EntryCall::Times() const
-{
-  return { .objective = m_options.objectiveDeadline,
-           .deadline = m_options.deadline,
-           .medianTime = m_entry.MedianCallTime(*m_options.route) };
-}
-
-std::chrono::microseconds
-EntryCall::LongestAllowedWait(Deadline aNow) const
-{
-  return mimosarun::LongestAllowedWait(Times(), aNow);
-}
-
-StopReason
-EntryCall::ReserveAttempt()
-{
-  // An open attempt may still reach a target, so it counts too.
-  const int64_t attempts = m_targetAttempts + static_cast<int64_t>(m_attempts.size());
-  if (attempts == 0) {
-    return StopReason::None;
-  }
-  const Route& route = *m_options.route;
-  const Deadline now = SteadyClock::now();
-  if (attempts > route.retries) {
-    return StopReason::RetryLimit;
-  }
-  if (now + m_entry.MedianCallTime(route) / 2 >= m_options.deadline) {
-    return StopReason::NoTime;
-  }
-  return m_entry.m_retryBudget.TrySpend(m_service, now) ? StopReason::None : StopReason::RetryBudget;
-}
-
-bool
-EntryCall::SendNext()
-{
-  const Deadline now = SteadyClock::now();
-  if (now >= m_options.deadline) {
-    return StopSending(StopReason::NoTime);
-  }
-  if (m_entry.QuarantinedUntil(*m_options.route, m_exchange->Request(), now)) {
-    return StopSending(StopReason::Quarantined);
-  }
-  if (!HasValidCredential()) {
-    return StopSending(StopReason::CredentialExpired);
-  }
-  if (m_gateAttempts >= kMaxGateAttempts) {
-    return StopSending(StopReason::GateAttemptLimit);
-  }
-  std::optional<GateChoice> choice = ChooseGate(now);
-  if (!choice) {
-    return StopSending(m_triedGates.rejectionWaits.empty() ? StopReason::NoGate : StopReason::WaitTooLong);
-  }
-  if (choice->expectsRejection && m_triedGates.rejectionWaits.size() >= kRejectionsToGiveUp) {
-    return StopSending(StopReason::WaitTooLong);
-  }
-  const std::chrono::microseconds longestWait = LongestAllowedWait(now);
-  const bool wasRejected = m_triedGates.rejectionWaits.contains(choice->gate.node);
-  if (const StopReason reason = ReserveAttempt(); reason != StopReason::None) {
-    return StopSending(reason);
+  const auto next = m_gateSelector.Next(
+    { .request = m_exchange->Request(), .openAttempts = m_attempts.size(), .avoidedGates = aAvoidedGates });
+  if (const StopReason* const reason = std::get_if<StopReason>(&next)) {
+    m_record.stopReason = *reason;
+    return false;
   }
-  choice->isLastResort = wasRejected;
-  choice->longestWait = wasRejected ? longestWait : std::min(choice->longestWait, longestWait);
-  m_entry.m_choiceMetrics.RecordChoice(*choice);
-  Send(*choice);
+  Send(std::get<GateChoice>(next));
   return true;
 }
 
-bool
-EntryCall::StopSending(StopReason aReason)
-{
-  m_record.stopReason = aReason;
-  return false;
-}
-
-size_t
-EntryCall::CountUntriedGates() const
-{
-  const GateDirectoryPointer directory = m_entry.CurrentDirectory();
-  const std::vector<GateInfo>& gates = CallGates::AllowedGates(*directory, m_service);
-  return static_cast<size_t>(std::count_if(gates.begin(), gates.end(), [this](const GateInfo& aGate) {
-    return !m_triedGates.excluded.contains(aGate.node) && !m_triedGates.rejectionWaits.contains(aGate.node);
-  }));
-}
-
-std::optional<GateChoice>
-EntryCall::ChooseGate(Deadline aNow)
-{
-  const GateDirectoryPointer directory = m_entry.CurrentDirectory();
-  const std::vector<GateInfo>& gates =
-    m_gates.ForAttempt(*directory, m_service, m_entry.m_versionSplitter, aNow);
-  const CallRequirements requirements = m_entry.RequirementsOf(*m_options.route, Times(), aNow);
-  if (m_gateAttempts == kMaxGateAttempts - 1) {
-    // This is the last attempt, so the call waits at the best of the gates that rejected it.
-    std::vector<GateInfo> rejecting = gates;
-    std::erase_if(
-      rejecting, [this](const GateInfo& aGate) { return !m_triedGates.rejectionWaits.contains(aGate.node); });
-    if (auto choice = m_entry.m_balancer.Choose(rejecting, m_triedGates, requirements, aNow)) {
-      return choice;
-    }
-  }
-  const std::vector<GateInfo>& allowedGates = CallGates::AllowedGates(*directory, m_service);
-  auto choice = m_entry.m_balancer.Choose(gates, m_triedGates, requirements, aNow);
-  if (&gates == &allowedGates || allowedGates.empty()) {
-    return choice;
-  }
-  if (!choice) {
-    return m_entry.m_balancer.Choose(allowedGates, m_triedGates, requirements, aNow);
-  }
-  // The allowed gates take the calls for which a candidate's gate has no room soon. A candidate that fails
-  // calls still gets its share, since control couldn't tell otherwise.
-  choice->longestWait = std::min(choice->longestWait, m_entry.MedianCallTime(*m_options.route));
-  choice->maxFailurePenalty = kUnlimitedPenalty;
-  return choice;
-}
-
 void
 EntryCall::Send(const GateChoice& aChoice)
 {
   const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice);
   const std::string& node = aChoice.gate.node;
-  attempt->m_usedRetryBudget = m_targetAttempts > 0 || !m_attempts.empty();
+  attempt->m_usedRetryBudget = m_gateSelector.HasReachedTarget() || !m_attempts.empty();
   m_attempts.push_back(attempt);
-  ++m_gateAttempts;
+  m_gateSelector.RecordSent();
   m_entry.m_balancer.RecordSent(node, m_options.route->callClass, attempt->m_sentAt);
   attempt->m_forwardHandle = m_entry.m_options.forwarder->Start(
     m_loop,
@@ -326,12 +218,12 @@
   m_isResending = true;
   m_loop.RunAt(SteadyClock::now() + kResendDelay, [weak = weak_from_this(), aGate] {
     const auto self = weak.lock();
-    if (self && !self->m_decided && !self->HasValidCredential()) {
+    if (self && !self->m_decided && !self->m_gateSelector.HasValidCredential()) {
       self->GiveUp(502, kCredentialExpired);
     } else if (self && !self->m_decided) {
       // The gate recognises the call and attaches this attempt to the first one.
       self->Send({ .gate = aGate,
-                   .longestWait = self->LongestAllowedWait(SteadyClock::now()),
+                   .longestWait = self->m_gateSelector.LongestAllowedWait(SteadyClock::now()),
                    .maxFailurePenalty = kUnlimitedPenalty });
     }
   });
@@ -340,14 +232,12 @@
 bool
 EntryCall::SendParallel()
 {
-  const std::set<std::string> excluded = m_triedGates.excluded;
+  std::set<std::string> openGates;
   for (const AttemptPointer& attempt : m_attempts) {
-    m_triedGates.excluded.insert(attempt->m_gate.node);
+    openGates.insert(attempt->m_gate.node);
   }
-  bool sent = SendNext();
-  m_triedGates.excluded = excluded;
   // If there is no other gate, the same one may be reachable over another connection.
-  sent = sent || SendNext();
+  const bool sent = SendNext(openGates) || SendNext();
   if (sent) {
     m_entry.m_retryCounter->Increment();
   }
@@ -499,7 +389,7 @@
   const bool failed = status >= 500;
   m_entry.RecordCallSize(*m_options.route, m_exchange->Request().body.size() + aAttempt.m_bodyBytes);
   FinishAttempt(aAttempt, failed ? AttemptOutcome::Failed : AttemptOutcome::Answered, "complete");
-  ++m_targetAttempts;
+  m_gateSelector.RecordTargetAttempt();
   if (m_streamedAttempt == &aAttempt) {
     RecordOutcome(status, "complete", "");
     m_exchange->Finish(true);
@@ -509,7 +399,7 @@
     return;
   }
   if (failed && m_options.route->Idempotent()) {
-    m_triedGates.excluded.insert(aAttempt.m_gate.node);
+    m_gateSelector.Exclude(aAttempt.m_gate.node);
     m_failedResponse = HttpResponse{ .status = status,
                                      .headers = std::move(aAttempt.m_head.headers),
                                      .body = std::move(aAttempt.m_body) };
@@ -535,10 +425,10 @@
   if (m_decided) {
     return;
   }
-  m_triedGates.RecordRejection({ .node = aAttempt.m_gate.node,
-                                 .queueWait = aAttempt.m_hopResponse->queueWait,
-                                 .failurePenalty = aAttempt.m_hopResponse->failurePenalty,
-                                 .maxFailurePenalty = aAttempt.m_maxFailurePenalty });
+  m_gateSelector.RecordRejection({ .node = aAttempt.m_gate.node,
+                                   .queueWait = aAttempt.m_hopResponse->queueWait,
+                                   .failurePenalty = aAttempt.m_hopResponse->failurePenalty,
+                                   .maxFailurePenalty = aAttempt.m_maxFailurePenalty });
   // If the call was resent, the gate has confirmed that it never arrived, so another gate may take it.
   m_mayHaveRun = m_mayHaveRun && !m_isResending;
   m_isResending = false;
@@ -555,11 +445,11 @@
 EntryCall::OnNotRun(EntryAttempt& aAttempt)
 {
   FinishAttempt(aAttempt, AttemptOutcome::Rejected, "not-run");
-  ++m_targetAttempts;
+  m_gateSelector.RecordTargetAttempt();
   if (m_decided) {
     return;
   }
-  m_triedGates.excluded.insert(aAttempt.m_gate.node);
+  m_gateSelector.Exclude(aAttempt.m_gate.node);
   if (SendNext()) {
     m_entry.m_retryCounter->Increment();
     Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", aAttempt.m_body } });
@@ -591,15 +481,17 @@
   if (!idempotent && ((wasSent && !isReportedByGate) || m_mayHaveRun)) {
     // The gate may have received the call; only the same gate can tell.
     m_mayHaveRun = true;
-    if (aResult != ForwardResult::TimedOut && m_gateAttempts < kMaxGateAttempts &&
+    if (aResult != ForwardResult::TimedOut && m_gateSelector.MaySendAgain() &&
         SteadyClock::now() < m_options.deadline) {
       ResendTo(aAttempt.m_gate);
       return;
     }
   }
-  m_triedGates.excluded.insert(aAttempt.m_gate.node);
+  m_gateSelector.Exclude(aAttempt.m_gate.node);
   m_mayHaveRun = m_mayHaveRun || wasSent;
-  m_targetAttempts += wasSent ? 1 : 0;
+  if (wasSent) {
+    m_gateSelector.RecordTargetAttempt();
+  }
   if ((!wasSent || idempotent) && SendNext()) {
     if (wasSent) {
       m_entry.m_retryCounter->Increment();
@@ -650,11 +542,7 @@
            std::chrono::milliseconds(RandomBetween(
              0, std::max(kQuotaRetrySpread, *m_quotaRetryAfter / kQuotaRetrySpreadDivisor).count()));
   }
-  std::chrono::microseconds longestWait{ 0 };
-  for (const auto& [node, reportedWait] : m_triedGates.rejectionWaits) {
-    longestWait = std::max(longestWait, reportedWait);
-  }
-  return mimosarun::RetryAfter(longestWait);
+  return mimosarun::RetryAfter(m_gateSelector.LongestReportedWait());
 }
 
 void
@@ -705,7 +593,7 @@
     if (m_quota) {
       m_quota->Cancel();
     }
-    m_record.untriedGates = CountUntriedGates();
+    m_record.untriedGates = m_gateSelector.CountUntriedGates();
   }
   m_entry.m_recorder.RecordEnd(m_record);
 }
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "caller/balancer.h"
-#include "caller/callgates.h"
 #include "caller/callhistory.h"
 #include "caller/calloptions.h"
-#include "caller/callwait.h"
 #include "caller/entryattempt.h"
+#include "caller/gateselector.h"
 #include "caller/quotaadmission.h"
 #include "http/refusal.h"
 #include "http/server.h"
@@ -14,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,27 +43,17 @@
   void SendWithinQuota();
   void OnQuota(const QuotaVerdict& aVerdict);
   void StartTimers();
-  /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
-  bool SendNext();
-  std::optional<GateChoice> ChooseGate(Deadline aNow);
-  /** Returns whether the caller's key may still be honoured. */
-  bool HasValidCredential() const;
-  /** Notes why the call is sent to no further gate; returns false. */
-  bool StopSending(StopReason aReason);
-  size_t CountUntriedGates() const;
   /**
-   * Returns why no other attempt is allowed, or StopReason::None; every attempt after the first uses a retry
-   * of the budget.
+   * Sends the call to the best remaining gate; returns false if no further attempt is possible.
+   *
+   * @param aAvoidedGates nodes whose gates this attempt mustn't be sent to
    */
-  StopReason ReserveAttempt();
-  CallTimes Times() const;
+  bool SendNext(const std::set<std::string>& aAvoidedGates = {});
   /** Sends a further attempt beside the open ones, if possible to another gate; returns whether it did. */
   bool SendParallel();
   void Send(const GateChoice& aChoice);
   /** Sends the call once more to a gate whose connection broke, since the gate may have received it. */
   void ResendTo(const GateInfo& aGate);
-  /** Returns how long the call may wait for a slot of a gate. */
-  std::chrono::microseconds LongestAllowedWait(Deadline aNow) const;
 
   /** Starts a timer that detects that the connection of an attempt may be stalled. */
   void WatchForStall(const AttemptPointer& aAttempt);
@@ -101,7 +91,7 @@
   EventLoop& m_loop;
   const CallOptions m_options;
   const Deadline m_receivedAt;
-  std::string m_service;
+  const std::string m_service;
   boost::asio::steady_timer m_deadlineTimer;
   boost::asio::steady_timer m_hedgeTimer;
   boost::asio::steady_timer m_halfTimer;
@@ -110,12 +100,7 @@
   /** Set if the quota of the team was used up. */
   std::optional<std::chrono::milliseconds> m_quotaRetryAfter;
   std::vector<AttemptPointer> m_attempts;
-  CallGates m_gates;
-  TriedGates m_triedGates;
-  /** Attempts that were passed to a target. */
-  int64_t m_targetAttempts = 0;
-  /** Attempts that were sent to a gate. */
-  int m_gateAttempts = 0;
+  GateSelector m_gateSelector;
   /** Whether an attempt without a response may have run. */
   bool m_mayHaveRun = false;
   /** Whether the call is being resent to a gate that may have received it. */
