Entry: Handle in steps

Cause: Entry::Handle checked a request and started its call in one function of 70 lines. Change: Handle finds the route and checks the credential; Admit says why the request can't run at present; StartCall starts the call. The order of the checks and the state that they use are unchanged. Result: callrecordtest, balancertest, callgatestest, retrybudgettest, loadspreadtest, httptest and streamtest pass.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -129,6 +129,13 @@
   return m_openCalls;
 }
 
+Entry::State
+Entry::CurrentState() const
+{
+  const std::lock_guard lock(m_mutex);
+  return { .snapshot = m_snapshot, .drainSchedule = m_drainSchedule };
+}
+
 GateDirectoryPointer
 Entry::CurrentDirectory() const
 {
@@ -333,13 +340,8 @@
   if (options.callId.empty()) {
     options.callId = m_options.node + "-" + RandomIdentifier().substr(0, kCallIdSuffixLength);
   }
-  SnapshotPointer snapshot;
-  std::optional<DrainSchedule> drainSchedule;
-  {
-    const std::lock_guard lock(m_mutex);
-    snapshot = m_snapshot;
-    drainSchedule = m_drainSchedule;
-  }
+  const State state = CurrentState();
+  const SnapshotPointer& snapshot = state.snapshot;
   if (snapshot->version == 0) {
     RefuseImmediately(aExchange,
                       { .status = 503,
@@ -348,8 +350,8 @@
                         .retryAfter = kRetryAfterWithoutConfiguration });
     return;
   }
-  const Configuration& configuration = snapshot->configuration;
-  const Route* route = FindRoute(configuration, HostWithoutPort(request), request.path, request.method);
+  const Route* route =
+    FindRoute(snapshot->configuration, HostWithoutPort(request), request.path, request.method);
   if (route == nullptr) {
     RefuseImmediately(aExchange,
                       { .status = 404, .reason = "no route matches the request", .callId = options.callId });
@@ -361,45 +363,85 @@
     RefuseCredential(aExchange, credential.verdict, *snapshot, *route, options.callId);
     return;
   }
-  if (drainSchedule && !drainSchedule->Accepts(aExchange->ReceivedAt(), P95CallTime(*route))) {
-    RefuseImmediately(aExchange,
-                      { .status = 503,
-                        .reason = "the entry is shutting down; use another",
-                        .callId = options.callId,
-                        .retryAfter = kRetryAfterWhileStopping });
+  const AcceptedRequest accepted{
+    .exchange = aExchange, .options = options, .state = state, .route = *route, .team = credential.team
+  };
+  if (const auto refusal = Admit(accepted)) {
+    RefuseImmediately(aExchange, *refusal);
     return;
   }
-  if (const auto until = QuarantinedUntil(*route, request, aExchange->ReceivedAt())) {
-    m_quarantinedCounter->Increment();
-    RefuseImmediately(
-      aExchange,
-      { .status = 503,
-        .reason = "targets ended whenever they ran this request; report it to the authors of the service",
-        .callId = options.callId,
-        .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*until - aExchange->ReceivedAt()) });
-    return;
+  StartCall(accepted);
+}
+
+std::optional<RefusalDetails>
+Entry::Admit(const AcceptedRequest& aRequest)
+{
+  if (auto refusal = RefuseWhileStopping(aRequest)) {
+    return refusal;
   }
-  if (!TryAcquireLimit(configuration, route->limit)) {
-    RefuseImmediately(
-      aExchange,
-      { .status = 429, .reason = "the limit '" + route->limit + "' is reached", .callId = options.callId });
-    return;
+  if (auto refusal = RefuseQuarantined(aRequest)) {
+    return refusal;
   }
-  const std::chrono::milliseconds timeout =
-    std::clamp(options.timeout.value_or(route->timeout), std::chrono::milliseconds(0), kLongestTimeout);
-  const auto objective = route->latencyObjective.count() > 0 ? route->latencyObjective : route->timeout;
-  const Deadline now = aExchange->ReceivedAt();
+  const std::string& limit = aRequest.route.limit;
+  if (!TryAcquireLimit(aRequest.state.snapshot->configuration, limit)) {
+    return RefusalDetails{ .status = 429,
+                           .reason = "the limit '" + limit + "' is reached",
+                           .callId = aRequest.options.callId };
+  }
+  return std::nullopt;
+}
+
+std::optional<RefusalDetails>
+Entry::RefuseWhileStopping(const AcceptedRequest& aRequest) const
+{
+  const std::optional<DrainSchedule>& drainSchedule = aRequest.state.drainSchedule;
+  if (!drainSchedule ||
+      drainSchedule->Accepts(aRequest.exchange->ReceivedAt(), P95CallTime(aRequest.route))) {
+    return std::nullopt;
+  }
+  return RefusalDetails{ .status = 503,
+                         .reason = "the entry is shutting down; use another",
+                         .callId = aRequest.options.callId,
+                         .retryAfter = kRetryAfterWhileStopping };
+}
+
+std::optional<RefusalDetails>
+Entry::RefuseQuarantined(const AcceptedRequest& aRequest)
+{
+  const Deadline receivedAt = aRequest.exchange->ReceivedAt();
+  const auto until = QuarantinedUntil(aRequest.route, aRequest.exchange->Request(), receivedAt);
+  if (!until) {
+    return std::nullopt;
+  }
+  m_quarantinedCounter->Increment();
+  return RefusalDetails{
+    .status = 503,
+    .reason = "targets ended whenever they ran this request; report it to the authors of the service",
+    .callId = aRequest.options.callId,
+    .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*until - receivedAt)
+  };
+}
+
+void
+Entry::StartCall(const AcceptedRequest& aRequest)
+{
+  const Route& route = aRequest.route;
+  const Team* const team = aRequest.team;
+  const std::chrono::milliseconds timeout = std::clamp(
+    aRequest.options.timeout.value_or(route.timeout), std::chrono::milliseconds(0), kLongestTimeout);
+  const auto objective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout;
+  const Deadline receivedAt = aRequest.exchange->ReceivedAt();
   const auto call = std::make_shared<EntryCall>(
     *this,
-    aExchange,
-    CallOptions{ .callId = options.callId,
-                 .snapshot = snapshot,
-                 .route = route,
-                 .team = credential.team == nullptr ? "" : credential.team->name,
-                 .teamPriority = credential.team == nullptr ? 0 : credential.team->priority,
-                 .teamRate = credential.team == nullptr ? 0 : credential.team->requestsPerSecond,
-                 .deadline = now + std::min(timeout, route->timeout),
-                 .objectiveDeadline = now + objective - EstimateTimeSpent(*route, timeout) });
+    aRequest.exchange,
+    CallOptions{ .callId = aRequest.options.callId,
+                 .snapshot = aRequest.state.snapshot,
+                 .route = &route,
+                 .team = team == nullptr ? "" : team->name,
+                 .teamPriority = team == nullptr ? 0 : team->priority,
+                 .teamRate = team == nullptr ? 0 : team->requestsPerSecond,
+                 .deadline = receivedAt + std::min(timeout, route.timeout),
+                 .objectiveDeadline = receivedAt + objective - EstimateTimeSpent(route, timeout) });
   call->Start();
 }
 
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -101,7 +101,32 @@
 
   explicit Entry(Options aOptions);
 
+  /** What a request is checked against. */
+  struct State
+  {
+    SnapshotPointer snapshot;
+    /** Set once the node is stopping. */
+    std::optional<DrainSchedule> drainSchedule;
+  };
+
+  /** A request that matches a route and whose credential is accepted. */
+  struct AcceptedRequest
+  {
+    const ExchangePointer& exchange;
+    const RequestOptions& options;
+    const State& state;
+    /** Owned by the snapshot of the state. */
+    const Route& route;
+    /** Null on public routes and where there are no teams. */
+    const Team* team = nullptr;
+  };
+
   void Handle(const ExchangePointer& aExchange);
+  /** Returns why a request can't run at present, or acquires the limit of its route. */
+  std::optional<RefusalDetails> Admit(const AcceptedRequest& aRequest);
+  std::optional<RefusalDetails> RefuseWhileStopping(const AcceptedRequest& aRequest) const;
+  std::optional<RefusalDetails> RefuseQuarantined(const AcceptedRequest& aRequest);
+  void StartCall(const AcceptedRequest& aRequest);
   /** Returns until when no target may run a request, if it is quarantined. */
   std::optional<Deadline> QuarantinedUntil(const Route& aRoute,
                                            const HttpRequest& aRequest,
@@ -128,6 +153,7 @@
   std::chrono::milliseconds EstimateTimeSpent(const Route& aRoute, std::chrono::milliseconds aTimeout);
   bool TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void ReleaseLimit(const std::string& aLimit);
+  State CurrentState() const;
   GateDirectoryPointer CurrentDirectory() const;
   /** Returns the service of the target of this node; empty if there is none. */
   std::string LocalService() const;
