Entry: class OpenAttempts for the open attempts of a call

Cause: EntryCall kept the list of its open attempts and reported their ends to the balancer in several places. Behaviour is unchanged.

--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -26,6 +26,7 @@
 
 private:
   friend class EntryCall;
+  friend class OpenAttempts;
 
   void BeginStreamingIfLarge();
 
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -63,6 +63,7 @@
   , m_deadlineTimer(m_loop.Context())
   , m_hedgeTimer(m_loop.Context())
   , m_halfTimer(m_loop.Context())
+  , m_attempts(m_entry.m_balancer, *m_options.route)
   , m_gateSelector(m_entry, m_options, m_service)
 {
   m_record.callId = m_options.callId;
@@ -174,7 +175,7 @@
 EntryCall::SendNext(const std::set<std::string>& aAvoidedGates)
 {
   const auto next = m_gateSelector.Next(
-    { .request = m_exchange->Request(), .openAttempts = m_attempts.size(), .avoidedGates = aAvoidedGates });
+    { .request = m_exchange->Request(), .openAttempts = m_attempts.Count(), .avoidedGates = aAvoidedGates });
   if (const StopReason* const reason = std::get_if<StopReason>(&next)) {
     m_record.stopReason = *reason;
     return false;
@@ -188,8 +189,8 @@
 {
   const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice);
   const std::string& node = aChoice.gate.node;
-  attempt->m_usedRetryBudget = m_gateSelector.HasReachedTarget() || !m_attempts.empty();
-  m_attempts.push_back(attempt);
+  attempt->m_usedRetryBudget = m_gateSelector.HasReachedTarget() || !m_attempts.IsEmpty();
+  m_attempts.Add(attempt);
   m_gateSelector.RecordSent();
   m_entry.m_balancer.RecordSent(node, m_options.route->callClass, attempt->m_sentAt);
   attempt->m_forwardHandle = m_entry.m_options.forwarder->Start(
@@ -232,12 +233,8 @@
 bool
 EntryCall::SendParallel()
 {
-  std::set<std::string> openGates;
-  for (const AttemptPointer& attempt : m_attempts) {
-    openGates.insert(attempt->m_gate.node);
-  }
   // If there is no other gate, the same one may be reachable over another connection.
-  const bool sent = SendNext(openGates) || SendNext();
+  const bool sent = SendNext(m_attempts.Nodes()) || SendNext();
   if (sent) {
     m_entry.m_retryCounter->Increment();
   }
@@ -283,12 +280,7 @@
 EntryCall::OnHalfTime()
 {
   // A gate that responds to other calls is slow rather than unreachable, and more load would make it slower.
-  const bool hasResponded =
-    std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto& aOpenAttempt) {
-      return aOpenAttempt->m_hopResponse ||
-             m_entry.m_balancer.HasAnsweredSince(aOpenAttempt->m_gate.node, aOpenAttempt->m_sentAt);
-    });
-  if (!m_decided && !hasResponded && !m_attempts.empty()) {
+  if (!m_decided && !m_attempts.HasRespondingGate() && !m_attempts.IsEmpty()) {
     SendParallel();
   }
 }
@@ -296,7 +288,7 @@
 void
 EntryCall::OnHedgeTime()
 {
-  const bool isOnlyAttempt = m_attempts.size() == 1 && !m_attempts.front()->m_hopResponse;
+  const bool isOnlyAttempt = m_attempts.Count() == 1 && !m_attempts.HasResponse();
   if (!m_decided && isOnlyAttempt && m_entry.m_hedgeBudget.TrySpend(m_service, SteadyClock::now())) {
     SendParallel();
   }
@@ -308,16 +300,17 @@
   if (m_decided) {
     return;
   }
-  m_mayHaveRun = m_mayHaveRun || !m_attempts.empty();
+  m_mayHaveRun = m_mayHaveRun || !m_attempts.IsEmpty();
   Refuse(504, "no response before the deadline");
-  CancelAttemptsExcept(nullptr);
+  m_attempts.CancelExcept(nullptr);
 }
 
 void
 EntryCall::OnCallerDisconnected()
 {
   if (!m_decided) {
-    RecordOutcome(0, m_mayHaveRun || !m_attempts.empty() ? "unknown" : "not-run", "the caller disconnected");
+    RecordOutcome(
+      0, m_mayHaveRun || !m_attempts.IsEmpty() ? "unknown" : "not-run", "the caller disconnected");
   } else if (m_record.outcome == kStreamingOutcome) {
     // Neither counted nor logged: the caller ended a response that it was receiving.
     m_record.outcome = "cut";
@@ -326,30 +319,15 @@
     m_entry.m_recorder.Add(m_record);
   }
   MarkDecided();
-  CancelAttemptsExcept(nullptr);
+  m_attempts.CancelExcept(nullptr);
 }
 
 // --- Responses -------------------------------------------------------------------------------------------
 
-void
-EntryCall::ReportAttemptResult(const EntryAttempt& aAttempt, AttemptOutcome aOutcome)
-{
-  m_entry.m_balancer.RecordResult({ .node = aAttempt.m_gate.node,
-                                    .costGroup = m_options.route->name,
-                                    .callClass = m_options.route->callClass,
-                                    .outcome = aOutcome,
-                                    .sentAt = aAttempt.m_sentAt },
-                                  SteadyClock::now());
-}
-
 void
 EntryCall::FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName)
 {
-  std::erase_if(m_attempts,
-                [&](const AttemptPointer& aOpenAttempt) { return aOpenAttempt.get() == &aAttempt; });
-  ReportAttemptResult(aAttempt, aOutcome);
-  m_record.attempts.push_back(
-    { .node = aAttempt.m_gate.node, .outcome = aOutcomeName, .duration = Since(aAttempt.m_sentAt) });
+  m_record.attempts.push_back(m_attempts.Finish(aAttempt, aOutcome, aOutcomeName));
 }
 
 bool
@@ -360,7 +338,7 @@
   }
   MarkDecided();
   m_streamedAttempt = &aAttempt;
-  CancelAttemptsExcept(&aAttempt);
+  m_attempts.CancelExcept(&aAttempt);
   HttpResponseHead head = aAttempt.m_head;
   RecordStreaming(head.status);
   m_entry.m_options.codec.finishResponse(head, m_options.callId);
@@ -403,7 +381,7 @@
     m_failedResponse = HttpResponse{ .status = status,
                                      .headers = std::move(aAttempt.m_head.headers),
                                      .body = std::move(aAttempt.m_body) };
-    if (!m_attempts.empty() || SendNext()) {
+    if (!m_attempts.IsEmpty() || SendNext()) {
       return;
     }
     GiveUp(502, "the target failed");
@@ -436,7 +414,7 @@
   if (!isRejectedFinally && SendNext()) {
     return;
   }
-  if (m_attempts.empty()) {
+  if (m_attempts.IsEmpty()) {
     GiveUp(aAttempt.m_head.status, aAttempt.m_body);
   }
 }
@@ -455,7 +433,7 @@
     Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", aAttempt.m_body } });
     return;
   }
-  if (m_attempts.empty()) {
+  if (m_attempts.IsEmpty()) {
     GiveUp(503, aAttempt.m_body);
   }
 }
@@ -499,7 +477,7 @@
     }
     return;
   }
-  if (!m_attempts.empty()) {
+  if (!m_attempts.IsEmpty()) {
     return;
   }
   const bool isLate = aResult == ForwardResult::TimedOut || aAttempt.m_head.status == 504;
@@ -527,7 +505,7 @@
 EntryCall::Respond(HttpResponseHead aHead, std::string aBody)
 {
   MarkDecided();
-  CancelAttemptsExcept(nullptr);
+  m_attempts.CancelExcept(nullptr);
   RecordOutcome(aHead.status, "complete", "");
   m_entry.m_options.codec.finishResponse(aHead, m_options.callId);
   m_exchange->Respond(
@@ -567,19 +545,6 @@
   m_halfTimer.cancel();
 }
 
-void
-EntryCall::CancelAttemptsExcept(const EntryAttempt* aKept)
-{
-  for (const AttemptPointer& attempt : std::exchange(m_attempts, {})) {
-    if (attempt.get() == aKept) {
-      m_attempts.push_back(attempt);
-      continue;
-    }
-    attempt->m_forwardHandle.Cancel();
-    ReportAttemptResult(*attempt, AttemptOutcome::Abandoned);
-  }
-}
-
 void
 EntryCall::RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason)
 {
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -5,6 +5,7 @@
 #include "caller/calloptions.h"
 #include "caller/entryattempt.h"
 #include "caller/gateselector.h"
+#include "caller/openattempts.h"
 #include "caller/quotaadmission.h"
 #include "http/refusal.h"
 #include "http/server.h"
@@ -15,7 +16,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace mimosarun {
 
@@ -68,7 +68,6 @@
   void OnRejected(EntryAttempt& aAttempt);
   void OnNotRun(EntryAttempt& aAttempt);
   void OnAttemptFailed(EntryAttempt& aAttempt, ForwardResult aResult);
-  void ReportAttemptResult(const EntryAttempt& aAttempt, AttemptOutcome aOutcome);
   void FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
@@ -78,7 +77,6 @@
   void Respond(HttpResponseHead aHead, std::string aBody);
   void Refuse(int aStatus, const std::string& aReason);
   std::chrono::milliseconds RetryAfter() const;
-  void CancelAttemptsExcept(const EntryAttempt* aKept);
   void MarkDecided();
   /**
    * Records how the call ended. Called before a response is sent whole, since operators may ask about a call
@@ -99,7 +97,7 @@
   std::shared_ptr<QuotaAdmission> m_quota;
   /** Set if the quota of the team was used up. */
   std::optional<std::chrono::milliseconds> m_quotaRetryAfter;
-  std::vector<AttemptPointer> m_attempts;
+  OpenAttempts m_attempts;
   GateSelector m_gateSelector;
   /** Whether an attempt without a response may have run. */
   bool m_mayHaveRun = false;
