--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -11,7 +11,6 @@
 
 static constexpr size_t kCallIdSuffixLength = 16;
 static constexpr int kHedgeFactor = 2;
-static constexpr int kLoggedRefusalsPerSecond = 10;
 static constexpr std::chrono::milliseconds kLongestTimeout{ 3600000 };
 static constexpr int kFullTimeoutDivisor = 50;
 static constexpr double kTimeoutSmoothing = 32;
@@ -31,21 +30,15 @@
   , m_choiceMetrics(*m_options.metrics)
   , m_retryBudget(m_options.retryBudget)
   , m_hedgeBudget({ .retriesPerRequest = m_options.hedgesPerCall, .baseRetries = 0 })
+  , m_recorder(*m_options.metrics)
   , m_credentials({ .lease = m_options.lease, .metrics = m_options.metrics })
-  , m_refusalLogLimit(kLoggedRefusalsPerSecond)
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const GateDirectory>())
 {
   Metrics& metrics = *m_options.metrics;
-  const std::string help = "Calls of this entry by outcome";
-  m_completeCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "complete" } });
-  m_notRunCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "not-run" } });
-  m_unknownCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "unknown" } });
   m_retryCounter = &metrics.Counter("mimosarun_entry_retries_total", "Attempts after the first", {});
   m_quarantinedCounter =
     &metrics.Counter("mimosarun_entry_quarantined_total", "Calls refused as they are quarantined", {});
-  m_callTimeHistogram =
-    &metrics.SecondsHistogram("mimosarun_entry_call_seconds", "Time of calls from arrival to the end", {});
 }
 
 Result<std::unique_ptr<Entry>>
@@ -136,6 +129,13 @@
   return m_openCalls;
 }
 
+Entry::State
+Entry::CurrentState() const
+{
+  const std::lock_guard lock(m_mutex);
+  return { .snapshot = m_snapshot, .drainSchedule = m_drainSchedule };
+}
+
 GateDirectoryPointer
 Entry::CurrentDirectory() const
 {
@@ -143,6 +143,13 @@
   return m_directory;
 }
 
+std::string
+Entry::LocalService() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_localService;
+}
+
 void
 Entry::RecordCallSize(const Route& aRoute, size_t aBytes)
 {
@@ -213,17 +220,6 @@
   return stats.fullTimeoutShare > kMinFullTimeoutShare ? timeSpent : std::chrono::milliseconds(0);
 }
 
-void
-Entry::CountRefusal(const CallRecord& aRecord) const
-{
-  m_options.metrics
-    ->Counter(
-      "mimosarun_entry_refusals_total",
-      "Calls that didn't run, by why no further gate was tried",
-      { { "stopped", Name(aRecord.stopReason) }, { "gates_left", aRecord.untriedGates > 0 ? "yes" : "no" } })
-    .Increment();
-}
-
 bool
 Entry::TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit)
 {
@@ -308,7 +304,7 @@
 void
 Entry::RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal)
 {
-  m_notRunCounter->Increment();
+  m_recorder.CountImmediateRefusal();
   aExchange->Respond(m_options.codec.refuse(aRefusal));
 }
 
@@ -320,12 +316,12 @@
                         const std::string& aCallId)
 {
   const RefusalDetails details = m_credentials.Refuse(aVerdict, aSnapshot, aRoute, aCallId);
-  m_history.Add({ .callId = aCallId,
-                  .route = aRoute.name,
-                  .version = aSnapshot.version,
-                  .status = details.status,
-                  .outcome = "not-run",
-                  .reason = std::string(Name(aVerdict)) + ": " + details.reason });
+  m_recorder.Add({ .callId = aCallId,
+                   .route = aRoute.name,
+                   .version = aSnapshot.version,
+                   .status = details.status,
+                   .outcome = "not-run",
+                   .reason = std::string(Name(aVerdict)) + ": " + details.reason });
   RefuseImmediately(aExchange, details);
 }
 
@@ -345,13 +341,8 @@
     options.callId = m_options.node + "-" + RandomIdentifier().substr(0, kCallIdSuffixLength);
   }
   aExchange->SetCallId(options.callId);
-  SnapshotPointer snapshot;
-  std::optional<DrainSchedule> drainSchedule;
-  {
-    const std::lock_guard lock(m_mutex);
-    snapshot = m_snapshot;
-    drainSchedule = m_drainSchedule;
-  }
+  const State state = CurrentState();
+  const SnapshotPointer& snapshot = state.snapshot;
   if (snapshot->version == 0) {
     RefuseImmediately(aExchange,
                       { .status = 503,
@@ -360,8 +351,8 @@
                         .retryAfter = kRetryAfterWithoutConfiguration });
     return;
   }
-  const Configuration& configuration = snapshot->configuration;
-  const Route* route = FindRoute(configuration, HostWithoutPort(request), request.path, request.method);
+  const Route* route =
+    FindRoute(snapshot->configuration, HostWithoutPort(request), request.path, request.method);
   if (route == nullptr) {
     RefuseImmediately(aExchange,
                       { .status = 404, .reason = "no route matches the request", .callId = options.callId });
@@ -373,45 +364,85 @@
     RefuseCredential(aExchange, credential.verdict, *snapshot, *route, options.callId);
     return;
   }
-  if (drainSchedule && !drainSchedule->Accepts(aExchange->ReceivedAt(), P95CallTime(*route))) {
-    RefuseImmediately(aExchange,
-                      { .status = 503,
-                        .reason = "the entry is shutting down; use another",
-                        .callId = options.callId,
-                        .retryAfter = kRetryAfterWhileStopping });
+  const AcceptedRequest accepted{
+    .exchange = aExchange, .options = options, .state = state, .route = *route, .team = credential.team
+  };
+  if (const auto refusal = Admit(accepted)) {
+    RefuseImmediately(aExchange, *refusal);
     return;
   }
-  if (const auto until = QuarantinedUntil(*route, request, aExchange->ReceivedAt())) {
-    m_quarantinedCounter->Increment();
-    RefuseImmediately(
-      aExchange,
-      { .status = 503,
-        .reason = "targets ended whenever they ran this request; report it to the authors of the service",
-        .callId = options.callId,
-        .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*until - aExchange->ReceivedAt()) });
-    return;
+  StartCall(accepted);
+}
+
+std::optional<RefusalDetails>
+Entry::Admit(const AcceptedRequest& aRequest)
+{
+  if (auto refusal = RefuseWhileStopping(aRequest)) {
+    return refusal;
   }
-  if (!TryAcquireLimit(configuration, route->limit)) {
-    RefuseImmediately(
-      aExchange,
-      { .status = 429, .reason = "the limit '" + route->limit + "' is reached", .callId = options.callId });
-    return;
+  if (auto refusal = RefuseQuarantined(aRequest)) {
+    return refusal;
   }
-  const std::chrono::milliseconds timeout =
-    std::clamp(options.timeout.value_or(route->timeout), std::chrono::milliseconds(0), kLongestTimeout);
-  const auto objective = route->latencyObjective.count() > 0 ? route->latencyObjective : route->timeout;
-  const Deadline now = aExchange->ReceivedAt();
+  const std::string& limit = aRequest.route.limit;
+  if (!TryAcquireLimit(aRequest.state.snapshot->configuration, limit)) {
+    return RefusalDetails{ .status = 429,
+                           .reason = "the limit '" + limit + "' is reached",
+                           .callId = aRequest.options.callId };
+  }
+  return std::nullopt;
+}
+
+std::optional<RefusalDetails>
+Entry::RefuseWhileStopping(const AcceptedRequest& aRequest) const
+{
+  const std::optional<DrainSchedule>& drainSchedule = aRequest.state.drainSchedule;
+  if (!drainSchedule ||
+      drainSchedule->Accepts(aRequest.exchange->ReceivedAt(), P95CallTime(aRequest.route))) {
+    return std::nullopt;
+  }
+  return RefusalDetails{ .status = 503,
+                         .reason = "the entry is shutting down; use another",
+                         .callId = aRequest.options.callId,
+                         .retryAfter = kRetryAfterWhileStopping };
+}
+
+std::optional<RefusalDetails>
+Entry::RefuseQuarantined(const AcceptedRequest& aRequest)
+{
+  const Deadline receivedAt = aRequest.exchange->ReceivedAt();
+  const auto until = QuarantinedUntil(aRequest.route, aRequest.exchange->Request(), receivedAt);
+  if (!until) {
+    return std::nullopt;
+  }
+  m_quarantinedCounter->Increment();
+  return RefusalDetails{
+    .status = 503,
+    .reason = "targets ended whenever they ran this request; report it to the authors of the service",
+    .callId = aRequest.options.callId,
+    .retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*until - receivedAt)
+  };
+}
+
+void
+Entry::StartCall(const AcceptedRequest& aRequest)
+{
+  const Route& route = aRequest.route;
+  const Team* const team = aRequest.team;
+  const std::chrono::milliseconds timeout = std::clamp(
+    aRequest.options.timeout.value_or(route.timeout), std::chrono::milliseconds(0), kLongestTimeout);
+  const auto objective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout;
+  const Deadline receivedAt = aRequest.exchange->ReceivedAt();
   const auto call = std::make_shared<EntryCall>(
     *this,
-    aExchange,
-    EntryCall::Options{ .callId = options.callId,
-                        .snapshot = snapshot,
-                        .route = route,
-                        .team = credential.team == nullptr ? "" : credential.team->name,
-                        .teamPriority = credential.team == nullptr ? 0 : credential.team->priority,
-                        .teamRate = credential.team == nullptr ? 0 : credential.team->requestsPerSecond,
-                        .deadline = now + std::min(timeout, route->timeout),
-                        .objectiveDeadline = now + objective - EstimateTimeSpent(*route, timeout) });
+    aRequest.exchange,
+    CallOptions{ .callId = aRequest.options.callId,
+                 .snapshot = aRequest.state.snapshot,
+                 .route = &route,
+                 .team = team == nullptr ? "" : team->name,
+                 .teamPriority = team == nullptr ? 0 : team->priority,
+                 .teamRate = team == nullptr ? 0 : team->requestsPerSecond,
+                 .deadline = receivedAt + std::min(timeout, route.timeout),
+                 .objectiveDeadline = receivedAt + objective - EstimateTimeSpent(route, timeout) });
   call->Start();
 }
 
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -2,7 +2,7 @@
 
 #include "caller/balancer.h"
 #include "caller/callerprotocol.h"
-#include "caller/callhistory.h"
+#include "caller/callrecorder.h"
 #include "caller/callwait.h"
 #include "caller/choicemetrics.h"
 #include "caller/retrybudget.h"
@@ -10,7 +10,6 @@
 #include "caller/sharesplitter.h"
 #include "common/drainschedule.h"
 #include "common/quantileestimate.h"
-#include "common/ratelimit.h"
 #include "configuration/snapshot.h"
 #include "http/forwarder.h"
 #include "http/server.h"
@@ -96,7 +95,7 @@
    * it. */
   RouteExplanation ExplainRoute(const std::string& aHost, const HttpRequest& aRequest, Deadline aNow);
 
-  const CallHistory& History() const { return m_history; }
+  const CallHistory& History() const { return m_recorder.History(); }
 
   /** Stops listening. */
   void Stop();
@@ -104,10 +103,36 @@
 private:
   friend class EntryCall;
   friend class EntryAttempt;
+  friend class GateSelector;
 
   explicit Entry(Options aOptions);
 
+  /** What a request is checked against. */
+  struct State
+  {
+    SnapshotPointer snapshot;
+    /** Set once the node is stopping. */
+    std::optional<DrainSchedule> drainSchedule;
+  };
+
+  /** A request that matches a route and whose credential is accepted. */
+  struct AcceptedRequest
+  {
+    const ExchangePointer& exchange;
+    const RequestOptions& options;
+    const State& state;
+    /** Owned by the snapshot of the state. */
+    const Route& route;
+    /** Null on public routes and where there are no teams. */
+    const Team* team = nullptr;
+  };
+
   void Handle(const ExchangePointer& aExchange);
+  /** Returns why a request can't run at present, or acquires the limit of its route. */
+  std::optional<RefusalDetails> Admit(const AcceptedRequest& aRequest);
+  std::optional<RefusalDetails> RefuseWhileStopping(const AcceptedRequest& aRequest) const;
+  std::optional<RefusalDetails> RefuseQuarantined(const AcceptedRequest& aRequest);
+  void StartCall(const AcceptedRequest& aRequest);
   /** Returns until when no target may run a request, if it is quarantined. */
   std::optional<Deadline> QuarantinedUntil(const Route& aRoute,
                                            const HttpRequest& aRequest,
@@ -132,11 +157,12 @@
    * timeouts vary.
    */
   std::chrono::milliseconds EstimateTimeSpent(const Route& aRoute, std::chrono::milliseconds aTimeout);
-  /** Counts a call that was sent to gates and didn't run, by why it was sent to no further one. */
-  void CountRefusal(const CallRecord& aRecord) const;
   bool TryAcquireLimit(const Configuration& aConfiguration, const std::string& aLimit);
   void ReleaseLimit(const std::string& aLimit);
+  State CurrentState() const;
   GateDirectoryPointer CurrentDirectory() const;
+  /** Returns the service of the target of this node; empty if there is none. */
+  std::string LocalService() const;
   CallRequirements RequirementsOf(const Route& aRoute, const CallTimes& aTimes, Deadline aNow) const;
   /** Records the body bytes of a request and its response. */
   void RecordCallSize(const Route& aRoute, size_t aBytes);
@@ -162,10 +188,8 @@
   RetryBudget m_hedgeBudget;
   ShareSplitter m_splitter;
   VersionSplitter m_versionSplitter;
-  CallHistory m_history;
+  CallRecorder m_recorder;
   CredentialGate m_credentials;
-  /** Limits the log records of refused calls, which are very frequent under overload. */
-  RateLimit m_refusalLogLimit;
   mutable std::mutex m_mutex;
   SnapshotPointer m_snapshot;
   GateDirectoryPointer m_directory;
@@ -177,12 +201,8 @@
   std::mutex m_limitMutex;
   std::map<std::string, int64_t> m_limitUsage;
   std::atomic<int> m_openCalls{ 0 };
-  prometheus::Counter* m_completeCounter = nullptr;
-  prometheus::Counter* m_notRunCounter = nullptr;
-  prometheus::Counter* m_unknownCounter = nullptr;
   prometheus::Counter* m_retryCounter = nullptr;
   prometheus::Counter* m_quarantinedCounter = nullptr;
-  prometheus::Histogram* m_callTimeHistogram = nullptr;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "caller/balancer.h"
-#include "caller/callgates.h"
 #include "caller/callhistory.h"
-#include "caller/callwait.h"
+#include "caller/calloptions.h"
 #include "caller/entryattempt.h"
+#include "caller/gateselector.h"
+#include "caller/openattempts.h"
 #include "caller/quotaadmission.h"
-#include "configuration/snapshot.h"
-#include "hop/hopheaders.h"
 #include "http/refusal.h"
 #include "http/server.h"
 
@@ -15,8 +14,8 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 namespace mimosarun {
 
@@ -26,23 +25,7 @@
 class EntryCall : public std::enable_shared_from_this<EntryCall>
 {
 public:
-  struct Options
-  {
-    std::string callId;
-    SnapshotPointer snapshot;
-    /** Owned by the snapshot. */
-    const Route* route = nullptr;
-    /** Name of the caller's team; empty on public routes and where there are no teams. */
-    std::string team;
-    int64_t teamPriority = 0;
-    /** Requests per second of the quota of the team; zero if it has none. */
-    double teamRate = 0;
-    Deadline deadline;
-    /** Until then a response has its full value to the caller. */
-    Deadline objectiveDeadline;
-  };
-
-  EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions);
+  EntryCall(Entry& aEntry, ExchangePointer aExchange, CallOptions aOptions);
   ~EntryCall();
 
   /**
@@ -60,28 +43,17 @@
   void SendWithinQuota();
   void OnQuota(const QuotaVerdict& aVerdict);
   void StartTimers();
-  /** Sends the call to the best remaining gate; returns false if no further attempt is possible. */
-  bool SendNext();
-  std::optional<GateChoice> ChooseGate(Deadline aNow);
-  /** Returns whether the caller's key may still be honoured. */
-  bool HasValidCredential() const;
-  /** Notes why the call is sent to no further gate; returns false. */
-  bool StopSending(StopReason aReason);
-  size_t CountUntriedGates() const;
   /**
-   * Returns why no other attempt is allowed, or StopReason::None; every attempt after the first uses a retry
-   * of the budget.
+   * Sends the call to the best remaining gate; returns false if no further attempt is possible.
+   *
+   * @param aAvoidedGates nodes whose gates this attempt mustn't be sent to
    */
-  StopReason ReserveAttempt();
-  CallTimes Times() const;
+  bool SendNext(const std::set<std::string>& aAvoidedGates = {});
   /** Sends a further attempt beside the open ones, if possible to another gate; returns whether it did. */
   bool SendParallel();
   void Send(const GateChoice& aChoice);
   /** Sends the call once more to a gate whose connection broke, since the gate may have received it. */
   void ResendTo(const GateInfo& aGate);
-  /** Returns how long the call may wait for a slot of a gate. */
-  std::chrono::microseconds LongestAllowedWait(Deadline aNow) const;
-  HttpRequest MakeGateRequest(Deadline aNow, const GateChoice& aChoice) const;
 
   /** Starts a timer that detects that the connection of an attempt may be stalled. */
   void WatchForStall(const AttemptPointer& aAttempt);
@@ -96,24 +68,28 @@
   void OnRejected(EntryAttempt& aAttempt);
   void OnNotRun(EntryAttempt& aAttempt);
   void OnAttemptFailed(EntryAttempt& aAttempt, ForwardResult aResult);
-  void ReportAttemptResult(const EntryAttempt& aAttempt, AttemptOutcome aOutcome);
   void FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
+  /** Adds a record of a call whose response begins. */
+  void RecordStreaming(int aStatus);
   void GiveUp(int aStatus, const std::string& aReason);
   void Respond(HttpResponseHead aHead, std::string aBody);
   void Refuse(int aStatus, const std::string& aReason);
   std::chrono::milliseconds RetryAfter() const;
-  void CancelAttemptsExcept(const EntryAttempt* aKept);
   void MarkDecided();
+  /**
+   * Records how the call ended. Called before a response is sent whole, since operators may ask about a call
+   * as soon as its caller has the response.
+   */
   void RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason);
 
   Entry& m_entry;
   const ExchangePointer m_exchange;
   EventLoop& m_loop;
-  const Options m_options;
+  const CallOptions m_options;
   const Deadline m_receivedAt;
-  std::string m_service;
+  const std::string m_service;
   boost::asio::steady_timer m_deadlineTimer;
   boost::asio::steady_timer m_hedgeTimer;
   boost::asio::steady_timer m_halfTimer;
@@ -121,13 +97,8 @@
   std::shared_ptr<QuotaAdmission> m_quota;
   /** Set if the quota of the team was used up. */
   std::optional<std::chrono::milliseconds> m_quotaRetryAfter;
-  std::vector<AttemptPointer> m_attempts;
-  CallGates m_gates;
-  TriedGates m_triedGates;
-  /** Attempts that were passed to a target. */
-  int64_t m_targetAttempts = 0;
-  /** Attempts that were sent to a gate. */
-  int m_gateAttempts = 0;
+  OpenAttempts m_attempts;
+  GateSelector m_gateSelector;
   /** Whether an attempt without a response may have run. */
   bool m_mayHaveRun = false;
   /** Whether the call is being resent to a gate that may have received it. */
