--- a/tests/harness/downloads.cpp
+++ b/tests/harness/downloads.cpp
@@ -199,6 +199,7 @@
     } else {
       const size_t before = bytes.size();
       open = aConnection.ReceiveSome(bytes, limit, kReadPoll);
+      aDownload.reset = !open && errno != 0;
       aDownload.receivedBytes += bytes.size() - before;
       boost::system::error_code error;
       bytes.erase(0, parser.put(boost::asio::buffer(bytes), error));
@@ -276,9 +277,10 @@
                                               : "  wrong: ")
                 << download.key << " at " << download.node << ": " << download.receivedBytes << " bytes of "
                 << download.bodyBytes << ", status " << download.status << " " << download.outcome << ", "
-                << (ran ? "ran" : "did not run") << ", " << download.time.count() << " ms, "
-                << download.bytesAfterEnd << " bytes after the node's end, ended at "
-                << download.endedAt.time_since_epoch().count() << "\n";
+                << (ran ? "ran" : "did not run") << (download.reset ? ", reset" : "") << ", "
+                << download.time.count() << " ms, " << download.bytesAfterEnd
+                << " bytes after the node's end, ended at " << download.endedAt.time_since_epoch().count()
+                << "\n";
     }
   }
   return all;
--- a/tests/harness/downloads.h
+++ b/tests/harness/downloads.h
@@ -31,6 +31,8 @@
   bool bodyIsRight = false;
   /** The caller gave up because its round ended. */
   bool abandoned = false;
+  /** The connection was reset, as by a node's kernel that gives up on a slow reader. */
+  bool reset = false;
   /** Bytes that the caller's kernel received after the node's process had ended. */
   size_t bytesAfterEnd = 0;
   std::chrono::milliseconds time{ 0 };
--- a/tests/harness/rawserver.cpp
+++ b/tests/harness/rawserver.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace mimosarun {
 
@@ -103,6 +104,7 @@
   }
   const size_t before = aBytes.size();
   aBytes.resize(before + aLimit);
+  errno = 0;
   const ssize_t length = ::recv(m_socket, aBytes.data() + before, aLimit, 0);
   aBytes.resize(before + static_cast<size_t>(std::max<ssize_t>(length, 0)));
   return length > 0;
--- a/tests/harness/rawserver.h
+++ b/tests/harness/rawserver.h
@@ -41,7 +41,10 @@
   /** Returns the bytes that arrive until they contain aText, the peer closes or aTime is over. */
   std::string ReceiveUntil(const std::string& aText, std::chrono::milliseconds aTime) const;
 
-  /** Appends the bytes that arrive next within aTime, up to a limit; returns false if the peer has closed. */
+  /**
+   * Appends the bytes that arrive next within aTime, up to a limit; returns false if the peer has closed.
+   * Then errno is zero unless the connection was reset.
+   */
   bool ReceiveSome(std::string& aBytes, size_t aLimit, std::chrono::milliseconds aTime) const;
 
   /** Returns how many received bytes the kernel holds. */
