Nodes refuse the calls that outlast their drain

What callers could see: a call that was still open at the end of the drain of the node that had taken it got neither an answer nor a refusal; its connection was closed.

Cause: a drain that doesn't finish in time ends with the process. Nothing answers the calls that haven't ended, also not those that were taken before the stop signal, whose time isn't compared with the drain's end.

The last 200 ms of a drain are now left for refusing the open calls: 502 with an unknown outcome if the call was sent to a gate, else 503. A response that is being streamed is still cut off.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -37,6 +37,7 @@
   , m_directory(std::make_shared<const GateDirectory>())
 {
   Metrics& metrics = *m_options.metrics;
+  m_calls = std::make_shared<EntryCallRegistry>();
   const std::string help = "Calls of this entry by outcome";
   m_completeCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "complete" } });
   m_notRunCounter = &metrics.Counter("mimosarun_entry_calls_total", help, { { "outcome", "not-run" } });
@@ -130,6 +131,25 @@
   m_server->CloseAfterResponses();
 }
 
+void
+Entry::RefuseOpenCalls()
+{
+  std::vector<std::shared_ptr<EntryCall>> calls;
+  {
+    const std::lock_guard lock(m_calls->mutex);
+    for (const auto& [address, weak] : m_calls->calls) {
+      if (auto call = weak.lock()) {
+        calls.push_back(std::move(call));
+      }
+    }
+  }
+  for (std::shared_ptr<EntryCall>& call : calls) {
+    // The last reference may end here, and must do so on the loop.
+    EventLoop& loop = call->Loop();
+    loop.Dispatch([onLoop = std::move(call)] { onLoop->OnEntryEnds(); });
+  }
+}
+
 int
 Entry::OpenCalls() const
 {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -31,6 +31,7 @@
 namespace mimosarun {
 
 class EntryCall;
+struct EntryCallRegistry;
 
 /**
  * The caller side of a node: matches each request to a route, forwards it to a gate, and returns the complete
@@ -80,6 +81,9 @@
   /** Stops accepting connections, and closes each open one after its last response. */
   void StopListening();
 
+  /** Refuses the calls without a response, whose outcome is unknown if they were sent to a gate. */
+  void RefuseOpenCalls();
+
   /** Returns the number of calls without a complete response. */
   int OpenCalls() const;
 
@@ -177,6 +181,7 @@
   std::mutex m_limitMutex;
   std::map<std::string, int64_t> m_limitUsage;
   std::atomic<int> m_openCalls{ 0 };
+  std::shared_ptr<EntryCallRegistry> m_calls;
   prometheus::Counter* m_completeCounter = nullptr;
   prometheus::Counter* m_notRunCounter = nullptr;
   prometheus::Counter* m_unknownCounter = nullptr;
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -56,6 +56,7 @@
 
 EntryCall::EntryCall(Entry& aEntry, ExchangePointer aExchange, Options aOptions)
   : m_entry(aEntry)
+  , m_registry(m_entry.m_calls)
   , m_exchange(std::move(aExchange))
   , m_loop(m_exchange->Loop())
   , m_options(std::move(aOptions))
@@ -76,6 +77,8 @@
 {
   m_entry.ReleaseLimit(m_options.route->limit);
   --m_entry.m_openCalls;
+  const std::lock_guard lock(m_registry->mutex);
+  m_registry->calls.erase(this);
 }
 
 // --- Sending ---------------------------------------------------------------------------------------------
@@ -84,6 +87,10 @@
 EntryCall::Start()
 {
   const auto self = shared_from_this();
+  {
+    const std::lock_guard lock(m_registry->mutex);
+    m_registry->calls[this] = self;
+  }
   m_exchange->OnCancel([self] { self->OnCallerDisconnected(); });
   m_entry.m_retryBudget.RecordRequest(m_service, m_receivedAt);
   m_entry.m_hedgeBudget.RecordRequest(m_service, m_receivedAt);
@@ -456,6 +463,17 @@
   CancelAttemptsExcept(nullptr);
 }
 
+void
+EntryCall::OnEntryEnds()
+{
+  if (m_decided) {
+    return;
+  }
+  m_mayHaveRun = m_mayHaveRun || !m_attempts.empty();
+  Refuse(m_mayHaveRun ? 502 : 503, "the entry ended before the response arrived");
+  CancelAttemptsExcept(nullptr);
+}
+
 void
 EntryCall::OnCallerDisconnected()
 {
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -13,7 +13,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +23,14 @@
 namespace mimosarun {
 
 class Entry;
+class EntryCall;
+
+/** The calls of an entry, which may outlive it. */
+struct EntryCallRegistry
+{
+  std::mutex mutex;
+  std::map<const EntryCall*, std::weak_ptr<EntryCall>> calls;
+};
 
 /** One call at its entry and its attempts at gates, one of which provides the response. Runs on one loop. */
 class EntryCall : public std::enable_shared_from_this<EntryCall>
@@ -51,6 +61,11 @@
    */
   void Start();
 
+  EventLoop& Loop() const { return m_loop; }
+
+  /** Refuses the call if it has no response yet, as its entry ends; only on the call's loop. */
+  void OnEntryEnds();
+
 private:
   friend class EntryAttempt;
   using AttemptPointer = std::shared_ptr<EntryAttempt>;
@@ -109,6 +124,7 @@
   void RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason);
 
   Entry& m_entry;
+  const std::shared_ptr<EntryCallRegistry> m_registry;
   const ExchangePointer m_exchange;
   EventLoop& m_loop;
   const Options m_options;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,8 @@
 static constexpr std::chrono::milliseconds kLeaseCheckInterval{ 250 };
 static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
 static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
+/** Part of a drain that is left for refusing the calls that haven't ended. */
+static constexpr std::chrono::milliseconds kRefusalTime{ 200 };
 /** Limit of log records about undelivered responses on each side. */
 static constexpr size_t kLoggedUndelivered = 20;
 
@@ -321,7 +323,11 @@
   std::this_thread::sleep_until(acceptUntil);
   m_entry->StopListening();
   BeginStoppingBackground();
-  const bool finished = WaitForResponses(end);
+  bool finished = WaitForResponses(end - kRefusalTime);
+  if (!finished) {
+    m_entry->RefuseOpenCalls();
+    finished = WaitForResponses(end);
+  }
   LogDrained(finished);
 }
 
--- a/tests/harness/mesh.cpp
+++ b/tests/harness/mesh.cpp
@@ -250,6 +250,9 @@
     settings["callerAddress"] = aProcess.callerAddress.Text();
     settings["gateAddress"] = aProcess.gateAddress.Text();
     settings["targetAddress"] = aProcess.announceAddress.Text();
+    if (m_options.drainTimeout.count() > 0) {
+      settings["drainMs"] = m_options.drainTimeout.count();
+    }
   }
   return settings.dump(2);
 }
--- a/tests/harness/mesh.h
+++ b/tests/harness/mesh.h
@@ -67,6 +67,8 @@
   std::vector<std::string> nodeOptions;
   /** Settings of all processes for strict revocation; zero leaves it off. */
   std::chrono::milliseconds revocationBound{ 0 };
+  /** Longest time from the stop signal of a node to the end of its calls; zero leaves the default. */
+  std::chrono::milliseconds drainTimeout{ 0 };
   /** Additional environment variables ("NAME=value") of processes, by process name. */
   std::map<std::string, std::vector<std::string>> environment;
   std::string folder;
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -3,6 +3,7 @@
 
 #include "load/generator.h"
 
+#include <algorithm>
 #include <csignal>
 #include <set>
 #include <thread>
@@ -147,3 +148,31 @@
   BOOST_TEST(completeCalls == 8);
   CheckAllCallsComplete(load.Finish());
 }
+
+// Guards against: a call that is still open when a leaving node has to end gets neither an answer nor a
+// refusal.
+BOOST_AUTO_TEST_CASE(calls_that_outlast_the_drain_of_their_entry_are_answered)
+{
+  MeshOptions options = SmallMesh("shortdrain");
+  options.drainTimeout = std::chrono::milliseconds(2000);
+  RunningMesh mesh(std::move(options));
+  const std::string leavingNode = "node-east-1-books-1";
+  TestResponse response;
+  std::thread caller([&] {
+    response = Send(mesh.ProcessOf(leavingNode).callerAddress,
+                    { .path = "/books/long?ms=4000", .timeout = std::chrono::milliseconds(8000) });
+  });
+  BOOST_TEST(WaitUntil(kRecoveryLimit, [&] {
+    const std::vector<std::string> lines = mesh.LedgerLines();
+    return std::any_of(lines.begin(), lines.end(), [](const std::string& aLine) {
+      return aLine.find("/books/long") != std::string::npos;
+    });
+  }));
+  mesh.ProcessOf(leavingNode).process.Signal(SIGTERM);
+  int status = -1;
+  BOOST_TEST(mesh.ProcessOf(leavingNode).process.WaitForEnd(kRecoveryLimit, status));
+  caller.join();
+  BOOST_TEST_MESSAGE("status " << response.status << ", outcome " << response.outcome);
+  BOOST_TEST(response.transferComplete);
+  BOOST_TEST(response.outcome == "unknown");
+}
