HTTP server: a connection is listed once it can be asked

A connection was put into the server's list by its constructor, before its parser existed and before a shared pointer to it did. A drain that asked just then would have read a parser that isn't there. Found by the review and by reading; not seen.

It is listed on its loop now, after its parser is made. Besides, comments that no longer fit.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -34,9 +34,9 @@
   , m_credentials({ .lease = m_options.lease, .metrics = m_options.metrics })
   , m_snapshot(EmptySnapshot())
   , m_directory(std::make_shared<const GateDirectory>())
+  , m_calls(std::make_shared<EntryCallRegistry>())
 {
   Metrics& metrics = *m_options.metrics;
-  m_calls = std::make_shared<EntryCallRegistry>();
   m_retryCounter = &metrics.Counter("mimosarun_entry_retries_total", "Attempts after the first", {});
   m_quarantinedCounter =
     &metrics.Counter("mimosarun_entry_quarantined_total", "Calls refused as they are quarantined", {});
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -111,6 +111,7 @@
     std::atomic<size_t> connections{ 0 };
     /** Requests that were read and whose responses weren't written completely. */
     std::atomic<size_t> openExchanges{ 0 };
+    /** Guarded by the mutex. */
     std::set<ServerConnection*> openConnections;
     std::atomic<bool> closing{ false };
     /** The server is being destroyed, so no connection may begin to use its handler. */
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -30,6 +30,8 @@
     self->ResetParser();
     self->ResetTimer();
     self->Read();
+    const std::lock_guard lock(self->m_shared->mutex);
+    self->m_shared->openConnections.insert(self.get());
   });
 }
 
@@ -42,8 +44,6 @@
   , m_timer(aLoop.Context())
 {
   ++m_shared->connections;
-  const std::lock_guard lock(m_shared->mutex);
-  m_shared->openConnections.insert(this);
 }
 
 ServerConnection::~ServerConnection()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,7 +76,7 @@
   m_quotas.Stop();
   m_gossiper.Stop();
   m_server.reset();
-  // This closes all connections, so that none of them uses entry or gate afterwards.
+  // No handler of a connection runs afterwards, so none uses entry or gate.
   m_loops.Stop();
 }
 
