Drain until nothing has arrived for 500 ms

Callers got 502 with an unknown outcome for requests that never reached a target, and calls that may not be repeated failed for good, when a node left.

A process took the first moment without open calls and without undelivered bytes for the end of its drain.

A drain now ends when all is delivered and nothing (no connection, no bytes of a request) has arrived for 500 ms, or at its end as before. Until then gate and entry refuse what arrives as not run. The quiet time counts from the last arrival and not from the signal, so a process that has been quiet ends as soon as it stops accepting. HttpServer::Drain does the same, so a control replica answers the orders that follow each other closely; it has 1.2 s as before. Event 509 says in `quiet` whether peers still sent.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,8 @@
 /** Delay after a failed accept, for example when the process has run out of file descriptors. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
 static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
+/** Requests were seen to be under way for up to 276 ms on full links. */
+static constexpr std::chrono::milliseconds kQuietTime{ 500 };
 
 Result<std::unique_ptr<HttpServer>>
 HttpServer::Start(Options aOptions)
@@ -90,6 +92,7 @@
 void
 HttpServer::Serve(const std::shared_ptr<Shared>& aShared, tcp::socket aSocket, EventLoop& aLoop)
 {
+  aShared->lastArrivalAt = SteadyClock::now();
   if (!aShared->ended && aShared->connections < aShared->options.maximumConnections) {
     ServerConnection::Begin(std::move(aSocket), aShared, aLoop);
   }
@@ -178,18 +181,24 @@
   return m_shared->openExchanges == 0 && UndeliveredResponses().empty();
 }
 
+bool
+HttpServer::IsQuiet() const
+{
+  return SteadyClock::now() >= m_shared->lastArrivalAt.load() + kQuietTime;
+}
+
 bool
 HttpServer::Drain(Deadline aDeadline)
 {
   StopListening();
   CloseAfterResponses();
   while (SteadyClock::now() < aDeadline) {
-    if (HasDelivered()) {
+    if (HasDelivered() && IsQuiet()) {
       return true;
     }
     std::this_thread::sleep_for(kDrainPollInterval);
   }
-  return false;
+  return HasDelivered();
 }
 
 void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -90,9 +90,13 @@
   /** Returns whether the peers have all bytes of all responses; not to be called on a loop of the server. */
   bool HasDelivered() const;
 
+  /** Returns whether nothing has arrived for so long that no request should be on its way. */
+  bool IsQuiet() const;
+
   /**
-   * Stops listening, and waits until the peers have all responses to the requests of which a part was read.
-   * Returns whether they had before the deadline; not to be called on a loop of the server.
+   * Stops listening, and waits until the peers have all responses to the requests of which a part was read
+   * and the server is quiet. Returns whether they have all responses; not to be called on a loop of the
+   * server.
    */
   bool Drain(Deadline aDeadline);
 
@@ -111,6 +115,8 @@
     std::atomic<size_t> connections{ 0 };
     /** Requests that were read and whose responses weren't written completely. */
     std::atomic<size_t> openExchanges{ 0 };
+    /** When a connection was accepted or bytes of a request were read last. */
+    std::atomic<Deadline> lastArrivalAt{ Deadline{} };
     /** Guarded by the mutex. */
     std::set<ServerConnection*> openConnections;
     std::atomic<bool> closing{ false };
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -104,6 +104,7 @@
     }
     return;
   }
+  m_shared->lastArrivalAt = SteadyClock::now();
   m_buffer.commit(aLength);
   if (ParseBuffered()) {
     Read();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -294,12 +294,19 @@
 }
 
 bool
-Node::WaitForResponses(Deadline aDeadline) const
+Node::HasAnswered() const
+{
+  const bool haveEnded = m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0;
+  // The response to a call that has ended may still wait for a slow peer.
+  return haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered();
+}
+
+bool
+Node::WaitUntilDrained(Deadline aDeadline) const
 {
   while (SteadyClock::now() < aDeadline) {
-    const bool haveEnded = m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0;
-    // The response to a call that has ended may still wait for a slow peer.
-    if (haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered()) {
+    // Entries that learn late that the node leaves have sent calls that are still on their way.
+    if (HasAnswered() && m_gate->IsQuiet() && m_entry->IsQuiet()) {
       return true;
     }
     std::this_thread::sleep_for(kDrainPollInterval);
@@ -323,12 +330,11 @@
   std::this_thread::sleep_until(acceptUntil);
   m_entry->StopListening();
   BeginStoppingBackground();
-  bool finished = WaitForResponses(end - kRefusalTime);
-  if (!finished) {
+  if (!WaitUntilDrained(end - kRefusalTime)) {
     m_entry->RefuseOpenCalls();
-    finished = WaitForResponses(end);
+    WaitUntilDrained(end);
   }
-  LogDrained(finished);
+  LogDrained(HasAnswered());
 }
 
 static void
@@ -356,7 +362,8 @@
         { "entry-calls", m_entry->OpenCalls() },
         { "gate-calls", m_gate->OpenCalls() },
         { "entry-undelivered", atEntry.size() },
-        { "gate-undelivered", atGate.size() } });
+        { "gate-undelivered", atGate.size() },
+        { "quiet", m_gate->IsQuiet() && m_entry->IsQuiet() ? "yes" : "no" } });
   LogUndelivered("entry", atEntry);
   LogUndelivered("gate", atGate);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -102,8 +102,10 @@
   void ScheduleLeaseCheck();
   /** Stops the exchange with members and control, which may wait for slow peers, without blocking. */
   void BeginStoppingBackground();
-  /** Returns whether all calls ended, and the peers had their responses, before the deadline. */
-  bool WaitForResponses(Deadline aDeadline) const;
+  /** Returns whether all calls have ended and the peers have their responses. */
+  bool HasAnswered() const;
+  /** Waits until the node has answered and no further call is on its way; returns false at the deadline. */
+  bool WaitUntilDrained(Deadline aDeadline) const;
   /** Logs the end of the drain, and the responses that are cut off by the end of the process. */
   void LogDrained(bool aFinished) const;
   Answer ShowInForce() const;
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -84,6 +84,9 @@
   /** Returns whether entries have all bytes of all responses. */
   bool HasDelivered() const { return m_server->HasDelivered(); }
 
+  /** Returns whether nothing has arrived for so long that no call should be on its way. */
+  bool IsQuiet() const { return m_server->IsQuiet(); }
+
   /** Returns the responses of which entries lack bytes. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
 
--- a/tests/http/httptest.cpp
+++ b/tests/http/httptest.cpp
@@ -358,6 +358,49 @@
   BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against: a server takes a moment without requests for their end, and its peer can't tell whether the
+// request that was on its way has run.
+BOOST_AUTO_TEST_CASE(a_server_is_not_drained_between_two_requests)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  caller.Send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  auto drained = std::async(std::launch::async, [&server] {
+    return server.Http().Drain(SteadyClock::now() + std::chrono::seconds(5));
+  });
+  BOOST_TEST((drained.wait_for(milliseconds(250)) == std::future_status::timeout));
+  caller.Send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(1)->Respond({ .status = 503 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 503"));
+  BOOST_TEST(drained.get());
+}
+
+// Guards against: a server ends between the accepting of a connection and the arrival of its first request.
+BOOST_AUTO_TEST_CASE(a_server_is_not_drained_before_the_first_request_of_a_connection)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  auto drained = std::async(std::launch::async, [&server] {
+    return server.Http().Drain(SteadyClock::now() + std::chrono::seconds(5));
+  });
+  BOOST_TEST((drained.wait_for(milliseconds(250)) == std::future_status::timeout));
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Exchange(0)->Respond({ .status = 200 });
+  BOOST_TEST(caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3)).starts_with("HTTP/1.1 200"));
+  BOOST_TEST(drained.get());
+}
+
+// Guards against: every stop takes longer although peers have sent nothing for a while.
+BOOST_AUTO_TEST_CASE(a_server_that_has_been_quiet_is_drained_at_once)
+{
+  ManualServer server;
+  RawConnection caller(server.Where());
+  std::this_thread::sleep_for(milliseconds(800));
+  BOOST_TEST(server.Http().Drain(SteadyClock::now() + milliseconds(250)));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_is_drained_when_its_handler_has_responded)
 {
   ManualServer server;
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE leaving
 #include "harness/running.h"
 
+#include "harness/rawserver.h"
+#include "hop/hopheaders.h"
 #include "load/generator.h"
 
 #include <algorithm>
@@ -176,3 +178,64 @@
   BOOST_TEST(response.transferComplete);
   BOOST_TEST(response.outcome == "unknown");
 }
+
+/** Sends calls to a gate over one connection, like an entry that hasn't learned that the gate's node leaves.
+ */
+class LateEntry
+{
+public:
+  explicit LateEntry(const Address& aGate)
+    : m_connection(aGate)
+  {
+  }
+
+  /** Returns the head of the response, or an empty text without one. */
+  std::string Call()
+  {
+    HttpHeaders headers;
+    WriteHop(headers,
+             HopRequest{ .callId = "late-" + std::to_string(++m_lastCall),
+                         .service = "books",
+                         .route = "late",
+                         .repeatPolicy = RepeatPolicy::Idempotent,
+                         .expectedCost = std::chrono::milliseconds(10),
+                         .timeLeft = std::chrono::milliseconds(2000),
+                         .timeToObjective = std::chrono::milliseconds(2000),
+                         .longestWait = std::chrono::milliseconds(1000),
+                         .maxFailurePenalty = std::chrono::milliseconds(10000) });
+    const bool isSent = m_connection.Send("GET /books/item?ms=1 HTTP/1.1\r\nHost: x\r\n" +
+                                          headers.front().name + ": " + headers.front().value + "\r\n\r\n");
+    return isSent ? m_connection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(2)) : std::string();
+  }
+
+private:
+  RawConnection m_connection;
+  int m_lastCall = 0;
+};
+
+// Guards against: a leaving node takes a moment without calls for their end, and entries that learn late that
+// it leaves can't tell whether the calls that were on their way have run.
+BOOST_AUTO_TEST_CASE(a_leaving_node_answers_calls_that_entries_send_late)
+{
+  // Longer than a node takes calls after the signal.
+  constexpr int kLateCalls = 12;
+  constexpr std::chrono::milliseconds kInterval{ 200 };
+  constexpr std::chrono::milliseconds kEndLimit{ 2000 };
+  RunningMesh mesh(SmallMesh("latecalls"));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  LateEntry entry(node.gateAddress);
+  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 200"));
+  node.process.Signal(SIGTERM);
+  std::string lastResponse;
+  int answered = 0;
+  for (int call = 0; call < kLateCalls; ++call) {
+    std::this_thread::sleep_for(kInterval);
+    lastResponse = entry.Call();
+    answered += lastResponse.empty() ? 0 : 1;
+  }
+  BOOST_TEST(answered == kLateCalls);
+  BOOST_TEST(lastResponse.starts_with("HTTP/1.1 503"));
+  int status = -1;
+  BOOST_TEST(node.process.WaitForEnd(kEndLimit, status));
+  BOOST_TEST(status == 0);
+}
