Gates say that they leave, and entries avoid them at once

Callers waited for refusals, or got 502 with an unknown outcome, as entries went on to choose the gate of a node that leaves. Until then the gate looked idle and fast, since it had few calls and rejected the others at once.

The balancer doesn't choose such a gate until the directory has another incarnation of it, or drops it. Event 514 records once for each entry that it learned so.

--- a/src/caller/balancer.cpp
+++ b/src/caller/balancer.cpp
@@ -274,8 +274,13 @@
   size_t added = 0;
   for (size_t index = 0; index < aGates.size() && added < kSampleSize; ++index) {
     const KnownGate& gate = aGates[(first + index) % aGates.size()];
-    if (MayAccept(gate.gate->node, aTriedGates, aRequirements.longestWait)) {
-      aCandidates.push_back(MakeCandidate(gate, aTriedGates, aRequirements, aNow));
+    if (!MayAccept(gate.gate->node, aTriedGates, aRequirements.longestWait)) {
+      continue;
+    }
+    const Candidate candidate = MakeCandidate(gate, aTriedGates, aRequirements, aNow);
+    // A gate that leaves has few calls and refuses soon, so it would look idle and fast.
+    if (candidate.view.leavingIncarnation != gate.gate->incarnation) {
+      aCandidates.push_back(candidate);
       ++added;
     }
   }
@@ -430,6 +435,12 @@
   m_statistics.Of(aNode)->RecordLoad(aLoad, aNow);
 }
 
+bool
+Balancer::RecordLeaving(const std::string& aNode, int64_t aIncarnation)
+{
+  return m_statistics.Of(aNode)->RecordLeaving(aIncarnation);
+}
+
 std::chrono::microseconds
 Balancer::StallTimeout(const std::string& aNode)
 {
--- a/src/caller/balancer.h
+++ b/src/caller/balancer.h
@@ -149,7 +149,7 @@
   /**
    * Returns the best gate that isn't excluded, or nothing if there is none. A gate that rejected the call is
    * assumed to have at least the queue wait that it reported then, and isn't chosen if the call can't wait
-   * that long.
+   * that long. A gate that leaves isn't chosen.
    */
   std::optional<GateChoice> Choose(const std::vector<GateInfo>& aGates,
                                    const TriedGates& aTriedGates,
@@ -170,6 +170,12 @@
   /** Records the load that a gate reported. */
   void RecordLoad(const std::string& aNode, const GateLoad& aLoad, Deadline aNow);
 
+  /**
+   * Records that a gate said that its node leaves. It isn't chosen any more until the directory has another
+   * incarnation of it. Returns whether that is new.
+   */
+  bool RecordLeaving(const std::string& aNode, int64_t aIncarnation);
+
   /** Returns the time within which a healthy gate nearly always begins its response. */
   std::chrono::microseconds StallTimeout(const std::string& aNode);
 
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -2,6 +2,7 @@
 
 #include "caller/entry.h"
 #include "caller/entrycall.h"
+#include "common/log.h"
 #include "http/responsebuffering.h"
 
 namespace mimosarun {
@@ -25,17 +26,27 @@
     m_hopResponse = HopResponse{ .outcome = HopOutcome::Unknown };
     return HeadAction::Accept;
   }
-  m_call->m_entry.m_balancer.RecordLoad(m_gate.node,
-                                        { .slotsInUse = m_hopResponse->slotsInUse,
-                                          .slots = m_hopResponse->slots,
-                                          .queueLength = m_hopResponse->queueLength,
-                                          .queueWait = m_hopResponse->queueWait,
-                                          .failurePenalty = m_hopResponse->failurePenalty },
-                                        SteadyClock::now());
+  RecordGateReport();
   BeginStreamingIfLarge();
   return HeadAction::Accept;
 }
 
+void
+EntryAttempt::RecordGateReport()
+{
+  Balancer& balancer = m_call->m_entry.m_balancer;
+  balancer.RecordLoad(m_gate.node,
+                      { .slotsInUse = m_hopResponse->slotsInUse,
+                        .slots = m_hopResponse->slots,
+                        .queueLength = m_hopResponse->queueLength,
+                        .queueWait = m_hopResponse->queueWait,
+                        .failurePenalty = m_hopResponse->failurePenalty },
+                      SteadyClock::now());
+  if (m_hopResponse->isLeaving && balancer.RecordLeaving(m_gate.node, m_gate.incarnation)) {
+    Log(Event::GateLeaving, { { "node", m_gate.node } });
+  }
+}
+
 bool
 EntryAttempt::OnBody(std::string_view aBytes)
 {
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -28,6 +28,8 @@
   friend class EntryCall;
   friend class OpenAttempts;
 
+  /** Passes what the gate reports of itself to the balancer. */
+  void RecordGateReport();
   void BeginStreamingIfLarge();
 
   std::shared_ptr<EntryCall> m_call;
--- a/src/caller/gatestatistics.cpp
+++ b/src/caller/gatestatistics.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <utility>
 
 namespace mimosarun {
 
@@ -75,6 +76,13 @@
   m_otherCalls.Record(std::max(0.0, aLoad.slotsInUse + aLoad.queueLength - ownCalls), aNow);
 }
 
+bool
+GateStatistics::RecordLeaving(int64_t aIncarnation)
+{
+  const std::lock_guard lock(m_mutex);
+  return std::exchange(m_leavingIncarnation, aIncarnation) != aIncarnation;
+}
+
 GateView
 GateStatistics::View(const std::string& aCostGroup, Deadline aNow) const
 {
@@ -88,7 +96,8 @@
            .load = m_load,
            .loadReceivedAt = m_loadReceivedAt,
            .otherCalls = m_otherCalls.CallsAt(aNow, m_meanTime),
-           .ejectedUntil = m_ejectedUntil };
+           .ejectedUntil = m_ejectedUntil,
+           .leavingIncarnation = m_leavingIncarnation };
 }
 
 void
--- a/src/caller/gatestatistics.h
+++ b/src/caller/gatestatistics.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -62,6 +63,8 @@
   /** Expected calls of other entries at the gate. */
   double otherCalls = 0;
   Deadline ejectedUntil{};
+  /** Incarnation of the gate's process that was the last to say that it leaves. */
+  std::optional<int64_t> leavingIncarnation;
 };
 
 /** What an entry knows of one gate from its own attempts there and their responses. Thread-safe. */
@@ -71,6 +74,8 @@
   void RecordSent(CallClass aCallClass, Deadline aNow);
   void RecordResult(const AttemptResult& aResult, Deadline aNow);
   void RecordLoad(const GateLoad& aLoad, Deadline aNow);
+  /** Records that an incarnation of the gate's process said that it leaves; returns whether that is new. */
+  bool RecordLeaving(int64_t aIncarnation);
   GateView View(const std::string& aCostGroup, Deadline aNow) const;
   void RetireConnections();
   uint32_t ConnectionGeneration() const;
@@ -88,6 +93,7 @@
   LoadEstimate m_otherCalls;
   int m_consecutiveFailures = 0;
   Deadline m_ejectedUntil{};
+  std::optional<int64_t> m_leavingIncarnation;
   uint32_t m_connectionGeneration = 0;
 };
 
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -59,6 +59,7 @@
   EventDescription{ Event::TargetCrashed, Severity::Warning, "target-crashed" },
   EventDescription{ Event::RequestQuarantined, Severity::Error, "request-quarantined" },
   EventDescription{ Event::ResponseUndelivered, Severity::Warning, "response-undelivered" },
+  EventDescription{ Event::GateLeaving, Severity::Info, "gate-leaving" },
   EventDescription{ Event::RolloutApplied, Severity::Info, "rollout-applied" },
   EventDescription{ Event::TargetVersionForbidden, Severity::Warning, "target-version-forbidden" },
   EventDescription{ Event::TargetVersionAllowed, Severity::Info, "target-version-allowed" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -65,6 +65,7 @@
   TargetCrashed = 511,
   RequestQuarantined = 512,
   ResponseUndelivered = 513,
+  GateLeaving = 514,
 
   RolloutApplied = 520,
   TargetVersionForbidden = 521,
--- a/src/hop/hopheaders.cpp
+++ b/src/hop/hopheaders.cpp
@@ -132,6 +132,9 @@
   std::ostringstream text;
   text << static_cast<int>(aHop.outcome) << ' ' << aHop.slotsInUse << ' ' << aHop.slots << ' '
        << aHop.queueLength << ' ' << aHop.queueWait.count() << ' ' << aHop.failurePenalty.count();
+  if (aHop.isLeaving) {
+    text << ' ' << aHop.isLeaving;
+  }
   SetHeader(aHeaders, kHopResponseHeader, text.str());
 }
 
@@ -154,6 +157,7 @@
   hop.outcome = static_cast<HopOutcome>(outcome);
   hop.queueWait = std::chrono::milliseconds(queueWait);
   hop.failurePenalty = std::chrono::milliseconds(failurePenalty);
+  text >> hop.isLeaving;
   return hop;
 }
 
--- a/src/hop/hopheaders.h
+++ b/src/hop/hopheaders.h
@@ -69,6 +69,8 @@
   std::chrono::milliseconds queueWait{ 0 };
   /** Cost of the target's recent failures, as the extra time that a call may wait at another gate instead. */
   std::chrono::milliseconds failurePenalty{ 0 };
+  /** Whether the node of the gate is leaving, and further calls should be sent to others. */
+  bool isLeaving = false;
 };
 
 inline constexpr const char* kHopRequestHeader = "M-Q";
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -99,6 +99,13 @@
   m_drainSchedule = aSchedule;
 }
 
+void
+Gate::BeginLeaving()
+{
+  const std::lock_guard lock(m_mutex);
+  m_isLeaving = true;
+}
+
 int
 Gate::OpenCalls() const
 {
@@ -133,7 +140,8 @@
            .slots = m_admission.Slots(),
            .queueLength = m_admission.WaitingCalls(),
            .queueWait = std::chrono::ceil<std::chrono::milliseconds>(wait),
-           .failurePenalty = m_failureTracker.FailurePenalty(now) };
+           .failurePenalty = m_failureTracker.FailurePenalty(now),
+           .isLeaving = m_isLeaving };
 }
 
 std::string
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -75,6 +75,9 @@
   /** From now on, rejects new calls that the schedule doesn't accept. */
   void BeginDrain(const DrainSchedule& aSchedule);
 
+  /** From now on, responses tell entries that the node is leaving. */
+  void BeginLeaving();
+
   /** Stops listening and ends the gate's own threads; open calls get no response. */
   void Stop();
 
@@ -125,6 +128,7 @@
   TargetIntent m_intent = TargetIntent::Serving;
   /** Set once the node is stopping. */
   std::optional<DrainSchedule> m_drainSchedule;
+  bool m_isLeaving = false;
   bool m_sweepScheduled = false;
   /** After a failed connection to the target, new calls are rejected until this time. */
   Deadline m_connectBackoffUntil{};
--- a/tests/caller/balancertest.cpp
+++ b/tests/caller/balancertest.cpp
@@ -163,6 +163,23 @@
   BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "near");
 }
 
+// Guards against: a gate that leaves and rejects calls at once looks idle and is chosen, until the directory
+// shows that it leaves (docs/incidents/017).
+BOOST_AUTO_TEST_CASE(a_gate_that_leaves_is_not_chosen_until_it_has_another_incarnation)
+{
+  Balancer balancer({ .distance = kTrafficCosts });
+  for (const GateInfo& gate : kGates) {
+    RecordCalls(balancer, gate.node, milliseconds(200));
+  }
+  BOOST_TEST(balancer.RecordLeaving("near", kGates.front().incarnation));
+  BOOST_TEST(!balancer.RecordLeaving("near", kGates.front().incarnation));
+  BOOST_TEST(balancer.Choose(kGates, {}, kRequirements, SteadyClock::now())->gate.node == "middle");
+  BOOST_TEST(balancer.Explain(kGates, kRequirements, SteadyClock::now()).size() == 2u);
+  std::vector<GateInfo> restarted = kGates;
+  ++restarted.front().incarnation;
+  BOOST_TEST(balancer.Choose(restarted, {}, kRequirements, SteadyClock::now())->gate.node == "near");
+}
+
 BOOST_AUTO_TEST_CASE(excluded_gates_are_not_chosen)
 {
   Balancer balancer({ .distance = kTrafficCosts });
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -213,6 +213,21 @@
   int m_lastCall = 0;
 };
 
+/** Returns whether the head of a gate's response says that its node leaves. */
+static bool
+SaysItLeaves(const std::string& aHead)
+{
+  const std::string name = std::string(kHopResponseHeader) + ": ";
+  const size_t begin = aHead.find(name);
+  if (begin == std::string::npos) {
+    return false;
+  }
+  const size_t end = aHead.find("\r\n", begin);
+  HttpHeaders headers{ { .name = kHopResponseHeader,
+                         .value = aHead.substr(begin + name.size(), end - begin - name.size()) } };
+  return ExtractHopResponse(headers).value_or(HopResponse{}).isLeaving;
+}
+
 // Guards against: a leaving node takes a moment without calls for their end, and entries that learn late that
 // it leaves can't tell whether the calls that were on their way have run.
 BOOST_AUTO_TEST_CASE(a_leaving_node_answers_calls_that_entries_send_late)
@@ -224,7 +239,9 @@
   RunningMesh mesh(SmallMesh("latecalls"));
   MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
   LateEntry entry(node.gateAddress);
-  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 200"));
+  const std::string firstResponse = entry.Call();
+  BOOST_TEST(firstResponse.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(!SaysItLeaves(firstResponse));
   node.process.Signal(SIGTERM);
   std::string lastResponse;
   int answered = 0;
@@ -235,6 +252,7 @@
   }
   BOOST_TEST(answered == kLateCalls);
   BOOST_TEST(lastResponse.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(SaysItLeaves(lastResponse));
   int status = -1;
   BOOST_TEST(node.process.WaitForEnd(kEndLimit, status));
   BOOST_TEST(status == 0);
