Answer calls until the threads of a stopping node have ended

A node whose drain had finished (event 509 with all counts zero) stopped its event loops and then waited for the threads that claim and release idempotency keys, for up to 3 s if control didn't answer.

Entry and gate now stop listening and end their threads while the loops still run, so what arrives is refused as not run; the loops end last.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,6 +76,13 @@
   m_quotas.Stop();
   m_gossiper.Stop();
   m_server.reset();
+  // The loops still run while threads are waited for, so that calls that arrive are refused.
+  if (m_entry) {
+    m_entry->Stop();
+  }
+  if (m_gate) {
+    m_gate->Stop();
+  }
   // No handler of a connection runs afterwards, so none uses entry or gate.
   m_loops.Stop();
 }
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -78,7 +78,7 @@
   /** From now on, responses tell entries that the node is leaving. */
   void BeginLeaving();
 
-  /** Stops listening and ends the gate's own threads; open calls get no response. */
+  /** Stops listening and ends the gate's own threads, so that no key is claimed or released any more. */
   void Stop();
 
   /** Returns the number of calls that hold a slot or wait for one; their responses may be sent later. */
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -3,6 +3,7 @@
 
 #include "harness/rawserver.h"
 #include "hop/hopheaders.h"
+#include "http/meshheaders.h"
 #include "load/generator.h"
 
 #include <algorithm>
@@ -191,26 +192,42 @@
 
   /** Returns the head of the response, or an empty text without one. */
   std::string Call()
+  {
+    return Send("GET", {}, RepeatPolicy::Idempotent)
+             ? m_connection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(2))
+             : std::string();
+  }
+
+  /** Sends a call with an idempotency key. */
+  bool SendKeyed(const std::string& aKey)
+  {
+    return Send("POST",
+                "Content-Length: 0\r\n" + std::string(kIdempotencyHeader) + ": " + aKey + "\r\n",
+                RepeatPolicy::Keyed);
+  }
+
+private:
+  bool Send(const std::string& aMethod, const std::string& aHeaders, RepeatPolicy aPolicy)
   {
     HttpHeaders headers;
     WriteHop(headers,
-             HopRequest{ .callId = "late-" + std::to_string(++m_lastCall),
+             HopRequest{ .callId = "late-" + std::to_string(++s_lastCall),
                          .service = "books",
                          .route = "late",
-                         .repeatPolicy = RepeatPolicy::Idempotent,
+                         .repeatPolicy = aPolicy,
                          .expectedCost = std::chrono::milliseconds(10),
-                         .timeLeft = std::chrono::milliseconds(2000),
-                         .timeToObjective = std::chrono::milliseconds(2000),
+                         .timeLeft = std::chrono::milliseconds(1000),
+                         .timeToObjective = std::chrono::milliseconds(1000),
                          .longestWait = std::chrono::milliseconds(1000),
-                         .maxFailurePenalty = std::chrono::milliseconds(10000) });
-    const bool isSent = m_connection.Send("GET /books/item?ms=1 HTTP/1.1\r\nHost: x\r\n" +
-                                          headers.front().name + ": " + headers.front().value + "\r\n\r\n");
-    return isSent ? m_connection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(2)) : std::string();
+                         .maxFailurePenalty = std::chrono::milliseconds(10000),
+                         .homeRegion = "east" });
+    return m_connection.Send(aMethod + " /books/item?ms=1 HTTP/1.1\r\nHost: x\r\n" + aHeaders +
+                             headers.front().name + ": " + headers.front().value + "\r\n\r\n");
   }
 
 private:
+  static inline int s_lastCall = 0;
   RawConnection m_connection;
-  int m_lastCall = 0;
 };
 
 /** Returns whether the head of a gate's response says that its node leaves. */
@@ -257,3 +274,26 @@
   BOOST_TEST(node.process.WaitForEnd(kEndLimit, status));
   BOOST_TEST(status == 0);
 }
+
+// Guards against: a process that has drained waits for its threads while nobody reads its connections, and
+// calls that arrive in that time get no answer.
+BOOST_AUTO_TEST_CASE(a_node_that_has_drained_answers_while_it_waits_for_its_threads)
+{
+  RunningMesh mesh(SmallMesh("slowstop"));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  LateEntry entry(node.gateAddress);
+  LateEntry keyed(node.gateAddress);
+  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 200"));
+  for (const std::string& replica : mesh.Replicas()) {
+    mesh.ProcessOf(replica).process.Signal(SIGSTOP);
+  }
+  // The key can't be claimed; then the gate tries to release it, for longer than the drain lasts.
+  BOOST_TEST(keyed.SendKeyed("slowstop"));
+  node.process.Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  BOOST_TEST(node.process.Running());
+  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 503"));
+  int status = -1;
+  BOOST_TEST(node.process.WaitForEnd(kRecoveryLimit, status));
+  BOOST_TEST(status == 0);
+}
