--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,6 +76,13 @@
   m_quotas.Stop();
   m_gossiper.Stop();
   m_server.reset();
+  // The loops still run while threads are waited for, so that calls that arrive are refused.
+  if (m_entry) {
+    m_entry->Stop();
+  }
+  if (m_gate) {
+    m_gate->Stop();
+  }
   // No handler of a connection runs afterwards, so none uses entry or gate.
   m_loops.Stop();
 }
@@ -280,6 +287,8 @@
 void
 Node::LeaveMesh()
 {
+  // Gossip may be late under load; entries that have calls here learn at once.
+  m_gate->BeginLeaving();
   m_table.UpdateSelf(SteadyClock::now(),
                      [](wire::Member& aSelf) { aSelf.state = wire::MemberState::Leaving; });
   m_gossiper.SpreadNow();
@@ -294,12 +303,19 @@
 }
 
 bool
-Node::WaitForResponses(Deadline aDeadline) const
+Node::HasAnswered() const
+{
+  const bool haveEnded = m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0;
+  // The response to a call that has ended may still wait for a slow peer.
+  return haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered();
+}
+
+bool
+Node::WaitUntilDrained(Deadline aDeadline) const
 {
   while (SteadyClock::now() < aDeadline) {
-    const bool haveEnded = m_gate->OpenCalls() == 0 && m_entry->OpenCalls() == 0;
-    // The response to a call that has ended may still wait for a slow peer.
-    if (haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered()) {
+    // Entries that learn late that the node leaves have sent calls that are still on their way.
+    if (HasAnswered() && m_gate->IsQuiet() && m_entry->IsQuiet()) {
       return true;
     }
     std::this_thread::sleep_for(kDrainPollInterval);
@@ -323,12 +339,11 @@
   std::this_thread::sleep_until(acceptUntil);
   m_entry->StopListening();
   BeginStoppingBackground();
-  bool finished = WaitForResponses(end - kRefusalTime);
-  if (!finished) {
+  if (!WaitUntilDrained(end - kRefusalTime)) {
     m_entry->RefuseOpenCalls();
-    finished = WaitForResponses(end);
+    WaitUntilDrained(end);
   }
-  LogDrained(finished);
+  LogDrained(HasAnswered());
 }
 
 static void
@@ -356,7 +371,8 @@
         { "entry-calls", m_entry->OpenCalls() },
         { "gate-calls", m_gate->OpenCalls() },
         { "entry-undelivered", atEntry.size() },
-        { "gate-undelivered", atGate.size() } });
+        { "gate-undelivered", atGate.size() },
+        { "quiet", m_gate->IsQuiet() && m_entry->IsQuiet() ? "yes" : "no" } });
   LogUndelivered("entry", atEntry);
   LogUndelivered("gate", atGate);
 }
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -75,7 +75,10 @@
   /** From now on, rejects new calls that the schedule doesn't accept. */
   void BeginDrain(const DrainSchedule& aSchedule);
 
-  /** Stops listening and ends the gate's own threads; open calls get no response. */
+  /** From now on, responses tell entries that the node is leaving. */
+  void BeginLeaving();
+
+  /** Stops listening and ends the gate's own threads, so that no key is claimed or released any more. */
   void Stop();
 
   /** Returns the number of calls that hold a slot or wait for one; their responses may be sent later. */
@@ -84,6 +87,9 @@
   /** Returns whether entries have all bytes of all responses. */
   bool HasDelivered() const { return m_server->HasDelivered(); }
 
+  /** Returns whether nothing has arrived for so long that no call should be on its way. */
+  bool IsQuiet() const { return m_server->IsQuiet(); }
+
   /** Returns the responses of which entries lack bytes. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
 
@@ -122,6 +128,7 @@
   TargetIntent m_intent = TargetIntent::Serving;
   /** Set once the node is stopping. */
   std::optional<DrainSchedule> m_drainSchedule;
+  bool m_isLeaving = false;
   bool m_sweepScheduled = false;
   /** After a failed connection to the target, new calls are rejected until this time. */
   Deadline m_connectBackoffUntil{};
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE leaving
 #include "harness/running.h"
 
+#include "harness/rawserver.h"
+#include "hop/hopheaders.h"
+#include "http/meshheaders.h"
 #include "load/generator.h"
 
 #include <algorithm>
@@ -176,3 +179,121 @@
   BOOST_TEST(response.transferComplete);
   BOOST_TEST(response.outcome == "unknown");
 }
+
+/** Sends calls to a gate over one connection, like an entry that hasn't learned that the gate's node leaves.
+ */
+class LateEntry
+{
+public:
+  explicit LateEntry(const Address& aGate)
+    : m_connection(aGate)
+  {
+  }
+
+  /** Returns the head of the response, or an empty text without one. */
+  std::string Call()
+  {
+    return Send("GET", {}, RepeatPolicy::Idempotent)
+             ? m_connection.ReceiveUntil("\r\n\r\n", std::chrono::seconds(2))
+             : std::string();
+  }
+
+  /** Sends a call with an idempotency key. */
+  bool SendKeyed(const std::string& aKey)
+  {
+    return Send("POST",
+                "Content-Length: 0\r\n" + std::string(kIdempotencyHeader) + ": " + aKey + "\r\n",
+                RepeatPolicy::Keyed);
+  }
+
+private:
+  bool Send(const std::string& aMethod, const std::string& aHeaders, RepeatPolicy aPolicy)
+  {
+    HttpHeaders headers;
+    WriteHop(headers,
+             HopRequest{ .callId = "late-" + std::to_string(++s_lastCall),
+                         .service = "books",
+                         .route = "late",
+                         .repeatPolicy = aPolicy,
+                         .expectedCost = std::chrono::milliseconds(10),
+                         .timeLeft = std::chrono::milliseconds(1000),
+                         .timeToObjective = std::chrono::milliseconds(1000),
+                         .longestWait = std::chrono::milliseconds(1000),
+                         .maxFailurePenalty = std::chrono::milliseconds(10000),
+                         .homeRegion = "east" });
+    return m_connection.Send(aMethod + " /books/item?ms=1 HTTP/1.1\r\nHost: x\r\n" + aHeaders +
+                             headers.front().name + ": " + headers.front().value + "\r\n\r\n");
+  }
+
+private:
+  static inline int s_lastCall = 0;
+  RawConnection m_connection;
+};
+
+/** Returns whether the head of a gate's response says that its node leaves. */
+static bool
+SaysItLeaves(const std::string& aHead)
+{
+  const std::string name = std::string(kHopResponseHeader) + ": ";
+  const size_t begin = aHead.find(name);
+  if (begin == std::string::npos) {
+    return false;
+  }
+  const size_t end = aHead.find("\r\n", begin);
+  HttpHeaders headers{ { .name = kHopResponseHeader,
+                         .value = aHead.substr(begin + name.size(), end - begin - name.size()) } };
+  return ExtractHopResponse(headers).value_or(HopResponse{}).isLeaving;
+}
+
+// Guards against: a leaving node takes a moment without calls for their end, and entries that learn late that
+// it leaves can't tell whether the calls that were on their way have run.
+BOOST_AUTO_TEST_CASE(a_leaving_node_answers_calls_that_entries_send_late)
+{
+  // Longer than a node takes calls after the signal.
+  constexpr int kLateCalls = 12;
+  constexpr std::chrono::milliseconds kInterval{ 200 };
+  constexpr std::chrono::milliseconds kEndLimit{ 2000 };
+  RunningMesh mesh(SmallMesh("latecalls"));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  LateEntry entry(node.gateAddress);
+  const std::string firstResponse = entry.Call();
+  BOOST_TEST(firstResponse.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(!SaysItLeaves(firstResponse));
+  node.process.Signal(SIGTERM);
+  std::string lastResponse;
+  int answered = 0;
+  for (int call = 0; call < kLateCalls; ++call) {
+    std::this_thread::sleep_for(kInterval);
+    lastResponse = entry.Call();
+    answered += lastResponse.empty() ? 0 : 1;
+  }
+  BOOST_TEST(answered == kLateCalls);
+  BOOST_TEST(lastResponse.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(SaysItLeaves(lastResponse));
+  int status = -1;
+  BOOST_TEST(node.process.WaitForEnd(kEndLimit, status));
+  BOOST_TEST(status == 0);
+}
+
+// Guards against: a process that has drained waits for its threads while nobody reads its connections, and
+// calls that arrive in that time get no answer.
+BOOST_AUTO_TEST_CASE(a_node_that_has_drained_answers_while_it_waits_for_its_threads)
+{
+  RunningMesh mesh(SmallMesh("slowstop"));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  LateEntry entry(node.gateAddress);
+  LateEntry keyed(node.gateAddress);
+  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 200"));
+  for (const std::string& replica : mesh.Replicas()) {
+    mesh.ProcessOf(replica).process.Signal(SIGSTOP);
+  }
+  // The key can't be claimed; then the gate tries to release it, for longer than the drain lasts.
+  BOOST_TEST(keyed.SendKeyed("slowstop"));
+  node.process.Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  BOOST_TEST(node.process.Running());
+  BOOST_TEST(entry.Call().starts_with("HTTP/1.1 503"));
+  int status = -1;
+  BOOST_TEST(node.process.WaitForEnd(kRecoveryLimit, status));
+  BOOST_TEST(status == 0);
+}
