Split the steps of a group's replica from its thread, and reads from Controller

Tests can drive what runs in production without threads and network. ConfigurationReader holds the confirmed reads of Controller, which gets shorter.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -11,7 +11,6 @@
 
 static constexpr std::chrono::milliseconds kWatchInterval{ 250 };
 static constexpr std::chrono::milliseconds kStatusTimeout{ 300 };
-static constexpr std::chrono::milliseconds kCatchUpPollInterval{ 2 };
 static constexpr std::chrono::milliseconds kJoinTimeout{ 1500 };
 static constexpr std::chrono::milliseconds kSilenceLimit{ 3000 };
 static constexpr std::chrono::hours kClaimLifetime{ 24 };
@@ -47,6 +46,9 @@
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
                       m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
+  , m_reader({ .status = [this] { return Status(kConfigurationGroup); },
+               .requestReadIndex = [this](Deadline aDeadline) { return RequestReadIndex(aDeadline); } },
+             m_configuration)
   , m_validity(ConfirmerOptions())
   , m_rollouts(
       { .limits = m_settings.rollout,
@@ -401,39 +403,16 @@
   return Fail(ErrorKind::Unreachable, leader + ": the leader doesn't reply; ask another replica");
 }
 
-bool
-Controller::WaitUntilApplied(int64_t aIndex, Deadline aDeadline) const
-{
-  while (Status(kConfigurationGroup).applied < aIndex) {
-    if (SteadyClock::now() >= aDeadline) {
-      return false;
-    }
-    std::this_thread::sleep_for(kCatchUpPollInterval);
-  }
-  return true;
-}
-
 bool
 Controller::WaitUntilCaughtUp(Deadline aDeadline)
 {
-  while (SteadyClock::now() < aDeadline) {
-    const Result<wire::ReadIndex> readIndex = RequestReadIndex(aDeadline);
-    if (readIndex && readIndex.value().confirmed) {
-      return WaitUntilApplied(readIndex.value().index, aDeadline);
-    }
-    std::this_thread::sleep_for(std::min(kLeaderPollInterval, TimeLeft(aDeadline)));
-  }
-  return false;
+  return m_reader.WaitUntilCaughtUp(aDeadline);
 }
 
 Result<SnapshotPointer>
 Controller::ReadNewestConfiguration(Deadline aDeadline)
 {
-  if (!WaitUntilCaughtUp(aDeadline)) {
-    return Fail(ErrorKind::NotLeader,
-                "no quorum of replicas confirms which configuration is the newest; ask another replica");
-  }
-  return m_configuration.Current();
+  return m_reader.ReadNewest(aDeadline);
 }
 
 wire::CommandResult
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "control/claimstate.h"
+#include "control/configurationreader.h"
 #include "control/configurationstate.h"
 #include "control/group.h"
 #include "control/groupclient.h"
@@ -110,7 +111,6 @@
   std::shared_ptr<PeerClient> PeerOf(const std::string& aName);
   std::shared_ptr<PeerClient> PeerForLeaderCall(const std::string& aName);
   Result<wire::ReadIndex> RequestReadIndex(Deadline aDeadline);
-  bool WaitUntilApplied(int64_t aIndex, Deadline aDeadline) const;
   std::vector<wire::Replica> OtherReplicas() const;
   std::vector<wire::Replica> InitialMembers() const;
   void MaintainMembership(const GroupPlan& aPlan, const wire::GroupStatus& aStatus);
@@ -133,6 +133,7 @@
   ReportStore m_domainReports;
   ReportCollector m_reportCollector;
   CrashLedger m_crashes;
+  ConfigurationReader m_reader;
   ValidityConfirmer m_validity;
   OutcomeTable m_outcomes;
   RolloutManager m_rollouts;
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -1,6 +1,6 @@
 #include "control/membership.h"
 
-#include "control/group.h"
+#include "control/groupreplica.h"
 
 #include <algorithm>
 
