A replica of which a sync failed returns by itself

Seen: a control replica that had one failed sync stayed storage-failed until its process was started again. After a second one in a group of three, no change was accepted any more, though both disks worked again.

After a failed sync its log is written to a new file from what can be read; all that the replica has confirmed was covered by an earlier sync and is part of that.

--- a/src/control/groupreplicaimpl.h
+++ b/src/control/groupreplicaimpl.h
@@ -66,7 +66,7 @@
       wire::ResultCode::NotLeader, "storage failed on this replica; free space or replace its disk"));
   }
   const Deadline now = m_options.clock();
-  if (m_journal.SyncFailed() || now < m_nextReopenAt) {
+  if (now < m_nextReopenAt) {
     return boost::outcome_v2::success();
   }
   m_nextReopenAt = now + kReopenInterval;
--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -181,6 +181,11 @@
       return StorageError("cut " + PathOf(kLogFileName));
     }
   }
+  if (m_syncFailed) {
+    // What a failed sync should have covered may be readable and yet never reach the disk with a later sync.
+    BOOST_OUTCOME_TRYV(RewriteLog(stored.entries));
+    m_syncFailed = false;
+  }
   // A process that was killed before its sync leaves entries that no sync has covered.
   BOOST_OUTCOME_TRYV(Sync());
   stored.commitIndex = ReadCommitIndex(stored);
@@ -235,12 +240,11 @@
 }
 
 Result<void>
-Journal::SaveSnapshot(const wire::SnapshotFile& aSnapshot, const std::vector<wire::LogEntry>& aRemaining)
+Journal::RewriteLog(const std::vector<wire::LogEntry>& aEntries)
 {
-  BOOST_OUTCOME_TRYV(ReplaceFile(PathOf(kSnapshotFileName), MakeRecord(Encode(aSnapshot))));
   std::string bytes;
   std::vector<RecordPosition> positions;
-  for (const wire::LogEntry& entry : aRemaining) {
+  for (const wire::LogEntry& entry : aEntries) {
     positions.push_back({ .index = entry.index, .offset = static_cast<int64_t>(bytes.size()) });
     bytes += MakeRecord(Encode(entry));
   }
@@ -250,10 +254,11 @@
   return OpenLogFile();
 }
 
-bool
-Journal::SyncFailed() const
+Result<void>
+Journal::SaveSnapshot(const wire::SnapshotFile& aSnapshot, const std::vector<wire::LogEntry>& aRemaining)
 {
-  return m_syncFailed;
+  BOOST_OUTCOME_TRYV(ReplaceFile(PathOf(kSnapshotFileName), MakeRecord(Encode(aSnapshot))));
+  return RewriteLog(aRemaining);
 }
 
 Result<int64_t>
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -36,7 +36,10 @@
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
-  /** Opens or creates the folder's files and returns their content, which is durable then. */
+  /**
+   * Opens or creates the folder's files and returns their content, which is durable then. May be called again
+   * after a failure; a log file of which a sync failed is written anew.
+   */
   Result<JournalContent> Open();
 
   /** Stores the term and the vote. */
@@ -55,9 +58,6 @@
   /** Stores the commit index, so that a restarted replica knows it before it hears from a leader. */
   Result<void> SaveCommitIndex(int64_t aIndex);
 
-  /** Returns whether a sync has failed; the disk's content is unknown from then on. */
-  bool SyncFailed() const;
-
 private:
   /** Start of an entry's record in the log file, in bytes. */
   struct RecordPosition
@@ -72,11 +72,13 @@
   Result<void> OpenCommitFile();
   int64_t ReadCommitIndex(const JournalContent& aContent) const;
   Result<JournalContent> ReadLog(JournalContent aContent);
+  Result<void> RewriteLog(const std::vector<wire::LogEntry>& aEntries);
 
   std::string m_folder;
   int m_logDescriptor = -1;
   int m_commitDescriptor = -1;
   int64_t m_logLengthBytes = 0;
+  /** Whether a sync of the log file failed since it was written anew. */
   bool m_syncFailed = false;
   std::vector<RecordPosition> m_recordPositions;
 };
--- a/tests/control/lossproperties.cpp
+++ b/tests/control/lossproperties.cpp
@@ -325,7 +325,7 @@
     aProcess.inbox.clear();
     aProcess.proposals.clear();
     aProcess.joins.clear();
-    if (!aProcess.journal->SyncFailed() && Now(aProcess) >= aProcess.reopenAt) {
+    if (Now(aProcess) >= aProcess.reopenAt) {
       aProcess.reopenAt = Now(aProcess) + kReopenInterval;
       Open(aProcess);
     }
--- a/tests/control/simulateddisk.cpp
+++ b/tests/control/simulateddisk.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdarg>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -24,6 +25,8 @@
   size_t offset = 0;
   std::string bytes;
   bool truncates = false;
+  /** Whether a sync that should have covered it failed; no later one covers it then. */
+  bool isLost = false;
 };
 
 /** A file's content after its last sync and the writes since then. */
@@ -31,6 +34,8 @@
 {
   std::string durable;
   std::vector<PendingWrite> pending;
+  /** Whether a sync of the file has failed, so that its content may differ from what later syncs cover. */
+  bool hadFailedSync = false;
   /** Keeps the number of the file from being used again. */
   int descriptor = -1;
 
@@ -93,6 +98,32 @@
   return names;
 }
 
+/** Applies the first aLength bytes of a write, or a truncation, to a file's content. */
+static void
+ApplyTo(std::string& aContent, const PendingWrite& aWrite, size_t aLength)
+{
+  if (aWrite.truncates) {
+    aContent.resize(aWrite.offset);
+    return;
+  }
+  aContent.resize(std::max(aContent.size(), aWrite.offset + aLength));
+  aContent.replace(aWrite.offset, aLength, aWrite.bytes, 0, aLength);
+}
+
+static void
+RecordFileSync(FileRecord& aFile, const std::string& aPath)
+{
+  if (!aFile.hadFailedSync) {
+    aFile.durable = ContentOf(aPath);
+  }
+  for (const PendingWrite& write : aFile.pending) {
+    if (aFile.hadFailedSync && !write.isLost) {
+      ApplyTo(aFile.durable, write, write.bytes.size());
+    }
+  }
+  aFile.pending.clear();
+}
+
 static void
 RecordSync(int aDescriptor)
 {
@@ -100,11 +131,21 @@
   if (path.empty()) {
     return;
   }
+  const std::string openPath = "/proc/self/fd/" + std::to_string(aDescriptor);
   if (fs::is_directory(path)) {
     gDurableNames[path] = CurrentNames(path);
-  } else if (const FilePointer file = FileAt("/proc/self/fd/" + std::to_string(aDescriptor))) {
-    file->durable = ContentOf("/proc/self/fd/" + std::to_string(aDescriptor));
-    file->pending.clear();
+  } else if (const FilePointer file = FileAt(openPath)) {
+    RecordFileSync(*file, openPath);
+  }
+}
+
+static void
+RecordFailedSync(int aDescriptor)
+{
+  const FilePointer file = FileAt("/proc/self/fd/" + std::to_string(aDescriptor));
+  file->hadFailedSync = true;
+  for (PendingWrite& write : file->pending) {
+    write.isLost = true;
   }
 }
 
@@ -120,6 +161,9 @@
 static bool
 Survives(bool aIsRecorded)
 {
+  if (aIsRecorded && gFaults.beforeOperation) {
+    gFaults.beforeOperation();
+  }
   if (!aIsRecorded || gFaults.operationsLeft < 0) {
     return true;
   }
@@ -155,7 +199,13 @@
 static int
 SimulatedSync(int aDescriptor)
 {
-  if (!Survives(!PathOf(aDescriptor).empty())) {
+  const bool isRecorded = !PathOf(aDescriptor).empty();
+  if (!Survives(isRecorded)) {
+    return -1;
+  }
+  if (isRecorded && gFaults.refusesSyncs) {
+    RecordFailedSync(aDescriptor);
+    errno = EIO;
     return -1;
   }
   RecordSync(aDescriptor);
@@ -202,13 +252,8 @@
     if (losesAll || fate == 0) {
       continue;
     }
-    if (write.truncates) {
-      content.resize(write.offset);
-      continue;
-    }
     const size_t length = fate == 1 ? aRandom() % (write.bytes.size() + 1) : write.bytes.size();
-    content.resize(std::max(content.size(), write.offset + length));
-    content.replace(write.offset, length, write.bytes, 0, length);
+    ApplyTo(content, write, length);
   }
   return content;
 }
@@ -273,6 +318,31 @@
 
 using namespace mimosarun;
 
+static bool
+IsBelowRoot(const char* aPath)
+{
+  return !gRoot.empty() && std::string(aPath).starts_with(gRoot);
+}
+
+extern "C" int
+open(const char* aPath, int aFlags, ...)
+{
+  va_list arguments;
+  va_start(arguments, aFlags);
+  const mode_t mode = (aFlags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : 0;
+  va_end(arguments);
+  const bool changesDisk = IsBelowRoot(aPath) && (aFlags & (O_CREAT | O_TRUNC)) != 0;
+  if (changesDisk && gFaults.operationsLeft == 0) {
+    errno = EIO;
+    return -1;
+  }
+  const int descriptor = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, aPath, aFlags, mode));
+  if (changesDisk && descriptor >= 0 && (aFlags & O_TRUNC) != 0) {
+    RecordWrite(descriptor, { .offset = 0, .bytes = "", .truncates = true });
+  }
+  return descriptor;
+}
+
 extern "C" ssize_t
 write(int aDescriptor, const void* aBytes, size_t aLength)
 {
@@ -321,7 +391,7 @@
 extern "C" int
 rename(const char* aFrom, const char* aTo) noexcept
 {
-  if (!Survives(!gRoot.empty() && std::string(aTo).starts_with(gRoot))) {
+  if (!Survives(IsBelowRoot(aTo))) {
     return -1;
   }
   return static_cast<int>(::syscall(SYS_renameat, AT_FDCWD, aFrom, AT_FDCWD, aTo));
--- a/tests/control/simulateddisk.h
+++ b/tests/control/simulateddisk.h
@@ -13,11 +13,15 @@
   /** Number of writes, syncs, truncations and renames after which the process is killed; -1 for never. */
   int operationsLeft = -1;
   bool isFull = false;
+  /** Syncs fail, and what they should have covered is not covered by later ones either. */
+  bool refusesSyncs = false;
+  /** Called before each operation; may return late, as an operation of a stalled disk does. */
+  std::function<void()> beforeOperation;
 };
 
 /**
- * The test program's own write(), pwrite(), fsync(), fdatasync(), ftruncate() and rename() record what is
- * durable of the files below one folder, and apply the faults that are set.
+ * The test program's own open(), write(), pwrite(), fsync(), fdatasync(), ftruncate() and rename() record
+ * what is durable of the files below one folder, and apply the faults that are set.
  */
 class SimulatedDisk
 {
--- a/tests/mesh/storagefaults.cpp
+++ b/tests/mesh/storagefaults.cpp
@@ -110,6 +110,24 @@
   BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return StateOf(mesh, leader, other) == "follower"; }));
 }
 
+// Guards against: a replica of which a sync failed once stays out until its process is started again, and the
+// group has no quorum after a second one.
+BOOST_AUTO_TEST_CASE(a_replica_returns_by_itself_when_its_disk_takes_syncs_again)
+{
+  RunningMesh mesh(MeshWithFaultyDisks("syncagain"));
+  for (int round = 0; round < 2; ++round) {
+    const std::string leader = mesh.LeaderOf(kGroup);
+    const std::string other = AnotherReplica(mesh, leader);
+    const std::string failsync = mesh.Options().folder + "/" + leader + ".failsync";
+    CreateFile(failsync);
+    BOOST_TEST(mesh.InstallWithRetries(mesh.Document("while-failing-" + std::to_string(round))) > 0);
+    BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return StateOf(mesh, leader, other) == "storage-failed"; }));
+    std::filesystem::remove(failsync);
+    BOOST_TEST(WaitUntil(kRecoveryLimit, [&] { return StateOf(mesh, leader, other) == "follower"; }));
+  }
+  BOOST_TEST(mesh.InstallWithRetries(mesh.Document("after")) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(while_all_disks_are_full_changes_are_refused_and_calls_are_served)
 {
   RunningMesh mesh(MeshWithFaultyDisks("allfull"));
