A read of the configuration waits for the state and not for the published status

Cause: a read that knows the index which it needs compared it with the status that the group's thread publishes after each step. Class of fault: a state is concluded while an operation under way isn't counted.

Change: the state knows the index of its last applied entry and gives out its version together with that, under one lock. The status isn't read any more.

--- a/src/control/claimstate.cpp
+++ b/src/control/claimstate.cpp
@@ -103,7 +103,7 @@
 }
 
 Result<void>
-ClaimState::Restore(const std::string& aImage)
+ClaimState::Restore(const std::string& aImage, int64_t /*aIndex*/)
 {
   const std::lock_guard lock(m_mutex);
   m_claims.clear();
--- a/src/control/claimstate.h
+++ b/src/control/claimstate.h
@@ -19,7 +19,7 @@
 public:
   wire::CommandResult Apply(const wire::LogEntry& aEntry);
   std::string Image() const;
-  Result<void> Restore(const std::string& aImage);
+  Result<void> Restore(const std::string& aImage, int64_t aIndex = 0);
 
   /** Returns the number of claimed keys. */
   size_t Size() const;
--- a/src/control/configurationreader.cpp
+++ b/src/control/configurationreader.cpp
@@ -14,20 +14,20 @@
 {
 }
 
-bool
+SnapshotPointer
 ConfigurationReader::WaitUntilApplied(int64_t aIndex, Deadline aDeadline) const
 {
-  while (m_options.status().applied < aIndex) {
-    if (SteadyClock::now() >= aDeadline) {
-      return false;
-    }
+  // The published status may be from before the replica opened its journal again, so only the state counts.
+  SnapshotPointer current = m_state.CurrentAt(aIndex);
+  while (current == nullptr && SteadyClock::now() < aDeadline) {
     std::this_thread::sleep_for(kCatchUpPollInterval);
+    current = m_state.CurrentAt(aIndex);
   }
-  return true;
+  return current;
 }
 
-bool
-ConfigurationReader::WaitUntilCaughtUp(Deadline aDeadline) const
+SnapshotPointer
+ConfigurationReader::WaitForNewest(Deadline aDeadline) const
 {
   while (SteadyClock::now() < aDeadline) {
     const Result<wire::ReadIndex> readIndex = m_options.requestReadIndex(aDeadline);
@@ -36,17 +36,24 @@
     }
     std::this_thread::sleep_for(std::min(kLeaderPollInterval, TimeLeft(aDeadline)));
   }
-  return false;
+  return nullptr;
+}
+
+bool
+ConfigurationReader::WaitUntilCaughtUp(Deadline aDeadline) const
+{
+  return WaitForNewest(aDeadline) != nullptr;
 }
 
 Result<SnapshotPointer>
 ConfigurationReader::ReadNewest(Deadline aDeadline) const
 {
-  if (!WaitUntilCaughtUp(aDeadline)) {
+  SnapshotPointer newest = WaitForNewest(aDeadline);
+  if (newest == nullptr) {
     return Fail(ErrorKind::NotLeader,
                 "no quorum of replicas confirms which configuration is the newest; ask another replica");
   }
-  return m_state.Current();
+  return newest;
 }
 
 } // namespace mimosarun
--- a/src/control/configurationreader.h
+++ b/src/control/configurationreader.h
@@ -14,8 +14,6 @@
 public:
   struct Options
   {
-    /** Returns the status of this replica of the configuration group. */
-    std::function<wire::GroupStatus()> status;
     /** Asks the leader for its commit index, confirmed by a quorum after the start of the call. */
     std::function<Result<wire::ReadIndex>(Deadline)> requestReadIndex;
   };
@@ -32,7 +30,8 @@
   bool WaitUntilCaughtUp(Deadline aDeadline) const;
 
 private:
-  bool WaitUntilApplied(int64_t aIndex, Deadline aDeadline) const;
+  SnapshotPointer WaitForNewest(Deadline aDeadline) const;
+  SnapshotPointer WaitUntilApplied(int64_t aIndex, Deadline aDeadline) const;
 
   const Options m_options;
   const ConfigurationState& m_state;
--- a/src/control/configurationstate.cpp
+++ b/src/control/configurationstate.cpp
@@ -27,6 +27,7 @@
 ConfigurationState::Apply(const wire::LogEntry& aEntry)
 {
   const std::lock_guard lock(m_mutex);
+  m_appliedIndex = aEntry.index;
   const wire::Command& command = aEntry.command;
   if (const auto cached = m_results.Find(command.requestId); cached && !command.requestId.empty()) {
     return *cached;
@@ -270,9 +271,10 @@
 }
 
 Result<void>
-ConfigurationState::Restore(const std::string& aImage)
+ConfigurationState::Restore(const std::string& aImage, int64_t aIndex)
 {
   const std::lock_guard lock(m_mutex);
+  m_appliedIndex = 0;
   m_current = EmptySnapshot();
   m_history.Clear();
   m_nodeUpdates.Clear();
@@ -283,6 +285,7 @@
   m_rollouts.Restore({}, 0, SteadyClock::now());
   m_rolloutRevision = 0;
   if (aImage.empty()) {
+    m_appliedIndex = aIndex;
     return boost::outcome_v2::success();
   }
   MIMOSARUN_TRY(const wire::ConfigurationImage image, Decode<wire::ConfigurationImage>(aImage));
@@ -305,6 +308,7 @@
   m_results.Restore(image.results);
   m_rollouts.Restore(image.rollouts, image.rolloutRevision, SteadyClock::now());
   m_rolloutRevision = image.rolloutRevision;
+  m_appliedIndex = aIndex;
   m_changed.notify_all();
   return boost::outcome_v2::success();
 }
@@ -316,6 +320,13 @@
   return m_current;
 }
 
+SnapshotPointer
+ConfigurationState::CurrentAt(int64_t aIndex) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_appliedIndex >= aIndex ? m_current : nullptr;
+}
+
 SnapshotPointer
 ConfigurationState::WaitForNewer(int64_t aHeldVersion,
                                  Deadline aDeadline,
--- a/src/control/configurationstate.h
+++ b/src/control/configurationstate.h
@@ -40,11 +40,15 @@
 
   wire::CommandResult Apply(const wire::LogEntry& aEntry);
   std::string Image() const;
-  Result<void> Restore(const std::string& aImage);
+  /** Replaces the state by that of a snapshot, which covers the entries up to an index. */
+  Result<void> Restore(const std::string& aImage, int64_t aIndex = 0);
 
   /** Returns the version accepted last. */
   SnapshotPointer Current() const;
 
+  /** Returns the version accepted last if the entries up to an index are applied, otherwise nullptr. */
+  SnapshotPointer CurrentAt(int64_t aIndex) const;
+
   /**
    * Waits until a version newer than aHeldVersion is accepted, the deadline, or WakeWaiters() while
    * aIsInterrupted returns true; returns the current version.
@@ -109,6 +113,8 @@
   mutable std::mutex m_mutex;
   mutable std::condition_variable m_changed;
   SnapshotPointer m_current;
+  /** Index of the last applied entry; goes back when the replica opens its journal again. */
+  int64_t m_appliedIndex = 0;
   /** The parsed result of CurrentWithTeams(), kept until there is a newer version. */
   mutable SnapshotPointer m_withTeams;
   UpdateHistory m_history;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -46,8 +46,7 @@
                         .peerOf = [this](const std::string& aReplica) { return PeerOf(aReplica); } },
                       m_domainReports)
   , m_crashes([this] { m_configuration.WakeWaiters(); })
-  , m_reader({ .status = [this] { return Status(kConfigurationGroup); },
-               .requestReadIndex = [this](Deadline aDeadline) { return RequestReadIndex(aDeadline); } },
+  , m_reader({ .requestReadIndex = [this](Deadline aDeadline) { return RequestReadIndex(aDeadline); } },
              m_configuration)
   , m_validity(ConfirmerOptions())
   , m_rollouts(
--- a/src/control/groupreplica.h
+++ b/src/control/groupreplica.h
@@ -20,7 +20,8 @@
 
 /** State that results from a group's committed commands. Apply() returns the same result on every replica. */
 template<typename Machine>
-concept StateMachine = requires(Machine aMachine, const wire::LogEntry& aEntry, const std::string& aImage)
+concept StateMachine =
+  requires(Machine aMachine, const wire::LogEntry& aEntry, const std::string& aImage, int64_t aIndex)
 {
   {
     aMachine.Apply(aEntry)
@@ -29,7 +30,7 @@
     aMachine.Image()
     } -> std::same_as<std::string>;
   {
-    aMachine.Restore(aImage)
+    aMachine.Restore(aImage, aIndex)
     } -> std::same_as<Result<void>>;
 };
 
@@ -49,6 +50,8 @@
   /** Added to the election timeout of this replica. */
   std::chrono::milliseconds electionDelay{ 0 };
   uint64_t seed = 0;
+  /** Number of applied entries after which a snapshot replaces them. */
+  int64_t entriesBeforeSnapshot = 4096;
   std::function<Deadline()> clock = [] { return SteadyClock::now(); };
 };
 
--- a/src/control/groupreplicaimpl.h
+++ b/src/control/groupreplicaimpl.h
@@ -6,7 +6,6 @@
 
 static constexpr std::chrono::milliseconds kReopenInterval{ 1000 };
 static constexpr std::chrono::milliseconds kCommitSaveInterval{ 300 };
-static constexpr size_t kEntriesBeforeSnapshot = 4096;
 
 template<StateMachine Machine>
 GroupReplica<Machine>::GroupReplica(GroupOptions aOptions, Machine& aMachine, Transport& aTransport)
@@ -26,7 +25,7 @@
   if (content.truncatedBytes > 0) {
     Log(Event::JournalTailCut, { { "group", m_options.name }, { "bytes", content.truncatedBytes } });
   }
-  BOOST_OUTCOME_TRYV(m_machine.Restore(content.snapshot.state));
+  BOOST_OUTCOME_TRYV(m_machine.Restore(content.snapshot.state, content.snapshot.index));
   RaftCore::Options options{ .group = m_options.name,
                              .name = m_options.replica,
                              .incarnation = m_options.incarnation,
@@ -205,7 +204,7 @@
   }
   if (output.installedSnapshot) {
     BOOST_OUTCOME_TRYV(m_journal.SaveSnapshot(*output.installedSnapshot, {}));
-    BOOST_OUTCOME_TRYV(m_machine.Restore(output.installedSnapshot->state));
+    BOOST_OUTCOME_TRYV(m_machine.Restore(output.installedSnapshot->state, output.installedSnapshot->index));
     Log(Event::SnapshotInstalled,
         { { "group", m_options.name }, { "index", output.installedSnapshot->index } });
   }
@@ -264,7 +263,7 @@
 Result<void>
 GroupReplica<Machine>::CompactIfLong()
 {
-  if (m_core->AppliedIndex() - m_core->SnapshotIndex() < static_cast<int64_t>(kEntriesBeforeSnapshot)) {
+  if (m_core->AppliedIndex() - m_core->SnapshotIndex() < m_options.entriesBeforeSnapshot) {
     return boost::outcome_v2::success();
   }
   const wire::SnapshotFile snapshot = m_core->Compact(m_machine.Image());
--- a/tests/control/storagefailuretest.cpp
+++ b/tests/control/storagefailuretest.cpp
@@ -1,5 +1,8 @@
 #define BOOST_TEST_MODULE storagefailures
+#include "common/compression.h"
+#include "common/digest.h"
 #include "common/log.h"
+#include "control/configurationreader.h"
 #include "control/groupreplica.h"
 #include "control/raftmessages.h"
 #include "control/simulateddisk.h"
@@ -58,7 +61,7 @@
 
   std::string Image() const { return ""; }
 
-  Result<void> Restore(const std::string& /*aImage*/)
+  Result<void> Restore(const std::string& /*aImage*/, int64_t /*aIndex*/)
   {
     m_keys.clear();
     return boost::outcome_v2::success();
@@ -71,6 +74,7 @@
 };
 
 /** A replica on a simulated disk with a simulated clock; the test plays the others. */
+template<StateMachine Machine>
 class ReplicaRun
 {
 public:
@@ -86,14 +90,14 @@
 
   void Start()
   {
-    m_replica = std::make_unique<GroupReplica<FakeMachine>>(GroupOptions{ .name = "g",
-                                                                          .replica = kSelf,
-                                                                          .incarnation = 1,
-                                                                          .folder = DiskFolder() + "/g",
-                                                                          .address = "",
-                                                                          .clock = [this] { return m_now; } },
-                                                            m_machine,
-                                                            m_transport);
+    m_replica = std::make_unique<GroupReplica<Machine>>(GroupOptions{ .name = "g",
+                                                                      .replica = kSelf,
+                                                                      .incarnation = 1,
+                                                                      .folder = DiskFolder() + "/g",
+                                                                      .address = "",
+                                                                      .clock = [this] { return m_now; } },
+                                                        m_machine,
+                                                        m_transport);
     BOOST_REQUIRE(m_replica->Open());
   }
 
@@ -101,6 +105,7 @@
   {
     m_now += kTick;
     m_replica->Step(std::move(aInput));
+    m_published = m_replica->Status();
   }
 
   void Run(milliseconds aTime)
@@ -118,10 +123,16 @@
   }
 
   std::future<wire::CommandResult> Submit(const std::string& aKey)
+  {
+    wire::Command command;
+    command.key = aKey;
+    return Submit(std::move(command));
+  }
+
+  std::future<wire::CommandResult> Submit(wire::Command aCommand)
   {
     ReplicaInput input;
-    input.commands.emplace_back();
-    input.commands.back().command.key = aKey;
+    input.commands.push_back({ .command = std::move(aCommand), .promise = {} });
     std::future<wire::CommandResult> result = input.commands.back().promise.get_future();
     Step(std::move(input));
     return result;
@@ -145,8 +156,9 @@
     Start();
   }
 
-  wire::GroupStatus Status() const { return m_replica->Status(); }
-  FakeMachine& Machine() { return m_machine; }
+  /** Returns the status after the last step, which is what others see during a step. */
+  const wire::GroupStatus& Status() const { return m_published; }
+  Machine& State() { return m_machine; }
   FakeTransport& Sent() { return m_transport; }
 
   /** Returns what is on the disk. */
@@ -159,9 +171,10 @@
 private:
   const std::vector<wire::Replica> m_members;
   Deadline m_now{ std::chrono::hours(1) };
-  FakeMachine m_machine;
+  Machine m_machine;
   FakeTransport m_transport;
-  std::unique_ptr<GroupReplica<FakeMachine>> m_replica;
+  wire::GroupStatus m_published;
+  std::unique_ptr<GroupReplica<Machine>> m_replica;
 };
 
 template<typename Value>
@@ -184,7 +197,7 @@
 BOOST_AUTO_TEST_CASE(a_replica_returns_when_its_disk_takes_writes_and_syncs_again)
 {
   for (const DiskFaults& faults : { DiskFaults{ .isFull = true }, DiskFaults{ .refusesSyncs = true } }) {
-    ReplicaRun run({ kSelf });
+    ReplicaRun<FakeMachine> run({ kSelf });
     run.Run(milliseconds(3000));
     BOOST_REQUIRE(run.Status().leader == kSelf);
     SimulatedDisk::SetFaults(faults);
@@ -211,7 +224,7 @@
   int acknowledgedCount = 0;
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     std::mt19937_64 random(seed);
-    ReplicaRun run({ kSelf });
+    ReplicaRun<FakeMachine> run({ kSelf });
     std::set<std::string> acknowledged;
     for (int change = 0; change < 40; ++change) {
       run.Run(milliseconds(random() % 800));
@@ -227,14 +240,14 @@
       }
       if (index && index->confirmed && run.Status().applied >= index->index) {
         for (const std::string& earlier : acknowledged) {
-          BOOST_TEST(run.Machine().Contains(earlier), "seed " << seed);
+          BOOST_TEST(run.State().Contains(earlier), "seed " << seed);
         }
       }
     }
     run.LosePower(random);
     run.Run(milliseconds(4000));
     for (const std::string& key : acknowledged) {
-      BOOST_TEST(run.Machine().Contains(key), "seed " << seed);
+      BOOST_TEST(run.State().Contains(key), "seed " << seed);
     }
     acknowledgedCount += static_cast<int>(acknowledged.size());
   }
@@ -273,7 +286,7 @@
   int voteCount = 0;
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     std::mt19937_64 random(seed);
-    ReplicaRun run({ kSelf, "r2", "r3" });
+    ReplicaRun<FakeMachine> run({ kSelf, "r2", "r3" });
     Promises promises;
     int64_t last = 0;
     for (int round = 0; round < 60; ++round) {
@@ -305,7 +318,7 @@
       last = promises.termByIndex.empty() ? 0 : promises.termByIndex.rbegin()->first;
     }
     run.LosePower(random);
-    const JournalContent stored = ReplicaRun::Stored();
+    const JournalContent stored = ReplicaRun<FakeMachine>::Stored();
     BOOST_TEST(stored.entries.size() >= promises.termByIndex.size(), "seed " << seed);
     BOOST_TEST(stored.ballot.term >= promises.voteTerm, "seed " << seed);
     const bool isOtherVote =
@@ -317,3 +330,72 @@
   BOOST_TEST(confirmedCount > 200u);
   BOOST_TEST(voteCount > 20);
 }
+
+/** The configuration of a replica; runs a hook when it has taken over a snapshot. */
+class HookedConfiguration
+{
+public:
+  wire::CommandResult Apply(const wire::LogEntry& aEntry) { return m_state.Apply(aEntry); }
+  std::string Image() const { return m_state.Image(); }
+
+  Result<void> Restore(const std::string& aImage, int64_t aIndex)
+  {
+    BOOST_OUTCOME_TRYV(m_state.Restore(aImage, aIndex));
+    m_whenRestored();
+    return boost::outcome_v2::success();
+  }
+
+  void SetWhenRestored(std::function<void()> aHook) { m_whenRestored = std::move(aHook); }
+  const ConfigurationState& State() const { return m_state; }
+
+private:
+  ConfigurationState m_state;
+  std::function<void()> m_whenRestored = [] {};
+};
+
+static wire::Command
+MakeReplace(int64_t aVersion, int64_t aBase)
+{
+  const std::string text = "version " + std::to_string(aVersion);
+  wire::Command command;
+  command.kind = wire::CommandKind::Replace;
+  command.version = aVersion;
+  command.basedOn = aBase;
+  command.hash = Sha256(text);
+  command.body = Compress(text);
+  return command;
+}
+
+// Guards against: a read that knows which entries it needs gets an older configuration while the replica
+// opens its journal again and applies its entries anew.
+BOOST_AUTO_TEST_CASE(a_read_never_gets_the_state_of_a_replica_that_is_being_reopened)
+{
+  ReplicaRun<HookedConfiguration> run({ kSelf });
+  run.Run(milliseconds(3000));
+  for (const auto [version, base] : { std::pair(3, 0), std::pair(5, 3) }) {
+    std::future<wire::CommandResult> result = run.Submit(MakeReplace(version, base));
+    BOOST_REQUIRE((ValueOf(result).value().code == wire::ResultCode::Done));
+  }
+  wire::ReadIndex confirmed;
+  confirmed.confirmed = true;
+  confirmed.index = run.Status().applied;
+  const ConfigurationReader reader(
+    { .requestReadIndex = [&](Deadline) -> Result<wire::ReadIndex> { return confirmed; } },
+    run.State().State());
+  const auto read = [&] {
+    const Result<SnapshotPointer> newest = reader.ReadNewest(SteadyClock::now() + milliseconds(20));
+    return newest ? std::optional(newest.value()->version) : std::nullopt;
+  };
+  BOOST_TEST((read() == 5));
+  int reopenedCount = 0;
+  run.State().SetWhenRestored([&] {
+    ++reopenedCount;
+    BOOST_TEST((read() == std::nullopt));
+  });
+  SimulatedDisk::SetFaults({ .isFull = true });
+  run.Submit(MakeReplace(7, 5));
+  SimulatedDisk::SetFaults({});
+  run.Run(milliseconds(6000));
+  BOOST_TEST(reopenedCount > 0);
+  BOOST_TEST((read() == 5));
+}
