Report requests that begin to wait right after a report

Callers of a team far below its limit got 429 after 200 ms, while the node was in contact with the ledger all the time (known failure of `quotas`, case requests_below_the_limit_run).

The threads that report to the ledger pause for 5 ms after each exchange. A notification that came in this time was dropped by the condition of the wait, and no other followed: the thread slept on until the next regular report, up to 500 ms later, and the request was refused when its wait of 200 ms ended. Requests wait often while a ledger is new, since it grants no spare tokens then; hence the failures when one had just started.

--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -17,7 +17,6 @@
  * request that waits has its reply within one and a half.
  */
 static constexpr std::chrono::milliseconds kStagger{ 20 };
-static constexpr std::chrono::milliseconds kIdleInterval{ 5000 };
 /** Bounds the number of time series; the teams beyond it are counted together. */
 static constexpr size_t kLabelledTeams = 100;
 
@@ -26,13 +25,7 @@
   , m_pool({ .node = aNode,
              .incarnation = WallNow().time_since_epoch().count(),
              .startedAt = SteadyClock::now(),
-             .onReportDue = [this] {
-               {
-                 const std::lock_guard lock(m_mutex);
-                 ++m_wakeCount;
-               }
-               m_wake.notify_all();
-             } })
+             .onReportDue = [this] { m_reportDue.Notify(); } })
 {
 }
 
@@ -49,7 +42,7 @@
     return;
   }
   const std::lock_guard lock(m_mutex);
-  for (size_t connection = 0; connection < m_connections.size() && !m_stop; ++connection) {
+  for (size_t connection = 0; connection < m_connections.size() && !m_reportDue.IsStopped(); ++connection) {
     if (!m_connections[connection].thread.joinable()) {
       m_connections[connection].thread = std::thread([this, connection] { Run(connection); });
     }
@@ -59,11 +52,9 @@
 void
 QuotaClient::BeginStop()
 {
-  {
-    const std::lock_guard lock(m_mutex);
-    m_stop = true;
-  }
-  m_wake.notify_all();
+  // No thread is started after this.
+  const std::lock_guard lock(m_mutex);
+  m_reportDue.Stop();
 }
 
 void
@@ -95,27 +86,8 @@
 bool
 QuotaClient::WaitForWork(size_t aConnection)
 {
-  const Connection& connection = m_connections[aConnection];
-  while (true) {
-    uint64_t wakeCount = 0;
-    {
-      const std::lock_guard lock(m_mutex);
-      wakeCount = m_wakeCount;
-    }
-    const Deadline now = SteadyClock::now();
-    const std::optional<Deadline> workAt = WorkAt(aConnection, now);
-    const Deadline due = std::max(workAt.value_or(now + kIdleInterval), connection.nextAttemptAt);
-    std::unique_lock lock(m_mutex);
-    if (m_stop) {
-      return false;
-    }
-    if (workAt && due <= now) {
-      return true;
-    }
-    m_wake.wait_until(lock, due, [&] {
-      return m_stop || (m_wakeCount != wakeCount && SteadyClock::now() >= connection.nextAttemptAt);
-    });
-  }
+  return m_reportDue.WaitForWork(m_connections[aConnection].nextAttemptAt,
+                                 [&](Deadline aNow) { return WorkAt(aConnection, aNow); });
 }
 
 void
--- a/src/node/quotaclient.h
+++ b/src/node/quotaclient.h
@@ -3,12 +3,12 @@
 #include "configuration/snapshot.h"
 #include "process/metrics.h"
 #include "quota/quotapool.h"
+#include "quota/worksignal.h"
 #include "settings/processsettings.h"
 #include "wire/gen-cpp/ControlPeer.h"
 #include "wire/rpcclient.h"
 
 #include <array>
-#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -78,12 +78,10 @@
   void RecordContact(const std::optional<Address>& aLeader, const std::string& aReason);
 
   const ReplicaSource m_replicas;
+  /** Tells the threads that a report is due earlier than they expect. */
+  WorkSignal m_reportDue;
   QuotaPool m_pool;
   std::mutex m_mutex;
-  std::condition_variable m_wake;
-  /** Grows when a report becomes due earlier than the threads expect. */
-  uint64_t m_wakeCount = 0;
-  bool m_stop = false;
   size_t m_nextReplica = 0;
   /** The leader that answered last, if it still did. */
   std::optional<Address> m_leader;
