Let requests below a limit wait for a late ledger in place of a 429

Callers of a team far below its limit got 429 while the machine was busy: after 200 ms when the first exchange with the ledger took longer, and at once for over a second when an exchange had timed out (300 ms). The node held no fallback rate yet, refused what had no token, and so had no request that made it report early: it tried again only every 500 ms, and spent every other try on learning which replica leads.

- A request that waits may still use the fallback rate after 200 ms, but is refused only after 1 s.
A caller refused earlier would come back later than that, as Retry-After is at least 1 s.
- In the first 2 s without contact, time for an election, a request without a token waits, which makes the node report every 100 ms.
Requests of a team that was at its limit are refused at once as before, and so are all when contact is lost for longer.
- A report that reached a replica that doesn't lead is due again at once.

The bound doesn't depend on waits: tokens come from the ledger or the fallback rate as before.

--- a/src/caller/quotaadmission.cpp
+++ b/src/caller/quotaadmission.cpp
@@ -1,14 +1,17 @@
 #include "caller/quotaadmission.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosarun {
 
 /**
- * Longest time that a call waits for a grant. A reply from another region takes about 45 ms, the first one,
- * with two connections to open, three times as long; a refused caller would come back later than that.
+ * Time after which a call that waits for a grant may use the fallback rate. A reply from another region takes
+ * about 45 ms, the first one, with two connections to open, three times as long.
  */
-static constexpr std::chrono::milliseconds kLongestQuotaWait{ 200 };
+static constexpr std::chrono::milliseconds kFallbackInterval{ 200 };
+/** Longest time that a call waits for a grant. A refused caller would come back later than that. */
+static constexpr std::chrono::milliseconds kLongestQuotaWait{ 1000 };
 
 QuotaAdmission::QuotaAdmission(QuotaPool& aPool, std::string aTeam, EventLoop& aLoop)
   : m_pool(aPool)
@@ -41,21 +44,32 @@
     return;
   }
   m_identifier = ticket.identifier;
-  m_loop.RunAt(aNow + kLongestQuotaWait, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->EndWait();
+  m_waitEndsAt = aNow + kLongestQuotaWait;
+  TryFallbackAt(aNow + kFallbackInterval);
+}
+
+void
+QuotaAdmission::TryFallbackAt(Deadline aAt)
+{
+  m_loop.RunAt(aAt, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->m_state == State::Waiting) {
+      self->TryFallback();
     }
   });
 }
 
 void
-QuotaAdmission::EndWait()
+QuotaAdmission::TryFallback()
 {
-  if (m_state != State::Waiting) {
-    return;
-  }
-  if (const auto verdict = m_pool.EndWait(m_team, m_identifier, SteadyClock::now())) {
+  const Deadline now = SteadyClock::now();
+  const bool isLast = now >= m_waitEndsAt;
+  const auto verdict =
+    isLast ? m_pool.EndWait(m_team, m_identifier, now) : m_pool.TryFallback(m_team, m_identifier, now);
+  if (verdict) {
     Decide(*verdict);
+  } else if (!isLast) {
+    TryFallbackAt(std::min(now + kFallbackInterval, m_waitEndsAt));
   }
 }
 
--- a/src/caller/quotaadmission.h
+++ b/src/caller/quotaadmission.h
@@ -36,13 +36,16 @@
   };
 
   void Decide(const QuotaVerdict& aVerdict);
-  void EndWait();
+  void TryFallbackAt(Deadline aAt);
+  /** Uses the fallback rate if it has room, and ends the wait when its time is over. */
+  void TryFallback();
 
   QuotaPool& m_pool;
   const std::string m_team;
   EventLoop& m_loop;
   State m_state = State::Idle;
   uint64_t m_identifier = 0;
+  Deadline m_waitEndsAt{};
   Continuation m_continuation;
 };
 
--- a/src/node/quotaclient.cpp
+++ b/src/node/quotaclient.cpp
@@ -133,7 +133,7 @@
     return;
   }
   if (called && !aConnection.isFollowing && Follow(aConnection, reply.leader)) {
-    m_pool.ReportAgain();
+    m_pool.ReportAgain(now);
     return;
   }
   HandleFailure(aConnection,
--- a/src/quota/quotapool.cpp
+++ b/src/quota/quotapool.cpp
@@ -21,6 +21,8 @@
 static constexpr std::chrono::milliseconds kReportJoinTime{ 250 };
 /** Longest time for which requests are refused without a report, as the ledger may get room earlier. */
 static constexpr std::chrono::milliseconds kLongestPause{ 1000 };
+/** Time in which a lost leader is usually replaced. */
+static constexpr std::chrono::milliseconds kElectionTime{ 2000 };
 /** Retry-After of a request for which no time is known. */
 static constexpr std::chrono::milliseconds kDefaultRetryAfter{ 1000 };
 
@@ -130,6 +132,13 @@
   return { .decision = QuotaDecision::Refused, .retryAfter = kDefaultRetryAfter };
 }
 
+bool
+QuotaPool::MayAwaitContactLocked(const Share& aShare, Deadline aNow) const
+{
+  const bool wasBelowLimit = aShare.refusedUntil == Deadline{};
+  return wasBelowLimit && aNow < m_contactLostAt + kElectionTime;
+}
+
 QuotaVerdict
 QuotaPool::DecideLocked(Share& aShare, Deadline aNow)
 {
@@ -143,7 +152,10 @@
     return { .decision = QuotaDecision::Admitted };
   }
   if (!m_hasContact && aNow >= aShare.fallbackAt) {
-    return DecideByFallbackLocked(aShare, aNow);
+    const QuotaVerdict verdict = DecideByFallbackLocked(aShare, aNow);
+    if (verdict.decision == QuotaDecision::Admitted || !MayAwaitContactLocked(aShare, aNow)) {
+      return verdict;
+    }
   }
   if (aNow < aShare.refusedUntil) {
     return { .decision = QuotaDecision::Refused, .retryAfter = TimeLeft(aShare.refusedUntil, aNow) };
@@ -199,6 +211,25 @@
                        [&](const Waiter& aWaiter) { return aWaiter.identifier == aIdentifier; }) > 0;
 }
 
+std::optional<QuotaVerdict>
+QuotaPool::TryFallback(const std::string& aTeam, uint64_t aIdentifier, Deadline aNow)
+{
+  const std::lock_guard lock(m_mutex);
+  const auto entry = m_shares.find(aTeam);
+  if (entry == m_shares.end()) {
+    return std::nullopt;
+  }
+  Share& share = entry->second;
+  RefillFallbackLocked(share, aNow);
+  const bool hasRoom = aNow >= share.fallbackAt && share.fallbackTokens >= 1;
+  if (!hasRoom || !RemoveWaiterLocked(share, aIdentifier)) {
+    return std::nullopt;
+  }
+  const QuotaVerdict verdict = DecideByFallbackLocked(share, aNow);
+  CountLocked(share, verdict);
+  return verdict;
+}
+
 std::optional<QuotaVerdict>
 QuotaPool::EndWait(const std::string& aTeam, uint64_t aIdentifier, Deadline aNow)
 {
@@ -366,11 +397,14 @@
 }
 
 void
-QuotaPool::ReportAgain()
+QuotaPool::ReportAgain(Deadline aNow)
 {
   const std::lock_guard lock(m_mutex);
   for (auto& [name, share] : m_shares) {
     share.reportedWaiter = 0;
+    if (share.nextReportAt) {
+      share.nextReportAt = aNow;
+    }
   }
 }
 
@@ -380,6 +414,7 @@
   std::vector<Notification> notifications;
   {
     const std::lock_guard lock(m_mutex);
+    m_contactLostAt = m_hasContact ? aNow : m_contactLostAt;
     m_hasContact = false;
     for (auto& [name, share] : m_shares) {
       share.reportedWaiter = 0;
--- a/src/quota/quotapool.h
+++ b/src/quota/quotapool.h
@@ -84,6 +84,12 @@
   /** Decides about a request; requests of teams without a limit are admitted. */
   Ticket Request(const std::string& aTeam, Deadline aNow, Listener aListener);
 
+  /**
+   * Admits a request that waits if the fallback rate has room; returns nothing if it waits on, or if its
+   * listener has got or is about to get the decision.
+   */
+  std::optional<QuotaVerdict> TryFallback(const std::string& aTeam, uint64_t aIdentifier, Deadline aNow);
+
   /**
    * Ends the wait of a request by its fallback rate; returns nothing if its listener has got or is about to
    * get the decision.
@@ -114,10 +120,13 @@
               Deadline aSentAt,
               Deadline aNow);
 
-  /** Names the requests that wait in the next report too, as a report in flight reached no ledger. */
-  void ReportAgain();
+  /** Makes a report due at once, which names all requests that wait, as one in flight reached no ledger. */
+  void ReportAgain(Deadline aNow);
 
-  /** From now on, expired grants are replaced by fallback rates. */
+  /**
+   * From now on, expired grants are replaced by fallback rates. Requests beyond these wait while a new leader
+   * may be elected.
+   */
   void LoseContact(Deadline aNow);
 
   std::map<std::string, QuotaCounts> Counts() const;
@@ -151,7 +160,7 @@
     double fallbackTokens = 0;
     /** When fallbackTokens was computed, or when the rate begins to apply. */
     Deadline fallbackAt{};
-    /** Until then the ledger has no room. */
+    /** Until then the ledger has no room; zero if it had room for all that asked. */
     Deadline refusedUntil{};
     DemandEstimate demand;
     std::deque<Waiter> waiting;
@@ -168,6 +177,8 @@
   /** Takes a request out of those that wait; returns false if it doesn't wait. */
   static bool RemoveWaiterLocked(Share& aShare, uint64_t aIdentifier);
   void ScaleLocked(Share& aShare, double aFactor) const;
+  /** Whether a request without contact may wait for a ledger that is probably back before its wait ends. */
+  bool MayAwaitContactLocked(const Share& aShare, Deadline aNow) const;
   /** Decides without asking the ledger if possible. */
   QuotaVerdict DecideLocked(Share& aShare, Deadline aNow);
   QuotaVerdict DecideByFallbackLocked(Share& aShare, Deadline aNow);
@@ -190,6 +201,7 @@
   uint64_t m_lastIdentifier = 0;
   size_t m_nodeCount = 1;
   bool m_hasContact = true;
+  Deadline m_contactLostAt{};
   /** Shares of the teams that have a limit. */
   std::map<std::string, Share> m_shares;
 };
--- a/tests/quota/quotapooltest.cpp
+++ b/tests/quota/quotapooltest.cpp
@@ -9,6 +9,9 @@
 
 static const Deadline kStart{ std::chrono::hours(1) };
 
+/** So many that none has a token of the floor that they share. */
+static constexpr size_t kManyNodes = 100000;
+
 static std::map<std::string, Team>
 OneTeam(double aRate)
 {
@@ -125,6 +128,68 @@
   BOOST_TEST(AdmittedOf(100, kStart + seconds(7)) <= 5);
 }
 
+// Guards against requests below the limit that are refused while a lost leader is replaced.
+BOOST_FIXTURE_TEST_CASE(requests_wait_for_a_new_leader, Fixture)
+{
+  pool.SetNodeCount(kManyNodes);
+  Request(kStart);
+  Grant(1, 0, kStart);
+  pool.LoseContact(kStart + seconds(1));
+  BOOST_TEST((Request(kStart + milliseconds(1100)) == QuotaDecision::Waiting));
+  pool.LoseContact(kStart + milliseconds(1500));
+  BOOST_TEST(decisions.size() == 1);
+  BOOST_TEST(pool.HasUnreportedRequests());
+  Grant(1, 0, kStart + milliseconds(1600));
+  BOOST_REQUIRE(decisions.size() == 2);
+  BOOST_TEST((decisions.back() == QuotaDecision::Admitted));
+}
+
+// Guards against requests that wait in vain for a leader that isn't replaced soon.
+BOOST_FIXTURE_TEST_CASE(requests_are_refused_at_once_when_contact_is_lost_for_long, Fixture)
+{
+  pool.SetNodeCount(kManyNodes);
+  Request(kStart);
+  Grant(1, 0, kStart);
+  pool.LoseContact(kStart + seconds(1));
+  pool.LoseContact(kStart + seconds(2));
+  BOOST_TEST((Request(kStart + milliseconds(3001)) == QuotaDecision::Refused));
+}
+
+// Guards against requests beyond the limit that wait for a leader which has no room for them either.
+BOOST_FIXTURE_TEST_CASE(a_team_at_its_limit_does_not_wait_for_a_new_leader, Fixture)
+{
+  pool.SetNodeCount(kManyNodes);
+  Request(kStart);
+  Grant(0, 0, kStart, 500);
+  pool.LoseContact(kStart + seconds(1));
+  BOOST_TEST((Request(kStart + milliseconds(1100)) == QuotaDecision::Refused));
+}
+
+// Guards against requests that wait for a ledger although the fallback rate has room.
+BOOST_FIXTURE_TEST_CASE(a_waiting_request_uses_the_fallback_rate, Fixture)
+{
+  Request(kStart);
+  Grant(1, 10, kStart);
+  const QuotaPool::Ticket ticket =
+    pool.Request("team", kStart + milliseconds(400), [](const QuotaVerdict&) {});
+  BOOST_TEST((ticket.verdict.decision == QuotaDecision::Waiting));
+  BOOST_TEST(!pool.TryFallback("team", ticket.identifier, kStart + milliseconds(499)).has_value());
+  const auto verdict = pool.TryFallback("team", ticket.identifier, kStart + milliseconds(610));
+  BOOST_REQUIRE(verdict.has_value());
+  BOOST_TEST((verdict->decision == QuotaDecision::Admitted));
+  BOOST_TEST(!pool.EndWait("team", ticket.identifier, kStart + milliseconds(620)).has_value());
+}
+
+// Guards against half a second without a report when the replica that was asked doesn't lead.
+BOOST_FIXTURE_TEST_CASE(a_report_that_reached_no_leader_is_due_again_at_once, Fixture)
+{
+  Request(kStart);
+  Grant(1, 1, kStart);
+  pool.MakeReport(kStart + milliseconds(500));
+  pool.ReportAgain(kStart + milliseconds(510));
+  BOOST_TEST((pool.NextReportAt(kStart + milliseconds(510)) == kStart + milliseconds(510)));
+}
+
 // Guards against a wait that outlasts its time when control doesn't reply.
 BOOST_FIXTURE_TEST_CASE(a_wait_ends_once, Fixture)
 {
--- a/tests/quota/quotasimulation.h
+++ b/tests/quota/quotasimulation.h
@@ -94,6 +94,8 @@
   struct Wait
   {
     int64_t until = 0;
+    /** When the request may use the fallback rate next. */
+    int64_t fallbackAt = 0;
     size_t node = 0;
     std::string team;
     uint64_t identifier = 0;
