--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,7 +14,7 @@
 /** Delay after a failed accept, for example when the process has run out of file descriptors. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
 static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
-/** Requests were seen to be under way for up to 276 ms on full links. */
+/** Longer than a request is under way on a full link. */
 static constexpr std::chrono::milliseconds kQuietTime{ 500 };
 
 Result<std::unique_ptr<HttpServer>>
