Take calls at a stopping node only until open ones are refused

Callers got 502 with an unknown outcome for calls that a stopping node had taken although they usually take longer than it refuses to wait. The schedule admitted calls that end before the end of the drain, but calls without a response are refused 200 ms before it.

The schedule now ends when the refusals begin, so such a call is refused as not run before anything is sent.

--- a/src/common/drainschedule.h
+++ b/src/common/drainschedule.h
@@ -16,7 +16,7 @@
   {
     /** No call is taken from then on. */
     Deadline acceptUntil;
-    /** Open calls are cut off then. */
+    /** Open calls are refused then. */
     Deadline endsAt;
   };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -330,7 +330,7 @@
   const Deadline end = now + m_settings.drainTimeout;
   const Deadline acceptUntil = now + m_options.acceptTime;
   m_leaving = true;
-  const DrainSchedule schedule({ .acceptUntil = acceptUntil, .endsAt = end });
+  const DrainSchedule schedule({ .acceptUntil = acceptUntil, .endsAt = end - kRefusalTime });
   m_entry->BeginDrain(schedule);
   m_gate->BeginDrain(schedule);
   // Other entries learn with a delay that the gate leaves, so it still accepts their calls for a while.
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -180,6 +180,25 @@
   BOOST_TEST(response.outcome == "unknown");
 }
 
+// Guards against: a leaving node takes a call that usually ends after the node has begun to refuse open
+// calls, and its caller then can't tell whether it ran.
+BOOST_AUTO_TEST_CASE(a_call_that_would_be_refused_while_it_runs_is_not_taken)
+{
+  const TestRequest request{ .path = "/books/long?ms=1000", .timeout = std::chrono::milliseconds(8000) };
+  MeshOptions options = SmallMesh("latestcall");
+  options.drainTimeout = std::chrono::milliseconds(2000);
+  RunningMesh mesh(std::move(options));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  BOOST_TEST(Send(node.callerAddress, request).status == 200);
+  node.process.Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(900));
+  // It would end 1,900 ms after the signal, and open calls are refused 1,800 ms after it.
+  const TestResponse response = Send(node.callerAddress, request);
+  BOOST_TEST_MESSAGE("status " << response.status << ", outcome " << response.outcome);
+  BOOST_TEST(response.transferComplete);
+  BOOST_TEST(response.outcome != "unknown");
+}
+
 /** Sends calls to a gate over one connection, like an entry that hasn't learned that the gate's node leaves.
  */
 class LateEntry
