Await responses that are arriving when a node's drain nears its end

In the last 200 ms of a drain the entry now refuses only calls to which no gate has begun to respond, and the rest in the last 50 ms.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -125,7 +125,7 @@
 }
 
 void
-Entry::RefuseOpenCalls()
+Entry::ForEachOpenCall(const std::function<void(EntryCall&)>& aFunction)
 {
   std::vector<std::shared_ptr<EntryCall>> calls;
   {
@@ -139,10 +139,26 @@
   for (std::shared_ptr<EntryCall>& call : calls) {
     // The last reference may end here, and must do so on the loop.
     EventLoop& loop = call->Loop();
-    loop.Dispatch([onLoop = std::move(call)] { onLoop->OnEntryEnds(); });
+    loop.Dispatch([aFunction, onLoop = std::move(call)] { aFunction(*onLoop); });
   }
 }
 
+void
+Entry::RefuseUnansweredCalls()
+{
+  ForEachOpenCall([](EntryCall& aCall) {
+    if (!aCall.HasResponse()) {
+      aCall.OnEntryEnds();
+    }
+  });
+}
+
+void
+Entry::RefuseOpenCalls()
+{
+  ForEachOpenCall([](EntryCall& aCall) { aCall.OnEntryEnds(); });
+}
+
 int
 Entry::OpenCalls() const
 {
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -80,7 +80,10 @@
   /** Stops accepting connections, and closes each open one after its last response. */
   void StopListening();
 
-  /** Refuses the calls without a response, whose outcome is unknown if they were sent to a gate. */
+  /** Refuses the calls to which no gate has begun to respond; their outcome is unknown if they were sent. */
+  void RefuseUnansweredCalls();
+
+  /** Refuses all calls without a response that is being sent; their outcome is unknown if they were sent. */
   void RefuseOpenCalls();
 
   /** Returns the number of calls without a complete response. */
@@ -135,6 +138,8 @@
   };
 
   void Handle(const ExchangePointer& aExchange);
+  /** Runs a function with each open call, on the loop of the call. */
+  void ForEachOpenCall(const std::function<void(EntryCall&)>& aFunction);
   /** Returns why a request can't run at present, or acquires the limit of its route. */
   std::optional<RefusalDetails> Admit(const AcceptedRequest& aRequest);
   std::optional<RefusalDetails> RefuseWhileStopping(const AcceptedRequest& aRequest) const;
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -46,7 +46,10 @@
 
   EventLoop& Loop() const { return m_loop; }
 
-  /** Refuses the call if it has no response yet, as its entry ends; only on the call's loop. */
+  /** Returns whether a gate has begun to respond to the call; only on the call's loop. */
+  bool HasResponse() const { return m_attempts.HasResponse(); }
+
+  /** Refuses the call unless its response is being sent, as its entry ends; only on the call's loop. */
   void OnEntryEnds();
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,8 +14,10 @@
 static constexpr std::chrono::milliseconds kLeaseCheckInterval{ 250 };
 static constexpr std::chrono::milliseconds kDirectoryInterval{ 100 };
 static constexpr std::chrono::milliseconds kDrainPollInterval{ 10 };
-/** Part of a drain that is left for refusing the calls that haven't ended. */
+/** Part of a drain that is left for refusing the calls to which no gate has begun to respond. */
 static constexpr std::chrono::milliseconds kRefusalTime{ 200 };
+/** Part of a drain that is left for refusing the calls whose responses haven't arrived completely. */
+static constexpr std::chrono::milliseconds kLastRefusalTime{ 50 };
 /** Limit of log records about undelivered responses on each side. */
 static constexpr size_t kLoggedUndelivered = 20;
 
@@ -323,6 +325,20 @@
   return false;
 }
 
+void
+Node::FinishCalls(Deadline aEnd)
+{
+  if (WaitUntilDrained(aEnd - kRefusalTime)) {
+    return;
+  }
+  m_entry->RefuseUnansweredCalls();
+  if (WaitUntilDrained(aEnd - kLastRefusalTime)) {
+    return;
+  }
+  m_entry->RefuseOpenCalls();
+  WaitUntilDrained(aEnd);
+}
+
 void
 Node::Shutdown()
 {
@@ -339,10 +355,7 @@
   std::this_thread::sleep_until(acceptUntil);
   m_entry->StopListening();
   BeginStoppingBackground();
-  if (!WaitUntilDrained(end - kRefusalTime)) {
-    m_entry->RefuseOpenCalls();
-    WaitUntilDrained(end);
-  }
+  FinishCalls(end);
   LogDrained(HasAnswered());
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -106,6 +106,8 @@
   bool HasAnswered() const;
   /** Waits until the node has answered and no further call is on its way; returns false at the deadline. */
   bool WaitUntilDrained(Deadline aDeadline) const;
+  /** Waits until the node is drained, and refuses calls that don't end in time. */
+  void FinishCalls(Deadline aEnd);
   /** Logs the end of the drain, and the responses that are cut off by the end of the process. */
   void LogDrained(bool aFinished) const;
   Answer ShowInForce() const;
--- a/tests/caller/leavinggatestest.cpp
+++ b/tests/caller/leavinggatestest.cpp
@@ -1,7 +1,5 @@
 #define BOOST_TEST_MODULE leavinggates
-#include "caller/entry.h"
-#include "harness/rawserver.h"
-#include "harness/testclient.h"
+#include "caller/runningentry.h"
 #include "hop/hopheaders.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,12 +10,6 @@
 
 using namespace mimosarun;
 
-static const std::string kDocument = R"({
-  "services": { "books": { "homeRegion": "east" } },
-  "routes": {
-    "items": { "pathPrefix": "/items", "service": "books", "idempotent": true, "timeoutMs": 2000 }
-  }})";
-
 /** A gate with an idle target that gives all calls the same response. */
 class FakeGate
 {
@@ -49,57 +41,6 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
-/** An entry with the gates of one service. */
-class RunningEntry
-{
-public:
-  RunningEntry()
-  {
-    m_entry = Entry::Start({ .address = m_address,
-                             .node = "entry",
-                             .loops = &m_loops,
-                             .forwarder = &m_forwarder,
-                             .metrics = &m_metrics,
-                             .codec = CallerCodecOf<NativeCallerProtocol>() })
-                .value();
-    m_entry->SetSnapshot(MakeSnapshot(1, kDocument).value());
-  }
-
-  ~RunningEntry()
-  {
-    m_entry->Stop();
-    m_loops.Stop();
-  }
-
-  RunningEntry(const RunningEntry&) = delete;
-  RunningEntry& operator=(const RunningEntry&) = delete;
-
-  void SetGates(const std::vector<GateInfo>& aGates)
-  {
-    auto directory = std::make_shared<GateDirectory>();
-    directory->gates["books"] = aGates;
-    m_entry->SetDirectory(std::move(directory));
-  }
-
-  /** Sends calls one after the other and returns how many had the response of a target. */
-  int Call(int aCount)
-  {
-    int answered = 0;
-    for (int call = 0; call < aCount; ++call) {
-      answered += m_client.Send(m_address, { .path = "/items/1" }).status == 200 ? 1 : 0;
-    }
-    return answered;
-  }
-
-private:
-  const Address m_address = RawServer::FreeAddress();
-  TestClient m_client;
-  EventLoops m_loops{ 1 };
-  Forwarder m_forwarder;
-  Metrics m_metrics;
-  std::unique_ptr<Entry> m_entry;
-};
-
 // Guards against: an entry goes on sending calls to a gate whose node leaves, as its directory is late; the
 // last of them meet a process that has ended (docs/incidents/017).
 BOOST_AUTO_TEST_CASE(an_entry_sends_one_call_to_a_gate_that_leaves)
