Close callers' connections from the moment a node announces that it leaves

Callers that keep their connections went on sending calls to a node that leaves until it refused them: responses said `Connection: close` only from the end of accepting on, so each of these callers got a refusal first.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -117,11 +117,17 @@
   m_drainSchedule = aSchedule;
 }
 
+void
+Entry::CloseAfterResponses()
+{
+  m_server->CloseAfterResponses();
+}
+
 void
 Entry::StopListening()
 {
   m_server->StopListening();
-  m_server->CloseAfterResponses();
+  CloseAfterResponses();
 }
 
 void
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -77,6 +77,9 @@
   /** From now on, refuses calls that the schedule doesn't accept as not run. */
   void BeginDrain(const DrainSchedule& aSchedule);
 
+  /** From now on, closes each connection after its last response, so that callers use other entries. */
+  void CloseAfterResponses();
+
   /** Stops accepting connections, and closes each open one after its last response. */
   void StopListening();
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -291,6 +291,7 @@
 {
   // Gossip may be late under load; entries that have calls here learn at once.
   m_gate->BeginLeaving();
+  m_entry->CloseAfterResponses();
   m_table.UpdateSelf(SteadyClock::now(),
                      [](wire::Member& aSelf) { aSelf.state = wire::MemberState::Leaving; });
   m_gossiper.SpreadNow();
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -199,6 +199,27 @@
   BOOST_TEST(response.outcome != "unknown");
 }
 
+// Guards against: callers with kept connections go on sending calls to a node that leaves until it refuses
+// them.
+BOOST_AUTO_TEST_CASE(a_leaving_node_closes_connections_while_it_still_takes_calls)
+{
+  static const std::string kRequest = "GET /books/item?ms=1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  RunningMesh mesh(SmallMesh("closing"));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  RawConnection caller(node.callerAddress);
+  caller.Send(kRequest);
+  const std::string first = caller.ReceiveUntil("\r\n\r\n", std::chrono::seconds(3));
+  BOOST_TEST(first.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(first.find("Connection: close") == std::string::npos);
+  node.process.Signal(SIGTERM);
+  // A node takes calls for 1.2 s after the signal.
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  caller.Send(kRequest);
+  const std::string last = caller.ReceiveUntil("Connection: close", std::chrono::seconds(3));
+  BOOST_TEST(last.find("HTTP/1.1 200") != std::string::npos);
+  BOOST_TEST(last.find("Connection: close") != std::string::npos);
+}
+
 /** Sends calls to a gate over one connection, like an entry that hasn't learned that the gate's node leaves.
  */
 class LateEntry
