leavinggatestest: don't depend on the choice between two idle gates

a_gate_that_left_gets_calls_again_after_its_restart failed in one of 203 runs (beside other tests): a slow first call made the other gate the better choice for all 60 calls that followed.

--- a/tests/caller/leavinggatestest.cpp
+++ b/tests/caller/leavinggatestest.cpp
@@ -62,14 +62,14 @@
 // it leaves.
 BOOST_AUTO_TEST_CASE(a_gate_that_left_gets_calls_again_after_its_restart)
 {
-  constexpr int kCalls = 60;
+  constexpr int kCalls = 10;
   const FakeGate leaving(200, { .slots = 6, .isLeaving = true });
   const FakeGate restarted(200, { .slots = 6 });
-  const FakeGate staying(200, { .slots = 6 });
   RunningEntry entry;
-  entry.SetGates({ leaving.Info("first", 1), staying.Info("second", 1) });
-  BOOST_TEST(entry.Call(kCalls) == kCalls);
-  entry.SetGates({ restarted.Info("first", 2), staying.Info("second", 1) });
+  entry.SetGates({ leaving.Info("node", 1) });
+  BOOST_TEST(entry.Call(kCalls) == 1);
+  BOOST_TEST(leaving.Calls() == 1);
+  entry.SetGates({ restarted.Info("node", 2) });
   BOOST_TEST(entry.Call(kCalls) == kCalls);
-  BOOST_TEST(restarted.Calls() > 0);
+  BOOST_TEST(restarted.Calls() == kCalls);
 }
