A leaving node listens until it ends, and takes calls that surely end before

Callers under planned stops alone got "connection refused": a node stopped listening 2.9 s after its signal, but waited for its calls for up to 2.6 s more, and callers go on to send to it while too few nodes of their failure domain are ready.

A node listens until it ends now. After 2.9 s it takes the calls whose deadline is before the time at which it refuses open ones, and refuses the others as not run. When it has drained it takes no call any more, and ends its listener with what the kernel has established.

Only gates are waited for to be quiet. A caller knows that a request which wasn't read hasn't run, and constant callers would hold the node to its end.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -127,7 +127,6 @@
 Entry::StopListening()
 {
   m_server->StopListening();
-  CloseAfterResponses();
 }
 
 void
@@ -434,12 +433,26 @@
   return std::nullopt;
 }
 
+std::chrono::milliseconds
+Entry::TimeoutOf(const AcceptedRequest& aRequest)
+{
+  return std::clamp(
+    aRequest.options.timeout.value_or(aRequest.route.timeout), std::chrono::milliseconds(0), kLongestTimeout);
+}
+
+Deadline
+Entry::DeadlineOf(const AcceptedRequest& aRequest)
+{
+  return aRequest.exchange->ReceivedAt() + std::min(TimeoutOf(aRequest), aRequest.route.timeout);
+}
+
 std::optional<RefusalDetails>
 Entry::RefuseWhileStopping(const AcceptedRequest& aRequest) const
 {
   const std::optional<DrainSchedule>& drainSchedule = aRequest.state.drainSchedule;
   if (!drainSchedule ||
-      drainSchedule->Accepts(aRequest.exchange->ReceivedAt(), P95CallTime(aRequest.route))) {
+      drainSchedule->Accepts(aRequest.exchange->ReceivedAt(), P95CallTime(aRequest.route)) ||
+      drainSchedule->AcceptsUntilDeadline(DeadlineOf(aRequest))) {
     return std::nullopt;
   }
   return RefusalDetails{ .status = 503,
@@ -470,8 +483,6 @@
 {
   const Route& route = aRequest.route;
   const Team* const team = aRequest.team;
-  const std::chrono::milliseconds timeout = std::clamp(
-    aRequest.options.timeout.value_or(route.timeout), std::chrono::milliseconds(0), kLongestTimeout);
   const auto objective = route.latencyObjective.count() > 0 ? route.latencyObjective : route.timeout;
   const Deadline receivedAt = aRequest.exchange->ReceivedAt();
   const auto call = std::make_shared<EntryCall>(
@@ -483,8 +494,9 @@
                  .team = team == nullptr ? "" : team->name,
                  .teamPriority = team == nullptr ? 0 : team->priority,
                  .teamRate = team == nullptr ? 0 : team->requestsPerSecond,
-                 .deadline = receivedAt + std::min(timeout, route.timeout),
-                 .objectiveDeadline = receivedAt + objective - EstimateTimeSpent(route, timeout) });
+                 .deadline = DeadlineOf(aRequest),
+                 .objectiveDeadline =
+                   receivedAt + objective - EstimateTimeSpent(route, TimeoutOf(aRequest)) });
   call->Start();
 }
 
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -80,7 +80,7 @@
   /** From now on, closes each connection after its last response, so that callers use other entries. */
   void CloseAfterResponses();
 
-  /** Stops accepting connections, and closes each open one after its last response. */
+  /** Accepts no further connections; those that are established are served. */
   void StopListening();
 
   /** Refuses the calls to which no gate has begun to respond; their outcome is unknown if they were sent. */
@@ -95,9 +95,6 @@
   /** Returns whether callers have all bytes of all responses. */
   bool HasDelivered() const { return m_server->HasDelivered(); }
 
-  /** Returns whether nothing has arrived for so long that no call should be on its way. */
-  bool IsQuiet() const { return m_server->IsQuiet(); }
-
   /** Returns the responses of which callers lack bytes. */
   std::vector<UndeliveredResponse> UndeliveredResponses() const { return m_server->UndeliveredResponses(); }
 
@@ -145,6 +142,10 @@
   void ForEachOpenCall(const std::function<void(EntryCall&)>& aFunction);
   /** Returns why a request can't run at present, or acquires the limit of its route. */
   std::optional<RefusalDetails> Admit(const AcceptedRequest& aRequest);
+  /** Returns how long the caller of a request waits for its response. */
+  static std::chrono::milliseconds TimeoutOf(const AcceptedRequest& aRequest);
+  /** Returns until when the call of a request may take. */
+  static Deadline DeadlineOf(const AcceptedRequest& aRequest);
   std::optional<RefusalDetails> RefuseWhileStopping(const AcceptedRequest& aRequest) const;
   std::optional<RefusalDetails> RefuseQuarantined(const AcceptedRequest& aRequest);
   void StartCall(const AcceptedRequest& aRequest);
--- a/src/common/drainschedule.cpp
+++ b/src/common/drainschedule.cpp
@@ -2,6 +2,9 @@
 
 namespace mimosarun {
 
+/** Time for the refusal of a call at its deadline, and for the bytes that its peer lacks then. */
+static constexpr std::chrono::milliseconds kResponseTime{ 200 };
+
 DrainSchedule::DrainSchedule(Options aOptions)
   : m_options(aOptions)
 {
@@ -13,4 +16,10 @@
   return aNow < m_options.acceptUntil && aNow + aLongestExpectedTime <= m_options.endsAt;
 }
 
+bool
+DrainSchedule::AcceptsUntilDeadline(Deadline aCallDeadline) const
+{
+  return aCallDeadline + kResponseTime <= m_options.endsAt;
+}
+
 } // namespace mimosarun
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,14 +69,12 @@
 void
 Node::Stop()
 {
-  m_stop = true;
-  if (m_directoryThread.joinable()) {
-    m_directoryThread.join();
+  if (m_backgroundEnd.joinable()) {
+    m_backgroundEnd.join();
   }
-  m_control.Stop();
+  EndBackground();
   m_crashReporter.Stop();
   m_quotas.Stop();
-  m_gossiper.Stop();
   m_server.reset();
   // The loops still run while threads are waited for, so that calls that arrive are refused.
   if (m_entry) {
@@ -298,11 +296,16 @@
 }
 
 void
-Node::BeginStoppingBackground()
+Node::EndBackground()
 {
   m_stop = true;
   m_control.BeginStop();
   m_gossiper.BeginStop();
+  if (m_directoryThread.joinable()) {
+    m_directoryThread.join();
+  }
+  m_control.Stop();
+  m_gossiper.Stop();
 }
 
 bool
@@ -313,12 +316,21 @@
   return haveEnded && m_gate->HasDelivered() && m_entry->HasDelivered();
 }
 
+void
+Node::WaitUntilAnswered(Deadline aDeadline) const
+{
+  while (SteadyClock::now() < aDeadline && !HasAnswered()) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+}
+
 bool
 Node::WaitUntilDrained(Deadline aDeadline) const
 {
   while (SteadyClock::now() < aDeadline) {
-    // Entries that learn late that the node leaves have sent calls that are still on their way.
-    if (HasAnswered() && m_gate->IsQuiet() && m_entry->IsQuiet()) {
+    // Entries that learn late that the node leaves have sent calls that are still on their way. A caller that
+    // sends late isn't waited for: it knows that a request which wasn't read hasn't run.
+    if (HasAnswered() && m_gate->IsQuiet()) {
       return true;
     }
     std::this_thread::sleep_for(kDrainPollInterval);
@@ -326,6 +338,15 @@
   return false;
 }
 
+void
+Node::RefuseNewCalls()
+{
+  const Deadline now = SteadyClock::now();
+  const DrainSchedule none({ .acceptUntil = now, .endsAt = now });
+  m_entry->BeginDrain(none);
+  m_gate->BeginDrain(none);
+}
+
 void
 Node::FinishCalls(Deadline aEnd)
 {
@@ -337,7 +358,6 @@
     return;
   }
   m_entry->RefuseOpenCalls();
-  WaitUntilDrained(aEnd);
 }
 
 void
@@ -354,9 +374,12 @@
   std::this_thread::sleep_until(now + m_options.leaveDelay);
   LeaveMesh();
   std::this_thread::sleep_until(acceptUntil);
-  m_entry->StopListening();
-  BeginStoppingBackground();
+  m_backgroundEnd = std::thread([this] { EndBackground(); });
   FinishCalls(end);
+  // A call that was taken from here on would be cut off by the end of the process.
+  RefuseNewCalls();
+  m_entry->StopListening();
+  WaitUntilAnswered(end);
   LogDrained(HasAnswered());
 }
 
@@ -386,7 +409,7 @@
         { "gate-calls", m_gate->OpenCalls() },
         { "entry-undelivered", atEntry.size() },
         { "gate-undelivered", atGate.size() },
-        { "quiet", m_gate->IsQuiet() && m_entry->IsQuiet() ? "yes" : "no" } });
+        { "quiet", m_gate->IsQuiet() ? "yes" : "no" } });
   LogUndelivered("entry", atEntry);
   LogUndelivered("gate", atGate);
 }
--- a/tests/common/drainscheduletest.cpp
+++ b/tests/common/drainscheduletest.cpp
@@ -29,6 +29,13 @@
   BOOST_TEST(!StoppingNode().Accepts(kStart, milliseconds(6000)));
 }
 
+// Guards against: callers without another node are refused although their calls would end in time.
+BOOST_AUTO_TEST_CASE(a_late_call_is_taken_if_its_deadline_is_before_the_end)
+{
+  BOOST_TEST(StoppingNode().AcceptsUntilDeadline(kStart + milliseconds(5300)));
+  BOOST_TEST(!StoppingNode().AcceptsUntilDeadline(kStart + milliseconds(5301)));
+}
+
 BOOST_AUTO_TEST_CASE(no_call_is_taken_after_the_end)
 {
   BOOST_TEST(!StoppingNode().Accepts(kStart + milliseconds(5600), milliseconds(0)));
--- a/tests/mesh/leaving.cpp
+++ b/tests/mesh/leaving.cpp
@@ -199,6 +199,37 @@
   BOOST_TEST(response.outcome != "unknown");
 }
 
+// Guards against: a leaving node that still waits for its calls rejects the connections of callers that have
+// no other node.
+BOOST_AUTO_TEST_CASE(a_leaving_node_answers_callers_until_its_end)
+{
+  MeshOptions options = SmallMesh("listening");
+  options.drainTimeout = std::chrono::milliseconds(4000);
+  RunningMesh mesh(std::move(options));
+  MeshProcess& node = mesh.ProcessOf("node-east-1-books-1");
+  std::thread caller([&node] {
+    const TestResponse response =
+      Send(node.callerAddress, { .path = "/books/long?ms=3000", .timeout = std::chrono::milliseconds(3500) });
+    BOOST_TEST(response.status == 200);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  node.process.Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  // It ends before the drain does, by its timeout at the latest.
+  const TestResponse served =
+    Send(node.callerAddress, { .path = "/books/item?ms=1", .timeout = std::chrono::milliseconds(500) });
+  BOOST_TEST(served.status == 200);
+  // It could outlast the drain.
+  const TestResponse refused =
+    Send(node.callerAddress, { .path = "/books/item?ms=1", .timeout = std::chrono::milliseconds(8000) });
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.outcome == "not-run");
+  caller.join();
+  int status = -1;
+  BOOST_TEST(node.process.WaitForEnd(kRecoveryLimit, status));
+  BOOST_TEST(status == 0);
+}
+
 // Guards against: callers with kept connections go on sending calls to a node that leaves until it refuses
 // them.
 BOOST_AUTO_TEST_CASE(a_leaving_node_closes_connections_while_it_still_takes_calls)
