A server tells a peer that is gone from one that doesn't read

Where the system offers TCP_INFO, a server no longer sets the limit. While bytes are unacknowledged, each connection is checked once a second (PeerSilence, without network): a peer that leaves two or more retransmissions or window probes unanswered for 3.5 s after the first was seen is gone; one that answers, but takes no byte for the idle limit, is stalled. Both are reset. Two attempts, since a single lost probe of a closed window is followed by the next one only seconds later. All checks of a loop fall on the same moment; connections whose peers have all bytes aren't checked. Where TCP_INFO isn't offered, the limit of 4 s stays as it was, also for what the kernel still sends after a connection was closed.

--- /dev/null
+++ b/src/http/deliverystate.cpp
@@ -0,0 +1,34 @@
+#include "http/deliverystate.h"
+
+// The kernel's header, as tcp_info of the C library lacks the newer fields; it excludes <netinet/tcp.h>.
+#include <linux/tcp.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstddef>
+
+namespace mimosarun {
+
+std::optional<DeliveryState>
+ReadDeliveryState(int aSocket)
+{
+  static constexpr size_t kNeededBytes =
+    offsetof(tcp_info, tcpi_bytes_acked) + sizeof(tcp_info::tcpi_bytes_acked);
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  if (::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 || length < kNeededBytes) {
+    return std::nullopt;
+  }
+  // A simulated network may accept the call and fill in nothing.
+  if (info.tcpi_state == 0 || info.tcpi_rto == 0) {
+    return std::nullopt;
+  }
+  return DeliveryState{
+    .acknowledgedBytes = info.tcpi_bytes_acked,
+    .unansweredAttempts = static_cast<unsigned int>(info.tcpi_retransmits) + info.tcpi_probes,
+    .lastAnswerAt = SteadyClock::now() - std::chrono::milliseconds(info.tcpi_last_ack_recv),
+  };
+}
+
+} // namespace mimosarun
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -17,7 +17,10 @@
 static constexpr size_t kReadBytes = 8UL * 1024;
 /** Limit of open requests on a connection; it reads on when a response has been sent. */
 static constexpr size_t kPipelineLimit = 32;
+/** The kernel's limit where CheckPeer() can't be used, and for the last bytes of a connection that is closed.
+ */
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
+static constexpr std::chrono::seconds kPeerCheckInterval{ 1 };
 static constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
 static constexpr size_t kDiscardLimitBytes = 512UL * 1024;
 
@@ -26,7 +29,9 @@
 {
   const auto self = std::make_shared<ServerConnection>(std::move(aSocket), std::move(aShared), aLoop);
   aLoop.Dispatch([self] {
-    ConfigureSocket(self->m_socket, kUnacknowledgedTimeout);
+    self->m_canWatchPeer = UnacknowledgedBytes(self->m_socket) && ReadDeliveryState(self->m_socket);
+    ConfigureSocket(self->m_socket,
+                    self->m_canWatchPeer ? std::chrono::milliseconds::zero() : kUnacknowledgedTimeout);
     self->ResetParser();
     self->ResetTimer();
     self->Read();
@@ -42,6 +47,7 @@
   , m_shared(std::move(aShared))
   , m_loop(aLoop)
   , m_timer(aLoop.Context())
+  , m_peerTimer(aLoop.Context())
 {
   ++m_shared->connections;
 }
@@ -161,12 +167,8 @@
     return;
   }
   m_continueSent = true;
-  m_writing = true;
   m_output = "HTTP/1.1 100 Continue\r\n\r\n";
-  boost::asio::async_write(
-    m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const auto& aError, size_t) {
-      self->OnWritten(aError);
-    });
+  WriteOutput();
 }
 
 static HttpRequest
@@ -304,12 +306,19 @@
     FinishFirst();
     return;
   }
-  m_writing = true;
   m_allAcknowledged = false;
+  WriteOutput();
+}
+
+void
+ServerConnection::WriteOutput()
+{
+  m_writing = true;
   boost::asio::async_write(
     m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const auto& aError, size_t) {
       self->OnWritten(aError);
     });
+  WatchPeer();
 }
 
 void
@@ -386,6 +395,51 @@
   }
 }
 
+// --- peer ------------------------------------------------------------------------------------------------
+
+void
+ServerConnection::WatchPeer()
+{
+  if (m_watchingPeer || !m_canWatchPeer || m_closed) {
+    return;
+  }
+  m_watchingPeer = true;
+  // All connections are checked at the same moments, so that one wake-up of a loop serves many.
+  const auto currentSecond = std::chrono::floor<std::chrono::seconds>(SteadyClock::now());
+  m_peerTimer.expires_at(currentSecond + kPeerCheckInterval);
+  m_peerTimer.async_wait([weak = weak_from_this()](const auto& aError) {
+    const auto self = weak.lock();
+    if (self && !aError) {
+      self->CheckPeer();
+    }
+  });
+}
+
+void
+ServerConnection::CheckPeer()
+{
+  m_watchingPeer = false;
+  if (m_closed) {
+    return;
+  }
+  if (UnacknowledgedBytes(m_socket).value_or(0) == 0) {
+    m_peerSilence.Reset();
+    if (m_writing) {
+      WatchPeer();
+    }
+    return;
+  }
+  const std::optional<DeliveryState> delivery = ReadDeliveryState(m_socket);
+  const PeerState peer = delivery ? m_peerSilence.Observe(*delivery, m_limits.idleTimeout, SteadyClock::now())
+                                  : PeerState::Reachable;
+  if (peer == PeerState::Reachable) {
+    WatchPeer();
+  } else {
+    Abort(m_socket);
+    Close();
+  }
+}
+
 // --- end -------------------------------------------------------------------------------------------------
 
 void
@@ -396,6 +450,7 @@
   m_buffer.consume(m_buffer.size());
   boost::system::error_code ignored;
   m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  WatchPeer();
   Read();
   ResetTimer();
 }
@@ -448,8 +503,8 @@
   const bool requestBegun = HasRequestBegun();
   const bool isIdle = m_exchanges.empty() && !requestBegun;
   if ((m_lingering || isIdle) && UnacknowledgedBytes(m_socket).value_or(0) > 0) {
-    // Closed now, the connection would be reset by further bytes of the peer. A peer that is gone fails the
-    // read within the limit for unacknowledged bytes.
+    // Closed now, the connection would be reset by further bytes of the peer. CheckPeer(), or the kernel's
+    // limit for unacknowledged bytes, ends it if the peer is gone.
     ResetTimer();
   } else if (m_lingering) {
     Close();
@@ -469,6 +524,11 @@
   m_closed = true;
   const std::shared_ptr<ServerConnection> self = std::exchange(m_selfWhileFull, nullptr);
   m_timer.cancel();
+  m_peerTimer.cancel();
+  if (m_canWatchPeer && m_socket.is_open()) {
+    // The kernel would hold for many minutes what the peer doesn't take.
+    SetUnacknowledgedTimeout(m_socket, kUnacknowledgedTimeout);
+  }
   boost::system::error_code ignored;
   m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   m_socket.close(ignored);
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/growingbody.h"
+#include "http/peersilence.h"
 #include "http/server.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -62,9 +63,16 @@
   void AddExchange(const ExchangePointer& aExchange);
 
   std::string NextOutput(Exchange& aFirst);
+  /** Sends m_output. */
+  void WriteOutput();
   void OnWritten(const boost::system::error_code& aError);
   void FinishFirst();
 
+  /** Has the peer checked once a second until it has all bytes. */
+  void WatchPeer();
+  /** Closes the connection if the peer is gone or stalled. */
+  void CheckPeer();
+
   void Linger();
   void ResetTimer();
   void WaitForTimer();
@@ -78,6 +86,8 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   boost::asio::steady_timer m_timer;
+  boost::asio::steady_timer m_peerTimer;
+  PeerSilence m_peerSilence;
   std::deque<ExchangePointer> m_exchanges;
   /** Identifier of the call whose response was written last. */
   std::string m_lastCallId;
@@ -89,6 +99,9 @@
   bool m_lingering = false;
   bool m_reading = false;
   bool m_writing = false;
+  /** The system tells whether the peer answers, so CheckPeer() takes the place of the kernel's limit. */
+  bool m_canWatchPeer = false;
+  bool m_watchingPeer = false;
   /** Nothing was written since the peer had acknowledged all bytes. */
   bool m_allAcknowledged = true;
   bool m_rejected = false;
--- a/src/http/sockets.cpp
+++ b/src/http/sockets.cpp
@@ -13,7 +13,13 @@
 {
   boost::system::error_code ignored;
   aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  const auto timeoutMs = static_cast<unsigned int>(aUnacknowledgedTimeout.count());
+  SetUnacknowledgedTimeout(aSocket, aUnacknowledgedTimeout);
+}
+
+void
+SetUnacknowledgedTimeout(boost::asio::ip::tcp::socket& aSocket, std::chrono::milliseconds aTimeout)
+{
+  const auto timeoutMs = static_cast<unsigned int>(aTimeout.count());
   ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof timeoutMs);
 }
 
@@ -27,4 +33,18 @@
   return static_cast<size_t>(bytes);
 }
 
+std::optional<DeliveryState>
+ReadDeliveryState(boost::asio::ip::tcp::socket& aSocket)
+{
+  return aSocket.is_open() ? ReadDeliveryState(aSocket.native_handle()) : std::nullopt;
+}
+
+void
+Abort(boost::asio::ip::tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  aSocket.close(ignored);
+}
+
 } // namespace mimosarun
