Forwarding: tell the sender that a peer is silent before the connection ends

The only means to notice a peer that is gone was TCP_USER_TIMEOUT, which closes the connection. A sender that has to react soon, such as an entry (600 ms), had to end requests at which the peer may be at work: on a full link, or where a peer reads a large request late, acknowledgements take as long.

A request may now name a time of silence. If the peer acknowledges no byte for so long, though it lacks some, and no response has begun, the listener is told once and the transfer goes on until a response, the limit for unacknowledged bytes or the deadline. AcknowledgementWatch tells progress from silence by the number of acknowledged bytes, not by those that are outstanding, which stay the same in a long body that is taken steadily. A transfer that doesn't ask has no additional timer and behaves as before.

stalledsendtest sends 16 MB to a peer that reads nothing for 1.5 s: answered whole, with one report of silence. Its peer stalls as one that reads late; a full link isn't reproduced.

--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,8 @@
   std::chrono::milliseconds longestIdle{ 20000 };
   /** The connection breaks when sent bytes stay unacknowledged for this long. */
   std::chrono::milliseconds unacknowledgedTimeout{ 2000 };
+  /** The listener is told when no sent byte was acknowledged for this long; nothing means never. */
+  std::optional<std::chrono::milliseconds> silenceTime;
   /** Only requests with the same value share connections; increase it to stop using older ones. */
   uint32_t connectionGeneration = 0;
   /** A response with a larger head is invalid. */
@@ -71,6 +74,13 @@
   /** Receives a piece of the body; returning false pauses the transfer until ForwardHandle::Resume(). */
   virtual bool OnBody(std::string_view aBytes) = 0;
 
+  /**
+   * Called at most once, if the peer has acknowledged nothing of the request for
+   * ForwardRequest::silenceTime and no response has begun. The connection stays open, and the response may
+   * still arrive.
+   */
+  virtual void OnSilence() {}
+
   /** Called last, with the result of the request. */
   virtual void OnEnd(ForwardResult aResult) = 0;
 };
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -26,6 +26,8 @@
 /** Subtracted from the time after which a peer closes an idle connection by its Keep-Alive header. */
 static constexpr std::chrono::milliseconds kKeepAliveMargin{ 500 };
 static constexpr int kFirstFinalStatus = 200;
+/** A silent peer is noticed late by up to this part of the time after which it counts as silent. */
+static constexpr int kSilenceChecks = 6;
 
 static std::string
 MakePoolKey(const ForwardRequest& aRequest)
@@ -103,16 +105,31 @@
   }
   m_connected = true;
   ConfigureSocket(m_connection->socket, m_request.unacknowledgedTimeout);
+  if (m_request.silenceTime) {
+    m_acknowledgements.emplace(SteadyClock::now());
+  }
   StartTimer(m_request.deadline);
   ResetParser();
-  boost::asio::async_write(
-    m_connection->socket,
-    boost::asio::buffer(m_output),
-    // The response may arrive before the request is sent completely, so errors are handled by reading.
-    [self = shared_from_this()](const auto& aError, size_t) { self->m_requestWritten = !aError; });
+  Write();
   Read();
 }
 
+void
+ForwardTransfer::Write()
+{
+  m_connection->socket.async_write_some(boost::asio::buffer(m_output) + m_writtenBytes,
+                                        [self = shared_from_this()](const auto& aError, size_t aLength) {
+                                          self->m_writtenBytes += aLength;
+                                          self->m_requestWritten =
+                                            self->m_writtenBytes == self->m_output.size();
+                                          // The response may arrive before the request is sent completely, so
+                                          // errors are handled by reading.
+                                          if (!aError && !self->m_requestWritten && !self->m_ended) {
+                                            self->Write();
+                                          }
+                                        });
+}
+
 // --- response --------------------------------------------------------------------------------------------
 
 void
@@ -220,6 +237,7 @@
     return false;
   }
   m_headHandled = true;
+  m_acknowledgements.reset();
   HttpResponseHead head{ .status = static_cast<int>(message.result_int()),
                          .headers = {},
                          .contentLength = std::nullopt };
@@ -302,17 +320,54 @@
 // --- end -------------------------------------------------------------------------------------------------
 
 void
-ForwardTransfer::StartTimer(Deadline aDeadline)
+ForwardTransfer::StartTimer(Deadline aEndsAt)
 {
-  m_timer.expires_at(aDeadline);
+  m_endsAt = aEndsAt;
+  const bool watches = m_acknowledgements.has_value();
+  m_timer.expires_at(
+    watches ? std::min(m_endsAt, SteadyClock::now() + *m_request.silenceTime / kSilenceChecks) : m_endsAt);
   m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
     const auto self = weak.lock();
     if (self && !aError && !self->m_ended) {
-      self->End(self->m_connected ? ForwardResult::TimedOut : ForwardResult::NotSent);
+      self->OnTimer();
     }
   });
 }
 
+void
+ForwardTransfer::OnTimer()
+{
+  if (SteadyClock::now() >= m_endsAt) {
+    End(m_connected ? ForwardResult::TimedOut : ForwardResult::NotSent);
+    return;
+  }
+  CheckForSilence();
+  if (!m_ended) {
+    StartTimer(m_endsAt);
+  }
+}
+
+void
+ForwardTransfer::CheckForSilence()
+{
+  if (!m_acknowledgements) {
+    return;
+  }
+  const std::optional<size_t> unacknowledgedBytes = UnacknowledgedBytes(m_connection->socket);
+  if (!unacknowledgedBytes || (m_requestWritten && *unacknowledgedBytes == 0)) {
+    m_acknowledgements.reset();
+    return;
+  }
+  const Deadline now = SteadyClock::now();
+  m_acknowledgements->Record(m_writtenBytes, *unacknowledgedBytes, now);
+  if (now >= m_acknowledgements->LastProgressAt() + *m_request.silenceTime) {
+    m_acknowledgements.reset();
+    // Keeps the listener alive during the call, in which it may cancel the transfer.
+    const std::shared_ptr<ForwardListener> listener = m_listener;
+    listener->OnSilence();
+  }
+}
+
 void
 ForwardTransfer::Cancel()
 {
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/acknowledgementwatch.h"
 #include "http/connectionpool.h"
 #include "http/forwarder.h"
 #include "http/growingbody.h"
@@ -33,6 +34,7 @@
   void Connect();
   void OnConnected(const boost::system::error_code& aError);
   void Send();
+  void Write();
   void ResetParser();
   void Read();
   void OnRead(const boost::system::error_code& aError, size_t aLength);
@@ -41,7 +43,10 @@
   void DeliverBody();
   void OnMessageEnd();
   void KeepConnectionIfReusable();
-  void StartTimer(Deadline aDeadline);
+  /** Starts the timer for the end of the transfer or, if that is earlier, for the next check for silence. */
+  void StartTimer(Deadline aEndsAt);
+  void OnTimer();
+  void CheckForSilence();
   void End(ForwardResult aResult);
   ForwardResult ReadErrorResult() const;
 
@@ -52,7 +57,11 @@
   const std::string m_poolKey;
   ConnectionPool::ConnectionPointer m_connection;
   boost::asio::steady_timer m_timer;
+  Deadline m_endsAt{};
   std::string m_output;
+  size_t m_writtenBytes = 0;
+  /** Set while the listener is to be told of silence. */
+  std::optional<AcknowledgementWatch> m_acknowledgements;
   /** Grows while reads fill the buffer. */
   size_t m_readSizeBytes;
   boost::beast::flat_buffer m_buffer;
