Gate: give all copies of a call its response, and remember its rejection

An entry sends a call that isn't idempotent once more if its connection breaks. Of these copies only the one that arrived last got the response, and only if its connection was on the event loop of the first one (a node has two): any other was told at once that the response is lost, and its caller got a 502 though the call ran well. The call was also abandoned when the last copy's connection closed, even if another one was open.

A gate forgets a rejected call, so that its entry may send it again, unless the call itself is marked as sent again. If a second, marked copy had been attached to a first, unmarked one that was then rejected, the call was forgotten too: the entry takes the rejection as final for all copies and uses another gate, while a third copy that is late runs here. That needs three copies, of which one is slow.

Now all copies get a response that is sent whole; a streamed one goes to one of them, and the others are told that it is lost. A call is abandoned when no copy has a connection, and a rejection is remembered if a second copy was seen.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -9,6 +9,7 @@
 #include "target/gate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosarun {
 
@@ -88,12 +89,15 @@
 }
 
 void
-GateCall::WatchForDisconnect()
+GateCall::WatchForDisconnect(const ExchangePointer& aExchange)
 {
-  m_exchange->OnCancel([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->OnEntryDisconnected();
-    }
+  m_connectedExchanges.insert(aExchange.get());
+  aExchange->Loop().Dispatch([weak = weak_from_this(), aExchange] {
+    aExchange->OnCancel([weak, exchange = aExchange.get()] {
+      if (const auto self = weak.lock()) {
+        self->m_loop.Dispatch([self, exchange] { self->OnDisconnect(exchange); });
+      }
+    });
   });
 }
 
@@ -227,6 +231,7 @@
   std::string().swap(m_request.body);
   std::string().swap(m_bufferedBody);
   m_exchange.reset();
+  m_otherExchanges.clear();
 }
 
 void
@@ -249,7 +254,7 @@
 GateCall::RespondWithError(int aStatus, HopOutcome aOutcome, const std::string& aReason)
 {
   m_gate.m_refused->Increment();
-  const bool mayBeSentAgain = aOutcome != HopOutcome::Unknown && m_hop.sentToIncarnation == 0;
+  const bool mayBeSentAgain = aOutcome != HopOutcome::Unknown && !IsRepeated();
   if (mayBeSentAgain && m_hop.repeatPolicy != RepeatPolicy::Idempotent) {
     m_gate.m_nonIdempotentCalls.Remove(m_hop.callId);
   }
@@ -264,11 +269,13 @@
   HopResponse hop = m_gate.CurrentLoad(*this);
   hop.outcome = aOutcome;
   WriteHop(aResponse.headers, hop);
-  const bool final =
-    aOutcome == HopOutcome::Answered || aOutcome == HopOutcome::Unknown || m_hop.sentToIncarnation != 0;
+  const bool final = aOutcome == HopOutcome::Answered || aOutcome == HopOutcome::Unknown || IsRepeated();
   if (final && m_hop.repeatPolicy != RepeatPolicy::Idempotent) {
     m_storedResponse = aResponse;
   }
+  for (const ExchangePointer& exchange : m_otherExchanges) {
+    exchange->Respond(aResponse);
+  }
   m_exchange->Respond(std::move(aResponse));
   ReleaseMessages();
 }
@@ -304,17 +311,28 @@
       aExchange->Respond(*self->m_storedResponse);
       return;
     }
-    if (self->m_stage == Stage::Ended || self->m_streaming || &aExchange->Loop() != &self->m_loop) {
+    if (self->m_stage == Stage::Ended || self->m_streaming) {
       RespondOutcomeLost(aExchange);
       return;
     }
+    self->m_isRepeated = true;
     self->m_entryDisconnected = false;
-    self->m_exchange->OnCancel({});
-    self->m_exchange = aExchange;
-    self->WatchForDisconnect();
+    self->m_otherExchanges.push_back(aExchange);
+    if (&aExchange->Loop() == &self->m_loop) {
+      std::swap(self->m_exchange, self->m_otherExchanges.back());
+    }
+    self->WatchForDisconnect(aExchange);
   });
 }
 
+void
+GateCall::OnDisconnect(const Exchange* aExchange)
+{
+  if (m_connectedExchanges.erase(aExchange) > 0 && m_connectedExchanges.empty()) {
+    OnEntryDisconnected();
+  }
+}
+
 void
 GateCall::OnEntryDisconnected()
 {
@@ -405,6 +423,10 @@
   }
   m_streaming = true;
   m_streamedAt = SteadyClock::now();
+  for (const ExchangePointer& exchange : std::exchange(m_otherExchanges, {})) {
+    RespondOutcomeLost(exchange);
+    OnDisconnect(exchange.get());
+  }
   HttpResponseHead head = m_responseHead;
   HopResponse hop = m_gate.CurrentLoad(*this);
   hop.outcome = HopOutcome::Answered;
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -13,7 +13,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -38,7 +40,7 @@
   AdmissionRequest ToAdmissionRequest() const;
 
   /** Starts to watch for a disconnect of the entry. */
-  void WatchForDisconnect();
+  void WatchForDisconnect() { WatchForDisconnect(m_exchange); }
 
   /** Starts the call, which now has a slot: claims its key, if any, and forwards it. Thread-safe. */
   void OnAdmitted();
@@ -79,6 +81,9 @@
   void RespondWithError(int aStatus, HopOutcome aOutcome, const std::string& aReason);
   void RespondWith(HttpResponse aResponse, HopOutcome aOutcome);
   void AttachExchange(const ExchangePointer& aExchange);
+  void WatchForDisconnect(const ExchangePointer& aExchange);
+  /** Whether further copies of the call may arrive, which must get the same response. */
+  bool IsRepeated() const { return m_isRepeated || m_hop.sentToIncarnation != 0; }
   void MarkEnded();
   /** Frees what a second copy of this call doesn't need. */
   void ReleaseMessages();
@@ -88,14 +93,20 @@
   void StoreThenRespond();
   void ReleaseClaim();
   void CountEnd(TargetCallEnd aEnd);
+  void OnDisconnect(const Exchange* aExchange);
   void OnEntryDisconnected();
   void Abandon();
 
   Gate& m_gate;
   const uint64_t m_number;
   EventLoop& m_loop;
-  /** Null once the call has ended. */
+  /** Of the copy that arrived last on this loop; null once the call has ended. */
   ExchangePointer m_exchange;
+  /** Of the other copies. They get a response that is sent whole, since they may be on other loops. */
+  std::vector<ExchangePointer> m_otherExchanges;
+  /** Exchanges whose connections are open. */
+  std::set<const Exchange*> m_connectedExchanges;
+  bool m_isRepeated = false;
   const Deadline m_receivedAt;
   const HopRequest m_hop;
   HttpRequest m_request;
--- /dev/null
+++ b/tests/caller/gatecopiestest.cpp
@@ -0,0 +1,148 @@
+#define BOOST_TEST_MODULE gatecopies
+#include "caller/testgate.h"
+#include "hop/hopheaders.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace mimosarun;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A connection on which a copy of a call is sent to a gate. */
+class SentCopy
+{
+public:
+  SentCopy(const TestGate& aGate, const std::string& aCallId, int64_t aSentToIncarnation)
+    : m_connection(aGate.ListenAddress())
+  {
+    HttpHeaders headers;
+    WriteHop(headers,
+             HopRequest{ .callId = aCallId,
+                         .service = "books",
+                         .route = "orders",
+                         .timeLeft = seconds(8),
+                         .longestWait = seconds(8),
+                         .maxFailurePenalty = seconds(8),
+                         .sentToIncarnation = aSentToIncarnation });
+    m_connection.Send("POST /orders/1 HTTP/1.1\r\nHost: x\r\n" + headers.front().name + ": " +
+                      headers.front().value + "\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  /** Returns the gate's report with the response, or nothing if there is none within aTime. */
+  std::optional<HopResponse> Response(milliseconds aTime) const
+  {
+    const std::string head = m_connection.ReceiveUntil("\r\n\r\n", aTime);
+    const std::string name = std::string(kHopResponseHeader) + ": ";
+    const size_t begin = head.find(name);
+    if (begin == std::string::npos) {
+      return std::nullopt;
+    }
+    const size_t valueBegin = begin + name.size();
+    HttpHeaders headers{ { .name = kHopResponseHeader,
+                           .value = head.substr(valueBegin, head.find("\r\n", begin) - valueBegin) } };
+    return ExtractHopResponse(headers);
+  }
+
+private:
+  const RawConnection m_connection;
+};
+
+/** Returns whether a copy got a response with the given outcome. */
+static bool
+HasOutcome(const SentCopy& aCopy, HopOutcome aOutcome)
+{
+  const std::optional<HopResponse> response = aCopy.Response(milliseconds(3000));
+  return response && response->outcome == aOutcome;
+}
+
+static bool
+WaitForRuns(const TestGate& aGate, int aRuns)
+{
+  return WaitUntil(seconds(3), [&] { return aGate.Runs() == aRuns; });
+}
+
+// Guards against: only the copy that arrived last gets the response, or only one on the first one's loop.
+BOOST_AUTO_TEST_CASE(all_copies_of_a_call_get_its_response)
+{
+  const TestGate gate({ .target = { .runTime = milliseconds(800) } });
+  const SentCopy first(gate, "call", 0);
+  BOOST_TEST(WaitForRuns(gate, 1));
+  const SentCopy second(gate, "call", TestGate::kIncarnation);
+  const SentCopy third(gate, "call", TestGate::kIncarnation);
+  BOOST_TEST(HasOutcome(first, HopOutcome::Answered));
+  BOOST_TEST(HasOutcome(second, HopOutcome::Answered));
+  BOOST_TEST(HasOutcome(third, HopOutcome::Answered));
+  BOOST_TEST(gate.Runs() == 1);
+}
+
+// Guards against: a call is abandoned as the connection of one of its copies closes.
+BOOST_AUTO_TEST_CASE(a_call_goes_on_while_a_copy_has_a_connection)
+{
+  for (const bool closesFirst : { true, false }) {
+    const TestGate gate({ .target = { .runTime = milliseconds(1200) } });
+    std::optional<SentCopy> first(std::in_place, gate, "call", 0);
+    BOOST_TEST(WaitForRuns(gate, 1));
+    std::optional<SentCopy> second(std::in_place, gate, "call", TestGate::kIncarnation);
+    std::this_thread::sleep_for(milliseconds(100));
+    (closesFirst ? first : second).reset();
+    BOOST_TEST(HasOutcome(closesFirst ? *second : *first, HopOutcome::Answered));
+    BOOST_TEST(gate.Runs() == 1);
+  }
+}
+
+// Guards against: a call whose entry has left holds its slot, since it had more than one copy.
+BOOST_AUTO_TEST_CASE(a_call_is_abandoned_when_all_copies_have_lost_their_connections)
+{
+  const TestGate gate({ .target = { .runTime = seconds(20) } });
+  std::optional<SentCopy> first(std::in_place, gate, "call", 0);
+  BOOST_TEST(WaitForRuns(gate, 1));
+  std::optional<SentCopy> second(std::in_place, gate, "call", TestGate::kIncarnation);
+  std::this_thread::sleep_for(milliseconds(100));
+  first.reset();
+  second.reset();
+  BOOST_TEST(WaitUntil(seconds(3), [&] { return gate.OpenCalls() == 0; }));
+}
+
+// Guards against: a gate rejects a call of which it has seen two copies, forgets it, and runs a third copy
+// that arrives late, while the entry has sent the call to another gate.
+BOOST_AUTO_TEST_CASE(a_rejected_call_with_two_copies_is_not_run_by_a_third)
+{
+  TestGate gate({ .target = { .runTime = milliseconds(1500) }, .slots = 1 });
+  const SentCopy running(gate, "other", 0);
+  BOOST_TEST(WaitForRuns(gate, 1));
+  const SentCopy first(gate, "call", 0);
+  BOOST_TEST(WaitUntil(seconds(1), [&] { return gate.OpenCalls() == 2; }));
+  const SentCopy second(gate, "call", TestGate::kIncarnation);
+  std::this_thread::sleep_for(milliseconds(100));
+  // A target that isn't ready rejects the calls that wait.
+  gate.SetReady(false);
+  BOOST_TEST(HasOutcome(second, HopOutcome::Rejected));
+  BOOST_TEST(HasOutcome(first, HopOutcome::Rejected));
+  gate.SetReady(true);
+  const SentCopy third(gate, "call", TestGate::kIncarnation);
+  BOOST_TEST(HasOutcome(third, HopOutcome::Rejected));
+  std::this_thread::sleep_for(milliseconds(1000));
+  BOOST_TEST(gate.Runs() == 1);
+}
+
+// Guards against: a copy waits for a response that is streamed to another one.
+BOOST_AUTO_TEST_CASE(a_copy_beside_a_streamed_response_is_told_that_it_is_lost)
+{
+  const TestGate gate({ .target = { .runTime = milliseconds(500), .responseBytes = 4UL * 1024 * 1024 } });
+  const SentCopy first(gate, "call", 0);
+  BOOST_TEST(WaitForRuns(gate, 1));
+  const SentCopy second(gate, "call", TestGate::kIncarnation);
+  const std::optional<HopResponse> toFirst = first.Response(milliseconds(3000));
+  const std::optional<HopResponse> toSecond = second.Response(milliseconds(3000));
+  BOOST_REQUIRE(toFirst.has_value());
+  BOOST_REQUIRE(toSecond.has_value());
+  const bool isFirstStreamed = toFirst->outcome == HopOutcome::Answered;
+  BOOST_TEST((toFirst->outcome == HopOutcome::Answered || toFirst->outcome == HopOutcome::Unknown));
+  BOOST_TEST((toSecond->outcome == (isFirstStreamed ? HopOutcome::Unknown : HopOutcome::Answered)));
+  BOOST_TEST(gate.Runs() == 1);
+}
