--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -61,6 +61,13 @@
   }
 }
 
+void
+EntryAttempt::OnSilence()
+{
+  const std::shared_ptr<EntryCall> call = m_call;
+  call->OnSilence(*this);
+}
+
 void
 EntryAttempt::OnEnd(ForwardResult aResult)
 {
--- a/src/caller/entryattempt.h
+++ b/src/caller/entryattempt.h
@@ -22,6 +22,7 @@
 
   HeadAction OnHead(const HttpResponseHead& aHead) override;
   bool OnBody(std::string_view aBytes) override;
+  void OnSilence() override;
   void OnEnd(ForwardResult aResult) override;
 
 private:
@@ -43,6 +44,10 @@
   HttpResponseHead m_head;
   std::string m_body;
   size_t m_bodyBytes = 0;
+  /** Whether the gate has acknowledged nothing for too long, so that the call doesn't rely on it. */
+  bool m_isSilent = false;
+  /** Number among SentCopies; only of calls that aren't idempotent. */
+  int m_copy = 0;
   /** Whether the attempt used a retry of the budget. */
   bool m_usedRetryBudget = false;
 };
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -18,8 +18,13 @@
 /** A short call without a response after this many median times may be on a stalled connection. */
 static constexpr int kStalledConnectionFactor = 10;
 static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
-/** Longest time without TCP acknowledgement; a gate whose VM is down or cut off acknowledges nothing. */
-static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 600 };
+/**
+ * Time without acknowledgement after which a gate's VM may be down or cut off, so that the call is sent once
+ * more. A full link and a gate that reads a large request late delay acknowledgements as long.
+ */
+static constexpr std::chrono::milliseconds kSilenceTime{ 600 };
+/** Time without acknowledgement after which a connection won't bring a response any more. */
+static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
 /** Gives a gate time to detect the broken connection before the call is resent to it. */
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
 static constexpr std::chrono::milliseconds kQuotaRetrySpread{ 200 };
@@ -28,25 +33,6 @@
 /** Retries of calls beyond a quota are spread over the time until it has room, divided by this. */
 static constexpr int kQuotaRetrySpreadDivisor = 2;
 
-static const char*
-OutcomeName(ForwardResult aResult)
-{
-  switch (aResult) {
-    case ForwardResult::Complete:
-      return "unknown";
-    case ForwardResult::NotSent:
-      return "not-sent";
-    case ForwardResult::ReusedConnectionClosed:
-    case ForwardResult::Broken:
-      return "broken";
-    case ForwardResult::TimedOut:
-      return "timed-out";
-    case ForwardResult::Cancelled:
-      return "abandoned";
-  }
-  return "broken";
-}
-
 static std::chrono::microseconds
 Since(Deadline aStart)
 {
@@ -61,9 +47,7 @@
   , m_options(std::move(aOptions))
   , m_receivedAt(m_exchange->ReceivedAt())
   , m_service(m_entry.m_splitter.NextService(*m_options.route))
-  , m_deadlineTimer(m_loop.Context())
-  , m_hedgeTimer(m_loop.Context())
-  , m_halfTimer(m_loop.Context())
+  , m_timers(m_loop)
   , m_attempts(m_entry.m_balancer, *m_options.route)
   , m_gateSelector(m_entry, m_options, m_service)
 {
@@ -136,35 +120,26 @@
   Refuse(429, "the quota of team '" + m_options.team + "' is used up");
 }
 
-static void
-StartTimer(boost::asio::steady_timer& aTimer,
-           Deadline aAt,
-           const std::weak_ptr<EntryCall>& aCall,
-           void (EntryCall::*aFunction)())
-{
-  aTimer.expires_at(aAt);
-  aTimer.async_wait([aCall, aFunction](const boost::system::error_code& aError) {
-    const auto call = aCall.lock();
-    if (call && !aError) {
-      ((*call).*aFunction)();
-    }
-  });
-}
-
 void
 EntryCall::StartTimers()
 {
-  StartTimer(m_deadlineTimer, m_options.deadline + kRefusalGrace, weak_from_this(), &EntryCall::OnDeadline);
+  const auto start = [this](CallTimers::Timer aTimer, Deadline aAt, void (EntryCall::*aFunction)()) {
+    m_timers.Start(aTimer, aAt, [weak = weak_from_this(), aFunction] {
+      if (const auto call = weak.lock()) {
+        ((*call).*aFunction)();
+      }
+    });
+  };
+  start(CallTimers::Timer::Deadline, m_options.deadline + kRefusalGrace, &EntryCall::OnDeadline);
   if (!m_options.route->Idempotent()) {
     return;
   }
-  StartTimer(m_halfTimer,
-             m_receivedAt + (m_options.deadline - m_receivedAt) / 2,
-             weak_from_this(),
-             &EntryCall::OnHalfTime);
+  start(CallTimers::Timer::HalfTime,
+        m_receivedAt + (m_options.deadline - m_receivedAt) / 2,
+        &EntryCall::OnHalfTime);
   const std::chrono::microseconds hedgeDelay = m_entry.HedgeDelay(*m_options.route);
   if (hedgeDelay.count() > 0) {
-    StartTimer(m_hedgeTimer, m_receivedAt + hedgeDelay, weak_from_this(), &EntryCall::OnHedgeTime);
+    start(CallTimers::Timer::Hedge, m_receivedAt + hedgeDelay, &EntryCall::OnHedgeTime);
   }
 }
 
@@ -196,7 +171,11 @@
 {
   const auto attempt = std::make_shared<EntryAttempt>(shared_from_this(), aChoice);
   const std::string& node = aChoice.gate.node;
-  attempt->m_usedRetryBudget = m_gateSelector.HasReachedTarget() || !m_attempts.IsEmpty();
+  const bool isCopy = m_copies.IsRepeating();
+  attempt->m_usedRetryBudget = !isCopy && (m_gateSelector.HasReachedTarget() || !m_attempts.IsEmpty());
+  if (!m_options.route->Idempotent()) {
+    attempt->m_copy = m_copies.RecordSent();
+  }
   m_attempts.Add(attempt);
   m_gateSelector.RecordSent();
   m_entry.m_balancer.RecordSent(node, m_options.route->callClass, attempt->m_sentAt);
@@ -208,33 +187,51 @@
                                    .service = m_service,
                                    .choice = aChoice,
                                    .localService = m_entry.LocalService(),
-                                   .isResent = m_isResending },
+                                   .isResent = isCopy },
                                  m_entry.m_options.codec,
                                  attempt->m_sentAt),
       .deadline = m_options.deadline + 2 * kRefusalGrace,
       .connectTimeout = kConnectTimeout,
       .unacknowledgedTimeout = kUnacknowledgedTimeout,
+      .silenceTime = kSilenceTime,
       .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node),
       .headLimitBytes = kResponseHeadLimitBytes + kGateHeadBytes },
     attempt);
   WatchForStall(attempt);
 }
 
-void
-EntryCall::ResendTo(const GateInfo& aGate)
-{
-  m_isResending = true;
-  m_loop.RunAt(SteadyClock::now() + kResendDelay, [weak = weak_from_this(), aGate] {
-    const auto self = weak.lock();
-    if (self && !self->m_decided && !self->m_gateSelector.HasValidCredential()) {
-      self->GiveUp(502, kCredentialExpired);
-    } else if (self && !self->m_decided) {
-      // The gate recognises the call and attaches this attempt to the first one.
-      self->Send({ .gate = aGate,
-                   .longestWait = self->m_gateSelector.LongestAllowedWait(SteadyClock::now()),
-                   .maxFailurePenalty = kUnlimitedPenalty });
+bool
+EntryCall::ScheduleCopy(const EntryAttempt& aAttempt)
+{
+  const Deadline now = SteadyClock::now();
+  if (!m_gateSelector.MaySendAgain() || now >= m_options.deadline) {
+    return false;
+  }
+  const auto delay = aAttempt.m_isSilent ? std::chrono::milliseconds(0) : kResendDelay;
+  m_loop.RunAt(now + delay, [weak = weak_from_this(), copy = m_copies.BeginCopy(), gate = aAttempt.m_gate] {
+    if (const auto self = weak.lock()) {
+      self->SendDueCopy(copy, gate);
     }
   });
+  return true;
+}
+
+void
+EntryCall::SendDueCopy(int aCopy, const GateInfo& aGate)
+{
+  if (m_decided || !m_copies.IsDue(aCopy)) {
+    return;
+  }
+  if (!m_gateSelector.HasValidCredential()) {
+    if (m_copies.CancelDueCopy() == NextStep::GiveUp) {
+      GiveUp(502, kCredentialExpired);
+    }
+    return;
+  }
+  // The gate recognises the call and attaches this attempt to the earlier ones.
+  Send({ .gate = aGate,
+         .longestWait = m_gateSelector.LongestAllowedWait(SteadyClock::now()),
+         .maxFailurePenalty = kUnlimitedPenalty });
 }
 
 bool
@@ -307,7 +304,7 @@
   if (m_decided) {
     return;
   }
-  m_mayHaveRun = m_mayHaveRun || !m_attempts.IsEmpty();
+  m_mayHaveRun = MayHaveRun() || !m_attempts.IsEmpty();
   Refuse(504, "no response before the deadline");
   m_attempts.CancelExcept(nullptr);
 }
@@ -318,8 +315,8 @@
   if (m_decided) {
     return;
   }
-  m_mayHaveRun = m_mayHaveRun || !m_attempts.IsEmpty();
-  Refuse(m_mayHaveRun ? 502 : 503, "the entry ended before the response arrived");
+  m_mayHaveRun = MayHaveRun() || !m_attempts.IsEmpty();
+  Refuse(MayHaveRun() ? 502 : 503, "the entry ended before the response arrived");
   m_attempts.CancelExcept(nullptr);
 }
 
@@ -328,7 +325,7 @@
 {
   if (!m_decided) {
     RecordOutcome(
-      0, m_mayHaveRun || !m_attempts.IsEmpty() ? "unknown" : "not-run", "the caller disconnected");
+      0, MayHaveRun() || !m_attempts.IsEmpty() ? "unknown" : "not-run", "the caller disconnected");
   } else if (m_record.outcome == kStreamingOutcome) {
     // Neither counted nor logged: the caller ended a response that it was receiving.
     m_record.outcome = "cut";
@@ -378,6 +375,25 @@
   m_entry.m_recorder.Add(m_record);
 }
 
+void
+EntryCall::OnSilence(EntryAttempt& aAttempt)
+{
+  if (m_decided) {
+    return;
+  }
+  // Later calls use new connections, which may work though this one doesn't.
+  m_entry.m_balancer.RetireConnections(aAttempt.m_gate.node);
+  m_record.attempts.push_back(m_attempts.RecordSilence(aAttempt));
+  if (!m_options.route->Idempotent()) {
+    TakeStep(m_copies.OnSilence(aAttempt.m_copy), aAttempt);
+    return;
+  }
+  if (SendParallel()) {
+    Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", "silent" } });
+  }
+  m_gateSelector.Exclude(aAttempt.m_gate.node);
+}
+
 void
 EntryCall::OnAttemptAnswered(EntryAttempt& aAttempt)
 {
@@ -399,7 +415,7 @@
     m_failedResponse = HttpResponse{ .status = status,
                                      .headers = std::move(aAttempt.m_head.headers),
                                      .body = std::move(aAttempt.m_body) };
-    if (!m_attempts.IsEmpty() || SendNext()) {
+    if (m_attempts.HasAudible() || SendNext()) {
       return;
     }
     GiveUp(502, "the target failed");
@@ -425,11 +441,9 @@
                                    .queueWait = aAttempt.m_hopResponse->queueWait,
                                    .failurePenalty = aAttempt.m_hopResponse->failurePenalty,
                                    .maxFailurePenalty = aAttempt.m_maxFailurePenalty });
-  // If the call was resent, the gate has confirmed that it never arrived, so another gate may take it.
-  m_mayHaveRun = m_mayHaveRun && !m_isResending;
-  m_isResending = false;
   const bool isRejectedFinally = aAttempt.m_hopResponse->outcome == HopOutcome::RejectedFinally;
-  if (!isRejectedFinally && SendNext()) {
+  const NextStep step = StepAfterNotRun(aAttempt);
+  if (step == NextStep::UseOtherGate ? !isRejectedFinally && SendNext() : TakeStep(step, aAttempt)) {
     return;
   }
   if (m_attempts.IsEmpty()) {
@@ -446,7 +460,11 @@
     return;
   }
   m_gateSelector.Exclude(aAttempt.m_gate.node);
-  if (SendNext()) {
+  const NextStep step = StepAfterNotRun(aAttempt);
+  if (step != NextStep::UseOtherGate && TakeStep(step, aAttempt)) {
+    return;
+  }
+  if (step == NextStep::UseOtherGate && SendNext()) {
     m_entry.m_retryCounter->Increment();
     Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", aAttempt.m_body } });
     return;
@@ -456,10 +474,32 @@
   }
 }
 
+NextStep
+EntryCall::StepAfterNotRun(const EntryAttempt& aAttempt)
+{
+  if (m_options.route->Idempotent()) {
+    return NextStep::UseOtherGate;
+  }
+  const NextStep step = m_copies.OnEnd(aAttempt.m_copy, CopyEnd::NotRun);
+  if (step == NextStep::UseOtherGate) {
+    m_attempts.CancelExcept(nullptr);
+  }
+  return step;
+}
+
+bool
+EntryCall::TakeStep(NextStep aStep, const EntryAttempt& aAttempt)
+{
+  if (aStep == NextStep::SendCopy && ScheduleCopy(aAttempt)) {
+    return true;
+  }
+  return aStep == NextStep::Wait || !m_attempts.IsEmpty();
+}
+
 void
 EntryCall::OnAttemptFailed(EntryAttempt& aAttempt, ForwardResult aResult)
 {
-  FinishAttempt(aAttempt, AttemptOutcome::Failed, OutcomeName(aResult));
+  m_record.attempts.push_back(m_attempts.FinishFailed(aAttempt, aResult));
   if (m_streamedAttempt == &aAttempt) {
     RecordOutcome(m_record.status, "cut", "the response broke off");
     m_exchange->Finish(false);
@@ -469,40 +509,54 @@
     return;
   }
   const bool wasSent = aResult != ForwardResult::NotSent;
-  const bool isReportedByGate = aResult == ForwardResult::Complete;
   if (!wasSent && aAttempt.m_usedRetryBudget) {
     m_entry.m_retryBudget.Refund(m_service, SteadyClock::now());
   }
-  const bool idempotent = m_options.route->Idempotent();
-  if (!idempotent && ((wasSent && !isReportedByGate) || m_mayHaveRun)) {
-    // The gate may have received the call; only the same gate can tell.
-    m_mayHaveRun = true;
-    if (aResult != ForwardResult::TimedOut && m_gateSelector.MaySendAgain() &&
-        SteadyClock::now() < m_options.deadline) {
-      ResendTo(aAttempt.m_gate);
-      return;
-    }
+  const bool canContinue =
+    m_options.route->Idempotent() ? RetryElsewhere(aAttempt, aResult) : ContinueWithCopies(aAttempt, aResult);
+  if (canContinue) {
+    return;
   }
+  const bool isReportedByGate = aResult == ForwardResult::Complete;
+  const bool isLate = aResult == ForwardResult::TimedOut || aAttempt.m_head.status == 504;
+  GiveUp(!MayHaveRun() ? 503
+         : isLate      ? 504
+                       : 502,
+         isReportedByGate ? aAttempt.m_body : "the connection to the gate broke");
+}
+
+bool
+EntryCall::RetryElsewhere(const EntryAttempt& aAttempt, ForwardResult aResult)
+{
+  const bool wasSent = aResult != ForwardResult::NotSent;
   m_gateSelector.Exclude(aAttempt.m_gate.node);
   m_mayHaveRun = m_mayHaveRun || wasSent;
   if (wasSent) {
     m_gateSelector.RecordTargetAttempt();
   }
-  if ((!wasSent || idempotent) && SendNext()) {
-    if (wasSent) {
-      m_entry.m_retryCounter->Increment();
-      Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", OutcomeName(aResult) } });
-    }
-    return;
+  const bool isReplaced = aAttempt.m_isSilent && m_attempts.HasAudible();
+  if (isReplaced || !SendNext()) {
+    return !m_attempts.IsEmpty();
   }
-  if (!m_attempts.IsEmpty()) {
-    return;
+  if (wasSent) {
+    m_entry.m_retryCounter->Increment();
+    Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", m_record.attempts.back().outcome } });
   }
-  const bool isLate = aResult == ForwardResult::TimedOut || aAttempt.m_head.status == 504;
-  GiveUp(!m_mayHaveRun ? 503
-         : isLate      ? 504
-                       : 502,
-         isReportedByGate ? aAttempt.m_body : "the connection to the gate broke");
+  return true;
+}
+
+bool
+EntryCall::ContinueWithCopies(const EntryAttempt& aAttempt, ForwardResult aResult)
+{
+  const CopyEnd end = aResult == ForwardResult::NotSent    ? CopyEnd::NotSent
+                      : aResult == ForwardResult::Complete ? CopyEnd::Unknown
+                                                           : CopyEnd::Lost;
+  const NextStep step = m_copies.OnEnd(aAttempt.m_copy, end);
+  if (step != NextStep::UseOtherGate) {
+    return TakeStep(step, aAttempt);
+  }
+  m_gateSelector.Exclude(aAttempt.m_gate.node);
+  return SendNext();
 }
 
 void
@@ -516,7 +570,7 @@
   }
   // Statuses 503 and 429 mean that the call didn't run, so they are used only if no attempt may have run.
   const bool meansNotRun = aStatus == 503 || aStatus == 429;
-  Refuse(meansNotRun && m_mayHaveRun ? 502 : aStatus, aReason);
+  Refuse(meansNotRun && MayHaveRun() ? 502 : aStatus, aReason);
 }
 
 void
@@ -545,8 +599,8 @@
 EntryCall::Refuse(int aStatus, const std::string& aReason)
 {
   MarkDecided();
-  RecordOutcome(aStatus, m_mayHaveRun ? "unknown" : "not-run", aReason);
-  const CallOutcome outcome = m_mayHaveRun ? CallOutcome::Unknown : CallOutcome::NotRun;
+  RecordOutcome(aStatus, MayHaveRun() ? "unknown" : "not-run", aReason);
+  const CallOutcome outcome = MayHaveRun() ? CallOutcome::Unknown : CallOutcome::NotRun;
   m_exchange->Respond(m_entry.m_options.codec.refuse({ .status = aStatus,
                                                        .outcome = outcome,
                                                        .reason = aReason,
@@ -558,9 +612,7 @@
 EntryCall::MarkDecided()
 {
   m_decided = true;
-  m_deadlineTimer.cancel();
-  m_hedgeTimer.cancel();
-  m_halfTimer.cancel();
+  m_timers.CancelAll();
 }
 
 void
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -3,15 +3,15 @@
 #include "caller/balancer.h"
 #include "caller/callhistory.h"
 #include "caller/calloptions.h"
+#include "caller/calltimers.h"
 #include "caller/entryattempt.h"
 #include "caller/gateselector.h"
 #include "caller/openattempts.h"
 #include "caller/quotaadmission.h"
+#include "caller/sentcopies.h"
 #include "http/refusal.h"
 #include "http/server.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <memory>
 #include <mutex>
@@ -67,8 +67,12 @@
   /** Sends a further attempt beside the open ones, if possible to another gate; returns whether it did. */
   bool SendParallel();
   void Send(const GateChoice& aChoice);
-  /** Sends the call once more to a gate whose connection broke, since the gate may have received it. */
-  void ResendTo(const GateInfo& aGate);
+  /**
+   * Sends one more copy of a call that isn't idempotent to the gate of an attempt, since the gate may have
+   * received the call; returns false if that isn't possible.
+   */
+  bool ScheduleCopy(const EntryAttempt& aAttempt);
+  void SendDueCopy(int aCopy, const GateInfo& aGate);
 
   /** Starts a timer that detects that the connection of an attempt may be stalled. */
   void WatchForStall(const AttemptPointer& aAttempt);
@@ -79,10 +83,21 @@
   void OnDeadline();
   void OnCallerDisconnected();
 
+  /** Called if the gate of an attempt acknowledges nothing; the attempt may still be answered. */
+  void OnSilence(EntryAttempt& aAttempt);
   void OnAttemptAnswered(EntryAttempt& aAttempt);
   void OnRejected(EntryAttempt& aAttempt);
   void OnNotRun(EntryAttempt& aAttempt);
   void OnAttemptFailed(EntryAttempt& aAttempt, ForwardResult aResult);
+  /** Continues an idempotent call after a failed attempt; returns false if it can't continue. */
+  bool RetryElsewhere(const EntryAttempt& aAttempt, ForwardResult aResult);
+  /** Continues a call that isn't idempotent after a failed attempt; returns false if it can't continue. */
+  bool ContinueWithCopies(const EntryAttempt& aAttempt, ForwardResult aResult);
+  /** Returns what to do after an attempt that didn't run; no other is open if another gate is to be used. */
+  NextStep StepAfterNotRun(const EntryAttempt& aAttempt);
+  /** Takes a step other than NextStep::UseOtherGate; returns false if the call can't continue. */
+  bool TakeStep(NextStep aStep, const EntryAttempt& aAttempt);
+  bool MayHaveRun() const { return m_mayHaveRun || m_copies.MayHaveRun(); }
   void FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
@@ -106,19 +121,17 @@
   const CallOptions m_options;
   const Deadline m_receivedAt;
   const std::string m_service;
-  boost::asio::steady_timer m_deadlineTimer;
-  boost::asio::steady_timer m_hedgeTimer;
-  boost::asio::steady_timer m_halfTimer;
+  CallTimers m_timers;
   /** Null if no quota applies. */
   std::shared_ptr<QuotaAdmission> m_quota;
   /** Set if the quota of the team was used up. */
   std::optional<std::chrono::milliseconds> m_quotaRetryAfter;
   OpenAttempts m_attempts;
   GateSelector m_gateSelector;
-  /** Whether an attempt without a response may have run. */
+  /** Whether an attempt of an idempotent call, or the open attempt at the call's end, may have run. */
   bool m_mayHaveRun = false;
-  /** Whether the call is being resent to a gate that may have received it. */
-  bool m_isResending = false;
+  /** Unused if the call is idempotent. */
+  SentCopies m_copies;
   bool m_decided = false;
   EntryAttempt* m_streamedAttempt = nullptr;
   /** A target's error response, used if no further attempt succeeds. */
--- a/src/caller/openattempts.cpp
+++ b/src/caller/openattempts.cpp
@@ -5,6 +5,25 @@
 
 namespace mimosarun {
 
+static const char*
+OutcomeName(ForwardResult aResult)
+{
+  switch (aResult) {
+    case ForwardResult::Complete:
+      return "unknown";
+    case ForwardResult::NotSent:
+      return "not-sent";
+    case ForwardResult::ReusedConnectionClosed:
+    case ForwardResult::Broken:
+      return "broken";
+    case ForwardResult::TimedOut:
+      return "timed-out";
+    case ForwardResult::Cancelled:
+      return "abandoned";
+  }
+  return "broken";
+}
+
 OpenAttempts::OpenAttempts(Balancer& aBalancer, const Route& aRoute)
   : m_balancer(aBalancer)
   , m_route(aRoute)
@@ -21,6 +40,14 @@
   return nodes;
 }
 
+bool
+OpenAttempts::HasAudible() const
+{
+  return std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPointer& aAttempt) {
+    return !aAttempt->m_isSilent;
+  });
+}
+
 bool
 OpenAttempts::HasResponse() const
 {
@@ -37,15 +64,35 @@
   });
 }
 
+AttemptRecord
+OpenAttempts::RecordOf(const EntryAttempt& aAttempt, const std::string& aOutcomeName)
+{
+  const auto duration =
+    std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - aAttempt.m_sentAt);
+  return { .node = aAttempt.m_gate.node, .outcome = aOutcomeName, .duration = duration };
+}
+
+AttemptRecord
+OpenAttempts::RecordSilence(EntryAttempt& aAttempt)
+{
+  ReportResult(aAttempt, AttemptOutcome::Failed);
+  aAttempt.m_isSilent = true;
+  return RecordOf(aAttempt, "silent");
+}
+
 AttemptRecord
 OpenAttempts::Finish(const EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName)
 {
   std::erase_if(m_attempts,
                 [&](const AttemptPointer& aOpenAttempt) { return aOpenAttempt.get() == &aAttempt; });
   ReportResult(aAttempt, aOutcome);
-  const auto duration =
-    std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - aAttempt.m_sentAt);
-  return { .node = aAttempt.m_gate.node, .outcome = aOutcomeName, .duration = duration };
+  return RecordOf(aAttempt, aOutcomeName);
+}
+
+AttemptRecord
+OpenAttempts::FinishFailed(const EntryAttempt& aAttempt, ForwardResult aResult)
+{
+  return Finish(aAttempt, AttemptOutcome::Failed, OutcomeName(aResult));
 }
 
 void
@@ -64,6 +111,11 @@
 void
 OpenAttempts::ReportResult(const EntryAttempt& aAttempt, AttemptOutcome aOutcome)
 {
+  const bool isAnswered = aOutcome == AttemptOutcome::Answered || aOutcome == AttemptOutcome::Rejected;
+  if (aAttempt.m_isSilent && !isAnswered) {
+    // Reported as failed when it became silent.
+    return;
+  }
   m_balancer.RecordResult({ .node = aAttempt.m_gate.node,
                             .costGroup = m_route.name,
                             .callClass = m_route.callClass,
--- a/src/caller/openattempts.h
+++ b/src/caller/openattempts.h
@@ -30,21 +30,34 @@
   /** Returns the nodes whose gates the attempts were sent to. */
   std::set<std::string> Nodes() const;
 
+  /** Returns whether there is an attempt whose gate isn't silent. */
+  bool HasAudible() const;
+
   /** Returns whether the response to an attempt has begun. */
   bool HasResponse() const;
 
   /** Returns whether a gate has responded to any call since its attempt was sent. */
   bool HasRespondingGate() const;
 
+  /**
+   * Marks an attempt whose gate acknowledges nothing, and returns a record of that. The balancer counts it as
+   * failed, unless it is answered later.
+   */
+  AttemptRecord RecordSilence(EntryAttempt& aAttempt);
+
   /** Removes an attempt that has ended and returns its record. */
   AttemptRecord Finish(const EntryAttempt& aAttempt,
                        AttemptOutcome aOutcome,
                        const std::string& aOutcomeName);
 
+  /** Removes an attempt that has failed and returns its record. */
+  AttemptRecord FinishFailed(const EntryAttempt& aAttempt, ForwardResult aResult);
+
   /** Cancels all attempts but one; null cancels all. */
   void CancelExcept(const EntryAttempt* aKept);
 
 private:
+  static AttemptRecord RecordOf(const EntryAttempt& aAttempt, const std::string& aOutcomeName);
   void ReportResult(const EntryAttempt& aAttempt, AttemptOutcome aOutcome);
 
   Balancer& m_balancer;
