silentgatetest: a failed response doesn't wait for a silent gate

The rule that a call whose second target has failed it is answered at once, though the attempt at a silent gate is still open, had no test.

--- a/tests/caller/silentgatetest.cpp
+++ b/tests/caller/silentgatetest.cpp
@@ -152,6 +152,20 @@
   BOOST_TEST(other.Runs() == kCalls + 1);
 }
 
+// Guards against: a call whose second target has failed it waits for the gate that is gone.
+BOOST_AUTO_TEST_CASE(a_failed_response_does_not_wait_for_a_silent_gate)
+{
+  const GateBehindRelay gone({ .stalls = std::vector<milliseconds>(5, kForever), .name = "gone" });
+  const GateBehindRelay other(
+    { .target = { .status = 500 }, .name = "other", .locality = Locality::OtherRegion });
+  const EntryOf entry({ &gone, &other });
+  const Deadline start = SteadyClock::now();
+  const TestResponse response = entry.Post("/items/1");
+  BOOST_TEST(response.status == 500);
+  BOOST_TEST((Since(start) < milliseconds(1200)));
+  BOOST_TEST(other.Runs() == 1);
+}
+
 // Guards against: a call that isn't idempotent waits for a connection that stays silent, while new
 // connections to the same gate work.
 BOOST_AUTO_TEST_CASE(a_call_that_runs_once_is_answered_on_a_new_connection)
--- a/tests/caller/testgate.h
+++ b/tests/caller/testgate.h
@@ -20,6 +20,7 @@
   {
     std::chrono::milliseconds runTime{ 0 };
     size_t responseBytes = 10;
+    int status = 200;
   };
 
   explicit CountingTarget(const Behaviour& aBehaviour)
@@ -28,7 +29,8 @@
       ++m_runs;
       const std::string callId = FindHeader(aExchange->Request().headers, kCallHeader);
       m_loops.First().RunAt(SteadyClock::now() + aBehaviour.runTime, [aExchange, aBehaviour, callId] {
-        aExchange->Respond({ .headers = { { .name = kCallHeader, .value = callId } },
+        aExchange->Respond({ .status = aBehaviour.status,
+                             .headers = { { .name = kCallHeader, .value = callId } },
                              .body = std::string(aBehaviour.responseBytes, 'x') });
       });
     };
