Entry: the response and the record of a call in a class of their own

EntryCall decided where a call is sent, and also made the response, the record and the limits of each request. No behaviour changes.

--- a/src/caller/callwait.cpp
+++ b/src/caller/callwait.cpp
@@ -12,6 +12,8 @@
 static constexpr int kLateQueueWaitDivisor = 8;
 static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 static constexpr std::chrono::milliseconds kMinRetrySpread{ 200 };
+/** Retries of calls beyond a quota are spread over the time until it has room, divided by this. */
+static constexpr int kQuotaRetrySpreadDivisor = 2;
 
 std::chrono::microseconds
 LongestAllowedWait(const CallTimes& aTimes, Deadline aNow)
@@ -39,4 +41,11 @@
   return wait + milliseconds(RandomBetween(0, spread.count()));
 }
 
+std::chrono::milliseconds
+RetryAfterQuota(std::chrono::milliseconds aTimeToRoom)
+{
+  const auto spread = std::max(kMinRetrySpread, aTimeToRoom / kQuotaRetrySpreadDivisor);
+  return aTimeToRoom + std::chrono::milliseconds(RandomBetween(0, spread.count()));
+}
+
 } // namespace mimosarun
--- a/src/caller/callwait.h
+++ b/src/caller/callwait.h
@@ -39,4 +39,12 @@
 std::chrono::milliseconds
 RetryAfter(std::chrono::microseconds aLongestWait);
 
+/**
+ * Returns the same for a call that was refused because the quota of its team is used up.
+ *
+ * @param aTimeToRoom time until the quota has room
+ */
+std::chrono::milliseconds
+RetryAfterQuota(std::chrono::milliseconds aTimeToRoom);
+
 } // namespace mimosarun
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -105,6 +105,7 @@
   void Stop();
 
 private:
+  friend class CallResponse;
   friend class EntryCall;
   friend class EntryAttempt;
   friend class GateSelector;
--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -41,7 +41,7 @@
 {
   m_bodyBytes += aBytes.size();
   if (m_call->m_streamedAttempt == this) {
-    return m_call->m_exchange->Write(aBytes);
+    return m_call->m_response.Write(aBytes);
   }
   m_body.append(aBytes);
   BeginStreamingIfLarge();
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -4,40 +4,20 @@
 #include "caller/entry.h"
 #include "caller/gaterequest.h"
 #include "common/log.h"
-#include "common/random.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace mimosarun {
 
-/** What a gate adds at most to the head of a response: its own header, and a space in each line. */
-static constexpr uint32_t kGateHeadBytes = 32U * 1024;
 /** Time after a call's deadline in which a refusal by the gate may still arrive. */
 static constexpr std::chrono::milliseconds kRefusalGrace{ 30 };
 /** A short call without a response after this many median times may be on a stalled connection. */
 static constexpr int kStalledConnectionFactor = 10;
-static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
-/**
- * Time without acknowledgement after which a gate's VM may be down or cut off, so that the call is sent once
- * more. A full link and a gate that reads a large request late delay acknowledgements as long.
- */
-static constexpr std::chrono::milliseconds kSilenceTime{ 600 };
-/** Time without acknowledgement after which a connection won't bring a response any more. */
-static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
 /** Gives a gate time to detect the broken connection before the call is resent to it. */
 static constexpr std::chrono::milliseconds kResendDelay{ 30 };
-static constexpr std::chrono::milliseconds kQuotaRetrySpread{ 200 };
 static constexpr const char* kCredentialExpired =
   "the entry lost contact to control and can no longer check the key; use another";
-/** Retries of calls beyond a quota are spread over the time until it has room, divided by this. */
-static constexpr int kQuotaRetrySpreadDivisor = 2;
-
-static std::chrono::microseconds
-Since(Deadline aStart)
-{
-  return std::chrono::duration_cast<std::chrono::microseconds>(SteadyClock::now() - aStart);
-}
 
 EntryCall::EntryCall(Entry& aEntry, ExchangePointer aExchange, CallOptions aOptions)
   : m_entry(aEntry)
@@ -48,13 +28,10 @@
   , m_receivedAt(m_exchange->ReceivedAt())
   , m_service(m_entry.m_splitter.NextService(*m_options.route))
   , m_timers(m_loop)
+  , m_response(m_entry, m_exchange, m_options)
   , m_attempts(m_entry.m_balancer, *m_options.route)
   , m_gateSelector(m_entry, m_options, m_service)
 {
-  m_record.callId = m_options.callId;
-  m_record.route = m_options.route->name;
-  m_record.version = m_options.snapshot->version;
-  m_record.team = m_options.team;
   ++m_entry.m_openCalls;
 }
 
@@ -116,7 +93,7 @@
     return;
   }
   m_quotaRetryAfter = aVerdict.retryAfter;
-  m_record.stopReason = StopReason::Quota;
+  m_response.SetStopReason(StopReason::Quota);
   Refuse(429, "the quota of team '" + m_options.team + "' is used up");
 }
 
@@ -148,8 +125,9 @@
 {
   if (!m_decided && !SendNext()) {
     GiveUp(503,
-           m_record.stopReason == StopReason::CredentialExpired ? kCredentialExpired
-                                                                : "no target of the service accepts calls");
+           m_response.LastStopReason() == StopReason::CredentialExpired
+             ? kCredentialExpired
+             : "no target of the service accepts calls");
   }
 }
 
@@ -159,7 +137,7 @@
   const auto next = m_gateSelector.Next(
     { .request = m_exchange->Request(), .openAttempts = m_attempts.Count(), .avoidedGates = aAvoidedGates });
   if (const StopReason* const reason = std::get_if<StopReason>(&next)) {
-    m_record.stopReason = *reason;
+    m_response.SetStopReason(*reason);
     return false;
   }
   Send(std::get<GateChoice>(next));
@@ -179,24 +157,17 @@
   m_attempts.Add(attempt);
   m_gateSelector.RecordSent();
   m_entry.m_balancer.RecordSent(node, m_options.route->callClass, attempt->m_sentAt);
-  attempt->m_forwardHandle = m_entry.m_options.forwarder->Start(
-    m_loop,
-    { .destination = aChoice.gate.address,
-      .request = MakeGateRequest({ .call = m_options,
-                                   .request = m_exchange->Request(),
-                                   .service = m_service,
-                                   .choice = aChoice,
-                                   .localService = m_entry.LocalService(),
-                                   .isResent = isCopy },
-                                 m_entry.m_options.codec,
-                                 attempt->m_sentAt),
-      .deadline = m_options.deadline + 2 * kRefusalGrace,
-      .connectTimeout = kConnectTimeout,
-      .unacknowledgedTimeout = kUnacknowledgedTimeout,
-      .silenceTime = kSilenceTime,
-      .connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node),
-      .headLimitBytes = kResponseHeadLimitBytes + kGateHeadBytes },
-    attempt);
+  ForwardRequest request = MakeGateRequest({ .call = m_options,
+                                             .request = m_exchange->Request(),
+                                             .service = m_service,
+                                             .choice = aChoice,
+                                             .localService = m_entry.LocalService(),
+                                             .isResent = isCopy },
+                                           m_entry.m_options.codec,
+                                           attempt->m_sentAt);
+  request.deadline = m_options.deadline + 2 * kRefusalGrace;
+  request.connectionGeneration = m_entry.m_balancer.ConnectionGeneration(node);
+  attempt->m_forwardHandle = m_entry.m_options.forwarder->Start(m_loop, std::move(request), attempt);
   WatchForStall(attempt);
 }
 
@@ -323,15 +294,12 @@
 void
 EntryCall::OnCallerDisconnected()
 {
-  if (!m_decided) {
-    RecordOutcome(
-      0, MayHaveRun() || !m_attempts.IsEmpty() ? "unknown" : "not-run", "the caller disconnected");
-  } else if (m_record.outcome == kStreamingOutcome) {
-    // Neither counted nor logged: the caller ended a response that it was receiving.
-    m_record.outcome = "cut";
-    m_record.reason = "the caller disconnected";
-    m_record.duration = Since(m_receivedAt);
-    m_entry.m_recorder.Add(m_record);
+  if (m_decided) {
+    m_response.RecordDisconnectDuringResponse();
+  } else {
+    m_mayHaveRun = MayHaveRun() || !m_attempts.IsEmpty();
+    ReturnUnusedQuota();
+    m_response.RecordDisconnect(MakeRefusal(0, "the caller disconnected"));
   }
   MarkDecided();
   m_attempts.CancelExcept(nullptr);
@@ -342,7 +310,7 @@
 void
 EntryCall::FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName)
 {
-  m_record.attempts.push_back(m_attempts.Finish(aAttempt, aOutcome, aOutcomeName));
+  m_response.AddAttempt(m_attempts.Finish(aAttempt, aOutcome, aOutcomeName));
 }
 
 bool
@@ -354,27 +322,10 @@
   MarkDecided();
   m_streamedAttempt = &aAttempt;
   m_attempts.CancelExcept(&aAttempt);
-  HttpResponseHead head = aAttempt.m_head;
-  RecordStreaming(head.status);
-  m_entry.m_options.codec.finishResponse(head, m_options.callId);
-  m_exchange->OnDrain([handle = aAttempt.m_forwardHandle] { handle.Resume(); });
-  m_exchange->Start(std::move(head));
-  if (!aAttempt.m_body.empty()) {
-    m_exchange->Write(std::exchange(aAttempt.m_body, {}));
-  }
+  m_response.BeginStreaming(aAttempt.m_head, std::exchange(aAttempt.m_body, {}), aAttempt.m_forwardHandle);
   return true;
 }
 
-void
-EntryCall::RecordStreaming(int aStatus)
-{
-  m_record.status = aStatus;
-  m_record.outcome = kStreamingOutcome;
-  m_record.isStreamed = true;
-  m_record.duration = Since(m_receivedAt);
-  m_entry.m_recorder.Add(m_record);
-}
-
 void
 EntryCall::OnSilence(EntryAttempt& aAttempt)
 {
@@ -383,7 +334,7 @@
   }
   // Later calls use new connections, which may work though this one doesn't.
   m_entry.m_balancer.RetireConnections(aAttempt.m_gate.node);
-  m_record.attempts.push_back(m_attempts.RecordSilence(aAttempt));
+  m_response.AddAttempt(m_attempts.RecordSilence(aAttempt));
   if (!m_options.route->Idempotent()) {
     TakeStep(m_copies.OnSilence(aAttempt.m_copy), aAttempt);
     return;
@@ -403,8 +354,7 @@
   FinishAttempt(aAttempt, failed ? AttemptOutcome::Failed : AttemptOutcome::Answered, "complete");
   m_gateSelector.RecordTargetAttempt();
   if (m_streamedAttempt == &aAttempt) {
-    RecordOutcome(status, "complete", "");
-    m_exchange->Finish(true);
+    m_response.FinishStreaming(true);
     return;
   }
   if (m_decided) {
@@ -499,10 +449,9 @@
 void
 EntryCall::OnAttemptFailed(EntryAttempt& aAttempt, ForwardResult aResult)
 {
-  m_record.attempts.push_back(m_attempts.FinishFailed(aAttempt, aResult));
+  m_response.AddAttempt(m_attempts.FinishFailed(aAttempt, aResult));
   if (m_streamedAttempt == &aAttempt) {
-    RecordOutcome(m_record.status, "cut", "the response broke off");
-    m_exchange->Finish(false);
+    m_response.FinishStreaming(false);
     return;
   }
   if (m_decided) {
@@ -540,7 +489,7 @@
   }
   if (wasSent) {
     m_entry.m_retryCounter->Increment();
-    Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", m_record.attempts.back().outcome } });
+    Log(Event::CallRetried, { { "call", m_options.callId }, { "reason", NameOf(aResult) } });
   }
   return true;
 }
@@ -578,34 +527,35 @@
 {
   MarkDecided();
   m_attempts.CancelExcept(nullptr);
-  RecordOutcome(aHead.status, "complete", "");
-  m_entry.m_options.codec.finishResponse(aHead, m_options.callId);
-  m_exchange->Respond(
-    { .status = aHead.status, .headers = std::move(aHead.headers), .body = std::move(aBody) });
+  m_response.Respond(std::move(aHead), std::move(aBody));
 }
 
-std::chrono::milliseconds
-EntryCall::RetryAfter() const
+void
+EntryCall::Refuse(int aStatus, const std::string& aReason)
 {
-  if (m_quotaRetryAfter) {
-    return std::chrono::ceil<std::chrono::milliseconds>(*m_quotaRetryAfter) +
-           std::chrono::milliseconds(RandomBetween(
-             0, std::max(kQuotaRetrySpread, *m_quotaRetryAfter / kQuotaRetrySpreadDivisor).count()));
-  }
-  return mimosarun::RetryAfter(m_gateSelector.LongestReportedWait());
+  MarkDecided();
+  ReturnUnusedQuota();
+  m_response.Refuse(MakeRefusal(aStatus, aReason));
+}
+
+CallRefusal
+EntryCall::MakeRefusal(int aStatus, const std::string& aReason) const
+{
+  const bool mayHaveRun = MayHaveRun();
+  return { .status = aStatus,
+           .reason = aReason,
+           .mayHaveRun = mayHaveRun,
+           .retryAfter = m_quotaRetryAfter ? RetryAfterQuota(*m_quotaRetryAfter)
+                                           : RetryAfter(m_gateSelector.LongestReportedWait()),
+           .untriedGates = mayHaveRun ? 0 : m_gateSelector.CountUntriedGates() };
 }
 
 void
-EntryCall::Refuse(int aStatus, const std::string& aReason)
+EntryCall::ReturnUnusedQuota()
 {
-  MarkDecided();
-  RecordOutcome(aStatus, MayHaveRun() ? "unknown" : "not-run", aReason);
-  const CallOutcome outcome = MayHaveRun() ? CallOutcome::Unknown : CallOutcome::NotRun;
-  m_exchange->Respond(m_entry.m_options.codec.refuse({ .status = aStatus,
-                                                       .outcome = outcome,
-                                                       .reason = aReason,
-                                                       .callId = m_options.callId,
-                                                       .retryAfter = RetryAfter() }));
+  if (m_quota && !MayHaveRun()) {
+    m_quota->Cancel();
+  }
 }
 
 void
@@ -615,22 +565,4 @@
   m_timers.CancelAll();
 }
 
-void
-EntryCall::RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason)
-{
-  m_record.status = aStatus;
-  m_record.outcome = aOutcome;
-  m_record.reason = aReason;
-  m_record.duration = Since(m_receivedAt);
-  if (aOutcome == "complete") {
-    m_entry.RecordCallTime(*m_options.route, m_record.duration);
-  } else if (aOutcome == "not-run") {
-    if (m_quota) {
-      m_quota->Cancel();
-    }
-    m_record.untriedGates = m_gateSelector.CountUntriedGates();
-  }
-  m_entry.m_recorder.RecordEnd(m_record);
-}
-
 } // namespace mimosarun
--- a/src/caller/entrycall.h
+++ b/src/caller/entrycall.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "caller/balancer.h"
-#include "caller/callhistory.h"
 #include "caller/calloptions.h"
+#include "caller/callresponse.h"
 #include "caller/calltimers.h"
 #include "caller/entryattempt.h"
 #include "caller/gateselector.h"
@@ -101,18 +101,13 @@
   void FinishAttempt(EntryAttempt& aAttempt, AttemptOutcome aOutcome, const std::string& aOutcomeName);
 
   bool BeginStreaming(EntryAttempt& aAttempt);
-  /** Adds a record of a call whose response begins. */
-  void RecordStreaming(int aStatus);
   void GiveUp(int aStatus, const std::string& aReason);
   void Respond(HttpResponseHead aHead, std::string aBody);
   void Refuse(int aStatus, const std::string& aReason);
-  std::chrono::milliseconds RetryAfter() const;
+  CallRefusal MakeRefusal(int aStatus, const std::string& aReason) const;
+  /** Returns the quota of a call that didn't run. */
+  void ReturnUnusedQuota();
   void MarkDecided();
-  /**
-   * Records how the call ended. Called before a response is sent whole, since operators may ask about a call
-   * as soon as its caller has the response.
-   */
-  void RecordOutcome(int aStatus, const std::string& aOutcome, const std::string& aReason);
 
   Entry& m_entry;
   const std::shared_ptr<EntryCallRegistry> m_registry;
@@ -122,6 +117,7 @@
   const Deadline m_receivedAt;
   const std::string m_service;
   CallTimers m_timers;
+  CallResponse m_response;
   /** Null if no quota applies. */
   std::shared_ptr<QuotaAdmission> m_quota;
   /** Set if the quota of the team was used up. */
@@ -136,7 +132,6 @@
   EntryAttempt* m_streamedAttempt = nullptr;
   /** A target's error response, used if no further attempt succeeds. */
   std::optional<HttpResponse> m_failedResponse;
-  CallRecord m_record;
 };
 
 } // namespace mimosarun
--- a/src/caller/gaterequest.cpp
+++ b/src/caller/gaterequest.cpp
@@ -3,9 +3,21 @@
 #include "hop/hopheaders.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosarun {
 
+/** What a gate adds at most to the head of a response: its own header, and a space in each line. */
+static constexpr uint32_t kGateHeadBytes = 32U * 1024;
+static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
+/**
+ * Time without acknowledgement after which a gate's VM may be down or cut off, so that the call is sent once
+ * more. A full link and a gate that reads a large request late delay acknowledgements as long.
+ */
+static constexpr std::chrono::milliseconds kSilenceTime{ 600 };
+/** Time without acknowledgement after which a connection won't bring a response any more. */
+static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
+
 static HopRequest
 MakeHopRequest(const GateRequestParts& aParts, Deadline aNow)
 {
@@ -36,7 +48,7 @@
   return hop;
 }
 
-HttpRequest
+ForwardRequest
 MakeGateRequest(const GateRequestParts& aParts, const CallerCodec& aCodec, Deadline aNow)
 {
   HttpRequest request = aParts.request;
@@ -45,7 +57,12 @@
     aCodec.setTeam(request.headers, aParts.call.team);
   }
   WriteHop(request.headers, MakeHopRequest(aParts, aNow));
-  return request;
+  return { .destination = aParts.choice.gate.address,
+           .request = std::move(request),
+           .connectTimeout = kConnectTimeout,
+           .unacknowledgedTimeout = kUnacknowledgedTimeout,
+           .silenceTime = kSilenceTime,
+           .headLimitBytes = kResponseHeadLimitBytes + kGateHeadBytes };
 }
 
 } // namespace mimosarun
--- a/src/caller/gaterequest.h
+++ b/src/caller/gaterequest.h
@@ -4,7 +4,7 @@
 #include "caller/callerprotocol.h"
 #include "caller/calloptions.h"
 #include "common/clock.h"
-#include "http/message.h"
+#include "http/forwarder.h"
 
 #include <chrono>
 #include <string>
@@ -28,8 +28,8 @@
   bool isResent = false;
 };
 
-/** Returns the request that passes a call on to a gate. */
-HttpRequest
+/** Returns the request that passes a call on to a gate, with its limits of time; the deadline isn't set. */
+ForwardRequest
 MakeGateRequest(const GateRequestParts& aParts, const CallerCodec& aCodec, Deadline aNow);
 
 } // namespace mimosarun
--- a/src/caller/openattempts.cpp
+++ b/src/caller/openattempts.cpp
@@ -5,8 +5,8 @@
 
 namespace mimosarun {
 
-static const char*
-OutcomeName(ForwardResult aResult)
+const char*
+NameOf(ForwardResult aResult)
 {
   switch (aResult) {
     case ForwardResult::Complete:
@@ -92,7 +92,7 @@
 AttemptRecord
 OpenAttempts::FinishFailed(const EntryAttempt& aAttempt, ForwardResult aResult)
 {
-  return Finish(aAttempt, AttemptOutcome::Failed, OutcomeName(aResult));
+  return Finish(aAttempt, AttemptOutcome::Failed, NameOf(aResult));
 }
 
 void
--- a/src/caller/openattempts.h
+++ b/src/caller/openattempts.h
@@ -14,6 +14,10 @@
 
 namespace mimosarun {
 
+/** Returns the name that records give to an attempt that failed. */
+const char*
+NameOf(ForwardResult aResult);
+
 /** The open attempts of one call, whose ends it reports to the balancer. Runs on the loop of the call. */
 class OpenAttempts
 {
