--- a/src/caller/entryattempt.cpp
+++ b/src/caller/entryattempt.cpp
@@ -52,7 +52,7 @@
 {
   m_bodyBytes += aBytes.size();
   if (m_call->m_streamedAttempt == this) {
-    return m_call->m_exchange->Write(aBytes);
+    return m_call->m_response.Write(aBytes);
   }
   m_body.append(aBytes);
   BeginStreamingIfLarge();
@@ -72,6 +72,13 @@
   }
 }
 
+void
+EntryAttempt::OnSilence()
+{
+  const std::shared_ptr<EntryCall> call = m_call;
+  call->OnSilence(*this);
+}
+
 void
 EntryAttempt::OnEnd(ForwardResult aResult)
 {
