--- a/tests/control/simulateddisk.cpp
+++ b/tests/control/simulateddisk.cpp
@@ -161,8 +161,9 @@
 static bool
 Survives(bool aIsRecorded)
 {
-  if (aIsRecorded && gFaults.beforeOperation) {
-    gFaults.beforeOperation();
+  if (const auto beforeOperation = gFaults.beforeOperation; aIsRecorded && beforeOperation) {
+    // May return after other faults have been set.
+    beforeOperation();
   }
   if (!aIsRecorded || gFaults.operationsLeft < 0) {
     return true;
@@ -258,6 +259,16 @@
   return content;
 }
 
+/** Returns whether a file has no name and will have none after a power loss. */
+static bool
+IsRemoved(const FilePointer& aFile)
+{
+  struct stat status
+  {};
+  const bool hasNoName = ::fstat(aFile->descriptor, &status) == 0 && status.st_nlink == 0;
+  return hasNoName && aFile.use_count() == 1;
+}
+
 void
 SimulatedDisk::LosePower(const std::string& aFolder, std::mt19937_64& aRandom)
 {
@@ -299,7 +310,7 @@
     names[name]->durable = content;
     names[name]->pending.clear();
   }
-  std::erase_if(gFiles, [](const auto& aEntry) { return aEntry.second.use_count() == 1; });
+  std::erase_if(gFiles, [](const auto& aEntry) { return IsRemoved(aEntry.second); });
   gFaults = faults;
 }
 
