--- a/tests/control/powerlosstest.cpp
+++ b/tests/control/powerlosstest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE powerloss
 #include "control/journal.h"
+#include "control/raftmessages.h"
 #include "control/simulateddisk.h"
 
 #include <boost/test/unit_test.hpp>
@@ -19,9 +20,7 @@
 {
   std::vector<wire::LogEntry> entries;
   for (int64_t index = aFirst; index <= aLast; ++index) {
-    entries.emplace_back();
-    entries.back().index = index;
-    entries.back().term = 1;
+    entries.push_back(MakeLogEntry(index, 1));
   }
   return entries;
 }
--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -2,6 +2,7 @@
 #include "control/raftcore.h"
 
 #include "control/membership.h"
+#include "control/raftmessages.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -20,12 +21,11 @@
   FakeCluster(int aSize, uint64_t aSeed)
     : m_random(aSeed)
   {
+    std::vector<std::string> names;
     for (int i = 0; i < aSize; ++i) {
-      wire::Replica replica;
-      replica.name = "r" + std::to_string(i);
-      replica.incarnation = 1;
-      m_members.push_back(replica);
+      names.push_back("r" + std::to_string(i));
     }
+    m_members = MakeGroupOf(names).members;
     for (const wire::Replica& member : m_members) {
       Disk& disk = m_disks[member.name];
       disk.incarnation = 1;
@@ -279,20 +279,6 @@
   RC_ASSERT(cluster.RecoverAndCommit());
 }
 
-/** Returns the initial state of a group of voters. */
-static wire::SnapshotFile
-MakeGroupOf(const std::vector<std::string>& aNames)
-{
-  wire::SnapshotFile initial;
-  for (const std::string& name : aNames) {
-    wire::Replica replica;
-    replica.name = name;
-    replica.incarnation = 1;
-    initial.members.push_back(replica);
-  }
-  return initial;
-}
-
 BOOST_AUTO_TEST_CASE(a_leader_without_replies_steps_down_before_another_can_be_elected)
 {
   const wire::SnapshotFile initial = MakeGroupOf({ "a", "b", "c" });
@@ -327,13 +313,7 @@
   }
   // By then the follower still refuses to vote, or has only just started to grant votes.
   BOOST_TEST((now - isolatedAt <= std::chrono::milliseconds(910)));
-  wire::RaftMessage request;
-  request.kind = wire::RaftKind::PreVote;
-  request.sender = "c";
-  request.senderIncarnation = 1;
-  request.receiver = "b";
-  request.receiverIncarnation = 1;
-  request.term = 100;
+  wire::RaftMessage request = MakeRaftMessage(wire::RaftKind::PreVote, "c", "b", 100);
   request.logIndex = 100;
   request.logTerm = 99;
   follower.Receive(request, isolatedAt + std::chrono::milliseconds(880));
@@ -379,13 +359,8 @@
 static wire::RaftMessage
 MakeVoteRequest(wire::RaftKind::type aKind, int64_t aIncarnation)
 {
-  wire::RaftMessage vote;
-  vote.kind = aKind;
-  vote.sender = "b";
-  vote.senderIncarnation = 1;
-  vote.receiver = "a";
+  wire::RaftMessage vote = MakeRaftMessage(aKind, "b", "a", 5);
   vote.receiverIncarnation = aIncarnation;
-  vote.term = 5;
   vote.logIndex = 3;
   vote.logTerm = 4;
   return vote;
@@ -476,19 +451,11 @@
 {
   RaftState state{ .snapshot = MakeGroupOf({ "a", "b", "c" }) };
   for (int64_t index = 1; index <= 10; ++index) {
-    state.entries.emplace_back();
-    state.entries.back().index = index;
-    state.entries.back().term = 1;
+    state.entries.push_back(MakeLogEntry(index, 1));
   }
   const Deadline now{ std::chrono::hours(1) };
   RaftCore follower({ .group = "g", .name = "b", .incarnation = 1, .seed = 1 }, state, now);
-  wire::RaftMessage message;
-  message.kind = wire::RaftKind::Snapshot;
-  message.sender = "a";
-  message.senderIncarnation = 1;
-  message.receiver = "b";
-  message.receiverIncarnation = 1;
-  message.term = 1;
+  wire::RaftMessage message = MakeRaftMessage(wire::RaftKind::Snapshot, "a", "b", 1);
   message.logIndex = 5;
   message.logTerm = 1;
   message.members = state.snapshot.members;
@@ -514,14 +481,8 @@
 
 BOOST_AUTO_TEST_CASE(a_read_round_asks_voters_only_and_idle_learners_get_half_of_the_heartbeats)
 {
-  wire::SnapshotFile initial;
-  for (const char* name : { "voter", "learner" }) {
-    wire::Replica replica;
-    replica.name = name;
-    replica.incarnation = 1;
-    replica.voter = std::string(name) == "voter";
-    initial.members.push_back(replica);
-  }
+  wire::SnapshotFile initial = MakeGroupOf({ "voter", "learner" });
+  initial.members[1].voter = false;
   Deadline now{ std::chrono::hours(1) };
   RaftCore leader(
     { .group = "g", .name = "voter", .incarnation = 1, .seed = 1 }, { .snapshot = initial }, now);
