A peer that acknowledges nothing is gone, also where the system counts no attempts

Bytes in flight without progress now count as an unanswered attempt, unless the system tells of a later answer; a time of zero tells nothing. The limit is 3.8 s in place of 3.5 s, as bytes in flight are seen before their first retransmission. A peer with a closed window, so with nothing in flight, is stalled at the idle limit as before.

Before, with the new rule taken out: a_peer_that_acknowledges_nothing_is_gone_though_no_attempts_are_counted failed.

--- a/src/http/deliverystate.cpp
+++ b/src/http/deliverystate.cpp
@@ -20,15 +20,20 @@
   if (::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 || length < kNeededBytes) {
     return std::nullopt;
   }
-  // A simulated network may accept the call and fill in nothing.
   if (info.tcpi_state == 0 || info.tcpi_rto == 0) {
     return std::nullopt;
   }
-  return DeliveryState{
+  DeliveryState state{
     .acknowledgedBytes = info.tcpi_bytes_acked,
+    .inFlight = info.tcpi_unacked > 0,
     .unansweredAttempts = static_cast<unsigned int>(info.tcpi_retransmits) + info.tcpi_probes,
-    .lastAnswerAt = SteadyClock::now() - std::chrono::milliseconds(info.tcpi_last_ack_recv),
   };
+  // A simulated network may count what is acknowledged, but leave the times of answers and the attempts at
+  // zero.
+  if (info.tcpi_last_ack_recv > 0) {
+    state.lastAnswerAt = SteadyClock::now() - std::chrono::milliseconds(info.tcpi_last_ack_recv);
+  }
+  return state;
 }
 
 } // namespace mimosarun
--- a/src/http/deliverystate.h
+++ b/src/http/deliverystate.h
@@ -12,10 +12,12 @@
 {
   /** Bytes that the peer has acknowledged since the connection was established. */
   uint64_t acknowledgedBytes = 0;
+  /** Bytes were sent that the peer hasn't acknowledged; none are while its window is closed. */
+  bool inFlight = false;
   /** Retransmissions and probes of a closed window since the peer's last answer to one. */
   unsigned int unansweredAttempts = 0;
-  /** When the peer's last acknowledgement arrived; one that takes no bytes counts too. */
-  Deadline lastAnswerAt{};
+  /** When the peer's last acknowledgement arrived; one that takes no bytes counts too. Nothing if unknown. */
+  std::optional<Deadline> lastAnswerAt;
 };
 
 /** Returns the state of a TCP socket; nothing if the system can't tell. */
--- a/src/http/peersilence.cpp
+++ b/src/http/peersilence.cpp
@@ -4,9 +4,9 @@
 
 namespace mimosarun {
 
-/** Half a second less than four checks of a connection, so that slightly late timers don't add a fifth. */
-static constexpr std::chrono::milliseconds kSilenceTimeout{ 3500 };
-/** A single attempt or its answer may get lost, and the kernel waits for up to minutes before the next. */
+/** Slightly less than four checks of a connection, so that late timers rarely add a fifth. */
+static constexpr std::chrono::milliseconds kSilenceTimeout{ 3800 };
+/** A single probe or its answer may get lost, and the kernel waits for up to minutes before the next. */
 static constexpr unsigned int kUnansweredAttempts = 2;
 
 PeerState
@@ -15,6 +15,7 @@
   if (!m_stalledAt || aState.acknowledgedBytes != m_acknowledgedBytes) {
     m_acknowledgedBytes = aState.acknowledgedBytes;
     m_stalledAt = aNow + aStallTimeout;
+    m_goneAt.reset();
   }
   if (IsGone(aState, aNow)) {
     return PeerState::Gone;
@@ -25,7 +26,7 @@
 bool
 PeerSilence::IsGone(const DeliveryState& aState, Deadline aNow)
 {
-  if (aState.unansweredAttempts == 0) {
+  if (!aState.inFlight && aState.unansweredAttempts == 0) {
     m_goneAt.reset();
     return false;
   }
@@ -36,7 +37,7 @@
     m_goneAt = aNow + kSilenceTimeout;
     return false;
   }
-  return aNow >= *m_goneAt && earlierAttempts >= kUnansweredAttempts;
+  return aNow >= *m_goneAt && (aState.inFlight || earlierAttempts >= kUnansweredAttempts);
 }
 
 void
--- a/src/http/peersilence.h
+++ b/src/http/peersilence.h
@@ -37,7 +37,7 @@
   std::optional<Deadline> m_stalledAt;
   /** Unanswered attempts of the last observation. */
   unsigned int m_unansweredAttempts = 0;
-  /** When an unanswered attempt was first observed after the peer's last answer. */
+  /** When an attempt without an answer was first observed, or bytes in flight without progress. */
   Deadline m_unansweredSince{};
   /** When the peer counts as gone unless it answers. */
   std::optional<Deadline> m_goneAt;
