--- a/tests/control/lossdeployment.cpp
+++ b/tests/control/lossdeployment.cpp
@@ -13,6 +13,8 @@
 
 using std::chrono::milliseconds;
 
+/** Time after which a machine that is back doesn't count as lost any more (catchUp of the users). */
+static constexpr milliseconds kCatchUp{ 4000 };
 static constexpr milliseconds kStep{ 5 };
 static constexpr milliseconds kTickInterval{ 20 };
 static constexpr milliseconds kLinkDelay{ 5 };
@@ -89,6 +91,7 @@
   aMachine.pause = {};
   aMachine.pausedUntil = {};
   aMachine.startAt = m_now + aDownTime;
+  CountLost(aDownTime);
   if (aDeath == Death::PowerLoss || isRebooted) {
     SimulatedDisk::LosePower(aMachine.folder, m_random);
   } else if (aDeath == Death::DiskLoss) {
@@ -96,11 +99,18 @@
   }
 }
 
+void
+LossDeployment::CountLost(milliseconds aTime)
+{
+  m_noneLostAt = std::max(m_noneLostAt, m_now + aTime + kCatchUp);
+}
+
 void
 LossDeployment::BeginPause(LossMachine& aMachine)
 {
   aMachine.pausedUntil = m_now + aMachine.pause.time;
   aMachine.clockLag += aMachine.pause.stopsClock ? aMachine.pause.time : milliseconds(0);
+  CountLost(aMachine.pause.time);
 }
 
 void
@@ -115,6 +125,7 @@
 {
   m_otherSide = std::move(aMachines);
   m_cutUntil = m_now + aTime;
+  CountLost(aTime);
 }
 
 std::vector<LossMachine*>
--- a/tests/control/lossdeployment.h
+++ b/tests/control/lossdeployment.h
@@ -76,6 +76,12 @@
   /** Lets a machine do nothing until the end of its pause. */
   void BeginPause(LossMachine& aMachine);
 
+  /** Notes that a machine is impaired for a time, and counts as lost for some time after that. */
+  void CountLost(std::chrono::milliseconds aTime);
+
+  /** Returns the time from which no machine counts as lost, unless another one is impaired by then. */
+  Deadline NoneLostAt() const { return m_noneLostAt; }
+
   /** Separates machines from all others for a time. */
   void Cut(std::set<std::string> aMachines, std::chrono::milliseconds aTime);
 
@@ -137,6 +143,7 @@
   std::multimap<Deadline, wire::RaftMessage> m_network;
   std::set<std::string> m_otherSide;
   Deadline m_cutUntil{};
+  Deadline m_noneLostAt{};
   std::map<int64_t, wire::LogEntry> m_committed;
   std::map<std::string, int64_t> m_indexByKey;
   std::vector<Change> m_changes;
--- a/tests/control/lossproperties.cpp
+++ b/tests/control/lossproperties.cpp
@@ -8,8 +8,6 @@
 using namespace mimosarun;
 using std::chrono::milliseconds;
 
-/** Time after which a machine that is back doesn't count as lost any more (catchUp of the users). */
-static constexpr milliseconds kCatchUp{ 4000 };
 /** Time after the final loss by which the group must accept a change (recovery of the users). */
 static constexpr milliseconds kRecovery{ 15000 };
 /** A replica whose disk refused a write or sync opens its journal again after this time. */
@@ -52,18 +50,7 @@
 
   milliseconds DownTime() { return milliseconds(100 + Below(900)); }
 
-  /** Notes that a machine is impaired for a time, and counts as lost for some time after that. */
-  void CountLost(milliseconds aTime)
-  {
-    m_noneLostAt = std::max(m_noneLostAt, m_deployment.Now() + aTime + kCatchUp);
-  }
-
-  void Die(LossMachine& aMachine, Death aDeath)
-  {
-    const milliseconds downTime = DownTime();
-    m_deployment.Die(aMachine, aDeath, downTime);
-    CountLost(downTime);
-  }
+  void Die(LossMachine& aMachine, Death aDeath) { m_deployment.Die(aMachine, aDeath, DownTime()); }
 
   /** All machines die at the same moment, half of the time with disk operations under way. */
   void DieAll(Death aDeath, const LossMachine* aExcept)
@@ -120,7 +107,7 @@
   {
     MendDisks();
     const bool waits = m_hasLostDisk || Below(2) == 0;
-    while (waits && m_deployment.Now() < m_noneLostAt) {
+    while (waits && m_deployment.Now() < m_deployment.NoneLostAt()) {
       m_deployment.Step();
     }
     m_hasLostDisk = true;
@@ -140,7 +127,6 @@
     aMachine.process->SetFaults(faults);
     aMachine.death = aDeath;
     aMachine.downTime = DownTime();
-    CountLost(milliseconds(1000));
     m_deployment.Run(milliseconds(Below(1000)));
     if (aMachine.process != nullptr && aMachine.process->Faults().operationsLeft > 0) {
       Die(aMachine, aDeath);
@@ -156,7 +142,6 @@
     aMachine.pause = { .time = milliseconds(500 + Below(4000)),
                        .freezes = true,
                        .stopsClock = Below(2) == 0 };
-    CountLost(aMachine.pause.time);
     if (Below(2) == 0) {
       m_deployment.BeginPause(aMachine);
       return;
@@ -175,7 +160,6 @@
     aMachine.death = Below(4) == 0 ? Death::Kill : Death::PowerLoss;
     aMachine.downTime = DownTime();
     aMachine.process->PauseAt(PausePoint::Operation, static_cast<int>(Below(8)));
-    CountLost(aMachine.pause.time + aMachine.downTime);
     m_deployment.Run(milliseconds(Below(3000)));
   }
 
@@ -187,7 +171,6 @@
     }
     const milliseconds time(500 + Below(3000));
     m_deployment.Cut(std::move(otherSide), time);
-    CountLost(time);
   }
 
   /** Makes a disk refuse writes or syncs. */
@@ -200,16 +183,18 @@
     m_deployment.Run(milliseconds(Below(3000)));
   }
 
+  /** Ends what disks refuse, and the stalls and suspensions that haven't begun. */
   void MendDisks()
   {
     for (LossMachine* machine : m_deployment.Present()) {
       if (machine->process == nullptr) {
         continue;
       }
+      machine->process->PauseAt(PausePoint::None, 0);
       DiskFaults faults = machine->process->Faults();
       if (std::exchange(faults.isFull, false) | std::exchange(faults.refusesSyncs, false)) {
         machine->process->SetFaults(faults);
-        CountLost(kReopenTime);
+        m_deployment.CountLost(kReopenTime);
       }
     }
   }
@@ -220,7 +205,7 @@
     aMachine.isGone = true;
     m_deployment.Run(milliseconds(Below(1000)));
     m_deployment.AddMachine(false);
-    CountLost(milliseconds(0));
+    m_deployment.CountLost(milliseconds(0));
   }
 
   void StopInSeries()
@@ -312,8 +297,6 @@
   }
 
   LossDeployment m_deployment;
-  /** Time from which no machine counts as lost. */
-  Deadline m_noneLostAt{};
   bool m_hasLostDisk = false;
 };
 
