A replica starts after a power loss while its disk was full

Cause: a disk that is nearly full takes a batch of entries in several writes before it refuses one. No sync lies between them, so that after a power loss a later part may be there without the first, and entries after a gap are taken for damage of what was acknowledged.

Change: the part that was taken is synced before the rest is written.

--- a/src/control/journal.cpp
+++ b/src/control/journal.cpp
@@ -198,6 +198,26 @@
   return ReplaceFile(PathOf(kBallotFileName), MakeRecord(Encode(aBallot)));
 }
 
+Result<void>
+Journal::WriteInOrder(std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const ssize_t written = ::write(m_logDescriptor, aBytes.data(), aBytes.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return StorageError("write to " + PathOf(kLogFileName));
+    }
+    aBytes.remove_prefix(static_cast<size_t>(written));
+    if (!aBytes.empty()) {
+      // Without this the rest could outlive the first part in a power loss, which looks like damage.
+      BOOST_OUTCOME_TRYV(Sync());
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 Result<void>
 Journal::Append(const std::vector<wire::LogEntry>& aEntries)
 {
@@ -214,7 +234,7 @@
   if (::lseek(m_logDescriptor, m_logLengthBytes, SEEK_SET) < 0) {
     return StorageError("seek " + PathOf(kLogFileName));
   }
-  const Result<void> written = WriteAll(m_logDescriptor, bytes);
+  const Result<void> written = WriteInOrder(bytes);
   if (!written) {
     // Best effort: a remaining incomplete record is truncated when the journal is opened again.
     static_cast<void>(::ftruncate(m_logDescriptor, m_logLengthBytes) == 0);
--- a/src/control/journal.h
+++ b/src/control/journal.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mimosarun {
@@ -68,6 +69,8 @@
 
   std::string PathOf(const char* aName) const;
   Result<void> OpenLogFile();
+  /** Writes to the log file so that after a power loss no part is there without those before it. */
+  Result<void> WriteInOrder(std::string_view aBytes);
   Result<void> Sync();
   Result<void> OpenCommitFile();
   int64_t ReadCommitIndex(const JournalContent& aContent) const;
--- a/tests/control/powerlosstest.cpp
+++ b/tests/control/powerlosstest.cpp
@@ -86,3 +86,26 @@
     BOOST_TEST(LoadOrCreateIncarnation(DiskFolder(), 3).value() == 1, "seed " << seed);
   }
 }
+
+// Guards against: of entries that a full disk took in several parts, a later part outlives an earlier one,
+// and the replica takes its log for damaged and doesn't start any more.
+BOOST_AUTO_TEST_CASE(a_journal_opens_after_a_power_loss_while_its_disk_was_full)
+{
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    SimulatedDisk::Use(DiskFolder());
+    const std::string folder = DiskFolder() + "/r1";
+    {
+      Journal journal(folder);
+      BOOST_REQUIRE(journal.Open());
+      BOOST_REQUIRE(journal.Append(MakeEntries(1, 3)));
+      SimulatedDisk::SetFaults({ .isFull = true });
+      BOOST_REQUIRE(!journal.Append(MakeEntries(4, 20)));
+      SimulatedDisk::SetFaults({});
+    }
+    SimulatedDisk::LosePower(DiskFolder(), random);
+    const auto left = Journal(folder).Open();
+    BOOST_TEST(left.has_value(), "seed " << seed);
+    BOOST_TEST((left && left.value().entries.size() >= 3u), "seed " << seed);
+  }
+}
