Soak: refuse connections to a gate while its process is away

A process that has ended refuses connections. The fault proxy went on accepting them for it, so that an entry's request counted as sent and was then reset: a failure that only the harness causes. EndHost() now closes the listeners, and BeginHost() opens them when the gate of the new process listens.

--- a/tests/harness/soakfaults.cpp
+++ b/tests/harness/soakfaults.cpp
@@ -1,11 +1,13 @@
 #include "harness/soakfaults.h"
 
 #include "harness/bookings.h"
+#include "harness/rawserver.h"
 
 #include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <map>
+#include <set>
 #include <thread>
 
 namespace mimosarun {
@@ -126,7 +128,7 @@
     }
     std::shuffle(nodes.begin(), nodes.end(), aRandom);
     const auto node = std::find_if(nodes.begin(), nodes.end(), [&](const std::string& aNode) {
-      return !m_leaving.contains(aNode) &&
+      return !m_leaving.contains(aNode) && !m_starting.contains(aNode) &&
              (!m_startedAt.contains(aNode) || now >= m_startedAt[aNode] + kTimeBetweenStops);
     });
     if (node != nodes.end()) {
@@ -137,7 +139,7 @@
     }
   }
 
-  /** Starts the nodes that have ended, and those that have not ended in time. */
+  /** Starts the nodes that have ended, and those that have not ended in time; lets them be reached. */
   void Restart()
   {
     const auto now = SteadyClock::now();
@@ -152,18 +154,26 @@
       }
       m_mesh.Proxy().EndHost(m_mesh.ProcessOf(node).gateAddress);
       m_mesh.StartProcess(node);
+      m_starting.insert(node);
       m_startedAt[node] = now;
       return true;
     });
+    std::erase_if(m_starting, [&](const std::string& aNode) {
+      // Until the gate listens, the proxy must refuse connections like the kernel of its VM.
+      const Address& gate = m_mesh.ProcessOf(aNode).gateAddress;
+      return RawConnection(gate).IsConnected() && m_mesh.Proxy().BeginHost(gate);
+    });
   }
 
-  bool AnyLeaving() const { return !m_leaving.empty(); }
+  bool AnyAway() const { return !m_leaving.empty() || !m_starting.empty(); }
   int Stops() const { return m_stops; }
   size_t MostAtOnce() const { return m_mostAtOnce; }
 
 private:
   Mesh& m_mesh;
   std::map<std::string, Deadline> m_leaving;
+  /** Those that have been started and don't listen yet. */
+  std::set<std::string> m_starting;
   std::map<std::string, Deadline> m_startedAt;
   int m_stops = 0;
   size_t m_mostAtOnce = 0;
@@ -175,7 +185,7 @@
   std::mt19937_64 random(aSeed);
   PlannedStops stops(aMesh);
   Deadline next = SteadyClock::now() + kTimeBetweenStops / 2;
-  while (!aStop || stops.AnyLeaving()) {
+  while (!aStop || stops.AnyAway()) {
     if (!aStop && SteadyClock::now() >= next) {
       if (random() % 10 == 0) {
         HangUpAll(aMesh);
--- a/tests/standin/faultproxy.cpp
+++ b/tests/standin/faultproxy.cpp
@@ -149,21 +149,28 @@
 {
   auto path = std::make_unique<Path>();
   path->options = aOptions;
-  path->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(path->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   const std::lock_guard lock(m_mutex);
   path->link = aOptions.link.empty() ? nullptr : m_links.at(aOptions.link).get();
-  if (path->link != nullptr && path->link->options.heldBytes > 0) {
-    LimitHeldBytes(path->socket, path->link->options.heldBytes);
+  const bool listens = Listen(*path);
+  m_paths.push_back(std::move(path));
+  return listens;
+}
+
+bool
+FaultProxy::Listen(Path& aPath) const
+{
+  aPath.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(aPath.socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (aPath.link != nullptr && aPath.link->options.heldBytes > 0) {
+    LimitHeldBytes(aPath.socket, aPath.link->options.heldBytes);
   }
-  const sockaddr_in address = ToSocketAddress(aOptions.listen);
+  const sockaddr_in address = ToSocketAddress(aPath.options.listen);
   const bool listens =
-    ::bind(path->socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
-    ::listen(path->socket, 512) == 0;
-  epoll_event event{ .events = EPOLLIN, .data = { .ptr = path.get() } };
-  ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, path->socket, &event);
-  m_paths.push_back(std::move(path));
+    ::bind(aPath.socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+    ::listen(aPath.socket, 512) == 0;
+  epoll_event event{ .events = EPOLLIN, .data = { .ptr = &aPath } };
+  ::epoll_ctl(m_epoll, EPOLL_CTL_ADD, aPath.socket, &event);
   return listens;
 }
 
@@ -200,6 +207,12 @@
 FaultProxy::EndHost(const Address& aListener)
 {
   const std::lock_guard lock(m_mutex);
+  for (const auto& path : m_paths) {
+    if (path->options.connect == aListener && path->socket >= 0) {
+      ::close(path->socket);
+      path->socket = -1;
+    }
+  }
   for (const auto& [socket, connection] : m_connectionsBySocket) {
     const bool isAccepted = socket == connection->sockets[0];
     if (isAccepted || connection->closed || connection->path->options.connect != aListener) {
@@ -218,6 +231,19 @@
   RemoveClosedConnections();
 }
 
+bool
+FaultProxy::BeginHost(const Address& aListener)
+{
+  const std::lock_guard lock(m_mutex);
+  bool listens = true;
+  for (const auto& path : m_paths) {
+    if (path->options.connect == aListener && path->socket < 0) {
+      listens = Listen(*path) && listens;
+    }
+  }
+  return listens;
+}
+
 void
 FaultProxy::ResetOpenConnections(const std::string& aFrom, const std::string& aTo)
 {
--- a/tests/standin/faultproxy.h
+++ b/tests/standin/faultproxy.h
@@ -80,10 +80,13 @@
 
   /**
    * Ends the connections to a listening address whose VM has just ended: what its kernel still holds is lost,
-   * what has been received from it is forwarded.
+   * what has been received from it is forwarded. New connections are refused until BeginHost().
    */
   void EndHost(const Address& aListener);
 
+  /** Accepts connections to a listening address again; returns false if an address can't be bound. */
+  bool BeginHost(const Address& aListener);
+
   /** Resets the open connections from aFrom to aTo. */
   void ResetOpenConnections(const std::string& aFrom, const std::string& aTo);
 
@@ -100,6 +103,7 @@
   struct Direction;
 
   void Run();
+  bool Listen(Path& aPath) const;
   void Accept(Path& aPath);
   void HandleEvent(int aSocket, uint32_t aEvents);
   void ForwardBytes(Connection& aConnection, Deadline aNow);
