Soak: judge requests that may not be repeated in planned rounds

The planned rounds judged kept connections for downloads only, which may be repeated. OrderCallers send small POST requests without a key over kept connections. With planned faults alone each of them must run, or be answered as not run; a response with an unknown outcome to a request that is in no ledger is a violation, as are a request that ran without an answer, a false not-run, two runs and a complete one that never ran. The reading of responses is shared with the downloads.

By default 48 callers run, about 3,000 requests a second.

--- a/tests/harness/bookings.cpp
+++ b/tests/harness/bookings.cpp
@@ -52,6 +52,19 @@
   return runs;
 }
 
+std::map<std::string, int>
+RunsByPath(const Mesh& aMesh, const std::string& aPathPart)
+{
+  std::map<std::string, int> runs;
+  for (const std::string& line : aMesh.LedgerLines()) {
+    if (const size_t part = line.find(aPathPart); part != std::string::npos) {
+      const size_t start = part + aPathPart.size();
+      ++runs[line.substr(start, line.find(' ', start) - start)];
+    }
+  }
+  return runs;
+}
+
 std::vector<Booking>
 BookMany(Mesh& aMesh, const std::string& aPrefix, int aCount, uint64_t aSeed)
 {
--- a/tests/harness/bookings.h
+++ b/tests/harness/bookings.h
@@ -52,6 +52,10 @@
 std::map<std::string, int>
 RunsByKey(const Mesh& aMesh);
 
+/** Same, of the requests whose path has a part and after it the key. */
+std::map<std::string, int>
+RunsByPath(const Mesh& aMesh, const std::string& aPathPart);
+
 BookingSummary
 CheckBookings(const Mesh& aMesh, const std::vector<Booking>& aBookings);
 
--- a/tests/harness/downloads.cpp
+++ b/tests/harness/downloads.cpp
@@ -1,21 +1,17 @@
 #include "harness/downloads.h"
 
+#include "harness/bookings.h"
 #include "harness/rawserver.h"
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "harness/responsereader.h"
 
 #include <cerrno>
 #include <cmath>
 #include <csignal>
 #include <iostream>
 #include <optional>
-#include <set>
 
 namespace mimosarun {
 
-namespace http = boost::beast::http;
-
 static constexpr uint64_t kCallers = 24;
 /** Requested bodies are of 20 KB to 1 MB, half of them close to one of the limits of the system's buffers. */
 static constexpr size_t kSmallestBodyBytes = 20UL * 1000;
@@ -181,42 +177,33 @@
     "GET /" + service + "/long/" + aDownload.key + "?bytes=" + std::to_string(aDownload.bodyBytes) +
     " HTTP/1.1\r\nHost: mesh\r\n" + "X-Token: " + aDownload.key +
     "\r\nMimosarun-Timeout-Ms: " + std::to_string(timeout.count()) + "\r\n\r\n");
-  http::response_parser<http::string_body> parser;
-  parser.eager(true);
-  parser.body_limit(2 * kLargestBodyBytes);
+  ResponseReader reader(2 * kLargestBodyBytes);
   const auto start = SteadyClock::now();
-  std::string bytes;
   bool open = sent;
   std::optional<size_t> bytesAtEnd;
-  while (open && !parser.is_done() && !aDownload.abandoned) {
+  while (open && !reader.IsDone() && !aDownload.abandoned) {
     if (!bytesAtEnd && HasEnded(aConditions.process)) {
-      bytesAtEnd = aDownload.receivedBytes + aConnection.HeldBytes();
+      bytesAtEnd = reader.ReceivedBytes() + aConnection.HeldBytes();
     }
     const auto now = SteadyClock::now();
-    const size_t limit = AllowedBytes(bytesPerSecond, aDownload.receivedBytes, now - start);
+    const size_t limit = AllowedBytes(bytesPerSecond, reader.ReceivedBytes(), now - start);
     if (limit == 0) {
       std::this_thread::sleep_for(std::chrono::milliseconds(2));
     } else {
-      const size_t before = bytes.size();
-      open = aConnection.ReceiveSome(bytes, limit, kReadPoll);
-      aDownload.reset = !open && errno != 0;
-      aDownload.receivedBytes += bytes.size() - before;
-      boost::system::error_code error;
-      bytes.erase(0, parser.put(boost::asio::buffer(bytes), error));
-      open = open && (!error || error == http::error::need_more);
+      open = reader.Read(aConnection, limit, kReadPoll);
     }
     aDownload.abandoned = m_stop && !m_options.plannedOnly;
     open = open && now < start + timeout + kGiveUpDelay;
   }
+  aDownload.reset = reader.WasReset();
+  aDownload.receivedBytes = reader.ReceivedBytes();
   aDownload.bytesAfterEnd = aDownload.receivedBytes - bytesAtEnd.value_or(aDownload.receivedBytes);
-  if (parser.is_header_done()) {
-    aDownload.status = static_cast<int>(parser.get().result_int());
-    aDownload.outcome = std::string(parser.get()["Mimosarun-Outcome"]);
-  }
-  aDownload.complete = parser.is_done();
-  const std::string& body = parser.get().body();
+  aDownload.status = reader.Status();
+  aDownload.outcome = reader.Header("Mimosarun-Outcome");
+  aDownload.complete = reader.IsDone();
+  const std::string& body = reader.Body();
   aDownload.bodyIsRight = body.size() == aDownload.bodyBytes && body.starts_with(aDownload.key + "\n");
-  return aDownload.complete && parser.keep_alive();
+  return reader.KeepsAlive();
 }
 
 // --- checks ----------------------------------------------------------------------------------------------
@@ -241,21 +228,6 @@
                                                : DownloadSummary{ .cut = 1 };
 }
 
-/** Returns the keys of all downloads in the ledgers. */
-static std::set<std::string>
-RunKeys(const Mesh& aMesh)
-{
-  static const std::string kPathPart = "/long/";
-  std::set<std::string> keys;
-  for (const std::string& line : aMesh.LedgerLines()) {
-    if (const size_t part = line.find(kPathPart); part != std::string::npos) {
-      const size_t start = part + kPathPart.size();
-      keys.insert(line.substr(start, line.find(' ', start) - start));
-    }
-  }
-  return keys;
-}
-
 DownloadSummary
 DownloadCallers::Finish()
 {
@@ -264,10 +236,10 @@
     caller.join();
   }
   m_callers.clear();
-  const std::set<std::string> runKeys = RunKeys(m_mesh);
+  const std::map<std::string, int> runs = RunsByPath(m_mesh, "/long/");
   DownloadSummary all;
   for (const Download& download : m_downloads) {
-    const bool ran = runKeys.contains(download.key);
+    const bool ran = runs.contains(download.key);
     const DownloadSummary judged = Judge(download, ran);
     all.Add(judged);
     if (!judged.HasNoViolation() || judged.crossedClose > 0) {
--- a/tests/harness/soak.cpp
+++ b/tests/harness/soak.cpp
@@ -1,5 +1,6 @@
 #include "harness/bookings.h"
 #include "harness/downloads.h"
+#include "harness/orders.h"
 #include "harness/soakfaults.h"
 
 #include <cxxopts.hpp>
@@ -17,6 +18,10 @@
 /** 15 Mbit/s. */
 static constexpr int64_t kConnectionBytesPerSecond = 15L * 1000 * 1000 / 8;
 static constexpr size_t kLinkHeldBytes = 16UL * 1024;
+/** Of the slow links between regions: 20 Mbit/s. */
+static constexpr int64_t kRegionBytesPerSecond = 20L * 1000 * 1000 / 8;
+static constexpr std::chrono::milliseconds kRegionDelay{ 125 };
+static constexpr std::chrono::milliseconds kDomainDelay{ 80 };
 static constexpr int kBookingsPerBatch = 50;
 static constexpr std::chrono::milliseconds kBatchPause{ 300 };
 /** Time within which a change must be in force on all nodes once the faults have ended. */
@@ -63,6 +68,10 @@
   /** Every round has planned faults only, in place of one of two. */
   bool plannedOnly = false;
   bool withDownloads = true;
+  /** Callers of requests that may not be repeated, in rounds with planned faults only. */
+  int orderCallers = 0;
+  /** Requests, and the news that a node leaves, are long on their way, as over full links. */
+  bool withSlowLinks = false;
 };
 
 /** Books in batches until aEnd. */
@@ -84,11 +93,16 @@
 {
   std::vector<Booking> bookings;
   DownloadSummary downloads;
+  OrderSummary orders;
 };
 
-/** Books and downloads while faults are injected. */
+/** Books, orders and downloads while faults are injected. */
 static RoundResult
-RunRound(Mesh& aMesh, const std::string& aName, bool aPlannedOnly, bool aWithDownloads, uint64_t aSeed)
+RunRound(Mesh& aMesh,
+         const SoakOptions& aOptions,
+         const std::string& aName,
+         bool aPlannedOnly,
+         uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   std::atomic<bool> stop{ false };
@@ -99,9 +113,12 @@
                                             .seed = random(),
                                             .plannedOnly = aPlannedOnly };
   std::optional<DownloadCallers> callers;
-  if (aWithDownloads) {
+  if (aOptions.withDownloads) {
     callers.emplace(aMesh, downloads);
   }
+  OrderCallers orders(
+    aMesh,
+    { .prefix = "order-" + aName + "-", .seed = aSeed, .callers = aPlannedOnly ? aOptions.orderCallers : 0 });
   const std::string prefix = "soak-" + aName + "-";
   RoundResult result;
   result.bookings = aPlannedOnly ? BookUntil(aMesh, prefix, SteadyClock::now() + kPlannedRound, random)
@@ -111,6 +128,7 @@
   if (callers) {
     result.downloads = callers->Finish();
   }
+  result.orders = orders.Finish();
   return result;
 }
 
@@ -123,6 +141,11 @@
   options.connectionBytesPerSecond = kConnectionBytesPerSecond;
   options.linkHeldBytes = kLinkHeldBytes;
   options.countDomainTraffic = true;
+  if (aOptions.withSlowLinks) {
+    options.regionDelay = kRegionDelay;
+    options.domainDelay = kDomainDelay;
+    options.regionBytesPerSecond = kRegionBytesPerSecond;
+  }
   options.regions = { { "east", { "east-1", "east-2" } }, { "west", { "west-1", "west-2" } } };
   options.replicaDomains = { "east-1", "east-2", "west-1", "west-2", "east-1" };
   Mesh mesh(options);
@@ -142,6 +165,7 @@
   int lateChanges = 0;
   std::vector<Booking> all;
   DownloadSummary downloads;
+  OrderSummary orders;
   std::mt19937_64 random(aOptions.seed);
   bool plannedFirst = false;
   const Deadline end = SteadyClock::now() + aOptions.time;
@@ -151,10 +175,10 @@
     const bool plannedOnly = (round % 2 == 0) == plannedFirst || aOptions.plannedOnly;
     const bool cut = random() % 3 == 0 && !plannedOnly;
     mesh.SetRegionFault("east", "west", { .dropAll = cut });
-    const RoundResult result =
-      RunRound(mesh, std::to_string(round), plannedOnly, aOptions.withDownloads, random());
+    const RoundResult result = RunRound(mesh, aOptions, std::to_string(round), plannedOnly, random());
     all.insert(all.end(), result.bookings.begin(), result.bookings.end());
     downloads.Add(result.downloads);
+    orders.Add(result.orders);
     mesh.SetRegionFault("east", "west", {});
     int64_t roundVersion = 0;
     const bool accepted = WaitUntil(kStartLimit, [&] {
@@ -171,7 +195,7 @@
               << ": " << summary.complete << " of " << summary.bookings << " complete, " << summary.ranTwice
               << " twice, " << summary.falseNotRun << " false not-run, " << summary.lost << " lost, "
               << monitor.Regressions() << " steps back, " << lateChanges << " late changes; "
-              << Describe(result.downloads) << std::endl;
+              << Describe(result.downloads) << "; " << Describe(result.orders) << std::endl;
   }
   int64_t last = 0;
   WaitUntil(kStartLimit, [&] {
@@ -180,8 +204,9 @@
   });
   const bool converged = last > 0 && mesh.WaitInForce(last, kStartLimit);
   const bool holds = CheckBookings(mesh, all).HasNoViolation() && downloads.HasNoViolation() &&
-                     monitor.Regressions() == 0 && lateChanges == 0 && converged;
-  std::cout << Describe(downloads) << "\nseed " << aOptions.seed << ": "
+                     orders.HasNoViolation() && monitor.Regressions() == 0 && lateChanges == 0 && converged;
+  std::cout << Describe(downloads) << "\n"
+            << Describe(orders) << "\nseed " << aOptions.seed << ": "
             << (holds ? "all promises held" : "a promise was broken")
             << (converged ? "" : ", nodes did not converge") << "\n";
   return holds ? 0 : 1;
@@ -197,6 +222,10 @@
     "targets",
     "Targets of each service in each failure domain; each has a node and so two processes",
     cxxopts::value<int>()->default_value("1"))("planned", "Only planned faults, in all rounds")(
+    "orders",
+    "Callers of requests that may not be repeated, in rounds of planned faults",
+    cxxopts::value<int>()->default_value("48"))("slow-links",
+                                                "Links that take as long as full ones between VMs")(
     "without-downloads", "No downloads, which slow callers may lose (KNOWN-RED.txt)")("help", "Print help");
   const auto parsed = options.parse(aCount, aValues);
   if (parsed.count("help") > 0) {
@@ -209,5 +238,7 @@
                 .seed = parsed["seed"].as<uint64_t>(),
                 .targetsPerDomain = parsed["targets"].as<int>(),
                 .plannedOnly = parsed.count("planned") > 0,
-                .withDownloads = parsed.count("without-downloads") == 0 });
+                .withDownloads = parsed.count("without-downloads") == 0,
+                .orderCallers = parsed["orders"].as<int>(),
+                .withSlowLinks = parsed.count("slow-links") > 0 });
 }
