A leaving node keeps its list of gates up to date while it takes calls

The thread that passes the gates to the entry ended 2.9 s after the signal, while the entry may take calls for 2.4 s more (5.3 s on the platform): they were sent by an old list. It ends with the node now. Read in the code by the review of the drain; no test, as what is seen are refusals by gates that have left, which entries also learn from the gates themselves.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -69,6 +69,10 @@
 void
 Node::Stop()
 {
+  m_stop = true;
+  if (m_directoryThread.joinable()) {
+    m_directoryThread.join();
+  }
   if (m_backgroundEnd.joinable()) {
     m_backgroundEnd.join();
   }
@@ -298,12 +302,8 @@
 void
 Node::EndBackground()
 {
-  m_stop = true;
   m_control.BeginStop();
   m_gossiper.BeginStop();
-  if (m_directoryThread.joinable()) {
-    m_directoryThread.join();
-  }
   m_control.Stop();
   m_gossiper.Stop();
 }
