Forwarding: a late connection doesn't keep its request in memory

A transfer whose connection is still being established after its end kept the request for up to 3 s, which may be a megabyte for each call that wasn't sent.

--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -106,6 +106,9 @@
 {
   if (m_request.lateConnectTimeout) {
     m_lateConnection = std::exchange(m_connection, nullptr);
+    // Only the connection is still needed.
+    m_request.request = {};
+    std::string().swap(m_output);
   }
   End(ForwardResult::NotSent);
   if (m_lateConnection) {
