A node that stops ends its fetches of configurations before its entry

A node that stopped while a configuration arrived could end by a signal in place of with status 0, and cut the responses that it was still sending.

Node::Stop() ended the entry's server while the thread that fetches configurations went on: a version that came then was passed to an entry without a server.

The threads that exchange members, configurations and leases end after the drain and not beside it: while the entry takes calls it needs what they bring (gates, keys, its lease, configurations), and others learn from them that the node leaves.

--- a/src/node/fetcher.cpp
+++ b/src/node/fetcher.cpp
@@ -24,13 +24,21 @@
 }
 
 ConfigurationFetcher::~ConfigurationFetcher()
+{
+  Stop();
+}
+
+void
+ConfigurationFetcher::Stop()
 {
   {
     const std::lock_guard lock(m_mutex);
     m_stop = true;
   }
   m_wake.notify_all();
-  m_thread.join();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
 }
 
 int64_t
--- a/src/node/fetcher.h
+++ b/src/node/fetcher.h
@@ -25,6 +25,9 @@
   ConfigurationFetcher(const ConfigurationFetcher&) = delete;
   ConfigurationFetcher& operator=(const ConfigurationFetcher&) = delete;
 
+  /** Ends the thread, after a fetch that is under way; nothing is fetched from then on. */
+  void Stop();
+
   /** Fetches a version from a member of the own failure domain if it is still newer when due. Doesn't block.
    */
   void FetchIfNewer(const std::string& aMember, int64_t aVersion);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -73,13 +73,13 @@
   if (m_directoryThread.joinable()) {
     m_directoryThread.join();
   }
-  if (m_backgroundEnd.joinable()) {
-    m_backgroundEnd.join();
-  }
-  EndBackground();
+  m_control.Stop();
+  m_gossiper.Stop();
   m_crashReporter.Stop();
   m_quotas.Stop();
   m_server.reset();
+  // A configuration that is being fetched is passed to the entry.
+  m_fetcher.Stop();
   // The loops still run while threads are waited for, so that calls that arrive are refused.
   if (m_entry) {
     m_entry->Stop();
@@ -300,12 +300,11 @@
 }
 
 void
-Node::EndBackground()
+Node::BeginStoppingBackground()
 {
+  m_stop = true;
   m_control.BeginStop();
   m_gossiper.BeginStop();
-  m_control.Stop();
-  m_gossiper.Stop();
 }
 
 bool
@@ -374,10 +373,10 @@
   std::this_thread::sleep_until(now + m_options.leaveDelay);
   LeaveMesh();
   std::this_thread::sleep_until(acceptUntil);
-  m_backgroundEnd = std::thread([this] { EndBackground(); });
   FinishCalls(end);
   // A call that was taken from here on would be cut off by the end of the process.
   RefuseNewCalls();
+  BeginStoppingBackground();
   m_entry->StopListening();
   WaitUntilAnswered(end);
   LogDrained(HasAnswered());
