A call waits for its quota for a third of its time at most

On routes with a timeout of up to 1 s a call without a token waited until its deadline, and got 504 in place of 429: the wait of 1 s for a late ledger didn't know the deadline. Found by the review: timeout 600 ms, 504 after 630 and 631 ms. A call that was admitted late had no time left to run.

--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -78,11 +78,12 @@
     return;
   }
   m_quota = std::make_shared<QuotaAdmission>(*pool, m_options.team, m_loop);
-  m_quota->Request(SteadyClock::now(), [weak = weak_from_this()](const QuotaVerdict& aVerdict) {
-    if (const auto call = weak.lock()) {
-      call->OnQuota(aVerdict);
-    }
-  });
+  m_quota->Request(
+    SteadyClock::now(), m_options.deadline, [weak = weak_from_this()](const QuotaVerdict& aVerdict) {
+      if (const auto call = weak.lock()) {
+        call->OnQuota(aVerdict);
+      }
+    });
 }
 
 void
--- a/src/caller/quotaadmission.cpp
+++ b/src/caller/quotaadmission.cpp
@@ -13,6 +13,9 @@
 /** Longest time that a call waits for a grant. A refused caller would come back later than that. */
 static constexpr std::chrono::milliseconds kLongestQuotaWait{ 1000 };
 
+/** Part of a call's time that it may spend on waiting. */
+static constexpr int kQuotaWaitDivisor = 3;
+
 QuotaAdmission::QuotaAdmission(QuotaPool& aPool, std::string aTeam, EventLoop& aLoop)
   : m_pool(aPool)
   , m_team(std::move(aTeam))
@@ -21,7 +24,7 @@
 }
 
 void
-QuotaAdmission::Request(Deadline aNow, Continuation aContinuation)
+QuotaAdmission::Request(Deadline aNow, Deadline aCallDeadline, Continuation aContinuation)
 {
   m_continuation = std::move(aContinuation);
   m_state = State::Waiting;
@@ -44,8 +47,8 @@
     return;
   }
   m_identifier = ticket.identifier;
-  m_waitEndsAt = aNow + kLongestQuotaWait;
-  TryFallbackAt(aNow + kFallbackInterval);
+  m_waitEndsAt = std::min(aNow + kLongestQuotaWait, aNow + (aCallDeadline - aNow) / kQuotaWaitDivisor);
+  TryFallbackAt(std::min(aNow + kFallbackInterval, m_waitEndsAt));
 }
 
 void
--- a/src/caller/quotaadmission.h
+++ b/src/caller/quotaadmission.h
@@ -20,8 +20,8 @@
 
   QuotaAdmission(QuotaPool& aPool, std::string aTeam, EventLoop& aLoop);
 
-  /** Calls a function with the decision, possibly at once. */
-  void Request(Deadline aNow, Continuation aContinuation);
+  /** Calls a function with the decision, possibly at once, and early enough for the call to run then. */
+  void Request(Deadline aNow, Deadline aCallDeadline, Continuation aContinuation);
 
   /** Returns the token, or ends the wait for one without a call of the function. */
   void Cancel();
--- a/tests/caller/quotaadmissiontest.cpp
+++ b/tests/caller/quotaadmissiontest.cpp
@@ -20,9 +20,11 @@
       1, { { "team", { .name = "team", .requestsPerSecond = kRate, .burst = 1 } } }, SteadyClock::now());
     auto admission = std::make_shared<QuotaAdmission>(pool, "team", loop);
     loop.Dispatch([this, admission] {
-      admission->Request(SteadyClock::now(), [this, admission](const QuotaVerdict& aVerdict) {
-        decision.set_value(aVerdict.decision);
-      });
+      const Deadline now = SteadyClock::now();
+      admission->Request(
+        now, now + std::chrono::seconds(20), [this, admission](const QuotaVerdict& aVerdict) {
+          decision.set_value(aVerdict.decision);
+        });
     });
   }
 
