A gate waits for a target that reads a large request late

For requests of more than 64 KB the limit is the call's deadline now. Smaller ones are acknowledged by the kernel whatever the target does, so for them the limit still tells a broken connection.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -24,6 +24,12 @@
 /** An entry whose connection broke has this long to send a call again that isn't idempotent. */
 static constexpr std::chrono::milliseconds kResendTimeout{ 350 };
 static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+/**
+ * The kernel acknowledges a request of this size although the target reads nothing, so that it stays
+ * unacknowledged only if the connection is broken. A larger one may wait for a target that reads late.
+ */
+static constexpr size_t kBufferedRequestBytes = 64UL * 1024;
+static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 2000 };
 /** Longer idle connections aren't reused: the target may close them just as the next request is sent. */
 static constexpr std::chrono::milliseconds kLongestIdle{ 8000 };
 static constexpr std::chrono::milliseconds kLongestIdleNotIdempotent{ 2500 };
@@ -207,12 +213,15 @@
   const auto longestIdle = m_retried       ? std::chrono::milliseconds(0)
                            : notIdempotent ? kLongestIdleNotIdempotent
                                            : kLongestIdle;
+  const auto unacknowledgedTimeout =
+    m_request.body.size() > kBufferedRequestBytes ? TimeLeft(deadline, now) : kUnacknowledgedTimeout;
   m_forwardHandle = m_gate.m_options.forwarder->Start(m_loop,
                                                       { .destination = target->address,
                                                         .request = std::move(request),
                                                         .deadline = deadline,
                                                         .connectTimeout = kConnectTimeout,
-                                                        .longestIdle = longestIdle },
+                                                        .longestIdle = longestIdle,
+                                                        .unacknowledgedTimeout = unacknowledgedTimeout },
                                                       shared_from_this());
 }
 
