A gate refuses a call as not run after the release of its key

A call with an idempotency key that a gate refused as not run, since its target had stopped or refused it, was sent to another gate at once, and got 504 with an unknown outcome there though it had run nowhere: the first gate still held the key.

The refusal follows the release now, which the drain of a node waits for by that. If the release isn't stored, the refusal is final, as any other gate would find the key claimed. It takes a round trip to the quorum longer.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -178,7 +178,7 @@
       RespondWithError(503,
                        HopOutcome::RejectedFinally,
                        "the home region's quorum can't be reached to claim the idempotency key");
-      ReleaseClaim();
+      m_gate.m_workers->Post([self = shared_from_this()] { self->ReleaseClaim(); });
       return;
   }
 }
@@ -196,8 +196,7 @@
   }
   if (!canForward) {
     m_gate.ReleaseUnused(*this);
-    RespondWithError(503, HopOutcome::Rejected, "the target stopped taking calls");
-    ReleaseClaim();
+    RespondNotRun(HopOutcome::Rejected, "the target stopped taking calls");
     return;
   }
   m_targetName = target->name;
@@ -517,8 +516,7 @@
   // A call that is forwarded again may have run the first time.
   if (aResult == ForwardResult::NotSent && !m_retried) {
     m_gate.ReleaseUnused(*this);
-    RespondWithError(503, HopOutcome::Rejected, "the target accepts no connections");
-    ReleaseClaim();
+    RespondNotRun(HopOutcome::Rejected, "the target accepts no connections");
     return;
   }
   if (const auto end = EndAtTarget(aResult, m_responseKind, m_responseHead.status)) {
@@ -565,8 +563,7 @@
     return;
   }
   if (m_responseKind == TargetResponseKind::NotRun) {
-    RespondWithError(503, HopOutcome::NotRun, "the target refused the call");
-    ReleaseClaim();
+    RespondNotRun(HopOutcome::NotRun, "the target refused the call");
     return;
   }
   if (HasClaim()) {
@@ -597,20 +594,30 @@
   }
 }
 
-void
+bool
 GateCall::ReleaseClaim()
+{
+  const bool released = m_gate.m_options.claims->Release(*m_claim, SteadyClock::now() + kClaimUpdateTimeout);
+  Log(Event::ClaimReleased,
+      { { "call", m_hop.callId }, { "key", m_claim->key }, { "released", released ? "yes" : "no" } });
+  return released;
+}
+
+void
+GateCall::RespondNotRun(HopOutcome aOutcome, const std::string& aReason)
 {
   if (!HasClaim()) {
+    RespondWithError(503, aOutcome, aReason);
     return;
   }
-  m_gate.m_workers->Post([self = shared_from_this()] {
-    const bool released =
-      self->m_gate.m_options.claims->Release(*self->m_claim, SteadyClock::now() + kClaimUpdateTimeout);
-    Log(Event::ClaimReleased,
-        { { "call", self->m_hop.callId },
-          { "key", self->m_claim->key },
-          { "released", released ? "yes" : "no" } });
+  // Another gate can claim the key only after its release.
+  const bool posted = m_gate.m_workers->Post([self = shared_from_this(), aOutcome, aReason] {
+    const HopOutcome outcome = self->ReleaseClaim() ? aOutcome : HopOutcome::RejectedFinally;
+    self->m_loop.Dispatch([self, outcome, aReason] { self->RespondWithError(503, outcome, aReason); });
   });
+  if (!posted) {
+    RespondWithError(503, HopOutcome::RejectedFinally, aReason);
+  }
 }
 
 } // namespace mimosarun
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -91,7 +91,10 @@
   void Discard(size_t aBytes);
   void OnResponseComplete();
   void StoreThenRespond();
-  void ReleaseClaim();
+  /** Releases the key that the call claimed; returns whether that is stored. Blocks. */
+  bool ReleaseClaim();
+  /** Refuses the call after the release of its key, if it has one. */
+  void RespondNotRun(HopOutcome aOutcome, const std::string& aReason);
   void CountEnd(TargetCallEnd aEnd);
   void OnDisconnect(const Exchange* aExchange);
   void OnEntryDisconnected();
