A leader that leaves hands its leadership over

Seen by operators: each planned stop of the control replica that leads leaves the group without a leader for an election timeout; orders and confirmed reads wait or get 503 meanwhile.

Cause: a leader that got SIGTERM drained the operators' requests and ended; the others noticed its silence after 0.9 to 1.8 s.

Change: it takes no further commands (they go to the next leader), and once all entries are committed it asks the voter that holds the whole log and replied last to start an election at once (TimeoutNow). Votes of that election (TransferVote) are given though the leader is still heard.

--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -141,6 +141,10 @@
   Append = 4,
   AppendReply = 5,
   Snapshot = 6,
+  // A leader that leaves asks a voter to start an election at once.
+  TimeoutNow = 7,
+  // A vote in such an election, in which the leader that is still heard doesn't count.
+  TransferVote = 8,
 }
 
 struct RaftMessage {
--- a/src/common/event.cpp
+++ b/src/common/event.cpp
@@ -26,6 +26,7 @@
   EventDescription{ Event::ReplicaHeard, Severity::Info, "replica-heard" },
   EventDescription{ Event::JoinRequested, Severity::Info, "join-requested" },
   EventDescription{ Event::CommitMarkFailed, Severity::Warning, "commit-mark-failed" },
+  EventDescription{ Event::LeadershipHandedOver, Severity::Info, "leadership-handed-over" },
   EventDescription{ Event::VersionAccepted, Severity::Info, "version-accepted" },
   EventDescription{ Event::ProposalStored, Severity::Info, "proposal-stored" },
   EventDescription{ Event::CommandRefused, Severity::Warning, "command-refused" },
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -29,6 +29,7 @@
   ReplicaHeard = 210,
   JoinRequested = 211,
   CommitMarkFailed = 212,
+  LeadershipHandedOver = 213,
 
   VersionAccepted = 300,
   ProposalStored = 301,
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -286,7 +286,7 @@
   Deliver(aBatch);
   const auto expectsReply = [](const wire::RaftMessage& aMessage) {
     return aMessage.kind == wire::RaftKind::Append || aMessage.kind == wire::RaftKind::PreVote ||
-           aMessage.kind == wire::RaftKind::Vote;
+           aMessage.kind == wire::RaftKind::Vote || aMessage.kind == wire::RaftKind::TransferVote;
   };
   const auto request = std::find_if(aBatch.messages.begin(), aBatch.messages.end(), expectsReply);
   if (request == aBatch.messages.end()) {
@@ -448,6 +448,20 @@
                                      : "not run: no quorum of control replicas is reachable; try again");
 }
 
+bool
+Controller::Leave(Deadline aDeadline)
+{
+  m_configurationGroup->Leave();
+  for (auto& [name, group] : m_claimGroups) {
+    group->Leave();
+  }
+  bool isDone = m_configurationGroup->WaitUntilFollower(aDeadline);
+  for (auto& [name, group] : m_claimGroups) {
+    isDone = group->WaitUntilFollower(aDeadline) && isDone;
+  }
+  return isDone;
+}
+
 wire::CommandResult
 Controller::RemoveReplica(const std::string& aName, Deadline aDeadline)
 {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -97,6 +97,9 @@
   /** Fetches the reports of the other regions, which cross the link only on demand and at long intervals. */
   void CollectReportsOfOtherRegions() { m_reportCollector.CollectFromOtherRegions(); }
 
+  /** Hands the leadership of all groups over to other replicas; returns whether they had it by a deadline. */
+  bool Leave(Deadline aDeadline);
+
   /** Removes a replica from all groups. */
   wire::CommandResult RemoveReplica(const std::string& aName, Deadline aDeadline);
 
--- a/src/control/group.h
+++ b/src/control/group.h
@@ -45,6 +45,12 @@
 
   wire::GroupStatus Status() const;
 
+  /** Makes the replica take no commands any more and hand its leadership over if it leads. */
+  void Leave();
+
+  /** Waits until the replica doesn't lead; returns whether that is so at the deadline. */
+  bool WaitUntilFollower(Deadline aDeadline) const;
+
   /**
    * Returns the commit index if a quorum confirms after the start of the call that this replica leads,
    * otherwise the leader it knows.
--- a/src/control/groupimpl.h
+++ b/src/control/groupimpl.h
@@ -5,6 +5,7 @@
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kTickInterval{ 20 };
+static constexpr std::chrono::milliseconds kHandOverPollInterval{ 5 };
 static constexpr size_t kMaxQueuedCommands = 10000;
 
 template<StateMachine Machine>
@@ -115,6 +116,27 @@
   return m_status;
 }
 
+template<StateMachine Machine>
+void
+Group<Machine>::Leave()
+{
+  const std::lock_guard lock(m_mutex);
+  m_input.leaves = true;
+  m_wake.notify_all();
+}
+
+template<StateMachine Machine>
+bool
+Group<Machine>::WaitUntilFollower(Deadline aDeadline) const
+{
+  wire::GroupStatus status = Status();
+  while (status.leader == status.replica && SteadyClock::now() < aDeadline) {
+    std::this_thread::sleep_for(kHandOverPollInterval);
+    status = Status();
+  }
+  return status.leader != status.replica;
+}
+
 template<StateMachine Machine>
 void
 Group<Machine>::Run()
--- a/src/control/groupreplica.h
+++ b/src/control/groupreplica.h
@@ -78,6 +78,8 @@
   std::vector<PendingRead> reads;
   /** Initial members of an empty replica; has no effect on a formed one. */
   std::vector<wire::Replica> initialMembers;
+  /** Whether the replica leaves: from now on it takes no commands, and hands its leadership over. */
+  bool leaves = false;
 };
 
 /**
@@ -116,6 +118,7 @@
   Result<void> HandleInput(ReplicaInput aInput);
   Result<void> StepFailed(std::vector<PendingCommand> aCommands);
   Result<void> Form(std::vector<wire::Replica> aMembers);
+  void HandOver(Deadline aNow);
   void ProposeAll(std::vector<PendingCommand> aCommands);
   std::vector<wire::Replica> ChangedMembers(const wire::Command& aCommand) const;
   Result<void> StoreAndSend();
@@ -140,6 +143,8 @@
   int64_t m_savedCommitIndex = 0;
   Deadline m_nextCommitSaveAt{};
   Deadline m_nextReopenAt{};
+  Deadline m_nextHandOverAt{};
+  bool m_isLeaving = false;
   bool m_failed = false;
 };
 
--- a/src/control/groupreplicaimpl.h
+++ b/src/control/groupreplicaimpl.h
@@ -5,6 +5,8 @@
 namespace mimosarun {
 
 static constexpr std::chrono::milliseconds kReopenInterval{ 1000 };
+/** Time for one voter to take over before another is asked. */
+static constexpr std::chrono::milliseconds kHandOverInterval{ 200 };
 static constexpr std::chrono::milliseconds kCommitSaveInterval{ 300 };
 
 template<StateMachine Machine>
@@ -96,8 +98,13 @@
     m_core->Receive(message, now);
   }
   m_core->Tick(now);
+  m_isLeaving = m_isLeaving || aInput.leaves;
   ProposeAll(std::move(aInput.commands));
-  m_memberMaintenance.Step(*m_core, now);
+  if (m_isLeaving) {
+    HandOver(now);
+  } else {
+    m_memberMaintenance.Step(*m_core, now);
+  }
   BOOST_OUTCOME_TRYV(StoreAndSend());
   ApplyCommitted();
   SaveCommitIndex(now);
@@ -176,6 +183,11 @@
 {
   const Deadline now = m_options.clock();
   for (PendingCommand& pending : aCommands) {
+    if (m_isLeaving) {
+      pending.promise.set_value(
+        MakeFailedResult(wire::ResultCode::NotLeader, "this replica is leaving; ask another one"));
+      continue;
+    }
     const bool changesMembers = pending.command.kind == wire::CommandKind::ChangeMembers;
     const std::optional<int64_t> index = changesMembers
                                            ? m_core->ProposeMembers(ChangedMembers(pending.command), now)
@@ -194,6 +206,19 @@
   }
 }
 
+template<StateMachine Machine>
+void
+GroupReplica<Machine>::HandOver(Deadline aNow)
+{
+  if (aNow < m_nextHandOverAt) {
+    return;
+  }
+  if (const std::optional<std::string> successor = m_core->HandOver(aNow)) {
+    m_nextHandOverAt = aNow + kHandOverInterval;
+    Log(Event::LeadershipHandedOver, { { "group", m_options.name }, { "replica", *successor } });
+  }
+}
+
 template<StateMachine Machine>
 Result<void>
 GroupReplica<Machine>::StoreAndSend()
--- a/src/control/raftcore.cpp
+++ b/src/control/raftcore.cpp
@@ -504,8 +504,12 @@
   switch (aMessage.kind) {
     case RaftKind::PreVote:
     case RaftKind::Vote:
+    case RaftKind::TransferVote:
       OnVoteRequest(aMessage, aNow);
       break;
+    case RaftKind::TimeoutNow:
+      OnTimeoutNow(aMessage, aNow);
+      break;
     case RaftKind::PreVoteReply:
     case RaftKind::VoteReply:
       OnVoteReply(aMessage, aNow);
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -98,6 +98,12 @@
    */
   bool LeadershipConfirmedSince(Deadline aSince) const;
 
+  /**
+   * On the leader: asks a voter that holds the whole log to start an election at once, once all entries are
+   * committed, and returns its name. Returns nullopt if none can be asked now.
+   */
+  std::optional<std::string> HandOver(Deadline aNow);
+
   /** Returns the pending output and clears it. */
   RaftOutput TakeOutput();
 
@@ -160,7 +166,8 @@
 
   void BecomeFollower(int64_t aTerm, const std::string& aLeader, Deadline aNow);
   void StartPreVote(Deadline aNow);
-  void StartVote(Deadline aNow);
+  /** @param aKind Vote, or TransferVote if the leader asked for the election */
+  void StartVote(wire::RaftKind::type aKind, Deadline aNow);
   void BecomeLeader(Deadline aNow);
   void ResetElectionTimer(Deadline aNow);
   /** Sets the time at which an election that has no result by then is repeated. */
@@ -174,6 +181,7 @@
   bool HeardLeaderRecently(Deadline aNow) const;
   bool IsUpToDate(const wire::RaftMessage& aMessage) const;
 
+  void OnTimeoutNow(const wire::RaftMessage& aMessage, Deadline aNow);
   void OnVoteRequest(const wire::RaftMessage& aMessage, Deadline aNow);
   void OnVoteReply(const wire::RaftMessage& aMessage, Deadline aNow);
   void OnAppend(const wire::RaftMessage& aMessage, Deadline aNow);
--- a/src/control/raftelection.cpp
+++ b/src/control/raftelection.cpp
@@ -110,18 +110,18 @@
   ResetCandidacyTimer(aNow);
   RequestVotes(RaftKind::PreVote, m_ballot.term + 1);
   if (QuorumSize() == 1) {
-    StartVote(aNow);
+    StartVote(RaftKind::Vote, aNow);
   }
 }
 
 void
-RaftCore::StartVote(Deadline aNow)
+RaftCore::StartVote(RaftKind::type aKind, Deadline aNow)
 {
   m_role = RaftRole::Candidate;
   SetBallot(m_ballot.term + 1, m_options.name);
   m_votes = { { m_options.name, true } };
   ResetCandidacyTimer(aNow);
-  RequestVotes(RaftKind::Vote, m_ballot.term);
+  RequestVotes(aKind, m_ballot.term);
   if (QuorumSize() == 1) {
     BecomeLeader(aNow);
   }
@@ -146,6 +146,41 @@
   Broadcast(aNow);
 }
 
+std::optional<std::string>
+RaftCore::HandOver(Deadline aNow)
+{
+  if (m_role != RaftRole::Leader || m_commitIndex < LastIndex()) {
+    return std::nullopt;
+  }
+  const wire::Replica* successor = nullptr;
+  Deadline newestReplyAt = aNow - m_options.electionTimeout;
+  for (const wire::Replica& member : m_log.Members()) {
+    const Progress& progress = m_progress[member.name];
+    const bool holdsAll = member.voter && progress.matchIndex == LastIndex() && progress.lastReplyAt;
+    if (member.name != m_options.name && holdsAll && *progress.lastReplyAt > newestReplyAt) {
+      successor = &member;
+      newestReplyAt = *progress.lastReplyAt;
+    }
+  }
+  if (successor == nullptr) {
+    return std::nullopt;
+  }
+  wire::RaftMessage message = MakeMessage(RaftKind::TimeoutNow, *successor);
+  message.logIndex = LastIndex();
+  message.logTerm = m_log.LastTerm();
+  m_output.messages.push_back(std::move(message));
+  return successor->name;
+}
+
+void
+RaftCore::OnTimeoutNow(const wire::RaftMessage& aMessage, Deadline aNow)
+{
+  const bool isFromLeader = aMessage.term == m_ballot.term && aMessage.sender == m_leader;
+  if (isFromLeader && m_role == RaftRole::Follower && IsVoter()) {
+    StartVote(RaftKind::TransferVote, aNow);
+  }
+}
+
 bool
 RaftCore::IsUpToDate(const wire::RaftMessage& aMessage) const
 {
@@ -158,7 +193,8 @@
 void
 RaftCore::OnVoteRequest(const wire::RaftMessage& aMessage, Deadline aNow)
 {
-  if (HeardLeaderRecently(aNow)) {
+  // The leader itself asked for the election of a transfer.
+  if (aMessage.kind != RaftKind::TransferVote && HeardLeaderRecently(aNow)) {
     return;
   }
   const bool preVote = aMessage.kind == RaftKind::PreVote;
@@ -202,7 +238,7 @@
     return;
   }
   if (preVote) {
-    StartVote(aNow);
+    StartVote(RaftKind::Vote, aNow);
   } else {
     BecomeLeader(aNow);
   }
--- a/src/wire/gen-cpp/mesh_types.cpp
+++ b/src/wire/gen-cpp/mesh_types.cpp
@@ -131,7 +131,9 @@
   RaftKind::VoteReply,
   RaftKind::Append,
   RaftKind::AppendReply,
-  RaftKind::Snapshot
+  RaftKind::Snapshot,
+  RaftKind::TimeoutNow,
+  RaftKind::TransferVote
 };
 const char* _kRaftKindNames[] = {
   "PreVote",
@@ -140,9 +142,11 @@
   "VoteReply",
   "Append",
   "AppendReply",
-  "Snapshot"
+  "Snapshot",
+  "TimeoutNow",
+  "TransferVote"
 };
-const std::map<int, const char*> _RaftKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kRaftKindValues, _kRaftKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _RaftKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(9, _kRaftKindValues, _kRaftKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const RaftKind::type& val) {
   std::map<int, const char*>::const_iterator it = _RaftKind_VALUES_TO_NAMES.find(val);
--- a/src/wire/gen-cpp/mesh_types.h
+++ b/src/wire/gen-cpp/mesh_types.h
@@ -80,7 +80,9 @@
     VoteReply = 3,
     Append = 4,
     AppendReply = 5,
-    Snapshot = 6
+    Snapshot = 6,
+    TimeoutNow = 7,
+    TransferVote = 8
   };
 };
 
--- a/tests/control/lossproperties.cpp
+++ b/tests/control/lossproperties.cpp
@@ -208,9 +208,14 @@
     m_deployment.CountLost(milliseconds(0));
   }
 
+  /** Stops all machines in turn, some of them in the planned way, in which a leader is replaced first. */
   void StopInSeries()
   {
     for (LossMachine* machine : m_deployment.Present()) {
+      if (machine->process != nullptr && Below(2) == 0) {
+        machine->process->Input().leaves = true;
+        m_deployment.Run(milliseconds(Below(300)));
+      }
       Die(*machine, Death::Kill);
       m_deployment.Run(milliseconds(500 + Below(2500)));
     }
--- a/tests/control/raftproperties.cpp
+++ b/tests/control/raftproperties.cpp
@@ -34,7 +34,8 @@
     }
   }
 
-  /** Runs one random step: time, a message, a restart, an isolated replica, a lost disk or a command. */
+  /** Runs one random step: time, a message, a restart, an isolated replica, a lost disk, a change of the
+   * leader or a command. */
   void Step()
   {
     const auto choice = Random(100);
@@ -55,6 +56,8 @@
       LoseDisk();
     } else if (choice < 95) {
       PromoteLearners();
+    } else if (choice < 96) {
+      m_cores[RandomName()]->HandOver(m_now);
     } else {
       Propose();
     }
@@ -355,6 +358,74 @@
   BOOST_TEST(leaders == 1);
 }
 
+// Guards against: after a planned stop of the leader the group has no leader for an election timeout, or one
+// without an entry that the leader had committed.
+BOOST_AUTO_TEST_CASE(a_leader_that_leaves_is_followed_at_once_by_a_voter_with_all_entries)
+{
+  const wire::SnapshotFile initial = MakeGroupOf({ "a", "b", "c" });
+  Deadline now{ std::chrono::hours(1) };
+  std::map<std::string, std::unique_ptr<RaftCore>> cores;
+  for (const wire::Replica& member : initial.members) {
+    cores[member.name] = std::make_unique<RaftCore>(
+      RaftCore::Options{ .group = "g", .name = member.name, .incarnation = 1, .seed = cores.size() },
+      RaftState{ .snapshot = initial },
+      now);
+  }
+  std::set<std::string> cutOff;
+  const auto exchangeMessages = [&] {
+    for (int round = 0; round < 6; ++round) {
+      for (auto& [name, core] : cores) {
+        const RaftOutput output = core->TakeOutput();
+        if (!output.newEntries.empty()) {
+          core->MarkPersisted(output.newEntries.back().index);
+        }
+        for (const wire::RaftMessage& message : output.messages) {
+          if (!cutOff.contains(message.sender) && !cutOff.contains(message.receiver)) {
+            cores[message.receiver]->Receive(message, now);
+          }
+        }
+      }
+    }
+  };
+  RaftCore& leader = *cores["a"];
+  while (leader.Role() != RaftRole::Leader) {
+    now += std::chrono::milliseconds(10);
+    leader.Tick(now);
+    exchangeMessages();
+  }
+  // "b" lacks an entry, and another one is committed only when "c" has confirmed it.
+  cutOff = { "b" };
+  leader.Propose(wire::Command{}, now);
+  BOOST_TEST(!leader.HandOver(now).has_value());
+  exchangeMessages();
+  BOOST_TEST(leader.HandOver(now).value() == "c");
+  cutOff.clear();
+  exchangeMessages();
+  BOOST_TEST((cores["c"]->Role() == RaftRole::Leader));
+  BOOST_TEST((leader.Role() == RaftRole::Follower));
+  BOOST_TEST(cores["c"]->Term() == leader.Term());
+  BOOST_TEST(leader.Leader() == "c");
+}
+
+// Guards against: a request to start an election that comes late or from another replica than the leader
+// replaces a leader that is at work.
+BOOST_AUTO_TEST_CASE(only_the_present_leader_can_ask_for_an_election)
+{
+  const Deadline now{ std::chrono::hours(1) };
+  RaftCore follower({ .group = "g", .name = "b", .incarnation = 1, .seed = 1 },
+                    { .snapshot = MakeGroupOf({ "a", "b", "c" }) },
+                    now);
+  follower.Receive(MakeRaftMessage(wire::RaftKind::Append, "a", "b", 2), now);
+  follower.TakeOutput();
+  follower.Receive(MakeRaftMessage(wire::RaftKind::TimeoutNow, "c", "b", 2), now);
+  follower.Receive(MakeRaftMessage(wire::RaftKind::TimeoutNow, "a", "b", 1), now);
+  BOOST_TEST((follower.Role() == RaftRole::Follower));
+  BOOST_TEST(follower.TakeOutput().messages.empty());
+  follower.Receive(MakeRaftMessage(wire::RaftKind::TimeoutNow, "a", "b", 2), now);
+  BOOST_TEST((follower.Role() == RaftRole::Candidate));
+  BOOST_TEST(follower.Term() == 3);
+}
+
 /** Returns a request for the vote of replica "a" under an incarnation. */
 static wire::RaftMessage
 MakeVoteRequest(wire::RaftKind::type aKind, int64_t aIncarnation)
