A gate that refuted a suspicion still knows copies that were sent before

An entry that sent a call again, whose first copy was late, got "the gate was restarted" with an unknown outcome, though the process was the same; the gate stored that response, so that the first copy wasn't run either when it arrived.

Cause: the copy names the incarnation of the gate to which the first copy went, and the gate compared it with its current one, which each refutation raises.

A gate takes a copy for one to its own process if the named incarnation lies between the first and the current one of this process; both bounds matter, as the wall clock may have stepped back. When a node refutes a record of an earlier process with a higher incarnation, the first incarnation is set to the new one: otherwise the range would contain those of that process, and a call that ran there could run again here. A copy that names an incarnation of this process from before such a step is still rejected, as until now.

The gate of the tests now has a first incarnation below its current one.

--- a/src/node/membertable.cpp
+++ b/src/node/membertable.cpp
@@ -72,6 +72,7 @@
 MemberTable::MemberTable(wire::Member aSelf, Options aOptions)
   : m_options(aOptions)
   , m_selfName(aSelf.name)
+  , m_firstIncarnation(aSelf.incarnation)
 {
   const Deadline now = SteadyClock::now();
   m_entries[m_selfName] = { .member = std::move(aSelf), .changedAt = now, .suspectUntil = {} };
@@ -97,7 +98,12 @@
   if (!needsRefutation) {
     return false;
   }
+  const bool isOfEarlierProcess = aMember.incarnation > self.member.incarnation;
   self.member.incarnation = aMember.incarnation + 1;
+  if (isOfEarlierProcess) {
+    // The wall clock has stepped back since that process started.
+    m_firstIncarnation = self.member.incarnation;
+  }
   MarkChanged(self, aNow);
   return true;
 }
@@ -219,6 +225,13 @@
   return m_entries.at(m_selfName).member;
 }
 
+int64_t
+MemberTable::FirstIncarnation() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_firstIncarnation;
+}
+
 std::optional<wire::Member>
 MemberTable::Find(const std::string& aName) const
 {
--- a/src/node/membertable.h
+++ b/src/node/membertable.h
@@ -58,6 +58,9 @@
   bool Expire(Deadline aNow);
 
   wire::Member Self() const;
+
+  /** Returns an incarnation since which all incarnations up to the current one are of this process. */
+  int64_t FirstIncarnation() const;
   std::optional<wire::Member> Find(const std::string& aName) const;
   std::vector<wire::Member> All() const;
 
@@ -112,6 +115,7 @@
 
   Options m_options;
   std::string m_selfName;
+  int64_t m_firstIncarnation = 0;
   mutable std::mutex m_mutex;
   mutable std::condition_variable m_changed;
   std::map<std::string, Entry> m_entries;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,6 +121,7 @@
           [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
         .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { m_crashReporter.Report(aCrash); },
         .incarnation = [this] { return m_table.Self().incarnation; },
+        .firstIncarnation = [this] { return m_table.FirstIncarnation(); },
         .rollouts = &m_rollouts,
         .outcomes = &m_outcomes }));
   if (m_settings.targetAddress.port != 0) {
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -240,6 +240,16 @@
          m_failureTracker.ShouldReject(aCall.Hop().maxFailurePenalty, SteadyClock::now());
 }
 
+bool
+Gate::IsOwnIncarnation(int64_t aIncarnation) const
+{
+  // The first incarnation may become higher than the current one that was read before, never the reverse, so
+  // that no incarnation of an earlier process is accepted.
+  const int64_t current = m_options.incarnation();
+  const int64_t first = m_options.firstIncarnation ? m_options.firstIncarnation() : current;
+  return aIncarnation >= first && aIncarnation <= current;
+}
+
 void
 Gate::Handle(const ExchangePointer& aExchange)
 {
@@ -262,7 +272,7 @@
       return;
     }
   }
-  if (hop->sentToIncarnation != 0 && hop->sentToIncarnation != m_options.incarnation()) {
+  if (hop->sentToIncarnation != 0 && !IsOwnIncarnation(hop->sentToIncarnation)) {
     call->Reject(HopOutcome::Unknown, "the gate was restarted after the call was sent to it");
     return;
   }
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -54,6 +54,11 @@
     CrashWatch::Listener onTargetCrashed;
     /** Returns the incarnation of this process that entries know. */
     std::function<int64_t()> incarnation;
+    /**
+     * Returns the lowest incarnation that is certainly of this process, if refutations of suspicions raise
+     * the incarnation.
+     */
+    std::function<int64_t()> firstIncarnation = nullptr;
     /** Null where versions of targets make no difference. */
     const RolloutView* rollouts = nullptr;
     /** Null where responses aren't counted. */
@@ -99,6 +104,8 @@
   explicit Gate(Options aOptions);
 
   void Handle(const ExchangePointer& aExchange);
+  /** Returns whether this process has had an incarnation. */
+  bool IsOwnIncarnation(int64_t aIncarnation) const;
   std::string RejectionReason(const HopRequest& aHop) const;
   void RequestSlot(const std::shared_ptr<GateCall>& aCall);
   void Withdraw(GateCall& aCall);
--- a/tests/caller/gatecopiestest.cpp
+++ b/tests/caller/gatecopiestest.cpp
@@ -146,3 +146,27 @@
   BOOST_TEST((toSecond->outcome == (isFirstStreamed ? HopOutcome::Unknown : HopOutcome::Answered)));
   BOOST_TEST(gate.Runs() == 1);
 }
+
+// Guards against: a copy that names an incarnation from before the node refuted a suspicion is taken for one
+// to a process that has ended, so that the first copy, which arrives later, isn't run.
+BOOST_AUTO_TEST_CASE(a_copy_that_names_an_incarnation_from_before_a_refutation_does_not_spoil_the_first)
+{
+  const TestGate gate({ .target = { .runTime = milliseconds(50) } });
+  const SentCopy second(gate, "call", TestGate::kIncarnation - 1000);
+  BOOST_TEST(second.Response(milliseconds(1000)).has_value());
+  const SentCopy first(gate, "call", 0);
+  BOOST_TEST(HasOutcome(first, HopOutcome::Answered));
+  BOOST_TEST(gate.Runs() == 1);
+}
+
+// Guards against: a call that may have run in an earlier process of the gate runs again, also if the wall
+// clock was set back between the two.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_call_that_was_sent_to_another_process_is_not_run)
+{
+  const TestGate gate({ .target = {} });
+  const SentCopy toLower(gate, "lower", TestGate::kFirstIncarnation - 1);
+  BOOST_TEST(HasOutcome(toLower, HopOutcome::Unknown));
+  const SentCopy toHigher(gate, "higher", TestGate::kIncarnation + 1);
+  BOOST_TEST(HasOutcome(toHigher, HopOutcome::Unknown));
+  BOOST_TEST(gate.Runs() == 0);
+}
--- a/tests/caller/testgate.h
+++ b/tests/caller/testgate.h
@@ -68,8 +68,9 @@
     bool isReady = true;
   };
 
-  /** Incarnation of the gate. */
-  static constexpr int64_t kIncarnation = 1;
+  /** Incarnations of the gate: the one with which its process started and the current one. */
+  static constexpr int64_t kFirstIncarnation = 10000;
+  static constexpr int64_t kIncarnation = 12000;
 
   explicit TestGate(const Options& aOptions)
     : m_options(aOptions)
@@ -83,7 +84,8 @@
                            .onTargetLost = [](const std::string&) {},
                            .onTargetLeaving = [](const std::string&) {},
                            .onTargetCrashed = [](const wire::TargetCrash&) {},
-                           .incarnation = [] { return kIncarnation; } })
+                           .incarnation = [] { return kIncarnation; },
+                           .firstIncarnation = [] { return kFirstIncarnation; } })
                .value();
     SetReady(aOptions.isReady);
   }
--- a/tests/membership/membertabletest.cpp
+++ b/tests/membership/membertabletest.cpp
@@ -68,6 +68,26 @@
   BOOST_TEST(table.Self().state == wire::MemberState::Alive);
 }
 
+// Guards against: a refutation of a suspicion makes earlier incarnations of this process look like those of
+// another.
+BOOST_AUTO_TEST_CASE(a_refutation_of_a_suspicion_keeps_the_first_incarnation)
+{
+  MemberTable table(MakeMember("self", 5, wire::MemberState::Alive), {});
+  BOOST_TEST(table.FirstIncarnation() == 5);
+  table.Merge({ MakeMember("self", 5, wire::MemberState::Suspect) }, kNow);
+  BOOST_TEST(table.FirstIncarnation() == 5);
+}
+
+// Guards against: an incarnation of an earlier process, which started before the wall clock stepped back, is
+// taken for one of this process, so that a call that ran there runs again here.
+BOOST_AUTO_TEST_CASE(a_refutation_of_an_earlier_process_begins_a_new_first_incarnation)
+{
+  MemberTable table(MakeMember("self", 5, wire::MemberState::Alive), {});
+  table.Merge({ MakeMember("self", 9, wire::MemberState::Alive) }, kNow);
+  BOOST_TEST(table.Self().incarnation == 10);
+  BOOST_TEST(table.FirstIncarnation() == 10);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_takes_precedence_over_alive_and_suspect)
 {
   MemberTable table(MakeMember("self", 1, wire::MemberState::Alive), {});
