A large response goes to a copy of its call that still has a connection

An entry that had sent a call twice, and whose later connection closed, got an unknown outcome on the first one, though the call had run and the target had answered, if the response was over 64 KB.

Cause: such a response is streamed to the copy that arrived last on the call's event loop, even if its connection has closed, and all others are told that it is lost.

When that copy's connection closes, another copy on the same loop whose connection is open takes its place. A copy on another loop is still told that the response is lost, as an exchange can only be streamed to on its own loop.

--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -328,8 +328,25 @@
 void
 GateCall::OnDisconnect(const Exchange* aExchange)
 {
-  if (m_connectedExchanges.erase(aExchange) > 0 && m_connectedExchanges.empty()) {
+  if (m_connectedExchanges.erase(aExchange) == 0) {
+    return;
+  }
+  if (m_connectedExchanges.empty()) {
     OnEntryDisconnected();
+  } else if (m_stage != Stage::Ended && aExchange == m_exchange.get()) {
+    ReplaceExchange();
+  }
+}
+
+void
+GateCall::ReplaceExchange()
+{
+  const auto isUsable = [this](const ExchangePointer& aExchange) {
+    return &aExchange->Loop() == &m_loop && m_connectedExchanges.contains(aExchange.get());
+  };
+  const auto found = std::ranges::find_if(m_otherExchanges, isUsable);
+  if (found != m_otherExchanges.end()) {
+    std::swap(m_exchange, *found);
   }
 }
 
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -94,13 +94,18 @@
   void ReleaseClaim();
   void CountEnd(TargetCallEnd aEnd);
   void OnDisconnect(const Exchange* aExchange);
+  /** Puts a copy on this loop whose connection is open, if any, in the place of m_exchange. */
+  void ReplaceExchange();
   void OnEntryDisconnected();
   void Abandon();
 
   Gate& m_gate;
   const uint64_t m_number;
   EventLoop& m_loop;
-  /** Of the copy that arrived last on this loop; null once the call has ended. */
+  /**
+   * Of the copy that gets a streamed response: one on this loop, with an open connection if any has one. Null
+   * once the call has ended.
+   */
   ExchangePointer m_exchange;
   /** Of the other copies. They get a response that is sent whole, since they may be on other loops. */
   std::vector<ExchangePointer> m_otherExchanges;
--- a/tests/caller/gatecopiestest.cpp
+++ b/tests/caller/gatecopiestest.cpp
@@ -170,3 +170,36 @@
   BOOST_TEST(HasOutcome(toHigher, HopOutcome::Unknown));
   BOOST_TEST(gate.Runs() == 0);
 }
+
+// Guards against: a response is streamed to a copy whose connection has closed, though another one has its
+// own.
+BOOST_AUTO_TEST_CASE(a_streamed_response_goes_to_a_copy_that_has_a_connection)
+{
+  for (const bool closesFirst : { true, false }) {
+    const TestGate gate(
+      { .target = { .runTime = milliseconds(1000), .responseBytes = 4UL * 1024 * 1024 }, .loops = 1 });
+    std::optional<SentCopy> first(std::in_place, gate, "call", 0);
+    BOOST_TEST(WaitForRuns(gate, 1));
+    std::optional<SentCopy> second(std::in_place, gate, "call", TestGate::kIncarnation);
+    std::this_thread::sleep_for(milliseconds(200));
+    (closesFirst ? first : second).reset();
+    BOOST_TEST_CONTEXT("closes the first: " << closesFirst)
+    {
+      BOOST_TEST(HasOutcome(closesFirst ? *second : *first, HopOutcome::Answered));
+      BOOST_TEST(gate.Runs() == 1);
+    }
+  }
+}
+
+// Guards against: a copy on another loop waits for a response that was streamed to a closed connection.
+BOOST_AUTO_TEST_CASE(a_copy_on_another_loop_is_told_that_a_streamed_response_is_lost)
+{
+  const TestGate gate({ .target = { .runTime = milliseconds(1000), .responseBytes = 4UL * 1024 * 1024 } });
+  std::optional<SentCopy> first(std::in_place, gate, "call", 0);
+  BOOST_TEST(WaitForRuns(gate, 1));
+  const SentCopy second(gate, "call", TestGate::kIncarnation);
+  std::this_thread::sleep_for(milliseconds(200));
+  first.reset();
+  BOOST_TEST(HasOutcome(second, HopOutcome::Unknown));
+  BOOST_TEST(gate.Runs() == 1);
+}
--- a/tests/caller/testgate.h
+++ b/tests/caller/testgate.h
@@ -66,6 +66,8 @@
     std::string name = "gate";
     int slots = 4;
     bool isReady = true;
+    /** With more than one, the copies of a call can arrive on different loops. */
+    unsigned int loops = 2;
   };
 
   /** Incarnations of the gate: the one with which its process started and the current one. */
@@ -117,8 +119,7 @@
   const Options m_options;
   const Address m_address = RawServer::FreeAddress();
   CountingTarget m_target;
-  // Two loops, so that the copies of a call can arrive on different ones.
-  EventLoops m_loops{ 2 };
+  EventLoops m_loops{ m_options.loops };
   Forwarder m_forwarder;
   Metrics m_metrics;
   std::unique_ptr<Gate> m_gate;
