--- a/tests/caller/testgate.h
+++ b/tests/caller/testgate.h
@@ -66,10 +66,13 @@
     std::string name = "gate";
     int slots = 4;
     bool isReady = true;
+    /** With more than one, the copies of a call can arrive on different loops. */
+    unsigned int loops = 2;
   };
 
-  /** Incarnation of the gate. */
-  static constexpr int64_t kIncarnation = 1;
+  /** Incarnations of the gate: the one with which its process started and the current one. */
+  static constexpr int64_t kFirstIncarnation = 10000;
+  static constexpr int64_t kIncarnation = 12000;
 
   explicit TestGate(const Options& aOptions)
     : m_options(aOptions)
@@ -83,7 +86,8 @@
                            .onTargetLost = [](const std::string&) {},
                            .onTargetLeaving = [](const std::string&) {},
                            .onTargetCrashed = [](const wire::TargetCrash&) {},
-                           .incarnation = [] { return kIncarnation; } })
+                           .incarnation = [] { return kIncarnation; },
+                           .firstIncarnation = [] { return kFirstIncarnation; } })
                .value();
     SetReady(aOptions.isReady);
   }
@@ -115,8 +119,7 @@
   const Options m_options;
   const Address m_address = RawServer::FreeAddress();
   CountingTarget m_target;
-  // Two loops, so that the copies of a call can arrive on different ones.
-  EventLoops m_loops{ 2 };
+  EventLoops m_loops{ m_options.loops };
   Forwarder m_forwarder;
   Metrics m_metrics;
   std::unique_ptr<Gate> m_gate;
