--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -73,8 +73,10 @@
   if (m_directoryThread.joinable()) {
     m_directoryThread.join();
   }
-  m_control.Stop();
-  m_gossiper.Stop();
+  if (m_backgroundEnd.joinable()) {
+    m_backgroundEnd.join();
+  }
+  EndBackground();
   m_crashReporter.Stop();
   m_quotas.Stop();
   m_server.reset();
@@ -301,11 +303,12 @@
 }
 
 void
-Node::BeginStoppingBackground()
+Node::EndBackground()
 {
-  m_stop = true;
   m_control.BeginStop();
   m_gossiper.BeginStop();
+  m_control.Stop();
+  m_gossiper.Stop();
 }
 
 bool
@@ -374,10 +377,10 @@
   std::this_thread::sleep_until(now + m_options.leaveDelay);
   LeaveMesh();
   std::this_thread::sleep_until(acceptUntil);
+  m_backgroundEnd = std::thread([this] { EndBackground(); });
   FinishCalls(end);
   // A call that was taken from here on would be cut off by the end of the process.
   RefuseNewCalls();
-  BeginStoppingBackground();
   m_entry->StopListening();
   WaitUntilAnswered(end);
   LogDrained(HasAnswered());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -100,8 +100,8 @@
   void LogVersionStanding();
   void LeaveMesh();
   void ScheduleLeaseCheck();
-  /** Stops the exchange with members and control, which may wait for slow peers, without blocking. */
-  void BeginStoppingBackground();
+  /** Ends the exchange with members and control; may wait for slow peers. */
+  void EndBackground();
   /** Returns whether all calls have ended and the peers have their responses. */
   bool HasAnswered() const;
   /** Waits until the node has answered and no further call is on its way; returns false at the deadline. */
@@ -145,6 +145,8 @@
   std::unique_ptr<AnnouncementServer> m_announcementServer;
   std::unique_ptr<RpcServer> m_server;
   std::atomic<bool> m_stop{ false };
+  /** Runs EndBackground() beside the drain, so that the process ends soon after it. */
+  std::thread m_backgroundEnd;
   /** Once ready, a node stays ready until Shutdown(). */
   mutable std::atomic<bool> m_ready{ false };
   std::atomic<bool> m_leaving{ false };
