--- a/tests/control/lossdeployment.cpp
+++ b/tests/control/lossdeployment.cpp
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-/** Time after which a machine that is back doesn't count as lost any more (catchUp of the users). */
+/** Time after which a VM that is back doesn't count as lost any more. */
 static constexpr milliseconds kCatchUp{ 4000 };
 static constexpr milliseconds kStep{ 5 };
 static constexpr milliseconds kTickInterval{ 20 };
@@ -34,68 +34,68 @@
 {
   SimulatedDisk::Use(m_root);
   for (int i = 0; i <= kVoterCount; ++i) {
-    AddMachine(i < kVoterCount);
+    AddVm(i < kVoterCount);
   }
 }
 
 LossDeployment::~LossDeployment()
 {
-  m_machines.clear();
+  m_vms.clear();
   SimulatedDisk::Use(m_root);
 }
 
 void
-LossDeployment::AddMachine(bool aForms)
+LossDeployment::AddVm(bool aForms)
 {
-  auto machine = std::make_unique<LossMachine>();
-  machine->name = "r" + std::to_string(m_machines.size());
-  machine->folder = m_root + "/" + machine->name;
-  m_machines.push_back(std::move(machine));
-  Start(*m_machines.back(), aForms);
+  auto vm = std::make_unique<LossVm>();
+  vm->name = "r" + std::to_string(m_vms.size());
+  vm->folder = m_root + "/" + vm->name;
+  m_vms.push_back(std::move(vm));
+  Start(*m_vms.back(), aForms);
 }
 
 void
-LossDeployment::Start(LossMachine& aMachine, bool aForms)
+LossDeployment::Start(LossVm& aVm, bool aForms)
 {
-  aMachine.incarnation = LoadOrCreateIncarnation(aMachine.folder, aForms ? 1 : ++m_nextIncarnation).value();
-  aMachine.process = std::make_unique<SimulatedProcess>(SimulatedProcess::Options{
-    .name = aMachine.name,
-    .folder = aMachine.folder,
-    .incarnation = aMachine.incarnation,
+  aVm.incarnation = LoadOrCreateIncarnation(aVm.folder, aForms ? 1 : ++m_nextIncarnation).value();
+  aVm.process = std::make_unique<SimulatedProcess>(SimulatedProcess::Options{
+    .name = aVm.name,
+    .folder = aVm.folder,
+    .incarnation = aVm.incarnation,
     .voterCount = kVoterCount,
     .initialMembers = aForms ? m_initialMembers : std::vector<wire::Replica>{},
-    .clock = [this, &aMachine] { return ClockOf(aMachine); },
+    .clock = [this, &aVm] { return ClockOf(aVm); },
     .seed = m_random(),
     .observer = [this](const wire::LogEntry& aEntry) { CheckApplied(aEntry); },
     .send = [this](std::vector<wire::RaftMessage> aMessages) { Send(std::move(aMessages)); } });
-  aMachine.leaderSeenAt = ClockOf(aMachine);
+  aVm.leaderSeenAt = ClockOf(aVm);
   // A replica that refuses to start counts as lost with its disk.
-  RC_ASSERT(aMachine.process->Open());
+  RC_ASSERT(aVm.process->Open());
 }
 
 void
-LossDeployment::Die(LossMachine& aMachine, Death aDeath, milliseconds aDownTime)
+LossDeployment::Die(LossVm& aVm, Death aDeath, milliseconds aDownTime)
 {
-  if (aMachine.isGone) {
+  if (aVm.isGone) {
     return;
   }
   CollectAcknowledgements();
-  ForgetCallsOf(aMachine.name);
-  // What a failed sync should have covered is lost for good only with the machine.
+  ForgetCallsOf(aVm.name);
+  // What a failed sync should have covered is lost for good only with the VM.
   const bool isRebooted =
-    aDeath == Death::Kill && aMachine.process != nullptr && aMachine.process->Faults().refusesSyncs;
-  if (aMachine.process != nullptr) {
-    aMachine.process->Kill();
-    aMachine.process.reset();
+    aDeath == Death::Kill && aVm.process != nullptr && aVm.process->Faults().refusesSyncs;
+  if (aVm.process != nullptr) {
+    aVm.process->Kill();
+    aVm.process.reset();
   }
-  aMachine.pause = {};
-  aMachine.pausedUntil = {};
-  aMachine.startAt = m_now + aDownTime;
+  aVm.pause = {};
+  aVm.pausedUntil = {};
+  aVm.startAt = m_now + aDownTime;
   CountLost(aDownTime);
   if (aDeath == Death::PowerLoss || isRebooted) {
-    SimulatedDisk::LosePower(aMachine.folder, m_random);
+    SimulatedDisk::LosePower(aVm.folder, m_random);
   } else if (aDeath == Death::DiskLoss) {
-    SimulatedDisk::LoseDisk(aMachine.folder);
+    SimulatedDisk::LoseDisk(aVm.folder);
   }
 }
 
@@ -106,46 +106,46 @@
 }
 
 void
-LossDeployment::BeginPause(LossMachine& aMachine)
+LossDeployment::BeginPause(LossVm& aVm)
 {
-  aMachine.pausedUntil = m_now + aMachine.pause.time;
-  aMachine.clockLag += aMachine.pause.stopsClock ? aMachine.pause.time : milliseconds(0);
-  CountLost(aMachine.pause.time);
+  aVm.pausedUntil = m_now + aVm.pause.time;
+  aVm.clockLag += aVm.pause.stopsClock ? aVm.pause.time : milliseconds(0);
+  CountLost(aVm.pause.time);
 }
 
 void
-LossDeployment::ForgetCallsOf(const std::string& aMachine)
+LossDeployment::ForgetCallsOf(const std::string& aVm)
 {
-  std::erase_if(m_changes, [&](const Change& aChange) { return aChange.machine == aMachine; });
-  std::erase_if(m_reads, [&](const Read& aRead) { return aRead.machine == aMachine; });
+  std::erase_if(m_changes, [&](const Change& aChange) { return aChange.vm == aVm; });
+  std::erase_if(m_reads, [&](const Read& aRead) { return aRead.vm == aVm; });
 }
 
 void
-LossDeployment::Cut(std::set<std::string> aMachines, milliseconds aTime)
+LossDeployment::Cut(std::set<std::string> aVms, milliseconds aTime)
 {
-  m_otherSide = std::move(aMachines);
+  m_otherSide = std::move(aVms);
   m_cutUntil = m_now + aTime;
   CountLost(aTime);
 }
 
-std::vector<LossMachine*>
+std::vector<LossVm*>
 LossDeployment::Present() const
 {
-  std::vector<LossMachine*> present;
-  for (const auto& machine : m_machines) {
-    if (!machine->isGone) {
-      present.push_back(machine.get());
+  std::vector<LossVm*> present;
+  for (const auto& vm : m_vms) {
+    if (!vm->isGone) {
+      present.push_back(vm.get());
     }
   }
   return present;
 }
 
-LossMachine*
+LossVm*
 LossDeployment::Find(const std::string& aName) const
 {
-  const auto found = std::find_if(
-    m_machines.begin(), m_machines.end(), [&](const auto& aMachine) { return aMachine->name == aName; });
-  return found == m_machines.end() ? nullptr : found->get();
+  const auto found =
+    std::find_if(m_vms.begin(), m_vms.end(), [&](const auto& aVm) { return aVm->name == aName; });
+  return found == m_vms.end() ? nullptr : found->get();
 }
 
 bool
@@ -155,10 +155,10 @@
 }
 
 bool
-LossDeployment::Answers(const LossMachine& aMachine, const std::string& aTo) const
+LossDeployment::Answers(const LossVm& aVm, const std::string& aTo) const
 {
-  const bool isFrozen = aMachine.pause.freezes && m_now < aMachine.pausedUntil;
-  return aMachine.process != nullptr && !isFrozen && !IsCut(aMachine.name, aTo);
+  const bool isFrozen = aVm.pause.freezes && m_now < aVm.pausedUntil;
+  return aVm.process != nullptr && !isFrozen && !IsCut(aVm.name, aTo);
 }
 
 // --- steps -----------------------------------------------------------------------------------------------
@@ -177,12 +177,12 @@
   m_now += kStep;
   Deliver();
   SendChangesAndReads();
-  for (const auto& machine : m_machines) {
-    if (machine->process == nullptr && !machine->isGone && m_now >= machine->startAt) {
-      Start(*machine, false);
+  for (const auto& vm : m_vms) {
+    if (vm->process == nullptr && !vm->isGone && m_now >= vm->startAt) {
+      Start(*vm, false);
     }
-    if (machine->process != nullptr) {
-      StepMachine(*machine);
+    if (vm->process != nullptr) {
+      StepVm(*vm);
     }
   }
   CollectAcknowledgements();
@@ -190,37 +190,37 @@
 }
 
 void
-LossDeployment::StepPaused(LossMachine& aMachine)
+LossDeployment::StepPaused(LossVm& aVm)
 {
-  if (m_now < aMachine.pausedUntil) {
+  if (m_now < aVm.pausedUntil) {
     return;
   }
-  if (aMachine.pause.endsInDeath) {
-    Die(aMachine, aMachine.death, aMachine.downTime);
+  if (aVm.pause.endsInDeath) {
+    Die(aVm, aVm.death, aVm.downTime);
     return;
   }
-  aMachine.process->Resume();
+  aVm.process->Resume();
 }
 
 void
-LossDeployment::StepMachine(LossMachine& aMachine)
+LossDeployment::StepVm(LossVm& aVm)
 {
-  SimulatedProcess& process = *aMachine.process;
+  SimulatedProcess& process = *aVm.process;
   if (process.IsPaused()) {
-    StepPaused(aMachine);
-  } else if (m_now >= aMachine.pausedUntil) {
-    Watch(aMachine);
-    if (!process.HasInput() && m_now < aMachine.tickAt) {
+    StepPaused(aVm);
+  } else if (m_now >= aVm.pausedUntil) {
+    Watch(aVm);
+    if (!process.HasInput() && m_now < aVm.tickAt) {
       return;
     }
-    aMachine.tickAt = m_now + kTickInterval;
+    aVm.tickAt = m_now + kTickInterval;
     process.Step();
     if (process.IsPaused()) {
-      BeginPause(aMachine);
+      BeginPause(aVm);
     }
   }
-  if (aMachine.process != nullptr && process.WasKilled()) {
-    Die(aMachine, aMachine.death, aMachine.downTime);
+  if (aVm.process != nullptr && process.WasKilled()) {
+    Die(aVm, aVm.death, aVm.downTime);
   }
 }
 
@@ -230,7 +230,7 @@
   const auto due = m_network.upper_bound(m_now);
   for (auto delivery = m_network.begin(); delivery != due; ++delivery) {
     const wire::RaftMessage& message = delivery->second;
-    LossMachine* receiver = Find(message.receiver);
+    LossVm* receiver = Find(message.receiver);
     if (receiver != nullptr && receiver->process != nullptr && !IsCut(message.sender, message.receiver)) {
       receiver->process->Input().messages.push_back(message);
     }
@@ -248,26 +248,26 @@
 
 // --- operators -------------------------------------------------------------------------------------------
 
-/** Operators send a change, or read, to any machine that takes itself for the leader. */
+/** Operators send a change, or read, to any VM that takes itself for the leader. */
 void
 LossDeployment::SendChangesAndReads()
 {
-  for (const auto& machine : m_machines) {
-    if (machine->process == nullptr || !machine->process->IsLeader()) {
+  for (const auto& vm : m_vms) {
+    if (vm->process == nullptr || !vm->process->IsLeader()) {
       continue;
     }
-    ReplicaInput& input = machine->process->Input();
+    ReplicaInput& input = vm->process->Input();
     if (Below(40) == 0) {
       PendingCommand command;
       command.command.kind = wire::CommandKind::Replace;
       command.command.key = "k" + std::to_string(++m_nextKey);
       m_changes.push_back(
-        { .machine = machine->name, .key = command.command.key, .result = command.promise.get_future() });
+        { .vm = vm->name, .key = command.command.key, .result = command.promise.get_future() });
       input.commands.push_back(std::move(command));
     }
     if (Below(10) == 0) {
-      PendingRead read{ .deadline = ClockOf(*machine) + kReadTimeout, .promise = {} };
-      m_reads.push_back({ .machine = machine->name,
+      PendingRead read{ .deadline = ClockOf(*vm) + kReadTimeout, .promise = {} };
+      m_reads.push_back({ .vm = vm->name,
                           .acknowledgedCount = m_acknowledged.size(),
                           .acknowledgedIndex = m_acknowledgedIndex,
                           .result = read.promise.get_future() });
@@ -314,7 +314,7 @@
     }
     aRead.confirmedIndex = answer.index;
   }
-  const KeyState& state = Find(aRead.machine)->process->State();
+  const KeyState& state = Find(aRead.vm)->process->State();
   if (state.AppliedIndex() < *aRead.confirmedIndex) {
     return false;
   }
@@ -347,10 +347,10 @@
     if (m_acknowledged.size() <= before + 1) {
       continue;
     }
-    const auto holder = std::find_if(m_machines.begin(), m_machines.end(), [&](const auto& aMachine) {
-      return aMachine->process != nullptr && aMachine->process->State().AppliedIndex() >= m_acknowledgedIndex;
+    const auto holder = std::find_if(m_vms.begin(), m_vms.end(), [&](const auto& aVm) {
+      return aVm->process != nullptr && aVm->process->State().AppliedIndex() >= m_acknowledgedIndex;
     });
-    RC_ASSERT(holder != m_machines.end());
+    RC_ASSERT(holder != m_vms.end());
     RC_ASSERT((*holder)->process->State().ContainsFirst(m_acknowledged, m_acknowledged.size()));
     return true;
   }
@@ -360,60 +360,60 @@
 // --- joining, as Controller::MaintainMembership() does it --------------------------------------------------
 
 void
-LossDeployment::Watch(LossMachine& aMachine)
+LossDeployment::Watch(LossVm& aVm)
 {
-  if (m_now < aMachine.watchAt) {
+  if (m_now < aVm.watchAt) {
     return;
   }
-  aMachine.watchAt = m_now + kWatchInterval;
-  const wire::GroupStatus& status = aMachine.process->Status();
+  aVm.watchAt = m_now + kWatchInterval;
+  const wire::GroupStatus& status = aVm.process->Status();
   if (!status.leader.empty()) {
-    aMachine.leaderSeenAt = ClockOf(aMachine);
+    aVm.leaderSeenAt = ClockOf(aVm);
   }
   if (!status.formed) {
-    Discover(aMachine);
-  } else if (!status.leader.empty() && !HasMember(status.members, aMachine.name, aMachine.incarnation)) {
-    Join(aMachine, status.leader);
-  } else if (ClockOf(aMachine) > aMachine.leaderSeenAt + kLeaderlessLimit) {
-    Discover(aMachine);
+    Discover(aVm);
+  } else if (!status.leader.empty() && !HasMember(status.members, aVm.name, aVm.incarnation)) {
+    Join(aVm, status.leader);
+  } else if (ClockOf(aVm) > aVm.leaderSeenAt + kLeaderlessLimit) {
+    Discover(aVm);
   }
 }
 
 void
-LossDeployment::Discover(LossMachine& aMachine)
+LossDeployment::Discover(LossVm& aVm)
 {
-  for (const auto& other : m_machines) {
-    if (other.get() == &aMachine || other->isGone) {
+  for (const auto& other : m_vms) {
+    if (other.get() == &aVm || other->isGone) {
       continue;
     }
-    if (!Answers(*other, aMachine.name)) {
-      aMachine.watchAt += kStatusTimeout;
+    if (!Answers(*other, aVm.name)) {
+      aVm.watchAt += kStatusTimeout;
       continue;
     }
     const wire::GroupStatus& status = other->process->Status();
     if (status.leader.empty() || !status.formed) {
       continue;
     }
-    if (!HasMember(status.members, aMachine.name, aMachine.incarnation)) {
-      Join(aMachine, status.leader);
+    if (!HasMember(status.members, aVm.name, aVm.incarnation)) {
+      Join(aVm, status.leader);
     }
     return;
   }
 }
 
 void
-LossDeployment::Join(LossMachine& aMachine, const std::string& aLeader)
+LossDeployment::Join(LossVm& aVm, const std::string& aLeader)
 {
-  LossMachine* leader = Find(aLeader);
-  if (leader == nullptr || !Answers(*leader, aMachine.name)) {
-    aMachine.watchAt += kJoinTimeout;
+  LossVm* leader = Find(aLeader);
+  if (leader == nullptr || !Answers(*leader, aVm.name)) {
+    aVm.watchAt += kJoinTimeout;
     return;
   }
   PendingCommand command;
   command.command.kind = wire::CommandKind::ChangeMembers;
   command.command.members.emplace_back();
-  command.command.members.back().name = aMachine.name;
-  command.command.members.back().incarnation = aMachine.incarnation;
+  command.command.members.back().name = aVm.name;
+  command.command.members.back().incarnation = aVm.incarnation;
   leader->process->Input().commands.push_back(std::move(command));
 }
 
--- a/tests/control/lossdeployment.h
+++ b/tests/control/lossdeployment.h
@@ -20,12 +20,12 @@
   /** Whether the whole process is suspended; otherwise its other threads answer. */
   bool freezes = false;
   bool stopsClock = false;
-  /** Whether the machine dies instead of going on. */
+  /** Whether the VM dies instead of going on. */
   bool endsInDeath = false;
 };
 
-/** A machine of a LossDeployment, which outlives its processes. */
-struct LossMachine
+/** A VM of a LossDeployment, which outlives its processes. */
+struct LossVm
 {
   std::string name;
   std::string folder;
@@ -37,7 +37,7 @@
   /** The present pause, or the one that begins at a later disk operation or message. */
   LossPause pause;
   Deadline pausedUntil{};
-  /** How the machine dies at one of the next disk operations or at the end of its pause. */
+  /** How the VM dies at one of the next disk operations or at the end of its pause. */
   Death death = Death::Kill;
   std::chrono::milliseconds downTime{ 0 };
   Deadline startAt{};
@@ -67,23 +67,23 @@
   void Run(std::chrono::milliseconds aTime);
   void Step();
 
-  /** Returns the machines that aren't removed. */
-  std::vector<LossMachine*> Present() const;
+  /** Returns the VMs that aren't removed. */
+  std::vector<LossVm*> Present() const;
 
-  void AddMachine(bool aForms);
-  void Die(LossMachine& aMachine, Death aDeath, std::chrono::milliseconds aDownTime);
+  void AddVm(bool aForms);
+  void Die(LossVm& aVm, Death aDeath, std::chrono::milliseconds aDownTime);
 
-  /** Lets a machine do nothing until the end of its pause. */
-  void BeginPause(LossMachine& aMachine);
+  /** Lets a VM do nothing until the end of its pause. */
+  void BeginPause(LossVm& aVm);
 
-  /** Notes that a machine is impaired for a time, and counts as lost for some time after that. */
+  /** Notes that a VM is impaired for a time, and counts as lost for some time after that. */
   void CountLost(std::chrono::milliseconds aTime);
 
-  /** Returns the time from which no machine counts as lost, unless another one is impaired by then. */
+  /** Returns the time from which no VM counts as lost, unless another one is impaired by then. */
   Deadline NoneLostAt() const { return m_noneLostAt; }
 
-  /** Separates machines from all others for a time. */
-  void Cut(std::set<std::string> aMachines, std::chrono::milliseconds aTime);
+  /** Separates VMs from all others for a time. */
+  void Cut(std::set<std::string> aVms, std::chrono::milliseconds aTime);
 
   size_t AcknowledgedCount() const { return m_acknowledged.size(); }
 
@@ -91,39 +91,39 @@
   bool CommitsWithin(std::chrono::milliseconds aTime);
 
 private:
-  /** A change that an operator sent to a machine. */
+  /** A change that an operator sent to a VM. */
   struct Change
   {
-    std::string machine;
+    std::string vm;
     std::string key;
     std::future<wire::CommandResult> result;
   };
 
-  /** A read that an operator sent to a machine. */
+  /** A read that an operator sent to a VM. */
   struct Read
   {
-    std::string machine;
+    std::string vm;
     /** Number of acknowledged changes, and the highest index of theirs, when the read was sent. */
     size_t acknowledgedCount = 0;
     int64_t acknowledgedIndex = 0;
     std::future<wire::ReadIndex> result;
-    /** Index that a quorum confirmed; the read ends when the machine has applied it. */
+    /** Index that a quorum confirmed; the read ends when the VM has applied it. */
     std::optional<int64_t> confirmedIndex{};
   };
 
-  Deadline ClockOf(const LossMachine& aMachine) const { return m_now - aMachine.clockLag; }
-  LossMachine* Find(const std::string& aName) const;
+  Deadline ClockOf(const LossVm& aVm) const { return m_now - aVm.clockLag; }
+  LossVm* Find(const std::string& aName) const;
   bool IsCut(const std::string& aFrom, const std::string& aTo) const;
 
-  /** Returns whether a machine tells another one the status of its replica. */
-  bool Answers(const LossMachine& aMachine, const std::string& aTo) const;
+  /** Returns whether a VM tells another one the status of its replica. */
+  bool Answers(const LossVm& aVm, const std::string& aTo) const;
 
-  void Start(LossMachine& aMachine, bool aForms);
+  void Start(LossVm& aVm, bool aForms);
   void Deliver();
   void Send(std::vector<wire::RaftMessage> aMessages);
-  void StepMachine(LossMachine& aMachine);
-  void StepPaused(LossMachine& aMachine);
-  void ForgetCallsOf(const std::string& aMachine);
+  void StepVm(LossVm& aVm);
+  void StepPaused(LossVm& aVm);
+  void ForgetCallsOf(const std::string& aVm);
 
   void SendChangesAndReads();
   void CollectAcknowledgements();
@@ -131,15 +131,15 @@
   bool CheckRead(Read& aRead);
   void CheckApplied(const wire::LogEntry& aEntry);
 
-  void Watch(LossMachine& aMachine);
-  void Discover(LossMachine& aMachine);
-  void Join(LossMachine& aMachine, const std::string& aLeader);
+  void Watch(LossVm& aVm);
+  void Discover(LossVm& aVm);
+  void Join(LossVm& aVm, const std::string& aLeader);
 
   std::mt19937_64 m_random;
   std::string m_root;
   Deadline m_now{ std::chrono::hours(1) };
   std::vector<wire::Replica> m_initialMembers;
-  std::vector<std::unique_ptr<LossMachine>> m_machines;
+  std::vector<std::unique_ptr<LossVm>> m_vms;
   std::multimap<Deadline, wire::RaftMessage> m_network;
   std::set<std::string> m_otherSide;
   Deadline m_cutUntil{};
--- a/tests/control/lossproperties.cpp
+++ b/tests/control/lossproperties.cpp
@@ -8,11 +8,11 @@
 using namespace mimosarun;
 using std::chrono::milliseconds;
 
-/** Time after the final loss by which the group must accept a change (recovery of the users). */
+/** Time after the final loss by which the group must accept a change. */
 static constexpr milliseconds kRecovery{ 15000 };
 /** A replica whose disk refused a write or sync opens its journal again after this time. */
 static constexpr milliseconds kReopenTime{ 1000 };
-/** Time in which machines that die together may stop one after the other. */
+/** Time in which VMs that die together may stop one after the other. */
 static constexpr milliseconds kLongestMoment{ 400 };
 
 /** Writes the log of the many simulated failures nowhere. */
@@ -50,40 +50,40 @@
 
   milliseconds DownTime() { return milliseconds(100 + Below(900)); }
 
-  void Die(LossMachine& aMachine, Death aDeath) { m_deployment.Die(aMachine, aDeath, DownTime()); }
+  void Die(LossVm& aVm, Death aDeath) { m_deployment.Die(aVm, aDeath, DownTime()); }
 
-  /** All machines die at the same moment, half of the time with disk operations under way. */
-  void DieAll(Death aDeath, const LossMachine* aExcept)
+  /** All VMs die at the same moment, half of the time with disk operations under way. */
+  void DieAll(Death aDeath, const LossVm* aExcept)
   {
     if (Below(2) == 0) {
       StopWithinOperations(aExcept);
     }
-    for (LossMachine* machine : m_deployment.Present()) {
-      if (machine != aExcept) {
-        Die(*machine, aDeath);
+    for (LossVm* vm : m_deployment.Present()) {
+      if (vm != aExcept) {
+        Die(*vm, aDeath);
       }
     }
   }
 
-  /** Runs for a moment in which each machine may stop at a disk operation. */
-  void StopWithinOperations(const LossMachine* aExcept)
+  /** Runs for a moment in which each VM may stop at a disk operation. */
+  void StopWithinOperations(const LossVm* aExcept)
   {
-    for (LossMachine* machine : m_deployment.Present()) {
-      if (machine != aExcept && machine->process != nullptr && !machine->process->IsPaused()) {
-        machine->pause = { .time = kLongestMoment };
-        machine->process->PauseAt(PausePoint::Operation, static_cast<int>(Below(12)));
+    for (LossVm* vm : m_deployment.Present()) {
+      if (vm != aExcept && vm->process != nullptr && !vm->process->IsPaused()) {
+        vm->pause = { .time = kLongestMoment };
+        vm->process->PauseAt(PausePoint::Operation, static_cast<int>(Below(12)));
       }
     }
     m_deployment.Run(milliseconds(Below(kLongestMoment.count())));
   }
 
-  /** Returns the leader half of the time, otherwise any machine. */
-  LossMachine& Victim()
+  /** Returns the leader half of the time, otherwise any VM. */
+  LossVm& Victim()
   {
-    const std::vector<LossMachine*> present = m_deployment.Present();
-    for (LossMachine* machine : present) {
-      if (machine->process != nullptr && machine->process->IsLeader() && Below(2) == 0) {
-        return *machine;
+    const std::vector<LossVm*> present = m_deployment.Present();
+    for (LossVm* vm : present) {
+      if (vm->process != nullptr && vm->process->IsLeader() && Below(2) == 0) {
+        return *vm;
       }
     }
     return *present[Below(present.size())];
@@ -100,8 +100,8 @@
   }
 
   /**
-   * A disk may be lost while machines are lost otherwise, but after the loss of another disk only once no
-   * machine counts as lost; most often exactly then.
+   * A disk may be lost while VMs are lost otherwise, but after the loss of another disk only once no
+   * VM counts as lost; most often exactly then.
    */
   void RunUntilDiskMayBeLost()
   {
@@ -116,50 +116,48 @@
     }
   }
 
-  /** Stops a machine at one of its next disk operations. */
-  void DieAtOperation(LossMachine& aMachine, Death aDeath)
+  /** Stops a VM at one of its next disk operations. */
+  void DieAtOperation(LossVm& aVm, Death aDeath)
   {
-    if (aMachine.process == nullptr) {
+    if (aVm.process == nullptr) {
       return;
     }
-    DiskFaults faults = aMachine.process->Faults();
+    DiskFaults faults = aVm.process->Faults();
     faults.operationsLeft = static_cast<int>(1 + Below(8));
-    aMachine.process->SetFaults(faults);
-    aMachine.death = aDeath;
-    aMachine.downTime = DownTime();
+    aVm.process->SetFaults(faults);
+    aVm.death = aDeath;
+    aVm.downTime = DownTime();
     m_deployment.Run(milliseconds(Below(1000)));
-    if (aMachine.process != nullptr && aMachine.process->Faults().operationsLeft > 0) {
-      Die(aMachine, aDeath);
+    if (aVm.process != nullptr && aVm.process->Faults().operationsLeft > 0) {
+      Die(aVm, aDeath);
     }
   }
 
-  /** Suspends a machine between two steps, or in one before it sends or at a disk operation. */
-  void Freeze(LossMachine& aMachine)
+  /** Suspends a VM between two steps, or in one before it sends or at a disk operation. */
+  void Freeze(LossVm& aVm)
   {
-    if (aMachine.process == nullptr || aMachine.process->IsPaused()) {
+    if (aVm.process == nullptr || aVm.process->IsPaused()) {
       return;
     }
-    aMachine.pause = { .time = milliseconds(500 + Below(4000)),
-                       .freezes = true,
-                       .stopsClock = Below(2) == 0 };
+    aVm.pause = { .time = milliseconds(500 + Below(4000)), .freezes = true, .stopsClock = Below(2) == 0 };
     if (Below(2) == 0) {
-      m_deployment.BeginPause(aMachine);
+      m_deployment.BeginPause(aVm);
       return;
     }
-    aMachine.process->PauseAt(Below(2) == 0 ? PausePoint::Send : PausePoint::Operation,
-                              static_cast<int>(Below(8)));
+    aVm.process->PauseAt(Below(2) == 0 ? PausePoint::Send : PausePoint::Operation,
+                         static_cast<int>(Below(8)));
   }
 
-  /** One of the next disk operations takes seconds, and mostly succeeds then; otherwise the machine dies. */
-  void StallDisk(LossMachine& aMachine)
+  /** One of the next disk operations takes seconds, and mostly succeeds then; otherwise the VM dies. */
+  void StallDisk(LossVm& aVm)
   {
-    if (aMachine.process == nullptr || aMachine.process->IsPaused()) {
+    if (aVm.process == nullptr || aVm.process->IsPaused()) {
       return;
     }
-    aMachine.pause = { .time = milliseconds(500 + Below(4000)), .endsInDeath = Below(3) == 0 };
-    aMachine.death = Below(4) == 0 ? Death::Kill : Death::PowerLoss;
-    aMachine.downTime = DownTime();
-    aMachine.process->PauseAt(PausePoint::Operation, static_cast<int>(Below(8)));
+    aVm.pause = { .time = milliseconds(500 + Below(4000)), .endsInDeath = Below(3) == 0 };
+    aVm.death = Below(4) == 0 ? Death::Kill : Death::PowerLoss;
+    aVm.downTime = DownTime();
+    aVm.process->PauseAt(PausePoint::Operation, static_cast<int>(Below(8)));
     m_deployment.Run(milliseconds(Below(3000)));
   }
 
@@ -174,11 +172,11 @@
   }
 
   /** Makes a disk refuse writes or syncs. */
-  void FailDisk(LossMachine& aMachine)
+  void FailDisk(LossVm& aVm)
   {
-    if (aMachine.process != nullptr) {
+    if (aVm.process != nullptr) {
       const bool isFull = Below(2) == 0;
-      aMachine.process->SetFaults({ .isFull = isFull, .refusesSyncs = !isFull });
+      aVm.process->SetFaults({ .isFull = isFull, .refusesSyncs = !isFull });
     }
     m_deployment.Run(milliseconds(Below(3000)));
   }
@@ -186,37 +184,37 @@
   /** Ends what disks refuse, and the stalls and suspensions that haven't begun. */
   void MendDisks()
   {
-    for (LossMachine* machine : m_deployment.Present()) {
-      if (machine->process == nullptr) {
+    for (LossVm* vm : m_deployment.Present()) {
+      if (vm->process == nullptr) {
         continue;
       }
-      machine->process->PauseAt(PausePoint::None, 0);
-      DiskFaults faults = machine->process->Faults();
+      vm->process->PauseAt(PausePoint::None, 0);
+      DiskFaults faults = vm->process->Faults();
       if (std::exchange(faults.isFull, false) | std::exchange(faults.refusesSyncs, false)) {
-        machine->process->SetFaults(faults);
+        vm->process->SetFaults(faults);
         m_deployment.CountLost(kReopenTime);
       }
     }
   }
 
-  void Replace(LossMachine& aMachine)
+  void Replace(LossVm& aVm)
   {
-    m_deployment.Die(aMachine, Death::DiskLoss, milliseconds(0));
-    aMachine.isGone = true;
+    m_deployment.Die(aVm, Death::DiskLoss, milliseconds(0));
+    aVm.isGone = true;
     m_deployment.Run(milliseconds(Below(1000)));
-    m_deployment.AddMachine(false);
+    m_deployment.AddVm(false);
     m_deployment.CountLost(milliseconds(0));
   }
 
-  /** Stops all machines in turn, some of them in the planned way, in which a leader is replaced first. */
+  /** Stops all VMs in turn, some of them in the planned way, in which a leader is replaced first. */
   void StopInSeries()
   {
-    for (LossMachine* machine : m_deployment.Present()) {
-      if (machine->process != nullptr && Below(2) == 0) {
-        machine->process->Input().leaves = true;
+    for (LossVm* vm : m_deployment.Present()) {
+      if (vm->process != nullptr && Below(2) == 0) {
+        vm->process->Input().leaves = true;
         m_deployment.Run(milliseconds(Below(300)));
       }
-      Die(*machine, Death::Kill);
+      Die(*vm, Death::Kill);
       m_deployment.Run(milliseconds(500 + Below(2500)));
     }
   }
@@ -224,7 +222,7 @@
   void LoseDisk(bool aOthersLosePower)
   {
     RunUntilDiskMayBeLost();
-    LossMachine& victim = Victim();
+    LossVm& victim = Victim();
     Die(victim, Death::DiskLoss);
     if (aOthersLosePower) {
       DieAll(Death::PowerLoss, &victim);
@@ -290,7 +288,7 @@
       RunUntilDiskMayBeLost();
     }
     m_deployment.Run(milliseconds(5 + Below(400)));
-    LossMachine& victim = Victim();
+    LossVm& victim = Victim();
     if (losesDisk) {
       Die(victim, Death::DiskLoss);
     }
