--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -106,9 +106,6 @@
 {
   if (m_request.lateConnectTimeout) {
     m_lateConnection = std::exchange(m_connection, nullptr);
-    // Only the connection is still needed.
-    m_request.request = {};
-    std::string().swap(m_output);
   }
   End(ForwardResult::NotSent);
   if (m_lateConnection) {
