--- a/src/caller/gaterequest.cpp
+++ b/src/caller/gaterequest.cpp
@@ -9,9 +9,7 @@
 
 /** What a gate adds at most to the head of a response: its own header, and a space in each line. */
 static constexpr uint32_t kGateHeadBytes = 32U * 1024;
-/** A connection over a full link takes longer; the call doesn't wait for it, but later ones can use it. */
 static constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
-static constexpr std::chrono::milliseconds kLateConnectTimeout{ 3000 };
 /**
  * Time without acknowledgement after which a gate's VM may be down or cut off, so that the call is sent once
  * more. A full link and a gate that reads a large request late delay acknowledgements as long.
@@ -62,7 +60,6 @@
   return { .destination = aParts.choice.gate.address,
            .request = std::move(request),
            .connectTimeout = kConnectTimeout,
-           .lateConnectTimeout = kLateConnectTimeout,
            .unacknowledgedTimeout = kUnacknowledgedTimeout,
            .silenceTime = kSilenceTime,
            .headLimitBytes = kResponseHeadLimitBytes + kGateHeadBytes };
--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -43,11 +43,6 @@
   Deadline deadline;
   /** Limit for establishing a new connection. */
   std::chrono::milliseconds connectTimeout{ 1000 };
-  /**
-   * A connection that isn't established by then is kept for later requests if it is within this time; nothing
-   * closes it.
-   */
-  std::optional<std::chrono::milliseconds> lateConnectTimeout;
   /** Connections that were idle for longer aren't reused. */
   std::chrono::milliseconds longestIdle{ 20000 };
   /** The connection breaks when sent bytes stay unacknowledged for this long. */
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -87,10 +87,6 @@
 void
 ForwardTransfer::OnConnected(const boost::system::error_code& aError)
 {
-  if (m_lateConnection && !aError) {
-    m_timer.cancel();
-    m_pool->Release(m_poolKey, std::exchange(m_lateConnection, nullptr));
-  }
   if (m_ended) {
     return;
   }
@@ -101,25 +97,6 @@
   Send();
 }
 
-void
-ForwardTransfer::EndBeforeConnection()
-{
-  if (m_request.lateConnectTimeout) {
-    m_lateConnection = std::exchange(m_connection, nullptr);
-  }
-  End(ForwardResult::NotSent);
-  if (m_lateConnection) {
-    m_timer.expires_at(SteadyClock::now() + *m_request.lateConnectTimeout);
-    m_timer.async_wait([weak = weak_from_this()](const auto& aError) {
-      const auto self = weak.lock();
-      if (self && !aError && self->m_lateConnection) {
-        boost::system::error_code ignored;
-        std::exchange(self->m_lateConnection, nullptr)->socket.close(ignored);
-      }
-    });
-  }
-}
-
 void
 ForwardTransfer::Send()
 {
@@ -361,11 +338,7 @@
 ForwardTransfer::OnTimer()
 {
   if (SteadyClock::now() >= m_endsAt) {
-    if (m_connected) {
-      End(ForwardResult::TimedOut);
-    } else {
-      EndBeforeConnection();
-    }
+    End(m_connected ? ForwardResult::TimedOut : ForwardResult::NotSent);
     return;
   }
   CheckForSilence();
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -33,8 +33,6 @@
 
   void Connect();
   void OnConnected(const boost::system::error_code& aError);
-  /** Ends the transfer, but not its connection, which may still be established for later requests. */
-  void EndBeforeConnection();
   void Send();
   void Write();
   void ResetParser();
@@ -58,8 +56,6 @@
   std::shared_ptr<ForwardListener> m_listener;
   const std::string m_poolKey;
   ConnectionPool::ConnectionPointer m_connection;
-  /** Being established after the end of the transfer. */
-  ConnectionPool::ConnectionPointer m_lateConnection;
   boost::asio::steady_timer m_timer;
   Deadline m_endsAt{};
   std::string m_output;
