--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -145,7 +145,7 @@
   std::optional<RefusalDetails> Admit(const AcceptedRequest& aRequest);
   /** Returns how long the caller of a request waits for its response. */
   static std::chrono::milliseconds TimeoutOf(const AcceptedRequest& aRequest);
-  /** Returns until when the call of a request may take. */
+  /** Returns the deadline of the call that a request asks for. */
   static Deadline DeadlineOf(const AcceptedRequest& aRequest);
   std::optional<RefusalDetails> RefuseWhileStopping(const AcceptedRequest& aRequest) const;
   std::optional<RefusalDetails> RefuseQuarantined(const AcceptedRequest& aRequest);
--- a/src/caller/entrycall.cpp
+++ b/src/caller/entrycall.cpp
@@ -366,7 +366,7 @@
     m_failedResponse = HttpResponse{ .status = status,
                                      .headers = std::move(aAttempt.m_head.headers),
                                      .body = std::move(aAttempt.m_body) };
-    if (m_attempts.HasAudible() || SendNext()) {
+    if (m_attempts.HasLiveAttempt() || SendNext()) {
       return;
     }
     GiveUp(502, "the target failed");
@@ -484,7 +484,7 @@
   if (wasSent) {
     m_gateSelector.RecordTargetAttempt();
   }
-  const bool isReplaced = aAttempt.m_isSilent && m_attempts.HasAudible();
+  const bool isReplaced = aAttempt.m_isSilent && m_attempts.HasLiveAttempt();
   if (isReplaced || !SendNext()) {
     return !m_attempts.IsEmpty();
   }
--- a/src/caller/openattempts.cpp
+++ b/src/caller/openattempts.cpp
@@ -41,7 +41,7 @@
 }
 
 bool
-OpenAttempts::HasAudible() const
+OpenAttempts::HasLiveAttempt() const
 {
   return std::any_of(m_attempts.begin(), m_attempts.end(), [](const AttemptPointer& aAttempt) {
     return !aAttempt->m_isSilent;
--- a/src/caller/openattempts.h
+++ b/src/caller/openattempts.h
@@ -35,7 +35,7 @@
   std::set<std::string> Nodes() const;
 
   /** Returns whether there is an attempt whose gate isn't silent. */
-  bool HasAudible() const;
+  bool HasLiveAttempt() const;
 
   /** Returns whether the response to an attempt has begun. */
   bool HasResponse() const;
--- a/src/http/deliverystate.cpp
+++ b/src/http/deliverystate.cpp
@@ -28,8 +28,7 @@
     .inFlight = info.tcpi_unacked > 0,
     .unansweredAttempts = static_cast<unsigned int>(info.tcpi_retransmits) + info.tcpi_probes,
   };
-  // A simulated network may count what is acknowledged, but leave the times of answers and the attempts at
-  // zero.
+  // Some systems count what is acknowledged, but leave the times of answers and the attempts at zero.
   if (info.tcpi_last_ack_recv > 0) {
     state.lastAnswerAt = SteadyClock::now() - std::chrono::milliseconds(info.tcpi_last_ack_recv);
   }
