--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,118 +1,122 @@
-// A few large bodies within maxBodyBytes end the node that takes them, and with it all other requests there.
+// A confirmed configuration ends every control process, again after each start, for good.
 
 #include "../lib-2/documents.h"
 #include "../lib-2/fleet.h"
 
 using namespace review;
 
-static constexpr int kOrdinaryConsumers = 24;
-static constexpr int kUploaders = 4;
-/** Half of the limit that the configuration sets. */
-static constexpr size_t kLargeBody = 67108864 / 2;
-/** The mean size of book-callout's bodies. */
-static constexpr size_t kOrdinaryBody = 4000;
-static constexpr int kRounds = 3;
-/** LOST allows three. */
-static constexpr int kAllowedLost = 3;
+/** Levels of lists in a member that no page names; the document has 400 KB, far below what a replica reads.
+ */
+static constexpr size_t kDeepLevels = 200000;
+static constexpr size_t kOrdinaryLevels = 10;
+static constexpr const char* kKey = "key-of-t1";
+static constexpr int64_t kStableWindow = 4000;
+/** For this long after the confirmation the processes are started again whenever they end. */
+static constexpr int64_t kWatchTime = 30000;
+
+static std::string
+Document(int aVersion, size_t aLevels)
+{
+  const std::string tenants = std::string(",\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"") + kKey +
+                              "\"],\"priority\":1,\"ratePerS\":0,\"burst\":0}]";
+  const std::string note =
+    aLevels == 0 ? "" : ",\"note\":" + std::string(aLevels, '[') + std::string(aLevels, ']');
+  return ConfigurationText(aVersion,
+                           { { .name = "r-look", .prefix = "/look/", .kind = "safe", .service = "desk" } },
+                           { "desk", "front" },
+                           tenants + note);
+}
 
 int
 main()
 {
   Record record(RecordPath());
-  Deployment deployment(record,
-                        { .sidecars = { "desk", "desk", "desk", "desk", "front", "front", "front", "front" },
-                          .memoryMegabytes = 260 });
+  DeploymentOptions options{ .sidecars = {
+                               "desk", "desk", "desk", "desk", "front", "front", "front", "front" } };
+  options.contracts.push_back("keys");
+  options.bounds.insert(options.bounds.end(), { "revokeStrict=true", "revoke=5000ms" });
+  Deployment deployment(record, options);
   if (!deployment.CanRun()) {
     return Finish(record, kCouldNotRun, "target/src/mimosarund is missing; run the build of the deploy file");
   }
   std::vector<std::unique_ptr<Instance>> instances;
   for (Machine* machine : deployment.Sidecars()) {
-    instances.push_back(std::make_unique<Instance>(record,
-                                                   *machine,
-                                                   Instance::Options{ .id = "i-" + RandomHex().substr(0, 10),
-                                                                      .service = machine->service,
-                                                                      .workMillis = 400 }));
+    instances.push_back(std::make_unique<Instance>(
+      record,
+      *machine,
+      Instance::Options{ .id = "i-" + RandomHex().substr(0, 10), .service = machine->service }));
     if (!instances.back()->IsListening()) {
       return Finish(record, kCouldNotRun, "a port of an instance isn't free");
     }
   }
   deployment.StartAll();
-  const std::string document = ConfigurationText(
-    1,
-    { { .name = "r-look", .prefix = "/look/", .kind = "safe", .service = "desk", .timeoutMillis = 4000 },
-      { .name = "r-book", .prefix = "/book/", .kind = "unsafe", .service = "desk", .timeoutMillis = 4000 } },
-    { "desk", "front" });
-  if (!ReplaceConfiguration(deployment, record, 0, document) || !deployment.WaitUntilReady(20000)) {
+  if (!ReplaceConfiguration(deployment, record, 0, Document(1, 0)) || !deployment.WaitUntilReady(20000)) {
     return Finish(record, kCouldNotRun, "the deployment didn't start");
   }
-  Machine& machine = *deployment.Sidecars()[4];
   std::vector<std::unique_ptr<Consumer>> consumers;
-  for (int i = 0; i < kOrdinaryConsumers; ++i) {
-    const bool isBooking = i % 2 == 1;
+  for (Machine* machine : deployment.Sidecars()) {
     consumers.push_back(
       std::make_unique<Consumer>(record,
-                                 machine,
+                                 *machine,
                                  Consumer::Options{ .host = kHost,
-                                                    .path = isBooking ? "/book/" : "/look/",
-                                                    .method = isBooking ? "POST" : "GET",
-                                                    .bodyBytes = isBooking ? kOrdinaryBody : 0,
-                                                    .timeoutMillis = 4000,
-                                                    .pauseMillis = 10 }));
+                                                    .path = "/look/",
+                                                    .timeoutMillis = 1500,
+                                                    .pauseMillis = 400,
+                                                    .authorization = std::string("Bearer ") + kKey }));
     consumers.back()->Start();
   }
-  // In touch: nothing has happened to a machine or to the core for stableWindow.
-  Sleep(6000);
-  for (int round = 0; round < kRounds; ++round) {
-    std::vector<std::unique_ptr<Consumer>> uploaders;
-    std::vector<std::thread> threads;
-    for (int i = 0; i < kUploaders; ++i) {
-      uploaders.push_back(
-        std::make_unique<Consumer>(record,
-                                   machine,
-                                   Consumer::Options{ .host = kHost,
-                                                      .path = "/book/large",
-                                                      .method = "POST",
-                                                      .bodyBytes = HasTrouble() ? kLargeBody : kOrdinaryBody,
-                                                      .timeoutMillis = 4000 }));
-      threads.emplace_back([&uploaders, i] { uploaders[i]->SendOne(); });
-    }
-    for (std::thread& thread : threads) {
-      thread.join();
-    }
-    Sleep(5000);
+  Sleep(8000);
+  const std::string second = Document(2, HasTrouble() ? kDeepLevels : kOrdinaryLevels);
+  if (!ReplaceConfiguration(deployment, record, 1, second)) {
+    return Finish(record, kHeld, "the second configuration isn't confirmed");
+  }
+  const int64_t confirmedAt = Now();
+  // Traffic and the platform go on; the processes that end are started again.
+  SleepUntil(confirmedAt + kWatchTime);
+  // A further change, as operators send it.
+  const bool isThirdConfirmed = ReplaceConfiguration(deployment, record, 2, Document(3, 0), 10000);
+  record.Line(std::string("operator: the third configuration is ") +
+              (isThirdConfirmed ? "confirmed" : "not confirmed within 10 s"));
+  // At the end of the day the operator reads repeatedly, at any node, for at least stableWindow.
+  const std::string third = Document(3, 0);
+  const std::string& newest = isThirdConfirmed ? third : second;
+  const std::vector<Machine*> cores = deployment.Cores();
+  const int64_t readUntil = Now() + 2 * kStableWindow;
+  int reads = 0;
+  int newestRead = 0;
+  while (Now() < readUntil) {
+    Machine& core = *cores[static_cast<size_t>(reads++) % cores.size()];
+    const Message answer = Call(core.ip, kControlPort, "GET", "/-/Config.Read", {}, {}, 1000);
+    newestRead += answer.Status() == 200 && (answer.body == newest || answer.body == third) ? 1 : 0;
+    record.Line("operator: GET /-/Config.Read at " + core.name + " answered " +
+                std::to_string(answer.Status()) + ", " + std::to_string(answer.body.size()) + " bytes");
+    Sleep(100);
   }
   for (const auto& consumer : consumers) {
     consumer->Stop();
   }
-
-  // LOST: requests of kept connections that were passed on to a sound instance, and whose connections were
-  // closed without an answer. A process that ends by itself counts as running, so its machine is in touch.
-  std::set<std::string> ran;
-  for (const auto& instance : instances) {
-    for (const Run& run : instance->Runs()) {
-      ran.insert(run.id);
-    }
-  }
-  int lost = 0;
-  int lostBookings = 0;
+  int before = 0;
+  int servedBefore = 0;
+  int after = 0;
+  int servedAfter = 0;
   for (const auto& consumer : consumers) {
-    int sentBefore = 0;
     for (const Attempt& attempt : consumer->Attempts()) {
-      if (attempt.isClosed && sentBefore > 0 && ran.contains(attempt.id)) {
-        ++lost;
-        lostBookings += attempt.method == "POST" ? 1 : 0;
+      if (attempt.sentAt > confirmedAt - 5000 && attempt.sentAt < confirmedAt) {
+        ++before;
+        servedBefore += attempt.status == 200 ? 1 : 0;
+      } else if (attempt.sentAt > confirmedAt + 10000) {
+        ++after;
+        servedAfter += attempt.status == 200 ? 1 : 0;
       }
-      sentBefore = attempt.status == 0 ? 0 : sentBefore + 1;
     }
   }
-  for (Machine* sidecar : deployment.Sidecars()) {
-    record.Line("peak memory of " + sidecar->name + ": " +
-                std::to_string(deployment.PeakKilobytes(*sidecar)) + " KiB");
-  }
-  const size_t ends = deployment.OwnEnds().size();
   const std::string text =
-    std::to_string(ends) + " processes ended by themselves; of the ordinary requests, " +
-    std::to_string(lost) + " ran at a sound instance and got a closed connection for an answer, " +
-    std::to_string(lostBookings) + " of them bookings";
-  return Finish(record, lost > kAllowedLost ? kBroken : kHeld, text);
+    "the configuration was confirmed; " + std::to_string(deployment.OwnEnds().size()) +
+    " times a process ended by itself; of " + std::to_string(reads) + " reads at the end " +
+    std::to_string(newestRead) + " brought it or a later one; the next change was " +
+    (isThirdConfirmed ? "" : "not ") + "confirmed; served with a valid key: " + std::to_string(servedBefore) +
+    " of " + std::to_string(before) + " before and " + std::to_string(servedAfter) + " of " +
+    std::to_string(after) + " from 10 s after on";
+  // CONFIG: read back at the end of the day, the configuration doesn't come.
+  return Finish(record, newestRead == 0 ? kBroken : kHeld, text);
 }
