Tests: a process keeps its exit status, whichever thread notices its end

Its sender thread asks Running(), which reaped the ended process and dropped its exit status, so that WaitForEnd() in the other thread found nothing to read. The status is now kept with the process, and both members are atomic. The check is as strict as before: a process that ends by a signal, or with another status, still fails it.

--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -9,7 +9,6 @@
 
 #include <fstream>
 #include <string>
-#include <utility>
 
 extern char** environ;
 
@@ -23,14 +22,16 @@
 }
 
 Process::Process(Process&& aOther) noexcept
-  : m_pid(std::exchange(aOther.m_pid, -1))
+  : m_pid(aOther.m_pid.exchange(-1))
+  , m_exitStatus(aOther.m_exitStatus.load())
 {
 }
 
 Process&
 Process::operator=(Process&& aOther) noexcept
 {
-  std::swap(m_pid, aOther.m_pid);
+  m_pid = aOther.m_pid.exchange(m_pid);
+  m_exitStatus = aOther.m_exitStatus.exchange(m_exitStatus);
   return *this;
 }
 
@@ -58,18 +59,28 @@
   posix_spawn_file_actions_addopen(&actions, 1, aOutput.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   Process process;
-  ::posix_spawn(&process.m_pid, arguments[0], &actions, nullptr, arguments.data(), environment.data());
+  pid_t pid = -1;
+  ::posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
+  process.m_pid = pid;
   return process;
 }
 
-bool
-Process::Running()
+void
+Process::NoteEnd()
 {
   int status = 0;
-  if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+  const pid_t pid = m_pid;
+  if (pid > 0 && ::waitpid(pid, &status, WNOHANG) == pid) {
+    m_exitStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
     m_pid = -1;
   }
+}
+
+bool
+Process::Running()
+{
+  NoteEnd();
   return m_pid > 0;
 }
 
@@ -94,14 +105,9 @@
 bool
 Process::WaitForEnd(std::chrono::milliseconds aTime, int& aStatus)
 {
-  return WaitUntil(aTime, [&] {
-    int status = 0;
-    if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
-      m_pid = -1;
-      aStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    }
-    return m_pid < 0;
-  });
+  const bool hasEnded = WaitUntil(aTime, [&] { return !Running(); });
+  aStatus = hasEnded ? m_exitStatus.load() : aStatus;
+  return hasEnded;
 }
 
 void
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -35,7 +36,12 @@
   bool WaitForEnd(std::chrono::milliseconds aTime, int& aStatus);
 
 private:
-  pid_t m_pid = -1;
+  /** Notes the end of the process, if it has ended. Several threads may ask. */
+  void NoteEnd();
+
+  std::atomic<pid_t> m_pid{ -1 };
+  /** Set once the process has ended by itself; -1 after a signal. */
+  std::atomic<int> m_exitStatus{ -1 };
 };
 
 /** Returns the resident memory of a process, in bytes. */
