A gate knows which requests its target may run, whoever waits for them

Cause: the gate closes the connection of a call that nobody waits for, and forgot the call with it. The target may go on; when its process ended, nothing was left to break, so that the request was never counted.

The connection is now closed for sending only. A target that drops such calls sees the end of the stream as before. Its response, or the end of the connection while its process lives, shows that the call isn't run any more; if the process is gone then, the call is reported. At most 256 such calls are watched at a gate, for 60 s each and without their bodies. The end of a target that has said that it leaves is no crash, since it may be running such a call at each planned end.

--- a/src/http/forwarder.h
+++ b/src/http/forwarder.h
@@ -81,8 +81,25 @@
    */
   virtual void OnSilence() {}
 
-  /** Called last, with the result of the request. */
+  /** Called with the result of the request, last unless OnAbandoned() was called. */
   virtual void OnEnd(ForwardResult aResult) = 0;
+
+  /**
+   * Returns for how long the transfer goes on without a receiver once its deadline has passed or it was
+   * cancelled, if the peer has the request and no response has begun. Its connection is then closed for
+   * sending only, which a peer that watches for the end of its connections takes for that, and OnAbandoned()
+   * is called. Zero closes the connection.
+   */
+  virtual std::chrono::milliseconds AbandonedTime() const { return std::chrono::milliseconds(0); }
+
+  /** Called before OnEnd() when the transfer goes on without a receiver. */
+  virtual void OnAbandoned() {}
+
+  /**
+   * Called last if OnAbandoned() was called: Complete means that the peer has responded, TimedOut that it did
+   * nothing for AbandonedTime(), any other result that the connection has ended.
+   */
+  virtual void OnAbandonedEnd(ForwardResult /*aResult*/) {}
 };
 
 class ConnectionPool;
@@ -101,7 +118,10 @@
   /** Continues a paused transfer. */
   void Resume() const;
 
-  /** Cancels the request and closes its connection, so that the peer notices. OnEnd() isn't called. */
+  /**
+   * Cancels the request and closes its connection, at least for sending, so that the peer notices. OnEnd()
+   * isn't called.
+   */
   void Cancel() const;
 
 private:
--- a/src/http/forwardtransfer.cpp
+++ b/src/http/forwardtransfer.cpp
@@ -129,7 +129,9 @@
   m_requestWritten = m_writtenBytes == m_output.size();
   // The response may arrive before the request is sent completely, so reading decides how the transfer ends.
   m_writeError = aError;
-  if (!aError && !m_requestWritten && !m_ended) {
+  if (m_abandoned) {
+    ReleaseRequest();
+  } else if (!aError && !m_requestWritten && !m_ended) {
     Write();
   }
 }
@@ -168,6 +170,10 @@
   if (m_ended) {
     return;
   }
+  if (m_abandoned && aError == boost::asio::error::operation_aborted) {
+    Read();
+    return;
+  }
   if (aError == boost::asio::error::eof && m_headHandled && !HasConnectionFailed()) {
     boost::system::error_code error;
     m_parser->put_eof(error);
@@ -268,6 +274,9 @@
   if (m_skipping && m_parser->need_eof()) {
     End(ForwardResult::Broken);
   }
+  if (m_abandoned && !m_skipping) {
+    End(ForwardResult::Complete);
+  }
   return !m_ended;
 }
 
@@ -352,7 +361,12 @@
 ForwardTransfer::OnTimer()
 {
   if (SteadyClock::now() >= m_endsAt) {
-    End(m_connected ? ForwardResult::TimedOut : ForwardResult::NotSent);
+    if (Abandon()) {
+      const std::shared_ptr<ForwardListener> listener = m_listener;
+      listener->OnEnd(ForwardResult::TimedOut);
+    } else {
+      End(m_connected ? ForwardResult::TimedOut : ForwardResult::NotSent);
+    }
     return;
   }
   CheckForSilence();
@@ -385,12 +399,46 @@
 void
 ForwardTransfer::Cancel()
 {
-  if (!m_ended) {
+  if (!m_ended && !Abandon()) {
     m_listener.reset();
     End(ForwardResult::Cancelled);
   }
 }
 
+bool
+ForwardTransfer::Abandon()
+{
+  const bool hasResponseBegun = m_headHandled && !m_skipping;
+  if (m_abandoned || !m_connected || hasResponseBegun) {
+    return false;
+  }
+  const std::chrono::milliseconds time = m_listener->AbandonedTime();
+  if (time.count() == 0) {
+    return false;
+  }
+  m_abandoned = true;
+  m_acknowledgements.reset();
+  boost::system::error_code ignored;
+  m_connection->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  StartTimer(SteadyClock::now() + time);
+  const std::shared_ptr<ForwardListener> listener = m_listener;
+  listener->OnAbandoned();
+  if (m_requestWritten) {
+    ReleaseRequest();
+  } else {
+    // Ends the pending write, which would keep the request in memory; the read is started again.
+    m_connection->socket.cancel(ignored);
+  }
+  return true;
+}
+
+void
+ForwardTransfer::ReleaseRequest()
+{
+  std::string().swap(m_output);
+  std::string().swap(m_request.request.body);
+}
+
 void
 ForwardTransfer::End(ForwardResult aResult)
 {
@@ -403,7 +451,13 @@
     boost::system::error_code ignored;
     m_connection->socket.close(ignored);
   }
-  if (const auto listener = std::exchange(m_listener, nullptr)) {
+  const auto listener = std::exchange(m_listener, nullptr);
+  if (listener == nullptr) {
+    return;
+  }
+  if (m_abandoned) {
+    listener->OnAbandonedEnd(aResult);
+  } else {
     listener->OnEnd(aResult);
   }
 }
--- a/src/http/forwardtransfer.h
+++ b/src/http/forwardtransfer.h
@@ -53,6 +53,10 @@
   /** Starts the timer for the end of the transfer or, if that is earlier, for the next check for silence. */
   void StartTimer(Deadline aEndsAt);
   void OnTimer();
+  /** Goes on without a receiver, if the listener wants that; returns whether it does. */
+  bool Abandon();
+  /** Frees what only the sending of the request needs. */
+  void ReleaseRequest();
   void CheckForSilence();
   void End(ForwardResult aResult);
   ForwardResult ReadErrorResult() const;
@@ -85,6 +89,8 @@
   bool m_paused = false;
   /** Keeps the transfer alive while it is paused. */
   std::shared_ptr<ForwardTransfer> m_selfWhilePaused;
+  /** Nobody waits for the response any more. */
+  bool m_abandoned = false;
   bool m_ended = false;
 };
 
--- a/src/target/crashwatch.cpp
+++ b/src/target/crashwatch.cpp
@@ -5,13 +5,18 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosarun {
 
 /** The connections of a process that ends break nearly together; one probe serves them all. */
 static constexpr std::chrono::milliseconds kProbeDelay{ 25 };
+/** In this time a target that has dropped abandoned calls mostly responds to others. */
+static constexpr std::chrono::milliseconds kAbandonedProbeDelay{ 100 };
 static constexpr std::chrono::milliseconds kProbeTimeout{ 300 };
+/** A response that a target sent before it ended may be read this much later than the end of a connection. */
+static constexpr std::chrono::milliseconds kReadDelay{ 25 };
 /** Shorter than the time that a target takes to start again. */
 static constexpr std::chrono::milliseconds kSameCrashTime{ 500 };
 /** Bounds a report on a target with very many calls in flight. */
@@ -24,37 +29,109 @@
 }
 
 void
-CrashWatch::RecordBreak(const std::string& aTarget, const Address& aAddress, const std::string& aFingerprint)
+CrashWatch::RecordBreak(const BrokenCall& aCall)
 {
+  const std::lock_guard lock(m_mutex);
+  m_target = aCall.target;
+  m_address = aCall.address;
+  if (m_broken.size() < kMaximumFingerprints || m_broken.contains(aCall.fingerprint)) {
+    const Break newest{ .at = SteadyClock::now(), .isAbandoned = aCall.isAbandoned };
+    Break& entry = m_broken.try_emplace(aCall.fingerprint, newest).first->second;
+    entry.isAbandoned = entry.isAbandoned && aCall.isAbandoned;
+  }
+  ScheduleProbeLocked();
+}
+
+void
+CrashWatch::RecordResponse(const std::string& aTarget)
+{
+  const std::lock_guard lock(m_mutex);
+  m_respondingTarget = aTarget;
+  m_lastResponseAt = SteadyClock::now();
+}
+
+void
+CrashWatch::RecordLeaving(const std::string& aTarget)
+{
+  const std::lock_guard lock(m_mutex);
+  m_leavingTarget = aTarget;
+}
+
+void
+CrashWatch::RemoveDroppedLocked()
+{
+  if (m_respondingTarget != m_target) {
+    return;
+  }
+  std::erase_if(m_broken, [this](const auto& aEntry) {
+    const Break& entry = aEntry.second;
+    return entry.isAbandoned && entry.at + kReadDelay < m_lastResponseAt;
+  });
+}
+
+std::optional<Deadline>
+CrashWatch::ProbeTimeLocked() const
+{
+  std::optional<Deadline> earliest;
+  for (const auto& [fingerprint, entry] : m_broken) {
+    const Deadline dueAt = entry.at + (entry.isAbandoned ? kAbandonedProbeDelay : kProbeDelay);
+    earliest = earliest ? std::min(*earliest, dueAt) : dueAt;
+  }
+  return earliest;
+}
+
+void
+CrashWatch::ScheduleProbeLocked()
+{
+  const std::optional<Deadline> dueAt = ProbeTimeLocked();
+  if (!dueAt || (m_scheduledFor && *m_scheduledFor <= *dueAt)) {
+    return;
+  }
+  m_scheduledFor = dueAt;
+  m_loops.First().RunAt(*dueAt, [this, time = *dueAt] { OnProbeDue(time); });
+}
+
+void
+CrashWatch::OnProbeDue(Deadline aScheduledFor)
+{
+  Address address;
+  std::vector<std::string> fingerprints;
   {
     const std::lock_guard lock(m_mutex);
-    const bool isProbePending = !m_broken.empty();
-    m_target = aTarget;
-    if (m_broken.size() < kMaximumFingerprints) {
-      m_broken.insert(aFingerprint);
+    if (m_scheduledFor != aScheduledFor) {
+      return;
     }
-    if (isProbePending) {
+    m_scheduledFor.reset();
+    RemoveDroppedLocked();
+    const std::optional<Deadline> dueAt = ProbeTimeLocked();
+    if (!dueAt || *dueAt > SteadyClock::now()) {
+      ScheduleProbeLocked();
       return;
     }
+    address = m_address;
+    for (const auto& [fingerprint, entry] : std::exchange(m_broken, {})) {
+      fingerprints.push_back(fingerprint);
+    }
   }
-  m_loops.First().RunAt(SteadyClock::now() + kProbeDelay, [this, aAddress] { Probe(aAddress); });
+  Probe(address, fingerprints);
 }
 
 void
-CrashWatch::Probe(const Address& aAddress)
+CrashWatch::Probe(const Address& aAddress, const std::vector<std::string>& aFingerprints)
 {
   using boost::asio::ip::tcp;
   boost::system::error_code invalid;
   const auto host = boost::asio::ip::make_address(aAddress.host, invalid);
   if (invalid) {
-    OnProbeResult(false);
     return;
   }
   EventLoop& loop = m_loops.First();
   const auto socket = std::make_shared<tcp::socket>(loop.Context());
   socket->async_connect(tcp::endpoint(host, aAddress.port),
-                        [this, socket](const boost::system::error_code& aError) {
-                          OnProbeResult(aError == boost::asio::error::connection_refused);
+                        [this, socket, aFingerprints](const boost::system::error_code& aError) {
+                          if (aError == boost::asio::error::connection_refused) {
+                            ReportCrash(aFingerprints);
+                          }
                         });
   loop.RunAt(SteadyClock::now() + kProbeTimeout, [weak = std::weak_ptr(socket)] {
     if (const auto connecting = weak.lock()) {
@@ -75,18 +152,17 @@
 }
 
 void
-CrashWatch::OnProbeResult(bool aIsRefused)
+CrashWatch::ReportCrash(const std::vector<std::string>& aFingerprints)
 {
   wire::TargetCrash crash;
   {
     const std::lock_guard lock(m_mutex);
-    const std::set<std::string> broken = std::exchange(m_broken, {});
-    if (!aIsRefused) {
+    if (m_target == m_leavingTarget) {
       return;
     }
     crash.identifier = CrashIdentifierLocked(SteadyClock::now());
     crash.target = m_target;
-    crash.fingerprints.assign(broken.begin(), broken.end());
+    crash.fingerprints = aFingerprints;
   }
   Log(Event::TargetCrashed, { { "target", crash.target }, { "calls", crash.fingerprints.size() } });
   m_listener(crash);
--- a/src/target/crashwatch.h
+++ b/src/target/crashwatch.h
@@ -6,16 +6,29 @@
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
+/** A call whose connection to the target has ended before its response. */
+struct BrokenCall
+{
+  std::string target;
+  Address address;
+  std::string fingerprint;
+  /** Whether nobody waited for the response any more, so that the target may have dropped the call. */
+  bool isAbandoned = false;
+};
+
 /**
- * Tells the end of a target's process from a connection that broke for another reason: when calls break, it
- * connects to the target, and only a refused connection means that the process is gone. Thread-safe.
+ * Tells the end of a target's process from a connection that ended for another reason: when calls break, it
+ * connects to the target, and only a refused connection means that the process is gone. Where only abandoned
+ * calls have ended, which targets do with every such call, a later response of the target saves the
+ * connection. Thread-safe.
  */
 class CrashWatch
 {
@@ -25,8 +38,14 @@
 
   CrashWatch(EventLoops& aLoops, Listener aListener);
 
-  /** Notes that the connection of a call broke while the target may have run its request. */
-  void RecordBreak(const std::string& aTarget, const Address& aAddress, const std::string& aFingerprint);
+  /** Notes that the connection of a call ended while the target may have run its request. */
+  void RecordBreak(const BrokenCall& aCall);
+
+  /** Notes that a target has responded, so its process runs. */
+  void RecordResponse(const std::string& aTarget);
+
+  /** Notes that a target is leaving, so that the end of its process is no crash. */
+  void RecordLeaving(const std::string& aTarget);
 
 private:
   /** A crash that was reported, since some of its calls may break a little later than the others. */
@@ -37,16 +56,34 @@
     Deadline reportedAt;
   };
 
-  void Probe(const Address& aAddress);
-  void OnProbeResult(bool aIsRefused);
+  /** When the connection of a call ended, and whether the call was abandoned. */
+  struct Break
+  {
+    Deadline at{};
+    bool isAbandoned = false;
+  };
+
+  void ScheduleProbeLocked();
+  void OnProbeDue(Deadline aScheduledFor);
+  /** Forgets the abandoned calls after whose end the target has responded. */
+  void RemoveDroppedLocked();
+  /** Returns when the target is to be probed because of the calls that broke, if any did. */
+  std::optional<Deadline> ProbeTimeLocked() const;
+  void Probe(const Address& aAddress, const std::vector<std::string>& aFingerprints);
+  void ReportCrash(const std::vector<std::string>& aFingerprints);
   std::string CrashIdentifierLocked(Deadline aNow);
 
   EventLoops& m_loops;
   const Listener m_listener;
   std::mutex m_mutex;
   std::string m_target;
-  /** Fingerprints of the calls that broke since the last probe. */
-  std::set<std::string> m_broken;
+  Address m_address;
+  /** Calls that broke since the last probe, by their fingerprints. */
+  std::map<std::string, Break> m_broken;
+  std::string m_leavingTarget;
+  std::string m_respondingTarget;
+  Deadline m_lastResponseAt{};
+  std::optional<Deadline> m_scheduledFor;
   std::optional<ReportedCrash> m_lastCrash;
 };
 
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -27,6 +27,8 @@
   m_admitted =
     &m_options.metrics->Counter("mimosarun_gate_admitted_total", "Calls given a slot of the target", {});
   m_refused = &m_options.metrics->Counter("mimosarun_gate_refused_total", "Calls refused at the gate", {});
+  m_abandonedCalls = &m_options.metrics->Gauge(
+    "mimosarun_gate_abandoned_calls", "Calls that the target may run although nobody waits for them", {});
   m_slotTime =
     &m_options.metrics->SecondsHistogram("mimosarun_gate_slot_seconds", "Time that calls held a slot", {});
 }
@@ -78,6 +80,9 @@
   if (aState.phase == wire::TargetPhase::Ready) {
     ProcessQueue();
   } else {
+    if (aState.phase == wire::TargetPhase::Draining) {
+      m_crashWatch.RecordLeaving(aState.name);
+    }
     RejectAllWaiting("the target stopped taking calls");
   }
 }
--- a/src/target/gate.h
+++ b/src/target/gate.h
@@ -144,6 +144,8 @@
   std::map<uint64_t, std::shared_ptr<GateCall>> m_waitingCalls;
   NonIdempotentCalls<GateCall> m_nonIdempotentCalls;
   CrashWatch m_crashWatch;
+  /** Calls that the target may run although nobody waits for them. */
+  prometheus::Gauge* m_abandonedCalls = nullptr;
   std::atomic<uint64_t> m_lastCallNumber{ 0 };
   prometheus::Counter* m_admitted = nullptr;
   prometheus::Counter* m_refused = nullptr;
--- a/src/target/gatecall.cpp
+++ b/src/target/gatecall.cpp
@@ -36,6 +36,10 @@
 /** Wait estimates are inexact: a call is returned to the entry after its longest wait times this factor. */
 static constexpr int kWaitToleranceFactor = 2;
 static constexpr std::chrono::milliseconds kMinimumWait{ 20 };
+/** How long the target's end is watched for calls that it may run although nobody waits for them. */
+static constexpr std::chrono::milliseconds kAbandonedTime{ 60000 };
+/** Such calls of one gate that are watched at once; each holds a connection and about two kilobytes. */
+static constexpr int kMaximumAbandonedCalls = 256;
 static constexpr int kFirstServerErrorStatus = 500;
 /** A team without a quota shares slots like one with this many requests per second. */
 static constexpr double kWeightWithoutQuota = 100;
@@ -419,9 +423,16 @@
 HeadAction
 GateCall::OnHead(const HttpResponseHead& aHead)
 {
-  m_gate.RecordConnectResult(true);
   const TargetCall call{ .callId = m_hop.callId, .targetName = m_targetName };
-  m_responseKind = m_gate.m_options.codec.classifyResponse(aHead, call);
+  const TargetResponseKind kind = m_gate.m_options.codec.classifyResponse(aHead, call);
+  if (kind == TargetResponseKind::Usable || kind == TargetResponseKind::NotRun) {
+    m_gate.m_crashWatch.RecordResponse(m_targetName);
+  }
+  if (m_stage == Stage::Ended) {
+    return kind == TargetResponseKind::OtherCall ? HeadAction::Skip : HeadAction::Accept;
+  }
+  m_gate.RecordConnectResult(true);
+  m_responseKind = kind;
   if (m_responseKind == TargetResponseKind::OtherCall) {
     return HeadAction::Skip;
   }
@@ -550,8 +561,9 @@
   }
   if (aResult == ForwardResult::Broken || aResult == ForwardResult::ReusedConnectionClosed ||
       aResult == ForwardResult::NotSent) {
-    m_gate.m_crashWatch.RecordBreak(
-      m_targetName, m_targetAddress, RequestFingerprint(m_hop.route, m_request));
+    m_gate.m_crashWatch.RecordBreak({ .target = m_targetName,
+                                      .address = m_targetAddress,
+                                      .fingerprint = RequestFingerprint(m_hop.route, m_request) });
   }
   if (m_streaming) {
     MarkEnded();
@@ -571,6 +583,38 @@
   RespondWithError(timedOut ? 504 : 502, HopOutcome::Unknown, reason);
 }
 
+// --- after the call --------------------------------------------------------------------------------------
+
+std::chrono::milliseconds
+GateCall::AbandonedTime() const
+{
+  const bool canWatch = m_gate.m_abandonedCalls->Value() < kMaximumAbandonedCalls;
+  return canWatch ? kAbandonedTime : std::chrono::milliseconds(0);
+}
+
+void
+GateCall::OnAbandoned()
+{
+  m_gate.m_abandonedCalls->Increment();
+  m_abandonedFingerprint = RequestFingerprint(m_hop.route, m_request);
+}
+
+void
+GateCall::OnAbandonedEnd(ForwardResult aResult)
+{
+  m_gate.m_abandonedCalls->Decrement();
+  const bool hasConnectionEnded =
+    aResult == ForwardResult::Broken || aResult == ForwardResult::ReusedConnectionClosed;
+  if (hasConnectionEnded) {
+    m_gate.m_crashWatch.RecordBreak({ .target = m_targetName,
+                                      .address = m_targetAddress,
+                                      .fingerprint = m_abandonedFingerprint,
+                                      .isAbandoned = true });
+  }
+}
+
+// --- end of the response ---------------------------------------------------------------------------------
+
 void
 GateCall::OnResponseComplete()
 {
--- a/src/target/gatecall.h
+++ b/src/target/gatecall.h
@@ -61,6 +61,9 @@
   HeadAction OnHead(const HttpResponseHead& aHead) override;
   bool OnBody(std::string_view aBytes) override;
   void OnEnd(ForwardResult aResult) override;
+  std::chrono::milliseconds AbandonedTime() const override;
+  void OnAbandoned() override;
+  void OnAbandonedEnd(ForwardResult aResult) override;
 
 private:
   /** Progress of the call. */
@@ -135,6 +138,8 @@
   TargetResponseKind m_responseKind = TargetResponseKind::Unusable;
   bool m_streaming = false;
   size_t m_discardedBytes = 0;
+  /** Set while the target may run the call although nobody waits for it. */
+  std::string m_abandonedFingerprint;
   HttpResponseHead m_responseHead;
   std::string m_bufferedBody;
   /** Kept for an entry that sends the call again. */
--- a/tests/caller/gatecopiestest.cpp
+++ b/tests/caller/gatecopiestest.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE gatecopies
+#include "caller/sentcopy.h"
 #include "caller/testgate.h"
-#include "hop/hopheaders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,45 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** A connection on which a copy of a call is sent to a gate. */
-class SentCopy
-{
-public:
-  SentCopy(const TestGate& aGate, const std::string& aCallId, int64_t aSentToIncarnation)
-    : m_connection(aGate.ListenAddress())
-  {
-    HttpHeaders headers;
-    WriteHop(headers,
-             HopRequest{ .callId = aCallId,
-                         .service = "books",
-                         .route = "orders",
-                         .timeLeft = seconds(8),
-                         .longestWait = seconds(8),
-                         .maxFailurePenalty = seconds(8),
-                         .sentToIncarnation = aSentToIncarnation });
-    m_connection.Send("POST /orders/1 HTTP/1.1\r\nHost: x\r\n" + headers.front().name + ": " +
-                      headers.front().value + "\r\nContent-Length: 0\r\n\r\n");
-  }
-
-  /** Returns the gate's report with the response, or nothing if there is none within aTime. */
-  std::optional<HopResponse> Response(milliseconds aTime) const
-  {
-    const std::string head = m_connection.ReceiveUntil("\r\n\r\n", aTime);
-    const std::string name = std::string(kHopResponseHeader) + ": ";
-    const size_t begin = head.find(name);
-    if (begin == std::string::npos) {
-      return std::nullopt;
-    }
-    const size_t valueBegin = begin + name.size();
-    HttpHeaders headers{ { .name = kHopResponseHeader,
-                           .value = head.substr(valueBegin, head.find("\r\n", begin) - valueBegin) } };
-    return ExtractHopResponse(headers);
-  }
-
-private:
-  const RawConnection m_connection;
-};
-
 /** Returns whether a copy got a response with the given outcome. */
 static bool
 HasOutcome(const SentCopy& aCopy, HopOutcome aOutcome)
--- a/tests/caller/testgate.h
+++ b/tests/caller/testgate.h
@@ -8,7 +8,10 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace mimosarun {
 
@@ -68,6 +71,8 @@
     bool isReady = true;
     /** With more than one, the copies of a call can arrive on different loops. */
     unsigned int loops = 2;
+    /** Another target in place of the one that counts its runs. */
+    std::optional<Address> targetAddress;
   };
 
   /** Incarnations of the gate: the one with which its process started and the current one. */
@@ -78,17 +83,18 @@
     : m_options(aOptions)
     , m_target(aOptions.target)
   {
-    m_gate = Gate::Start({ .address = m_address,
-                           .loops = &m_loops,
-                           .forwarder = &m_forwarder,
-                           .metrics = &m_metrics,
-                           .codec = TargetCodecOf<NativeTargetProtocol>(),
-                           .onTargetLost = [](const std::string&) {},
-                           .onTargetLeaving = [](const std::string&) {},
-                           .onTargetCrashed = [](const wire::TargetCrash&) {},
-                           .incarnation = [] { return kIncarnation; },
-                           .firstIncarnation = [] { return kFirstIncarnation; } })
-               .value();
+    m_gate =
+      Gate::Start({ .address = m_address,
+                    .loops = &m_loops,
+                    .forwarder = &m_forwarder,
+                    .metrics = &m_metrics,
+                    .codec = TargetCodecOf<NativeTargetProtocol>(),
+                    .onTargetLost = [](const std::string&) {},
+                    .onTargetLeaving = [](const std::string&) {},
+                    .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { RecordCrash(aCrash); },
+                    .incarnation = [] { return kIncarnation; },
+                    .firstIncarnation = [] { return kFirstIncarnation; } })
+        .value();
     SetReady(aOptions.isReady);
   }
 
@@ -105,7 +111,7 @@
   {
     m_gate->SetTarget({ .name = TargetName(),
                         .service = "books",
-                        .address = m_target.ListenAddress(),
+                        .address = m_options.targetAddress.value_or(m_target.ListenAddress()),
                         .slots = m_options.slots,
                         .phase = aIsReady ? wire::TargetPhase::Ready : wire::TargetPhase::Draining });
   }
@@ -114,14 +120,30 @@
   const Address& ListenAddress() const { return m_address; }
   int Runs() const { return m_target.Runs(); }
   int OpenCalls() const { return m_gate->OpenCalls(); }
+  std::string MetricsText() const { return m_metrics.Text(); }
+
+  /** Returns the ends of the target that the gate has reported. */
+  std::vector<wire::TargetCrash> Crashes() const
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_crashes;
+  }
 
 private:
+  void RecordCrash(const wire::TargetCrash& aCrash)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_crashes.push_back(aCrash);
+  }
+
   const Options m_options;
   const Address m_address = RawServer::FreeAddress();
   CountingTarget m_target;
   EventLoops m_loops{ m_options.loops };
   Forwarder m_forwarder;
   Metrics m_metrics;
+  mutable std::mutex m_mutex;
+  std::vector<wire::TargetCrash> m_crashes;
   std::unique_ptr<Gate> m_gate;
 };
 
