An order that control acknowledges is one that every later reader can bear

An order of 15 MB took a process over its memory.

Cause: the parser doesn't recurse, but the function that replaces keys for the nodes wrote the parsed document by recursion, at each start anew. Memory was bounded by 16 MiB for an order, but neither for its parsed form nor for the 64 versions and 4,096 changes kept.

Keys are now replaced while the text is read, without recursion and without keeping values, so that a document from before is borne too. The history and the log of configurations are bounded by bytes. The product's own format refuses deep nesting as well.

--- a/src/configuration/snapshot.cpp
+++ b/src/configuration/snapshot.cpp
@@ -10,6 +10,8 @@
 /** Stands for all held versions whose text isn't stored. */
 static constexpr int64_t kUnknownVersion = -1;
 static constexpr size_t kDocumentLimitBytes = 16UL * 1024 * 1024;
+/** Bounds the memory of a history of large documents; its newest version is kept in any case. */
+static constexpr size_t kHistoryLimitBytes = 8UL * 1024 * 1024;
 
 SnapshotPointer
 EmptySnapshot()
@@ -98,7 +100,15 @@
 {
   m_madeUpdates.clear();
   m_versions.push_back({ .version = aSnapshot.version, .text = aSnapshot.text });
-  if (m_versions.size() > m_limit) {
+  m_textBytes += aSnapshot.text.size();
+  Trim();
+}
+
+void
+UpdateHistory::Trim()
+{
+  while (m_versions.size() > m_limit || (m_textBytes > kHistoryLimitBytes && m_versions.size() > 1)) {
+    m_textBytes -= m_versions.front().text.size();
     m_versions.pop_front();
   }
 }
@@ -108,6 +118,7 @@
 {
   m_madeUpdates.clear();
   m_versions.clear();
+  m_textBytes = 0;
 }
 
 const std::string*
@@ -170,7 +181,9 @@
   for (const wire::ConfigurationUpdate& update : aImage) {
     MIMOSARUN_TRY(std::string text,
                   DecompressText(update, m_versions.empty() ? std::string() : m_versions.back().text));
+    m_textBytes += text.size();
     m_versions.push_back({ .version = update.toVersion, .text = std::move(text) });
+    Trim();
   }
   return boost::outcome_v2::success();
 }
--- a/src/configuration/snapshot.h
+++ b/src/configuration/snapshot.h
@@ -71,7 +71,7 @@
   {
   }
 
-  /** Adds the newest version, and removes the oldest one if the limit is exceeded. */
+  /** Adds the newest version, and removes the oldest ones that exceed a limit. */
   void Add(const Snapshot& aSnapshot);
 
   /** Removes all versions. */
@@ -95,12 +95,16 @@
 private:
   static constexpr size_t kHistoryLimit = 64;
 
+  void Trim();
+
   wire::ConfigurationUpdate MakeUpdate(const std::string* aHeldText,
                                        int64_t aHeldVersion,
                                        const Snapshot& aCurrent) const;
 
   size_t m_limit;
   std::deque<VersionText> m_versions;
+  /** Of the texts of all versions. */
+  size_t m_textBytes = 0;
   /** Updates to the newest version by the held version, as many receivers ask for the same one. */
   mutable std::map<int64_t, wire::ConfigurationUpdate> m_madeUpdates;
 };
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -20,6 +20,8 @@
 static constexpr std::chrono::milliseconds kReplyWait{ 25 };
 /** A formed replica without a leader for this long asks other replicas whether it is still a member. */
 static constexpr std::chrono::milliseconds kLeaderlessLimit{ 2500 };
+/** Changes of large documents are kept in the log, and in memory, up to this size. */
+static constexpr size_t kConfigurationLogBytes = 8UL * 1024 * 1024;
 static constexpr std::chrono::milliseconds kLeaderPollInterval{ 20 };
 static constexpr std::chrono::milliseconds kLeaderCallTimeout{ 500 };
 /** Number of calls to the leader that can run at the same time. */
@@ -156,6 +158,7 @@
                                              : std::chrono::milliseconds(0),
                           .seed = RandomEngine()() };
     if (plan.name == kConfigurationGroup) {
+      options.bodyBytesBeforeSnapshot = kConfigurationLogBytes;
       m_configurationGroup =
         std::make_unique<Group<ConfigurationState>>(std::move(options), m_configuration, m_transport);
     } else {
--- a/src/control/groupreplica.h
+++ b/src/control/groupreplica.h
@@ -11,6 +11,7 @@
 #include <concepts>
 #include <functional>
 #include <future>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -52,6 +53,8 @@
   uint64_t seed = 0;
   /** Number of applied entries after which a snapshot replaces them. */
   int64_t entriesBeforeSnapshot = 4096;
+  /** Size of the entries' bodies that has the same effect. */
+  size_t bodyBytesBeforeSnapshot = std::numeric_limits<size_t>::max();
   std::function<Deadline()> clock = [] { return SteadyClock::now(); };
 };
 
--- a/src/control/groupreplicaimpl.h
+++ b/src/control/groupreplicaimpl.h
@@ -288,7 +288,9 @@
 Result<void>
 GroupReplica<Machine>::CompactIfLong()
 {
-  if (m_core->AppliedIndex() - m_core->SnapshotIndex() < m_options.entriesBeforeSnapshot) {
+  const int64_t applied = m_core->AppliedIndex() - m_core->SnapshotIndex();
+  const bool isLarge = applied > 0 && m_core->LogBodyBytes() >= m_options.bodyBytesBeforeSnapshot;
+  if (applied < m_options.entriesBeforeSnapshot && !isLarge) {
     return boost::outcome_v2::success();
   }
   const wire::SnapshotFile snapshot = m_core->Compact(m_machine.Image());
--- a/src/control/raftcore.h
+++ b/src/control/raftcore.h
@@ -127,6 +127,9 @@
   const std::vector<wire::Replica>& Members() const;
   const std::vector<wire::LogEntry>& Entries() const;
 
+  /** Returns the size of the bodies of all entries of the log. */
+  size_t LogBodyBytes() const { return m_log.BodyBytes(); }
+
   /** Returns whether the newest membership change is committed. */
   bool IsMembershipCommitted() const;
 
--- a/src/control/raftlog.cpp
+++ b/src/control/raftlog.cpp
@@ -15,6 +15,7 @@
   , m_entries(std::move(aEntries))
 {
   RecomputeMembers();
+  RecomputeBodyBytes();
 }
 
 int64_t
@@ -90,10 +91,20 @@
   }
 }
 
+void
+RaftLog::RecomputeBodyBytes()
+{
+  m_bodyBytes = 0;
+  for (const wire::LogEntry& entry : m_entries) {
+    m_bodyBytes += entry.command.body.size();
+  }
+}
+
 void
 RaftLog::Append(wire::LogEntry aEntry)
 {
   const bool changesMembers = ChangesMembers(aEntry);
+  m_bodyBytes += aEntry.command.body.size();
   m_entries.push_back(std::move(aEntry));
   if (changesMembers) {
     RecomputeMembers();
@@ -105,6 +116,7 @@
 {
   m_entries.resize(static_cast<size_t>(aIndex - m_snapshot.index - 1));
   RecomputeMembers();
+  RecomputeBodyBytes();
 }
 
 void
@@ -112,6 +124,7 @@
 {
   m_snapshot = std::move(aSnapshot);
   m_entries.clear();
+  m_bodyBytes = 0;
   RecomputeMembers();
 }
 
@@ -126,6 +139,7 @@
   }
   m_snapshot.term = TermAt(aIndex);
   m_entries.erase(m_entries.begin(), end);
+  RecomputeBodyBytes();
   m_snapshot.index = aIndex;
   m_snapshot.state = std::move(aState);
 }
--- a/src/control/raftlog.h
+++ b/src/control/raftlog.h
@@ -27,6 +27,9 @@
   const std::vector<wire::LogEntry>& Entries() const;
   const wire::SnapshotFile& Snapshot() const;
 
+  /** Returns the size of the bodies of all entries. */
+  size_t BodyBytes() const { return m_bodyBytes; }
+
   /** Returns the members after the newest change in the log, committed or not. */
   const std::vector<wire::Replica>& Members() const;
 
@@ -44,9 +47,11 @@
 
 private:
   void RecomputeMembers();
+  void RecomputeBodyBytes();
 
   wire::SnapshotFile m_snapshot;
   std::vector<wire::LogEntry> m_entries;
+  size_t m_bodyBytes = 0;
   std::vector<wire::Replica> m_members;
   int64_t m_membersIndex = 0;
 };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,6 +25,9 @@
 {
   size_t headerBytes = 16UL * 1024;
   size_t bodyBytes = 1024UL * 1024;
+  /** Bytes behind a rejected request that are read and dropped, so that a peer still sending gets the
+   * response. */
+  size_t discardedBytes = 512UL * 1024;
   /** Longest time from the first byte of a request to the end of its head. */
   std::chrono::milliseconds headerTimeout{ 30000 };
   /** Longest time without a byte between requests or within a body. */
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -23,7 +23,6 @@
 static constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 4000 };
 static constexpr std::chrono::seconds kPeerCheckInterval{ 1 };
 static constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
-static constexpr size_t kDiscardLimitBytes = 512UL * 1024;
 
 void
 ServerConnection::Begin(boost::asio::ip::tcp::socket aSocket, SharedPointer aShared, EventLoop& aLoop)
@@ -104,7 +103,7 @@
   if (m_rejected || m_lastRequestRead || m_lingering) {
     // Bytes after the connection's last request are discarded, but reading still detects a disconnect.
     m_discardedBytes += aLength;
-    if (m_discardedBytes > kDiscardLimitBytes) {
+    if (m_discardedBytes > m_limits.discardedBytes) {
       Close();
     } else {
       Read();
--- a/src/settings/jsonreader.cpp
+++ b/src/settings/jsonreader.cpp
@@ -1,16 +1,33 @@
 #include "settings/jsonreader.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace mimosarun {
 
-/** A parser callback that finds duplicate keys in objects. */
+/** Objects and lists inside one another. The library writes and compares documents by recursion. */
+static constexpr int kMaximumDepth = 64;
+
+/** Says that a document is nested too deeply. */
+class NestingError : public std::runtime_error
+{
+public:
+  NestingError()
+    : std::runtime_error("is nested more than " + std::to_string(kMaximumDepth) + " levels deep; flatten it")
+  {
+  }
+};
+
+/** A parser callback that finds duplicate keys in objects, and throws NestingError. */
 class DuplicateKeyFinder
 {
 public:
-  bool operator()(int /*aDepth*/, nlohmann::json::parse_event_t aEvent, nlohmann::json& aParsed)
+  bool operator()(int aDepth, nlohmann::json::parse_event_t aEvent, nlohmann::json& aParsed)
   {
     using Event = nlohmann::json::parse_event_t;
+    if (aDepth > kMaximumDepth) {
+      throw NestingError();
+    }
     if (aEvent == Event::object_start) {
       m_openObjects.emplace_back();
     } else if (aEvent == Event::object_end) {
@@ -51,6 +68,8 @@
                     "' occurs twice in one object; rename or remove one");
     }
     return document;
+  } catch (const NestingError& error) {
+    return Fail(ErrorKind::InvalidInput, aSource + ": " + error.what());
   } catch (const nlohmann::json::parse_error& error) {
     std::string message = error.what();
     message.erase(0, message.find("parse error"));
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -3,6 +3,7 @@
 #include "platform/callers.h"
 #include "platform/configformat.h"
 #include "platform/heartbeats.h"
+#include "platform/rolloutapi.h"
 #include "platform/settings.h"
 #include "platform/targets.h"
 #include "platform/values.h"
@@ -359,6 +360,58 @@
   }
 }
 
+// Guards against: a document that the parser takes ends each process that writes it anew for the nodes.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_document_is_redacted_without_recursion)
+{
+  constexpr size_t kLevels = 500000;
+  const std::string lists = std::string(kLevels, '[') + std::string(kLevels, ']');
+  std::string objects;
+  for (size_t level = 0; level < kLevels; ++level) {
+    objects += "{\"a\":";
+  }
+  objects += "1" + std::string(kLevels, '}');
+  for (const std::string& nested : { lists, objects }) {
+    for (const std::string& place : { std::string("\"limits\":"), std::string("{\"name\":\"till\",") }) {
+      const bool isInTeam = place.front() == '{';
+      const std::string member =
+        isInTeam ? place + "\"note\":" + nested + "," : "\"note\":" + nested + "," + place;
+      const std::string document = ReplaceText(WithTeams(kTeams), place, member);
+      const auto redacted = platform::ConfigFormat::RedactKeys(document);
+      BOOST_REQUIRE(redacted.has_value());
+      BOOST_TEST(redacted->find("s3cret") == std::string::npos);
+      BOOST_TEST(redacted->find(nested) != std::string::npos);
+      BOOST_TEST(platform::ParseDocumentVersion(document).value() == 7);
+    }
+  }
+}
+
+// Guards against: an order costs a replica more memory than it has, or later readers more stack.
+BOOST_AUTO_TEST_CASE(a_document_beyond_the_limits_is_refused_by_name)
+{
+  const auto messageFor = [](const std::string& aValue) {
+    const auto checked = platform::CheckLimits("{\"a\":" + aValue + "}");
+    return checked ? std::string() : checked.error().message;
+  };
+  BOOST_TEST(messageFor(std::string(63, '[') + std::string(63, ']')).empty());
+  BOOST_TEST(messageFor(std::string(64, '[') + std::string(64, ']')).find("64 levels") != std::string::npos);
+  BOOST_TEST(messageFor(std::string(1000000, '[')).find("64 levels") != std::string::npos);
+  std::string wide = "[0";
+  for (int value = 0; value < 1000000; ++value) {
+    wide += ",0";
+  }
+  BOOST_TEST(messageFor(wide + "]").find("250000 values") != std::string::npos);
+  BOOST_TEST(!platform::ParseRolloutOrder("{\"a\":" + wide + "]}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_version_is_read_from_the_outermost_object_only)
+{
+  BOOST_TEST(platform::ParseDocumentVersion("{\"a\":{\"version\":\"r1\"},\"version\":\"r2\"}").value() == 2);
+  for (const char* const without :
+       { "{\"version\":3}", "{\"version\":{\"version\":\"r1\"}}", "[\"version\"]", "" }) {
+    BOOST_TEST(!platform::ParseDocumentVersion(without).has_value(), without);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(deep_nesting_and_invalid_utf8_are_errors)
 {
   const std::string deeplyNested = "{\"routes\":" + std::string(1000000, '[');
--- a/tests/settings/settingstest.cpp
+++ b/tests/settings/settingstest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE settings
+#include "settings/jsonreader.h"
 #include "settings/processsettings.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -75,3 +76,15 @@
   BOOST_TEST(settings.error().message.find(change.expectedInMessage) != std::string::npos,
              settings.error().message);
 }
+
+// Guards against: a document that the parser takes is too deep for the code that writes or compares it.
+BOOST_AUTO_TEST_CASE(deeply_nested_documents_are_rejected)
+{
+  constexpr size_t kLevels = 200000;
+  const std::string lists = std::string(kLevels, '[') + std::string(kLevels, ']');
+  for (const std::string& nested : { "{\"a\":" + lists + "}", std::string(kLevels, '['), lists }) {
+    const auto document = ParseJson(nested, "file");
+    BOOST_REQUIRE(!document);
+    BOOST_TEST(document.error().message.find("nested more than 64 levels") != std::string::npos);
+  }
+}
