No heartbeat displaces a target that goes on reporting

Cause: of two reports for an address the one with the later start counted, whatever it said, and the target's own reports were dropped as late ones from then on.

A report whose service nobody knows is left alone. One of another incarnation is kept as a claim while the current one goes on reporting; it is believed once that is silent or leaves, or once the target names it, which a health check asks. An earlier incarnation returns after the lease with two reports in order.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -118,7 +118,8 @@
         .claims = m_settings.discoverReplicas ? nullptr : &m_claims,
         .metrics = &m_metrics,
         .codec = m_options.targetCodec,
-        .onTargetLost = [this](const std::string& aTarget) { m_target.MarkLost(aTarget); },
+        .onTargetLost =
+          [this](const std::string& aTarget) { m_target.MarkLost(aTarget, SteadyClock::now()); },
         .onTargetLeaving =
           [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
         .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { m_crashReporter.Report(aCrash); },
--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -2,10 +2,15 @@
 
 #include "common/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosarun {
 
+/** An incarnation that hasn't reported for its lease divided by this gives way to a later one. */
+static constexpr int kSilenceDivisor = 2;
+/** Other writers may name identifiers of which none is this target's. */
+static constexpr size_t kMaximumEndedIncarnations = 16;
 /** Reports of an ended incarnation arrive within this time. */
 static constexpr std::chrono::milliseconds kDelayedReportLimit{ 60000 };
 
@@ -23,42 +28,126 @@
 bool
 TargetWatch::HasEnded(const TargetReport& aReport, Deadline aNow) const
 {
-  const EndedIncarnation& ended = m_endedIncarnation;
-  if (aReport.state.name != ended.name) {
-    return false;
-  }
-  const bool isAssumed = ended.startedAtMillis == 0 && aNow < ended.assumedUntil;
-  return aReport.startedAtMillis <= (isAssumed ? ended.endedAtMillis : ended.startedAtMillis);
+  return std::ranges::any_of(m_endedIncarnations, [&](const EndedIncarnation& aEnded) {
+    const bool isAssumed = aEnded.startedAtMillis == 0 && aNow < aEnded.assumedUntil;
+    return aReport.state.name == aEnded.name &&
+           aReport.startedAtMillis <= (isAssumed ? aEnded.endedAtMillis : aEnded.startedAtMillis);
+  });
 }
 
 bool
-TargetWatch::IsOutdated(const TargetReport& aReport, Deadline aNow) const
+TargetWatch::HasEnded(const std::string& aName) const
 {
-  if (HasEnded(aReport, aNow)) {
+  return std::ranges::any_of(m_endedIncarnations,
+                             [&](const EndedIncarnation& aEnded) { return aEnded.name == aName; });
+}
+
+bool
+TargetWatch::IsCurrent(const TargetReport& aReport) const
+{
+  return aReport.state.name == m_latestReport.state.name &&
+         aReport.startedAtMillis == m_latestReport.startedAtMillis;
+}
+
+TargetWatch::Claim
+TargetWatch::MakeClaim(const TargetReport& aReport, Deadline aNow) const
+{
+  const bool isRepeated = m_claim && m_claim->report.state.name == aReport.state.name &&
+                          m_claim->report.startedAtMillis == aReport.startedAtMillis &&
+                          m_claim->report.sequence < aReport.sequence;
+  return { .report = aReport, .isRepeated = isRepeated, .expiresAt = aNow + m_options.lease };
+}
+
+bool
+TargetWatch::MayReplace(const Claim& aClaim, Deadline aNow) const
+{
+  const TargetState& current = m_latestReport.state;
+  const TargetReport& report = aClaim.report;
+  if (report.state.name == current.name && m_latestReport.startedAtMillis == 0) {
+    // The target is known from a health check, which doesn't tell its start.
     return true;
   }
-  if (aReport.startedAtMillis != m_latestReport.startedAtMillis) {
-    return aReport.startedAtMillis < m_latestReport.startedAtMillis;
+  if (report.startedAtMillis < m_latestReport.startedAtMillis) {
+    return current.phase == wire::TargetPhase::Absent && aClaim.isRepeated;
   }
-  const bool sameLife = aReport.state.name == m_latestReport.state.name;
-  return sameLife && aReport.sequence > 0 && aReport.sequence <= m_latestReport.sequence;
+  const bool isInUse =
+    current.phase == wire::TargetPhase::Ready || current.phase == wire::TargetPhase::Starting;
+  return !isInUse || aNow >= m_silentFrom;
 }
 
-bool
+void
+TargetWatch::AcceptLocked(const TargetReport& aReport, Deadline aNow)
+{
+  m_leaseExpiresAt = aNow + m_options.lease;
+  m_silentFrom = aNow + m_options.lease / kSilenceDivisor;
+  m_latestReport.startedAtMillis = aReport.startedAtMillis;
+  m_latestReport.sequence = aReport.sequence;
+}
+
+ReportResult
+TargetWatch::ApplyLocked(const TargetReport& aReport, Deadline aNow)
+{
+  if (HasEnded(aReport, aNow)) {
+    return ReportResult::Outdated;
+  }
+  if (!IsCurrent(aReport)) {
+    return ApplyClaimLocked(aReport, aNow);
+  }
+  const bool isOld = aReport.sequence > 0 && aReport.sequence <= m_latestReport.sequence;
+  const std::string& service = m_latestReport.state.service;
+  // An incarnation has one service, so a report with another is of another writer.
+  if (isOld || (!service.empty() && service != aReport.state.service)) {
+    return ReportResult::Outdated;
+  }
+  AcceptLocked(aReport, aNow);
+  return ReportResult::Applied;
+}
+
+ReportResult
+TargetWatch::ApplyClaimLocked(const TargetReport& aReport, Deadline aNow)
+{
+  const Claim claim = MakeClaim(aReport, aNow);
+  if (!MayReplace(claim, aNow)) {
+    m_claim = claim;
+    return ReportResult::Pending;
+  }
+  m_claim.reset();
+  AcceptLocked(aReport, aNow);
+  return ReportResult::Applied;
+}
+
+ReportResult
 TargetWatch::ApplyReport(const TargetReport& aReport, Deadline aNow)
 {
   const std::lock_guard changeLock(m_changeMutex);
   {
     const std::lock_guard lock(m_mutex);
-    if (IsOutdated(aReport, aNow)) {
-      return false;
+    const ReportResult result = ApplyLocked(aReport, aNow);
+    if (result != ReportResult::Applied) {
+      return result;
     }
-    m_leaseExpiresAt = aNow + m_options.lease;
-    m_latestReport.startedAtMillis = aReport.startedAtMillis;
-    m_latestReport.sequence = aReport.sequence;
   }
   SetState(aReport.state);
-  return true;
+  return ReportResult::Applied;
+}
+
+void
+TargetWatch::Confirm(const std::string& aName, Deadline aNow)
+{
+  const std::lock_guard changeLock(m_changeMutex);
+  TargetReport report;
+  {
+    const std::lock_guard lock(m_mutex);
+    // A name doesn't tell two incarnations with the same identifier from each other.
+    const bool isClaimed = m_claim && m_claim->report.state.name == aName && aNow < m_claim->expiresAt &&
+                           aName != m_latestReport.state.name;
+    if (!isClaimed || HasEnded(m_claim->report, aNow)) {
+      return;
+    }
+    report = std::exchange(m_claim, std::nullopt)->report;
+    AcceptLocked(report, aNow);
+  }
+  SetState(report.state);
 }
 
 void
@@ -74,10 +163,13 @@
     if (isCurrent && startedAtMillis < m_latestReport.startedAtMillis) {
       return;
     }
-    m_endedIncarnation = { .name = aName,
-                           .startedAtMillis = startedAtMillis,
-                           .endedAtMillis = WallMillis(),
-                           .assumedUntil = aNow + kDelayedReportLimit };
+    m_endedIncarnations.push_front({ .name = aName,
+                                     .startedAtMillis = startedAtMillis,
+                                     .endedAtMillis = WallMillis(),
+                                     .assumedUntil = aNow + kDelayedReportLimit });
+    if (m_endedIncarnations.size() > kMaximumEndedIncarnations) {
+      m_endedIncarnations.pop_back();
+    }
     if (!isCurrent) {
       return;
     }
@@ -94,16 +186,17 @@
   const std::lock_guard changeLock(m_changeMutex);
   {
     const std::lock_guard lock(m_mutex);
-    if (m_latestReport.state.phase != wire::TargetPhase::Absent || aState.name == m_endedIncarnation.name) {
+    if (m_latestReport.state.phase != wire::TargetPhase::Absent || HasEnded(aState.name)) {
       return;
     }
     m_leaseExpiresAt = aNow + m_options.lease;
+    m_silentFrom = aNow + m_options.lease / kSilenceDivisor;
   }
   SetState(aState);
 }
 
 void
-TargetWatch::MarkLost(const std::string& aName)
+TargetWatch::MarkLost(const std::string& aName, Deadline aNow)
 {
   const std::lock_guard changeLock(m_changeMutex);
   TargetState state = State();
@@ -112,6 +205,17 @@
   }
   state.phase = wire::TargetPhase::Absent;
   SetState(state);
+  {
+    const std::lock_guard lock(m_mutex);
+    const bool isUsable = m_claim && aNow < m_claim->expiresAt && !HasEnded(m_claim->report, aNow);
+    if (!isUsable || !MayReplace(*m_claim, aNow)) {
+      return;
+    }
+    const TargetReport report = std::exchange(m_claim, std::nullopt)->report;
+    AcceptLocked(report, aNow);
+    state = report.state;
+  }
+  SetState(state);
 }
 
 void
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -6,8 +6,10 @@
 #include "wire/gen-cpp/mesh_types.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace mimosarun {
@@ -42,9 +44,21 @@
   int64_t sequence = 0;
 };
 
+/** What became of a report. */
+enum class ReportResult
+{
+  Applied,
+  /** It is of an incarnation that has ended, or older than one that was applied. */
+  Outdated,
+  /** It claims the address of an incarnation that reports itself; it may be applied later. */
+  Pending,
+};
+
 /**
- * Keeps the latest report of the target. Reports of former incarnations and reports that arrive out of order
- * are ignored, and a target that doesn't report within its lease becomes absent. Thread-safe.
+ * Keeps the latest report of the target. Reports that arrive out of order are ignored, and a target that
+ * doesn't report within its lease becomes absent. Several writers may report for one address: no report
+ * displaces an incarnation that goes on reporting, until that is silent or the target says who it is.
+ * Thread-safe.
  */
 class TargetWatch
 {
@@ -60,8 +74,12 @@
 
   explicit TargetWatch(Options aOptions);
 
-  /** Applies a report; returns false if it is outdated. */
-  bool ApplyReport(const TargetReport& aReport, Deadline aNow);
+  /** Applies a report, or keeps it as a claim of another incarnation. */
+  ReportResult ApplyReport(const TargetReport& aReport, Deadline aNow);
+
+  /** Applies the claim of an incarnation that the target has named as its own in a response, if there is one.
+   */
+  void Confirm(const std::string& aName, Deadline aNow);
 
   /**
    * Ends an incarnation permanently: it gets no further calls, whatever it reports later.
@@ -73,8 +91,11 @@
   /** Sets the state that the target's own response showed, if the target is absent and hasn't ended. */
   void Observe(const TargetState& aState, Deadline aNow);
 
-  /** Makes a target absent whose incarnation turned out to have ended; later reports are still applied. */
-  void MarkLost(const std::string& aName);
+  /**
+   * Makes a target absent whose incarnation turned out to have ended, or replaces it by the one that has
+   * claimed its address; later reports are still applied.
+   */
+  void MarkLost(const std::string& aName, Deadline aNow);
 
   /** Makes the target absent if its lease has expired. */
   void CheckLease(Deadline aNow);
@@ -97,8 +118,25 @@
     Deadline assumedUntil{};
   };
 
-  bool IsOutdated(const TargetReport& aReport, Deadline aNow) const;
+  /** The last report that claims the address of another incarnation. */
+  struct Claim
+  {
+    TargetReport report;
+    /** Whether its incarnation has reported before, so that it isn't a single late report. */
+    bool isRepeated = false;
+    Deadline expiresAt{};
+  };
+
+  bool IsCurrent(const TargetReport& aReport) const;
+  /** Returns what another incarnation claims by a report, which may follow an earlier claim. */
+  Claim MakeClaim(const TargetReport& aReport, Deadline aNow) const;
+  /** Returns whether the incarnation of a claim may take the place of the current one. */
+  bool MayReplace(const Claim& aClaim, Deadline aNow) const;
   bool HasEnded(const TargetReport& aReport, Deadline aNow) const;
+  bool HasEnded(const std::string& aName) const;
+  ReportResult ApplyLocked(const TargetReport& aReport, Deadline aNow);
+  ReportResult ApplyClaimLocked(const TargetReport& aReport, Deadline aNow);
+  void AcceptLocked(const TargetReport& aReport, Deadline aNow);
   void SetState(const TargetState& aState);
 
   Options m_options;
@@ -106,8 +144,12 @@
   std::mutex m_changeMutex;
   mutable std::mutex m_mutex;
   TargetReport m_latestReport;
-  EndedIncarnation m_endedIncarnation;
+  /** The most recent first. */
+  std::deque<EndedIncarnation> m_endedIncarnations;
+  std::optional<Claim> m_claim;
   Deadline m_leaseExpiresAt{};
+  /** When the current incarnation counts as silent, before its lease expires. */
+  Deadline m_silentFrom{};
   TargetIntent m_intent = TargetIntent::Serving;
 };
 
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -47,6 +47,9 @@
   /** Sends a heartbeat with a state and returns the status of the response. */
   int SendHeartbeat(const std::string& aState);
 
+  /** Returns the address of the node that receives the heartbeats. */
+  const Address& HeartbeatAddress() const { return m_options.heartbeatAddress; }
+
   /** Sets whether all requests are rejected with status 503 and Not-Executed. */
   void SetShedding(bool aShedding) { m_shedding = aShedding; }
 
