A target of another service is believed once the former one is gone

A report with another service is ignored only while the current target is in use. The new check in targetwatchtest failed without this (Applies(other, ...) was false).

--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -49,6 +49,13 @@
          aReport.startedAtMillis == m_latestReport.startedAtMillis;
 }
 
+bool
+TargetWatch::IsInUse() const
+{
+  const wire::TargetPhase::type phase = m_latestReport.state.phase;
+  return phase == wire::TargetPhase::Ready || phase == wire::TargetPhase::Starting;
+}
+
 TargetWatch::Claim
 TargetWatch::MakeClaim(const TargetReport& aReport, Deadline aNow) const
 {
@@ -70,9 +77,7 @@
   if (report.startedAtMillis < m_latestReport.startedAtMillis) {
     return current.phase == wire::TargetPhase::Absent && aClaim.isRepeated;
   }
-  const bool isInUse =
-    current.phase == wire::TargetPhase::Ready || current.phase == wire::TargetPhase::Starting;
-  return !isInUse || aNow >= m_silentFrom;
+  return !IsInUse() || aNow >= m_silentFrom;
 }
 
 void
@@ -94,9 +99,9 @@
     return ApplyClaimLocked(aReport, aNow);
   }
   const bool isOld = aReport.sequence > 0 && aReport.sequence <= m_latestReport.sequence;
-  const std::string& service = m_latestReport.state.service;
   // An incarnation has one service, so a report with another is of another writer.
-  if (isOld || (!service.empty() && service != aReport.state.service)) {
+  const bool isOfOther = IsInUse() && m_latestReport.state.service != aReport.state.service;
+  if (isOld || isOfOther) {
     return ReportResult::Outdated;
   }
   AcceptLocked(aReport, aNow);
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -128,6 +128,7 @@
   };
 
   bool IsCurrent(const TargetReport& aReport) const;
+  bool IsInUse() const;
   /** Returns what another incarnation claims by a report, which may follow an earlier claim. */
   Claim MakeClaim(const TargetReport& aReport, Deadline aNow) const;
   /** Returns whether the incarnation of a claim may take the place of the current one. */
--- a/tests/target/targetwatchtest.cpp
+++ b/tests/target/targetwatchtest.cpp
@@ -144,6 +144,9 @@
   other.state.service = "t";
   BOOST_TEST(!Applies(other, kNow));
   BOOST_TEST(watch.State().service == "s");
+  // Where targets don't report their start, another one may have the same name.
+  watch.CheckLease(kNow + 3 * kSilenceTime);
+  BOOST_TEST(Applies(other, kNow + 3 * kSilenceTime));
 }
 
 BOOST_FIXTURE_TEST_CASE(an_incarnation_that_has_ended_stays_ended, Fixture)
