A target that is ready again after a drain counts its crashes again

Since the gate tells planned ends from crashes, a target that had once said that it leaves kept that mark when it reported itself ready again, so that no request was counted for its crashes. The mark is now taken back. abandonedcallstest, the_end_of_a_target_that_is_ready_again_is_a_crash, failed without this: no report.

--- a/src/target/crashwatch.cpp
+++ b/src/target/crashwatch.cpp
@@ -51,10 +51,14 @@
 }
 
 void
-CrashWatch::RecordLeaving(const std::string& aTarget)
+CrashWatch::SetLeaving(const std::string& aTarget, bool aIsLeaving)
 {
   const std::lock_guard lock(m_mutex);
-  m_leavingTarget = aTarget;
+  if (aIsLeaving) {
+    m_leavingTarget = aTarget;
+  } else if (m_leavingTarget == aTarget) {
+    m_leavingTarget.clear();
+  }
 }
 
 void
--- a/src/target/crashwatch.h
+++ b/src/target/crashwatch.h
@@ -44,8 +44,8 @@
   /** Notes that a target has responded, so its process runs. */
   void RecordResponse(const std::string& aTarget);
 
-  /** Notes that a target is leaving, so that the end of its process is no crash. */
-  void RecordLeaving(const std::string& aTarget);
+  /** Sets whether a target is leaving, so that the end of its process is no crash. */
+  void SetLeaving(const std::string& aTarget, bool aIsLeaving);
 
 private:
   /** A crash that was reported, since some of its calls may break a little later than the others. */
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -77,12 +77,13 @@
     m_admission.SetSlots(aState.slots);
     m_connectBackoffUntil = {};
   }
+  // An absent target may have left before its lease expired.
+  if (aState.phase != wire::TargetPhase::Absent) {
+    m_crashWatch.SetLeaving(aState.name, aState.phase == wire::TargetPhase::Draining);
+  }
   if (aState.phase == wire::TargetPhase::Ready) {
     ProcessQueue();
   } else {
-    if (aState.phase == wire::TargetPhase::Draining) {
-      m_crashWatch.RecordLeaving(aState.name);
-    }
     RejectAllWaiting("the target stopped taking calls");
   }
 }
--- a/tests/target/abandonedcallstest.cpp
+++ b/tests/target/abandonedcallstest.cpp
@@ -120,6 +120,18 @@
   BOOST_TEST(!IsReported(deployment.gate, "/orders/1"));
 }
 
+// Guards against: the crashes of a target don't count any more, since it once said that it would leave.
+BOOST_AUTO_TEST_CASE(the_end_of_a_target_that_is_ready_again_is_a_crash)
+{
+  Deployment deployment;
+  deployment.gate.SetReady(false);
+  deployment.gate.SetReady(true);
+  const SentCopy running(deployment.gate, SentCopy::Options{});
+  BOOST_REQUIRE(deployment.target.TakeRequest() >= 0);
+  deployment.target.Crash();
+  BOOST_TEST(IsReported(deployment.gate, "/orders/1"));
+}
+
 // Guards against: callers that leave take all of a gate's memory and connections.
 BOOST_AUTO_TEST_CASE(a_gate_watches_a_bounded_number_of_abandoned_calls)
 {
