--- a/review/lib-3/deployment.cpp
+++ b/review/lib-3/deployment.cpp
@@ -159,17 +159,25 @@
 Deployment::StartInstance(size_t aNode, int64_t aFirstSequence)
 {
   const size_t machine = kReplicas + aNode;
-  m_instances[aNode] = std::make_unique<Instance>(
-    Instance::Options{ .id = "i-" + m_plan.services[aNode] + "-" + std::to_string(aNode),
-                       .service = m_plan.services[aNode],
-                       .zone = machine % 2 == 0 ? "north" : "south",
-                       .address = At(machine, kInstance),
-                       .pings = At(machine, kControl),
-                       .capacity = m_plan.capacity,
-                       .queue = 4 * m_plan.capacity,
-                       .work = m_plan.work,
-                       .heartbeat = m_plan.heartbeat,
-                       .firstSequence = aFirstSequence });
+  m_instances[aNode] = std::make_unique<Instance>(Instance::Options{
+    .id = "i-" + m_plan.services[aNode] + "-" + std::to_string(aNode) + "-" + std::to_string(++m_starts),
+    .service = m_plan.services[aNode],
+    .zone = machine % 2 == 0 ? "north" : "south",
+    .address = At(machine, kInstance),
+    .pings = At(machine, kControl),
+    .capacity = m_plan.capacity,
+    .queue = 4 * m_plan.capacity,
+    .work = m_plan.work,
+    .heartbeat = m_plan.heartbeat,
+    .firstSequence = aFirstSequence });
+}
+
+void
+Deployment::CrashInstance(size_t aNode)
+{
+  m_instances[aNode]->Crash();
+  m_record.Write("the instance beside node-" + std::to_string(aNode) + " crashes");
+  m_instances[aNode].reset();
 }
 
 void
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -63,6 +63,8 @@
 
   /** Starts the instance beside a node; it sends no pings yet. */
   void StartInstance(size_t aNode, int64_t aFirstSequence = 1);
+  /** Ends the instance beside a node like a process that crashes. */
+  void CrashInstance(size_t aNode);
   void StartReplica(size_t aReplica);
   void StartNode(size_t aNode);
   void KillReplica(size_t aReplica);
@@ -94,6 +96,8 @@
   std::string m_network;
   int m_firstPort = 0;
   bool m_isFirstStart = true;
+  /** Starts of instances; each has an identifier of its own. */
+  int m_starts = 0;
   std::vector<pid_t> m_replicas;
   std::vector<pid_t> m_nodes;
   std::vector<std::unique_ptr<Instance>> m_instances;
--- a/review/lib-3/instance.cpp
+++ b/review/lib-3/instance.cpp
@@ -26,14 +26,30 @@
 Instance::~Instance()
 {
   m_stop = true;
-  m_acceptor.join();
+  if (m_acceptor.joinable()) {
+    m_acceptor.join();
+  }
   if (m_pinger.joinable()) {
     m_pinger.join();
   }
   while (m_connections > 0) {
     std::this_thread::sleep_for(kPollTime);
   }
+  if (m_listener >= 0) {
+    ::close(m_listener);
+  }
+}
+
+void
+Instance::Crash()
+{
+  m_pings = false;
+  m_isClosed = true;
+  m_acceptor.join();
   ::close(m_listener);
+  m_listener = -1;
+  m_hasCrashed = true;
+  m_stop = true;
 }
 
 // --- pings -----------------------------------------------------------------------------------------------
@@ -113,7 +129,7 @@
 void
 Instance::Accept()
 {
-  while (!m_stop) {
+  while (!m_stop && !m_isClosed) {
     pollfd descriptor{ .fd = m_listener, .events = POLLIN, .revents = 0 };
     if (::poll(&descriptor, 1, 20) <= 0) {
       continue;
@@ -228,7 +244,7 @@
     const std::lock_guard lock(m_mutex);
     --m_running;
   }
-  if (!isDropped) {
+  if (!isDropped && !m_hasCrashed) {
     answer("200 OK", idLine + "Response-Signature: signed-" + id + "\r\n", "run by " + m_options.id);
   }
 }
--- a/review/lib-3/instance.h
+++ b/review/lib-3/instance.h
@@ -51,6 +51,11 @@
 
   const Options& Described() const { return m_options; }
 
+  /**
+   * Ends like a process that crashes: its connections and its listening socket close, nothing is answered.
+   */
+  void Crash();
+
   /** Begins to send pings. */
   void StartPings();
   /** Stops sending pings by itself. */
@@ -78,10 +83,12 @@
   bool TakeSlot();
 
   const Options m_options;
-  const int m_listener;
+  int m_listener;
   const int64_t m_born;
   std::atomic<int64_t> m_sequence;
   std::atomic<bool> m_stop{ false };
+  std::atomic<bool> m_isClosed{ false };
+  std::atomic<bool> m_hasCrashed{ false };
   std::atomic<bool> m_leaving{ false };
   std::atomic<Millis> m_work;
   std::atomic<bool> m_pings{ false };
