--- a/review/lib-3/deployment.cpp
+++ b/review/lib-3/deployment.cpp
@@ -113,7 +113,7 @@
 Deployment::CommonSettings(size_t aMachine) const
 {
   std::string seeds;
-  for (size_t i = 0; i < kReplicas; ++i) {
+  for (size_t i = 0; i < kReplicas && m_areReplicasListed; ++i) {
     seeds += (i == 0 ? "\"" : ",\"") + At(i, kControl).Text() + "\"";
   }
   const std::string zone = aMachine % 2 == 0 ? "north" : "south";
@@ -195,21 +195,37 @@
       ",\"dataDir\":\"" + folder + "\"," + CommonSettings(aReplica) + "}");
 }
 
+std::string
+Deployment::NodeSettings(size_t aNode) const
+{
+  const size_t machine = kReplicas + aNode;
+  return "{\"nodeId\":\"sidecar-" + std::to_string(aNode) +
+         "\",\"role\":\"node\",\"machineClass\":\"sidecar\",\"serves\":[\"sidecar\"],\"faultCounted\":false,"
+         "\"limits\":{\"cpuShare\":0.2,\"cores\":1,\"memoryMb\":" +
+         std::to_string(m_plan.nodeMemoryMb) +
+         ",\"maxFds\":4100},\"bootstrap\":" + (m_isFirstStart ? "true" : "false") +
+         ",\"dataDir\":null,\"listenAddrs\":{\"inbound\":\"" + At(machine, kInbound).Text() +
+         "\",\"outbound\":\"" + At(machine, kOutbound).Text() + "\",\"ready\":\"" +
+         At(machine, kReady).Text() + "\",\"control\":\"" + At(machine, kControl).Text() +
+         "\"},\"appAddr\":\"" + At(machine, kInstance).Text() + "\",\"service\":\"" + m_plan.services[aNode] +
+         "\"," + CommonSettings(machine) + "}";
+}
+
 void
 Deployment::StartNode(size_t aNode)
 {
-  const size_t machine = kReplicas + aNode;
-  m_nodes[aNode] = StartProcess(
-    "node-" + std::to_string(aNode),
-    "{\"nodeId\":\"sidecar-" + std::to_string(aNode) +
-      "\",\"role\":\"node\",\"machineClass\":\"sidecar\",\"serves\":[\"sidecar\"],\"faultCounted\":false,"
-      "\"limits\":{\"cpuShare\":0.2,\"cores\":1,\"memoryMb\":" +
-      std::to_string(m_plan.nodeMemoryMb) + ",\"maxFds\":4100},\"bootstrap\":" +
-      (m_isFirstStart ? "true" : "false") + ",\"dataDir\":null,\"listenAddrs\":{\"inbound\":\"" +
-      At(machine, kInbound).Text() + "\",\"outbound\":\"" + At(machine, kOutbound).Text() +
-      "\",\"ready\":\"" + At(machine, kReady).Text() + "\",\"control\":\"" + At(machine, kControl).Text() +
-      "\"},\"appAddr\":\"" + At(machine, kInstance).Text() + "\",\"service\":\"" + m_plan.services[aNode] +
-      "\"," + CommonSettings(machine) + "}");
+  m_nodes[aNode] = StartProcess("node-" + std::to_string(aNode), NodeSettings(aNode));
+}
+
+void
+Deployment::ChangeSettings(size_t aNode, bool aIsSignalled)
+{
+  std::ofstream(m_folder + "/node-" + std::to_string(aNode) + ".json") << NodeSettings(aNode);
+  m_record.Write("platform: writes the settings of node-" + std::to_string(aNode) + " with " +
+                 (m_areReplicasListed ? std::to_string(kReplicas) : std::string("no")) + " seeds");
+  if (aIsSignalled && IsNodeRunning(aNode)) {
+    SignalNode(aNode, SIGHUP);
+  }
 }
 
 void
--- a/review/lib-3/deployment.h
+++ b/review/lib-3/deployment.h
@@ -67,6 +67,10 @@
   void CrashInstance(size_t aNode);
   void StartReplica(size_t aReplica);
   void StartNode(size_t aNode);
+  /** Sets whether later settings name the control replicas as seeds, as the operator's list shows them. */
+  void SetReplicasListed(bool aAreListed) { m_areReplicasListed = aAreListed; }
+  /** Writes a running node's settings again, and tells it by SIGHUP or leaves it to notice. */
+  void ChangeSettings(size_t aNode, bool aIsSignalled);
   void KillReplica(size_t aReplica);
   /** Sends SIGKILL to a node and waits for its end. */
   void KillNode(size_t aNode);
@@ -87,6 +91,7 @@
 private:
   Endpoint At(size_t aMachine, int aPort) const;
   std::string CommonSettings(size_t aMachine) const;
+  std::string NodeSettings(size_t aNode) const;
   pid_t StartProcess(const std::string& aName, const std::string& aSettings);
   void End(pid_t& aProcess);
 
@@ -96,6 +101,7 @@
   std::string m_network;
   int m_firstPort = 0;
   bool m_isFirstStart = true;
+  bool m_areReplicasListed = true;
   /** Starts of instances; each has an identifier of its own. */
   int m_starts = 0;
   std::vector<pid_t> m_replicas;
--- a/review/lib-3/instance.cpp
+++ b/review/lib-3/instance.cpp
@@ -43,12 +43,13 @@
 void
 Instance::Crash()
 {
+  // Nothing is answered from now on; the listening socket closes before the connections do.
+  m_hasCrashed = true;
   m_pings = false;
   m_isClosed = true;
   m_acceptor.join();
   ::close(m_listener);
   m_listener = -1;
-  m_hasCrashed = true;
   m_stop = true;
 }
 
@@ -126,6 +127,13 @@
   return m_arrivals;
 }
 
+size_t
+Instance::RunningOf(const std::string& aPath) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_runningPaths.count(aPath);
+}
+
 void
 Instance::Accept()
 {
@@ -228,6 +236,9 @@
     const std::lock_guard lock(m_mutex);
     --m_waiting;
     m_arrivals[position].hasRun = hasSlot;
+    if (hasSlot) {
+      m_runningPaths.insert(aRequest.Word(1));
+    }
   }
   if (!hasSlot) {
     answer("503 Late", idLine + "Not-Executed: 1\r\n", "");
@@ -243,6 +254,7 @@
   {
     const std::lock_guard lock(m_mutex);
     --m_running;
+    m_runningPaths.extract(aRequest.Word(1));
   }
   if (!isDropped && !m_hasCrashed) {
     answer("200 OK", idLine + "Response-Signature: signed-" + id + "\r\n", "run by " + m_options.id);
--- a/review/lib-3/instance.h
+++ b/review/lib-3/instance.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -76,6 +77,9 @@
 
   std::vector<Arrival> Arrivals() const;
 
+  /** Returns how many requests with a path run now. */
+  size_t RunningOf(const std::string& aPath) const;
+
 private:
   void Accept();
   void Serve(int aDescriptor);
@@ -95,6 +99,7 @@
   mutable std::mutex m_mutex;
   std::string m_header;
   std::vector<Arrival> m_arrivals;
+  std::multiset<std::string> m_runningPaths;
   int m_running = 0;
   int m_waiting = 0;
   std::atomic<int> m_connections{ 0 };
