Nodes go on without control replicas in their settings

Cause: the link to control replaced the replicas that it knew by the seeds when none answered, also by an empty list, and then indexed the list and divided by its size. The constructor did so at a start. The reader of the settings is innocent: ten other unusable settings end nothing, and a node ended only when it turned to its seeds, or at once at a start.

ReplicaRotation now holds the list, alone indexes it, and never replaces what is known by nothing. A node without an answering replica asks another node for those that answer that one. On related paths, GroupClient::Submit divided by the number of the settings' replicas, and a control replica forgot its former seeds for an empty list.

--- a/interface/mesh.thrift
+++ b/interface/mesh.thrift
@@ -514,4 +514,6 @@
   bool probe(1: string name, 2: string address),
   // Change from a held version to this node's own.
   ConfigurationUpdate fetch(1: i64 heldVersion),
+  // The control replicas that this node knows; none if they don't answer it.
+  list<Replica> controlReplicas(),
 }
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -76,6 +76,10 @@
 void
 Controller::SetSeeds(std::vector<ReplicaSettings> aSeeds)
 {
+  if (aSeeds.empty()) {
+    // It names nothing better than the replicas that were reached before.
+    return;
+  }
   const std::lock_guard lock(m_peersMutex);
   m_seeds = std::move(aSeeds);
 }
--- a/src/control/groupclient.cpp
+++ b/src/control/groupclient.cpp
@@ -101,6 +101,10 @@
                     Deadline aDeadline,
                     ProbePolicy aProbe)
 {
+  if (m_peers.empty()) {
+    return MakeFailedResult(wire::ResultCode::Unavailable,
+                            "not run: the settings name no control replica; correct them");
+  }
   const Deadline leaderlessDeadline = std::min(aDeadline, SteadyClock::now() + kLeaderlessRetryLimit);
   bool mayHaveRun = false;
   size_t peer = FirstPeer(aGroup);
--- a/src/node/controllink.cpp
+++ b/src/node/controllink.cpp
@@ -21,8 +21,9 @@
 static constexpr std::chrono::milliseconds kReplyAllowance{ 700 };
 static constexpr std::chrono::milliseconds kIntroductionTimeout{ 250 };
 static constexpr std::chrono::milliseconds kMaximumBackoff{ 400 };
-/** Time between attempts to return to the preferred replica. */
-static constexpr std::chrono::seconds kPreferredReplicaInterval{ 10 };
+/** Time between questions to other nodes while no replica answers. */
+static constexpr std::chrono::milliseconds kPeerQuestionInterval{ 1000 };
+static constexpr std::chrono::milliseconds kPeerQuestionTimeout{ 250 };
 static constexpr std::chrono::seconds kMemberExchangeInterval{ 10 };
 /** Largest numbers of members and of names of outdated members in one report. */
 static constexpr size_t kSampleLimit = 12;
@@ -33,6 +34,7 @@
 ControlLink::ControlLink(const ProcessSettings& aSettings,
                          ConfigurationHolder& aHolder,
                          MemberTable& aTable,
+                         PeerConnections& aPeers,
                          ConfigurationFetcher& aFetcher,
                          Quarantine& aQuarantine,
                          CredentialLease& aLease,
@@ -44,76 +46,12 @@
   , m_quarantine(aQuarantine)
   , m_lease(aLease)
   , m_rollouts(aRollouts)
+  , m_peers(aPeers)
+  , m_replicas({ .region = m_settings.region,
+                 .failureDomain = m_settings.failureDomain,
+                 .isDiscovering = m_settings.discoverReplicas },
+               m_settings.replicas)
 {
-  m_seeds = m_settings.replicas;
-  SetReplicas(m_seeds);
-}
-
-void
-ControlLink::SetSeeds(std::vector<ReplicaSettings> aSeeds)
-{
-  const std::lock_guard lock(m_mutex);
-  m_seeds = std::move(aSeeds);
-}
-
-std::vector<ReplicaSettings>
-ControlLink::Replicas() const
-{
-  const std::lock_guard lock(m_mutex);
-  return m_replicas;
-}
-
-void
-ControlLink::SetReplicas(std::vector<ReplicaSettings> aReplicas)
-{
-  std::shuffle(aReplicas.begin(), aReplicas.end(), RandomEngine());
-  std::stable_sort(aReplicas.begin(), aReplicas.end(), [this](const auto& aLeft, const auto& aRight) {
-    return DistanceTo(aLeft) < DistanceTo(aRight);
-  });
-  {
-    const std::lock_guard lock(m_mutex);
-    m_replicas = std::move(aReplicas);
-  }
-  m_clients.clear();
-  m_currentReplica = 0;
-  for (const ReplicaSettings& replica : m_replicas) {
-    m_clients.push_back(std::make_unique<Client>(replica.address));
-  }
-}
-
-int
-ControlLink::DistanceTo(const ReplicaSettings& aReplica) const
-{
-  if (aReplica.failureDomain == m_settings.failureDomain) {
-    return 0;
-  }
-  return aReplica.region == m_settings.region ? 1 : 2;
-}
-
-void
-ControlLink::UpdateReplicas(const std::vector<wire::Replica>& aReplicas)
-{
-  if (!m_settings.discoverReplicas || aReplicas.empty()) {
-    return;
-  }
-  std::vector<ReplicaSettings> replicas;
-  for (const wire::Replica& replica : aReplicas) {
-    if (const Result<Address> address = ParseAddress(replica.address)) {
-      replicas.push_back({ .name = replica.name,
-                           .region = replica.region,
-                           .failureDomain = replica.failureDomain,
-                           .address = address.value() });
-    }
-  }
-  std::vector<ReplicaSettings> current = m_replicas;
-  for (std::vector<ReplicaSettings>* list : { &replicas, &current }) {
-    std::sort(list->begin(), list->end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.name < aRight.name;
-    });
-  }
-  if (!replicas.empty() && replicas != current) {
-    SetReplicas(std::move(replicas));
-  }
 }
 
 ControlLink::~ControlLink()
@@ -159,30 +97,84 @@
 ControlLink::Run()
 {
   Backoff backoff({ .maximumDelay = kMaximumBackoff });
-  bool introduced = false;
-  bool introducedWidely = false;
   bool running = WaitUnlessStopped(std::chrono::milliseconds(RandomBetween(0, kStartJitter.count())));
   while (running) {
-    bool reached = true;
-    if (!introduced) {
-      introduced = IntroduceToCurrentReplica();
-      reached = introduced;
-    } else if (!introducedWidely && m_holder.Current()->version > 0) {
-      introducedWidely = true;
-      IntroduceWidely();
-    } else {
-      UpdateRelayRole();
-      reached = Watch();
-    }
-    if (reached) {
+    if (Step()) {
       backoff.Reset();
       running = WaitUnlessStopped(std::chrono::milliseconds(1));
     } else {
+      AskPeerIfDue();
       running = WaitUnlessStopped(backoff.NextDelay());
     }
   }
 }
 
+bool
+ControlLink::Step()
+{
+  if (!m_replicas.UseSeedsIfEmpty()) {
+    RecordReachability(false);
+    return false;
+  }
+  if (!m_isIntroduced) {
+    m_isIntroduced = IntroduceToCurrentReplica();
+    return m_isIntroduced;
+  }
+  if (!m_isWidelyIntroduced && m_holder.Current()->version > 0) {
+    m_isWidelyIntroduced = true;
+    IntroduceWidely();
+    return true;
+  }
+  UpdateRelayRole();
+  return Watch();
+}
+
+// --- replicas --------------------------------------------------------------------------------------------
+
+std::vector<wire::Replica>
+ControlLink::AnsweringReplicas() const
+{
+  std::vector<wire::Replica> replicas;
+  if (!m_isReachable) {
+    return replicas;
+  }
+  for (const ReplicaSettings& known : m_replicas.Replicas()) {
+    wire::Replica replica;
+    replica.name = known.name;
+    replica.region = known.region;
+    replica.failureDomain = known.failureDomain;
+    replica.address = known.address.Text();
+    replicas.push_back(std::move(replica));
+  }
+  return replicas;
+}
+
+void
+ControlLink::AskPeerIfDue()
+{
+  const Deadline now = SteadyClock::now();
+  const bool isUseful = m_settings.discoverReplicas && !m_isReachable;
+  std::vector<wire::Member> members = m_table.Reachable("");
+  if (!isUseful || now < m_nextPeerQuestion || members.empty()) {
+    return;
+  }
+  m_nextPeerQuestion = now + kPeerQuestionInterval;
+  const auto isNear = [this](const wire::Member& aMember) { return aMember.region == m_settings.region; };
+  if (std::ranges::any_of(members, isNear)) {
+    std::erase_if(members, [&](const wire::Member& aMember) { return !isNear(aMember); });
+  }
+  const auto choice = RandomBetween(0, static_cast<int64_t>(members.size()) - 1);
+  const wire::Member& peer = members[static_cast<size_t>(choice)];
+  const Result<std::shared_ptr<NodeClient>> client = m_peers.ClientFor(peer.name, peer.peerAddress);
+  std::vector<wire::Replica> replicas;
+  const bool isAnswered =
+    client && client.value()->Call(now + kPeerQuestionTimeout,
+                                   [&](wire::NodePeerClient& aClient) { aClient.controlReplicas(replicas); });
+  if (isAnswered) {
+    m_replicas.Adopt(replicas);
+  }
+}
+
 void
 ControlLink::UpdateRelayRole()
 {
@@ -194,29 +186,24 @@
 }
 
 void
-ControlLink::SwitchToNextReplica()
-{
-  m_currentReplica = (m_currentReplica + 1) % m_clients.size();
-  if (m_currentReplica == 0 && m_settings.discoverReplicas && m_consecutiveFailures >= m_clients.size()) {
-    // No known replica answers. The replicas of the settings may know the current ones.
-    std::unique_lock lock(m_mutex);
-    std::vector<ReplicaSettings> seeds = m_seeds;
-    lock.unlock();
-    SetReplicas(std::move(seeds));
-  }
-  // The next replica may not know the members of this failure domain yet.
-  m_nextMemberExchange = Deadline{};
-}
-
-void
-ControlLink::RecordReachability(bool aReachable)
+ControlLink::RecordReachability(bool aAnswered)
 {
-  m_consecutiveFailures = aReachable ? 0 : m_consecutiveFailures + 1;
-  m_fetcher.SetControlAnswers(aReachable);
-  const bool reachable = aReachable || m_consecutiveFailures < m_clients.size();
-  if (reachable != m_isReachable) {
-    m_isReachable = reachable;
-    Log(reachable ? Event::ControlReached : Event::ControlUnreachable);
+  if (aAnswered) {
+    m_replicas.RecordAnswer();
+  } else {
+    m_replicas.RecordFailure(SteadyClock::now());
+    // The next replica may not know the members of this failure domain yet.
+    m_nextMemberExchange = Deadline{};
+  }
+  m_fetcher.SetControlAnswers(aAnswered);
+  const bool isReachable = m_replicas.MayReachControl();
+  if (m_isReachable.exchange(isReachable) == isReachable) {
+    return;
+  }
+  if (isReachable) {
+    Log(Event::ControlReached);
+  } else {
+    Log(Event::ControlUnreachable, { { "known-replicas", m_replicas.Replicas().size() } });
   }
 }
 
@@ -224,29 +211,26 @@
 ControlLink::CallCurrentReplica(const wire::WatchRequest& aRequest)
 {
   const Deadline now = SteadyClock::now();
-  if (m_currentReplica != 0 && now >= m_nextPreferredReplicaTry) {
-    m_nextPreferredReplicaTry = now + kPreferredReplicaInterval;
-    m_currentReplica = 0;
+  Client* const replica = m_replicas.Current(now);
+  if (replica == nullptr) {
+    return Fail(ErrorKind::Unreachable, "no control replica is known; name one in the settings");
   }
+  const std::string name = m_replicas.CurrentName();
   wire::WatchReply reply;
   const Deadline deadline = now + std::chrono::milliseconds(aRequest.waitMillis) + kReplyAllowance;
-  const Result<void> called = m_clients[m_currentReplica]->Call(
-    deadline, [&](wire::ControlPeerClient& aClient) { aClient.watch(reply, aRequest); });
+  const Result<void> called =
+    replica->Call(deadline, [&](wire::ControlPeerClient& aClient) { aClient.watch(reply, aRequest); });
   RecordReachability(called.has_value());
   if (!called) {
-    if (m_currentReplica == 0) {
-      m_nextPreferredReplicaTry = now + kPreferredReplicaInterval;
-    }
-    SwitchToNextReplica();
     return boost::outcome_v2::failure(called.error());
   }
-  m_lastReplier = m_replicas[m_currentReplica].name;
+  m_lastReplier = name;
   if (reply.__isset.validity) {
     m_lease.Extend(reply.validity, now, SteadyClock::now());
   }
   ObserveStamp(reply.sentAt);
   m_table.Merge(reply.sample, SteadyClock::now());
-  UpdateReplicas(reply.replicas);
+  m_replicas.Adopt(reply.replicas);
   return reply;
 }
 
@@ -271,20 +255,23 @@
 bool
 ControlLink::IntroduceToCurrentReplica()
 {
-  const Result<wire::WatchReply> first = IntroduceTo(*m_clients[m_currentReplica], true);
+  Client* const replica = m_replicas.Current(SteadyClock::now());
+  if (replica == nullptr) {
+    return false;
+  }
+  const Result<wire::WatchReply> first = IntroduceTo(*replica, true);
   RecordReachability(first.has_value());
   if (!first) {
-    SwitchToNextReplica();
     return false;
   }
-  UpdateReplicas(first.value().replicas);
+  m_replicas.Adopt(first.value().replicas);
   return true;
 }
 
 void
 ControlLink::IntroduceWidely()
 {
-  for (const ReplicaSettings& target : IntroductionTargets(m_replicas, m_settings.failureDomain)) {
+  for (const ReplicaSettings& target : IntroductionTargets(m_replicas.Replicas(), m_settings.failureDomain)) {
     // The connection is used once. The node usually has members from the first replica already.
     Client replica(target.address);
     const bool knowsNoMember = m_table.Reachable("").empty();
@@ -327,7 +314,8 @@
   if (!reply.value().current) {
     // This replica has no contact to a leader. Another one may have it and know newer versions.
     m_fetcher.SetControlAnswers(false);
-    SwitchToNextReplica();
+    m_replicas.TurnToNext();
+    m_nextMemberExchange = Deadline{};
     return false;
   }
   return true;
--- a/src/node/controllink.h
+++ b/src/node/controllink.h
@@ -3,16 +3,15 @@
 #include "node/fetcher.h"
 #include "node/holder.h"
 #include "node/membertable.h"
+#include "node/peers.h"
+#include "node/replicarotation.h"
 #include "node/rolloutlink.h"
 #include "quarantine/quarantine.h"
 #include "settings/processsettings.h"
 #include "team/credentiallease.h"
-#include "wire/gen-cpp/ControlPeer.h"
-#include "wire/rpcclient.h"
 
 #include <atomic>
 #include <condition_variable>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -23,7 +22,7 @@
 /**
  * Connects a node to the control replicas: it introduces itself at the start, then long-polls one of them,
  * preferably in its own failure domain or region, for new configurations. A relay also reports on its failure
- * domain.
+ * domain. A node that knows no replica, or that none answers, asks other nodes for those that answer them.
  */
 class ControlLink
 {
@@ -31,6 +30,7 @@
   ControlLink(const ProcessSettings& aSettings,
               ConfigurationHolder& aHolder,
               MemberTable& aTable,
+              PeerConnections& aPeers,
               ConfigurationFetcher& aFetcher,
               Quarantine& aQuarantine,
               CredentialLease& aLease,
@@ -46,17 +46,24 @@
   void Stop();
 
   /** Sets the replicas that are contacted when none of the known replicas answers. Thread-safe. */
-  void SetSeeds(std::vector<ReplicaSettings> aSeeds);
+  void SetSeeds(std::vector<ReplicaSettings> aSeeds) { m_replicas.SetSeeds(std::move(aSeeds)); }
 
-  /** Returns the known replicas. Thread-safe. */
-  std::vector<ReplicaSettings> Replicas() const;
+  /** Returns the known replicas, of which there may be none. Thread-safe. */
+  std::vector<ReplicaSettings> Replicas() const { return m_replicas.Replicas(); }
+
+  /** Returns the known replicas for another node; none if they don't answer this node either. Thread-safe. */
+  std::vector<wire::Replica> AnsweringReplicas() const;
 
 private:
-  using Client = RpcClient<wire::ControlPeerClient>;
+  using Client = ReplicaRotation::Client;
 
   void Run();
   /** Returns false as soon as Stop() is called, and true once the time has passed. */
   bool WaitUnlessStopped(std::chrono::milliseconds aDuration);
+  /** Makes one exchange with control; returns whether a replica answered. */
+  bool Step();
+  /** Asks another node for the replicas that answer it, if that is due. */
+  void AskPeerIfDue();
   /** Introduces this node to the current replica and gets members from it; returns whether it answered. */
   bool IntroduceToCurrentReplica();
   /** Introduces this node to the replicas from which other starting nodes learn of it. */
@@ -69,12 +76,6 @@
   bool Watch();
   /** Calls the current replica, or the preferred one if its retry is due; switches replicas on failure. */
   Result<wire::WatchReply> CallCurrentReplica(const wire::WatchRequest& aRequest);
-  /** Replaces the replicas and their connections, ordered by distance. */
-  void SetReplicas(std::vector<ReplicaSettings> aReplicas);
-  int DistanceTo(const ReplicaSettings& aReplica) const;
-  /** Adopts the replicas of a reply if they are to be discovered and differ from the known ones. */
-  void UpdateReplicas(const std::vector<wire::Replica>& aReplicas);
-  void SwitchToNextReplica();
   void AddQuarantined(const wire::WatchReply& aReply);
   /** Applies the update of a reply; fetches the full configuration if the update can't be applied. */
   void ApplyReply(const wire::WatchReply& aReply);
@@ -82,7 +83,7 @@
   /** Returns whether members are to be exchanged with control now, and schedules the next exchange if so. */
   bool StartMemberExchangeIfDue(Deadline aNow);
   bool KnowsAllRegions() const;
-  void RecordReachability(bool aReachable);
+  void RecordReachability(bool aAnswered);
 
   const ProcessSettings& m_settings;
   ConfigurationHolder& m_holder;
@@ -91,17 +92,15 @@
   Quarantine& m_quarantine;
   CredentialLease& m_lease;
   RolloutLink& m_rollouts;
-  /** Replicas by preference: the own failure domain first, then the own region, then the others. */
-  std::vector<ReplicaSettings> m_replicas;
-  std::vector<std::unique_ptr<Client>> m_clients;
-  /** Index into m_replicas and m_clients; 0 is the preferred replica. */
-  size_t m_currentReplica = 0;
+  PeerConnections& m_peers;
+  ReplicaRotation m_replicas;
   /** Name of the replica that sent the last reply of a long poll. */
   std::string m_lastReplier;
-  size_t m_consecutiveFailures = 0;
-  bool m_isReachable = true;
+  std::atomic<bool> m_isReachable{ true };
+  bool m_isIntroduced = false;
+  bool m_isWidelyIntroduced = false;
+  Deadline m_nextPeerQuestion{};
   bool m_isRelay = false;
-  Deadline m_nextPreferredReplicaTry{};
   /** Generation of the member table at the last exchange of members with control. */
   uint64_t m_reportedGeneration = 0;
   Deadline m_nextMemberExchange{};
@@ -109,9 +108,8 @@
   wire::QuarantineMark m_quarantineSeen;
   /** Whether the current replica may lack quarantined requests that this node knows. */
   bool m_offersQuarantined = false;
-  /** Guards m_seeds, m_stop, and changes of m_replicas, which only the thread of this object makes. */
-  mutable std::mutex m_mutex;
-  std::vector<ReplicaSettings> m_seeds;
+  /** Guards m_stop. */
+  std::mutex m_mutex;
   std::condition_variable m_wake;
   bool m_stop = false;
   std::thread m_thread;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,7 +50,7 @@
                     .outcomes = &m_outcomes,
                     .openCalls = [this] { return m_gate->OpenCalls(); },
                     .onChange = [this] { RefreshDirectory(); } })
-  , m_control(m_settings, m_holder, m_table, m_fetcher, m_quarantine, m_lease, m_rolloutLink)
+  , m_control(m_settings, m_holder, m_table, m_peers, m_fetcher, m_quarantine, m_lease, m_rolloutLink)
   , m_crashReporter([this] { return m_control.Replicas(); })
   , m_quotas(m_settings.name, [this] { return m_control.Replicas(); })
   , m_groups(m_settings.replicas)
@@ -132,7 +132,7 @@
                   AnnouncementServer::Start(
                     { .address = m_settings.targetAddress, .watch = &m_target, .loops = &m_loops }));
   }
-  MIMOSARUN_TRY(m_server, StartNodeService(m_settings.peerAddress, m_gossiper, m_holder));
+  MIMOSARUN_TRY(m_server, StartNodeService(m_settings.peerAddress, m_gossiper, m_holder, m_control));
   ScheduleLeaseCheck();
   return boost::outcome_v2::success();
 }
--- a/src/node/nodeservice.cpp
+++ b/src/node/nodeservice.cpp
@@ -8,9 +8,10 @@
 class NodeService : public wire::NodePeerIf
 {
 public:
-  NodeService(Gossiper& aGossiper, ConfigurationHolder& aHolder)
+  NodeService(Gossiper& aGossiper, ConfigurationHolder& aHolder, const ControlLink& aControl)
     : m_gossiper(aGossiper)
     , m_holder(aHolder)
+    , m_control(aControl)
   {
   }
 
@@ -29,17 +30,26 @@
     aReturn = m_holder.UpdateFrom(aHeldVersion);
   }
 
+  void controlReplicas(std::vector<wire::Replica>& aReturn) override
+  {
+    aReturn = m_control.AnsweringReplicas();
+  }
+
 private:
   Gossiper& m_gossiper;
   ConfigurationHolder& m_holder;
+  const ControlLink& m_control;
 };
 
 Result<std::unique_ptr<RpcServer>>
-StartNodeService(const Address& aAddress, Gossiper& aGossiper, ConfigurationHolder& aHolder)
+StartNodeService(const Address& aAddress,
+                 Gossiper& aGossiper,
+                 ConfigurationHolder& aHolder,
+                 const ControlLink& aControl)
 {
   return RpcServer::Start({ .address = aAddress,
                             .processor = std::make_shared<wire::NodePeerProcessor>(
-                              std::make_shared<NodeService>(aGossiper, aHolder)) });
+                              std::make_shared<NodeService>(aGossiper, aHolder, aControl)) });
 }
 
 } // namespace mimosarun
--- a/src/wire/gen-cpp/NodePeer.cpp
+++ b/src/wire/gen-cpp/NodePeer.cpp
@@ -585,6 +585,204 @@
   return xfer;
 }
 
+
+NodePeer_controlReplicas_args::~NodePeer_controlReplicas_args() noexcept {
+}
+
+
+uint32_t NodePeer_controlReplicas_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodePeer_controlReplicas_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodePeer_controlReplicas_args");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodePeer_controlReplicas_pargs::~NodePeer_controlReplicas_pargs() noexcept {
+}
+
+
+uint32_t NodePeer_controlReplicas_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodePeer_controlReplicas_pargs");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodePeer_controlReplicas_result::~NodePeer_controlReplicas_result() noexcept {
+}
+
+
+uint32_t NodePeer_controlReplicas_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size389;
+            ::apache::thrift::protocol::TType _etype392;
+            xfer += iprot->readListBegin(_etype392, _size389);
+            this->success.resize(_size389);
+            uint32_t _i393;
+            for (_i393 = 0; _i393 < _size389; ++_i393)
+            {
+              xfer += this->success[_i393].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodePeer_controlReplicas_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("NodePeer_controlReplicas_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
+      std::vector<Replica> ::const_iterator _iter394;
+      for (_iter394 = this->success.begin(); _iter394 != this->success.end(); ++_iter394)
+      {
+        xfer += (*_iter394).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+NodePeer_controlReplicas_presult::~NodePeer_controlReplicas_presult() noexcept {
+}
+
+
+uint32_t NodePeer_controlReplicas_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size395;
+            ::apache::thrift::protocol::TType _etype398;
+            xfer += iprot->readListBegin(_etype398, _size395);
+            (*(this->success)).resize(_size395);
+            uint32_t _i399;
+            for (_i399 = 0; _i399 < _size395; ++_i399)
+            {
+              xfer += (*(this->success))[_i399].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void NodePeerClient::exchange(GossipReply& _return, const Gossip& gossip)
 {
   send_exchange(gossip);
@@ -760,6 +958,63 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fetch failed: unknown result");
 }
 
+void NodePeerClient::controlReplicas(std::vector<Replica> & _return)
+{
+  send_controlReplicas();
+  recv_controlReplicas(_return);
+}
+
+void NodePeerClient::send_controlReplicas()
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("controlReplicas", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  NodePeer_controlReplicas_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void NodePeerClient::recv_controlReplicas(std::vector<Replica> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("controlReplicas") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  NodePeer_controlReplicas_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "controlReplicas failed: unknown result");
+}
+
 bool NodePeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -941,6 +1196,60 @@
   }
 }
 
+void NodePeerProcessor::process_controlReplicas(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("NodePeer.controlReplicas", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "NodePeer.controlReplicas");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "NodePeer.controlReplicas");
+  }
+
+  NodePeer_controlReplicas_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "NodePeer.controlReplicas", bytes);
+  }
+
+  NodePeer_controlReplicas_result result;
+  try {
+    iface_->controlReplicas(result.success);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "NodePeer.controlReplicas");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("controlReplicas", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "NodePeer.controlReplicas");
+  }
+
+  oprot->writeMessageBegin("controlReplicas", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "NodePeer.controlReplicas", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > NodePeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< NodePeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< NodePeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1201,5 +1510,88 @@
   } // end while(true)
 }
 
+void NodePeerConcurrentClient::controlReplicas(std::vector<Replica> & _return)
+{
+  int32_t seqid = send_controlReplicas();
+  recv_controlReplicas(_return, seqid);
+}
+
+int32_t NodePeerConcurrentClient::send_controlReplicas()
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("controlReplicas", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  NodePeer_controlReplicas_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void NodePeerConcurrentClient::recv_controlReplicas(std::vector<Replica> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("controlReplicas") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      NodePeer_controlReplicas_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "controlReplicas failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/wire/gen-cpp/NodePeer.h
+++ b/src/wire/gen-cpp/NodePeer.h
@@ -25,6 +25,7 @@
   virtual void exchange(GossipReply& _return, const Gossip& gossip) = 0;
   virtual bool probe(const std::string& name, const std::string& address) = 0;
   virtual void fetch(ConfigurationUpdate& _return, const int64_t heldVersion) = 0;
+  virtual void controlReplicas(std::vector<Replica> & _return) = 0;
 };
 
 class NodePeerIfFactory {
@@ -64,6 +65,9 @@
   void fetch(ConfigurationUpdate& /* _return */, const int64_t /* heldVersion */) override {
     return;
   }
+  void controlReplicas(std::vector<Replica> & /* _return */) override {
+    return;
+  }
 };
 
 typedef struct _NodePeer_exchange_args__isset {
@@ -401,6 +405,102 @@
 
 };
 
+
+class NodePeer_controlReplicas_args {
+ public:
+
+  NodePeer_controlReplicas_args(const NodePeer_controlReplicas_args&) noexcept;
+  NodePeer_controlReplicas_args(NodePeer_controlReplicas_args&&) noexcept;
+  NodePeer_controlReplicas_args& operator=(const NodePeer_controlReplicas_args&) noexcept;
+  NodePeer_controlReplicas_args& operator=(NodePeer_controlReplicas_args&&) noexcept;
+  NodePeer_controlReplicas_args() noexcept {
+  }
+
+  virtual ~NodePeer_controlReplicas_args() noexcept;
+
+  bool operator == (const NodePeer_controlReplicas_args & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const NodePeer_controlReplicas_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodePeer_controlReplicas_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class NodePeer_controlReplicas_pargs {
+ public:
+
+
+  virtual ~NodePeer_controlReplicas_pargs() noexcept;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _NodePeer_controlReplicas_result__isset {
+  _NodePeer_controlReplicas_result__isset() : success(false) {}
+  bool success :1;
+} _NodePeer_controlReplicas_result__isset;
+
+class NodePeer_controlReplicas_result {
+ public:
+
+  NodePeer_controlReplicas_result(const NodePeer_controlReplicas_result&);
+  NodePeer_controlReplicas_result(NodePeer_controlReplicas_result&&) noexcept;
+  NodePeer_controlReplicas_result& operator=(const NodePeer_controlReplicas_result&);
+  NodePeer_controlReplicas_result& operator=(NodePeer_controlReplicas_result&&) noexcept;
+  NodePeer_controlReplicas_result() noexcept {
+  }
+
+  virtual ~NodePeer_controlReplicas_result() noexcept;
+  std::vector<Replica>  success;
+
+  _NodePeer_controlReplicas_result__isset __isset;
+
+  void __set_success(const std::vector<Replica> & val);
+
+  bool operator == (const NodePeer_controlReplicas_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const NodePeer_controlReplicas_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodePeer_controlReplicas_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _NodePeer_controlReplicas_presult__isset {
+  _NodePeer_controlReplicas_presult__isset() : success(false) {}
+  bool success :1;
+} _NodePeer_controlReplicas_presult__isset;
+
+class NodePeer_controlReplicas_presult {
+ public:
+
+
+  virtual ~NodePeer_controlReplicas_presult() noexcept;
+  std::vector<Replica> * success;
+
+  _NodePeer_controlReplicas_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class NodePeerClient : virtual public NodePeerIf {
  public:
   NodePeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -435,6 +535,9 @@
   void fetch(ConfigurationUpdate& _return, const int64_t heldVersion) override;
   void send_fetch(const int64_t heldVersion);
   void recv_fetch(ConfigurationUpdate& _return);
+  void controlReplicas(std::vector<Replica> & _return) override;
+  void send_controlReplicas();
+  void recv_controlReplicas(std::vector<Replica> & _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -453,12 +556,14 @@
   void process_exchange(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_fetch(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_controlReplicas(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   NodePeerProcessor(::std::shared_ptr<NodePeerIf> iface) :
     iface_(iface) {
     processMap_["exchange"] = &NodePeerProcessor::process_exchange;
     processMap_["probe"] = &NodePeerProcessor::process_probe;
     processMap_["fetch"] = &NodePeerProcessor::process_fetch;
+    processMap_["controlReplicas"] = &NodePeerProcessor::process_controlReplicas;
   }
 
   virtual ~NodePeerProcessor() {}
@@ -516,6 +621,16 @@
     return;
   }
 
+  void controlReplicas(std::vector<Replica> & _return) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->controlReplicas(_return);
+    }
+    ifaces_[i]->controlReplicas(_return);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -557,6 +672,9 @@
   void fetch(ConfigurationUpdate& _return, const int64_t heldVersion) override;
   int32_t send_fetch(const int64_t heldVersion);
   void recv_fetch(ConfigurationUpdate& _return, const int32_t seqid);
+  void controlReplicas(std::vector<Replica> & _return) override;
+  int32_t send_controlReplicas();
+  void recv_controlReplicas(std::vector<Replica> & _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/tests/mesh/endoffetchtest.cpp
+++ b/tests/mesh/endoffetchtest.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 /** A node that sends a configuration late. */
-class SlowPeer : public wire::NodePeerIf
+class SlowPeer : public wire::NodePeerNull
 {
 public:
   void exchange(wire::GossipReply& aReturn, const wire::Gossip& /*aGossip*/) override
--- a/tests/platform/platformmesh.cpp
+++ b/tests/platform/platformmesh.cpp
@@ -201,7 +201,7 @@
 PlatformMesh::CommonSettings(size_t aVm) const
 {
   std::string seeds;
-  for (size_t i = 0; i < kReplicas; ++i) {
+  for (size_t i = 0; i < kReplicas && m_areReplicasListed; ++i) {
     seeds += (i == 0 ? "\"" : ",\"") + Host(i) + ":" + std::to_string(kControl) + "\"";
   }
   return "\"ip\":\"" + Host(aVm) + "\",\"zone\":\"north\",\"region\":\"east\",\"portRange\":[" +
@@ -265,13 +265,18 @@
                                     { "MIMOSARUN_SETTINGS=" + path + ".json" });
 }
 
+std::string
+PlatformMesh::NodePath(size_t aIndex) const
+{
+  return m_folder + "/node" + std::to_string(aIndex);
+}
+
 void
-PlatformMesh::StartNode(size_t aIndex)
+PlatformMesh::WriteNodeSettings(size_t aIndex) const
 {
   const size_t vm = kReplicas + aIndex;
   const std::string host = Host(vm) + ":";
-  const std::string path = m_folder + "/node" + std::to_string(aIndex);
-  WriteSettings(path + ".json",
+  WriteSettings(NodePath(aIndex) + ".json",
                 "{\"nodeId\":\"side-" + std::to_string(aIndex) +
                   "\",\"serves\":[\"sidecar\"],\"listenAddrs\":{\"inbound\":\"" + host +
                   std::to_string(kInbound) + "\",\"outbound\":\"" + host + std::to_string(kOutbound) +
@@ -279,6 +284,13 @@
                   std::to_string(kControl) + "\"},\"bootstrap\":false,\"dataDir\":null,\"appAddr\":\"" +
                   host + std::to_string(kTarget) + "\",\"service\":\"" + m_nodes[aIndex].service + "\"," +
                   CommonSettings(vm) + "}");
+}
+
+void
+PlatformMesh::StartNode(size_t aIndex)
+{
+  WriteNodeSettings(aIndex);
+  const std::string path = NodePath(aIndex);
   nodes[aIndex] = Process::Start({ BuildFolder() + "/src/mimosarund", "--platform" },
                                  path + ".out",
                                  { "MIMOSARUN_SETTINGS=" + path + ".json" });
--- a/tests/platform/platformmesh.h
+++ b/tests/platform/platformmesh.h
@@ -165,6 +165,10 @@
   std::string ReplicaOutput(size_t aIndex) const;
   std::string DataFolder(size_t aIndex) const;
   void StartNode(size_t aIndex);
+  /** Sets whether settings that are written from now on name control replicas. */
+  void SetReplicasListed(bool aAreListed) { m_areReplicasListed = aAreListed; }
+  /** Writes the settings of a running node anew. */
+  void WriteNodeSettings(size_t aIndex) const;
   bool IsReady(size_t aNode);
   /** Returns the address at which a replica accepts requests of operators. */
   Address ControlAddress(size_t aReplica) const;
@@ -180,6 +184,7 @@
   /** Returns the VM of a replica; VMs are numbered in the order in which they were planned. */
   size_t VmOfReplica(size_t aIndex) const;
   std::string ReplicaPath(size_t aIndex) const;
+  std::string NodePath(size_t aIndex) const;
   void WriteSettings(const std::string& aPath, const std::string& aText) const;
   std::string CommonSettings(size_t aVm) const;
 
@@ -187,6 +192,7 @@
   std::string m_bounds;
   std::vector<PlatformNode> m_nodes;
   bool m_isFirstStart = true;
+  bool m_areReplicasListed = true;
 };
 
 /** Sends one request over a new connection and returns the response. */
