A heartbeat numbered 0 is ordered like any other

Cause: a report with the number 0 counted as one without a number, and such reports apply in the order of their arrival. The start of an incarnation had the same gap: 0 was "unknown".

Start and number are optional values now, at the platform's and the native boundary and in TargetWatch. A target that a health check finds no longer keeps those of the one before it.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -129,7 +129,9 @@
         .onTargetLost =
           [this](const std::string& aTarget) { m_target.MarkLost(aTarget, SteadyClock::now()); },
         .onTargetLeaving =
-          [this](const std::string& aTarget) { m_target.EndIncarnation(aTarget, 0, SteadyClock::now()); },
+          [this](const std::string& aTarget) {
+            m_target.EndIncarnation(aTarget, std::nullopt, SteadyClock::now());
+          },
         .onTargetCrashed = [this](const wire::TargetCrash& aCrash) { m_crashReporter.Report(aCrash); },
         .node = m_settings.name,
         .suspects = &m_suspects,
--- a/src/target/targetwatch.cpp
+++ b/src/target/targetwatch.cpp
@@ -29,9 +29,11 @@
 TargetWatch::HasEnded(const TargetReport& aReport, Deadline aNow) const
 {
   return std::ranges::any_of(m_endedIncarnations, [&](const EndedIncarnation& aEnded) {
-    const bool isAssumed = aEnded.startedAtMillis == 0 && aNow < aEnded.assumedUntil;
-    return aReport.state.name == aEnded.name &&
-           aReport.startedAtMillis <= (isAssumed ? aEnded.endedAtMillis : aEnded.startedAtMillis);
+    const bool isAssumed = !aEnded.startedAtMillis && aNow < aEnded.assumedUntil;
+    const std::optional<int64_t> latestStart =
+      isAssumed ? std::optional(aEnded.endedAtMillis) : aEnded.startedAtMillis;
+    // A report without a start is of no later incarnation.
+    return aReport.state.name == aEnded.name && aReport.startedAtMillis <= latestStart;
   });
 }
 
@@ -70,7 +72,7 @@
 {
   const TargetState& current = m_latestReport.state;
   const TargetReport& report = aClaim.report;
-  if (report.state.name == current.name && m_latestReport.startedAtMillis == 0) {
+  if (report.state.name == current.name && !m_latestReport.startedAtMillis) {
     // The target is known from a health check, which doesn't tell its start.
     return true;
   }
@@ -98,7 +100,7 @@
   if (!IsCurrent(aReport)) {
     return ApplyClaimLocked(aReport, aNow);
   }
-  const bool isOld = aReport.sequence > 0 && aReport.sequence <= m_latestReport.sequence;
+  const bool isOld = aReport.sequence && aReport.sequence <= m_latestReport.sequence;
   // An incarnation has one service, so a report with another is of another writer.
   const bool isOfOther = IsInUse() && m_latestReport.state.service != aReport.state.service;
   if (isOld || isOfOther) {
@@ -156,15 +158,15 @@
 }
 
 void
-TargetWatch::EndIncarnation(const std::string& aName, int64_t aStartedAtMillis, Deadline aNow)
+TargetWatch::EndIncarnation(const std::string& aName, std::optional<int64_t> aStartedAtMillis, Deadline aNow)
 {
   const std::lock_guard changeLock(m_changeMutex);
   TargetState state;
   {
     const std::lock_guard lock(m_mutex);
     const bool isCurrent = m_latestReport.state.name == aName;
-    const int64_t startedAtMillis =
-      aStartedAtMillis == 0 && isCurrent ? m_latestReport.startedAtMillis : aStartedAtMillis;
+    const std::optional<int64_t> startedAtMillis =
+      !aStartedAtMillis && isCurrent ? m_latestReport.startedAtMillis : aStartedAtMillis;
     if (isCurrent && startedAtMillis < m_latestReport.startedAtMillis) {
       return;
     }
@@ -196,6 +198,11 @@
     }
     m_leaseExpiresAt = aNow + m_options.lease;
     m_silentFrom = aNow + m_options.lease / kSilenceDivisor;
+    if (m_latestReport.state.name != aState.name) {
+      // Start and number of the last report are another incarnation's.
+      m_latestReport.startedAtMillis.reset();
+      m_latestReport.sequence.reset();
+    }
   }
   SetState(aState);
 }
--- a/src/target/targetwatch.h
+++ b/src/target/targetwatch.h
@@ -38,10 +38,10 @@
 struct TargetReport
 {
   TargetState state;
-  /** Start of the reporting incarnation; zero where targets don't report it. */
-  int64_t startedAtMillis = 0;
-  /** Number of the report within the incarnation; zero where targets don't number reports. */
-  int64_t sequence = 0;
+  /** Start of the reporting incarnation, in milliseconds since 1970; absent where targets don't report it. */
+  std::optional<int64_t> startedAtMillis;
+  /** Number of the report within the incarnation; absent where targets don't number reports. */
+  std::optional<int64_t> sequence;
 };
 
 /** What became of a report. */
@@ -84,9 +84,9 @@
   /**
    * Ends an incarnation permanently: it gets no further calls, whatever it reports later.
    *
-   * @param aStartedAtMillis start of the incarnation; zero if unknown
+   * @param aStartedAtMillis start of the incarnation, in milliseconds since 1970; absent if unknown
    */
-  void EndIncarnation(const std::string& aName, int64_t aStartedAtMillis, Deadline aNow);
+  void EndIncarnation(const std::string& aName, std::optional<int64_t> aStartedAtMillis, Deadline aNow);
 
   /** Sets the state that the target's own response showed, if the target is absent and hasn't ended. */
   void Observe(const TargetState& aState, Deadline aNow);
@@ -110,8 +110,8 @@
   struct EndedIncarnation
   {
     std::string name;
-    /** Start of the incarnation; zero if unknown. */
-    int64_t startedAtMillis = 0;
+    /** Start of the incarnation, if it is known. */
+    std::optional<int64_t> startedAtMillis;
     /** Where the start is unknown: it isn't later than this. */
     int64_t endedAtMillis = 0;
     /** From then on endedAtMillis isn't relied on, since clocks differ. */
--- a/tests/platform/adapterstest.cpp
+++ b/tests/platform/adapterstest.cpp
@@ -300,10 +300,19 @@
   const auto report = platform::ParseHeartbeat("i-1", valid);
   BOOST_REQUIRE(report.has_value());
   BOOST_TEST(report.value().state.slots == 6);
-  BOOST_TEST(report.value().sequence == 4);
-  BOOST_TEST(report.value().startedAtMillis == 1700000000000);
+  BOOST_TEST((report.value().sequence == 4));
+  BOOST_TEST((report.value().startedAtMillis == 1700000000000));
   BOOST_TEST((report.value().state.phase == wire::TargetPhase::Ready));
   BOOST_TEST(report.value().state.version == "v1");
+  const auto zero =
+    platform::ParseHeartbeat("i-1", ReplaceText(ReplaceText(valid, ":4,", ":0,"), "1700000000000", "0"));
+  BOOST_REQUIRE(zero.has_value());
+  BOOST_TEST((zero.value().sequence == 0));
+  BOOST_TEST((zero.value().startedAtMillis == 0));
+  const auto withoutStart =
+    platform::ParseHeartbeat("i-1", ReplaceText(valid, ",\"born\":1700000000000", ""));
+  BOOST_REQUIRE(withoutStart.has_value());
+  BOOST_TEST(!withoutStart.value().startedAtMillis.has_value());
   const auto withoutVersion = platform::ParseHeartbeat("i-1", ReplaceText(valid, "\"version\":\"v1\",", ""));
   BOOST_REQUIRE(withoutVersion.has_value());
   BOOST_TEST(withoutVersion.value().state.version.empty());
--- a/tests/target/targetwatchtest.cpp
+++ b/tests/target/targetwatchtest.cpp
@@ -41,6 +41,55 @@
   BOOST_TEST((watch.State().phase == wire::TargetPhase::Draining));
 }
 
+// Guards against: a delayed report whose number is 0 puts a target back in use that has left
+// (docs/incidents/024).
+BOOST_FIXTURE_TEST_CASE(a_delayed_first_report_is_ignored_whatever_its_number, Fixture)
+{
+  for (const int64_t first : { int64_t{ -1 }, int64_t{ 0 }, int64_t{ 1 }, int64_t{ 9007199254740000 } }) {
+    for (const bool cameInTime : { false, true }) {
+      Fixture fixture;
+      if (cameInTime) {
+        BOOST_TEST(fixture.Applies(Report("a", 5, first, wire::TargetPhase::Ready), kNow));
+      }
+      BOOST_TEST(fixture.Applies(Report("a", 5, first + 1, wire::TargetPhase::Ready), kNow));
+      BOOST_TEST(fixture.Applies(Report("a", 5, first + 2, wire::TargetPhase::Draining), kNow));
+      BOOST_TEST(!fixture.Applies(Report("a", 5, first, wire::TargetPhase::Ready), kNow));
+      BOOST_TEST((fixture.watch.State().phase == wire::TargetPhase::Draining));
+    }
+  }
+}
+
+// Guards against: a start of 0, which is a time as any other, is taken for one that isn't known.
+BOOST_FIXTURE_TEST_CASE(a_start_may_be_zero, Fixture)
+{
+  BOOST_TEST(Applies(Report("a", 0, 3, wire::TargetPhase::Ready), kNow));
+  // Another start claims the name; the target goes on reporting.
+  BOOST_TEST(
+    (watch.ApplyReport(Report("a", 7, 1, wire::TargetPhase::Draining), kNow) == ReportResult::Pending));
+  watch.EndIncarnation("a", 0, kNow);
+  BOOST_TEST((watch.State().phase == wire::TargetPhase::Draining));
+  // The start of the incarnation that ended is known, so a later one is no delayed report.
+  BOOST_TEST(Applies(Report("a", 7, 2, wire::TargetPhase::Ready), kNow));
+}
+
+BOOST_FIXTURE_TEST_CASE(reports_without_numbers_follow_each_other, Fixture)
+{
+  for (const auto phase :
+       { wire::TargetPhase::Ready, wire::TargetPhase::Draining, wire::TargetPhase::Ready }) {
+    BOOST_TEST(Applies({ .state = { .name = "a", .service = "s", .phase = phase } }, kNow));
+    BOOST_TEST((watch.State().phase == phase));
+  }
+}
+
+// Guards against: a target that a health check has found keeps the number of the one before it.
+BOOST_FIXTURE_TEST_CASE(an_observed_target_has_no_number_yet, Fixture)
+{
+  BOOST_TEST(Applies(Report("a", 5, 70, wire::TargetPhase::Ready), kNow));
+  watch.MarkLost("a", kNow);
+  watch.Observe({ .name = "b", .service = "s", .phase = wire::TargetPhase::Ready }, kNow);
+  BOOST_TEST(Applies(Report("b", 4, 1, wire::TargetPhase::Ready), kNow));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_report_of_a_former_incarnation_is_ignored, Fixture)
 {
   BOOST_TEST(Applies(Report("b", 9, 1, wire::TargetPhase::Ready), kNow));
@@ -132,8 +181,8 @@
 BOOST_FIXTURE_TEST_CASE(an_ended_incarnation_is_remembered_beside_others, Fixture)
 {
   watch.ApplyReport(Report("a", 5, 1, wire::TargetPhase::Ready), kNow);
-  watch.EndIncarnation("a", 0, kNow);
-  watch.EndIncarnation("another", 0, kNow);
+  watch.EndIncarnation("a", std::nullopt, kNow);
+  watch.EndIncarnation("another", std::nullopt, kNow);
   BOOST_TEST(!Applies(Report("a", 5, 2, wire::TargetPhase::Ready), kNow));
 }
 
@@ -152,7 +201,7 @@
 BOOST_FIXTURE_TEST_CASE(an_incarnation_that_has_ended_stays_ended, Fixture)
 {
   watch.ApplyReport(Report("a", 5, 1, wire::TargetPhase::Ready), kNow);
-  watch.EndIncarnation("a", 0, kNow);
+  watch.EndIncarnation("a", std::nullopt, kNow);
   BOOST_TEST((watch.State().phase == wire::TargetPhase::Draining));
   BOOST_TEST(!Applies(Report("a", 5, 2, wire::TargetPhase::Ready), kNow));
   watch.Observe({ .name = "a", .phase = wire::TargetPhase::Ready }, kNow);
@@ -166,7 +215,7 @@
   const int64_t wallMillis = std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch()).count();
   // After a restart the gate knows the target only from a health check, and the deregistration has no start.
   watch.Observe({ .name = "a", .phase = wire::TargetPhase::Ready }, kNow);
-  watch.EndIncarnation("a", 0, kNow);
+  watch.EndIncarnation("a", std::nullopt, kNow);
   BOOST_TEST(!Applies(Report("a", wallMillis - 5000, 9, wire::TargetPhase::Ready), kNow));
   BOOST_TEST((watch.State().phase == wire::TargetPhase::Draining));
   // A target that starts again under its identifier is a new incarnation.
@@ -176,7 +225,7 @@
 BOOST_FIXTURE_TEST_CASE(a_target_that_ends_before_the_gate_knows_it_stays_ended, Fixture)
 {
   const int64_t wallMillis = std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch()).count();
-  watch.EndIncarnation("a", 0, kNow);
+  watch.EndIncarnation("a", std::nullopt, kNow);
   BOOST_TEST(!Applies(Report("a", wallMillis - 5000, 9, wire::TargetPhase::Ready), kNow));
   // Clocks differ, so an incarnation isn't ignored for good.
   BOOST_TEST(
