Reports on runs never delay those on ends of targets

Found in reading: nodes report suspects' runs several times a second while a replica lists them. With a replica that accepts connections and doesn't answer, these reports would fill the queue that reports on ends share, and a guilty request would be counted late. No call was seen to suffer from it.

--- a/src/node/crashreporter.h
+++ b/src/node/crashreporter.h
@@ -26,16 +26,21 @@
   void Report(const wire::ProvenRuns& aRuns);
 
   /** Drops the reports that haven't been sent. */
-  void Stop() { m_workers.Stop(); }
+  void Stop()
+  {
+    m_workers.Stop();
+    m_runWorkers.Stop();
+  }
 
 private:
   using Client = RpcClient<wire::ControlPeerClient>;
 
   /** Calls a function of each replica. */
-  void CallAll(const std::function<void(wire::ControlPeerClient&)>& aCall);
+  void CallAll(WorkerPool& aWorkers, const std::function<void(wire::ControlPeerClient&)>& aCall);
 
   const ReplicaSource m_replicas;
   WorkerPool m_workers;
+  WorkerPool m_runWorkers;
 };
 
 } // namespace mimosarun
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -14,8 +14,10 @@
 
 namespace mimosarun {
 
-/** The requests that no target, or not that of one node, may run for a time, by their fingerprints.
- * Thread-safe. */
+/**
+ * The requests, by their fingerprints, that no target may run for a time, or that only the target of one node
+ * may not run. Thread-safe.
+ */
 class Quarantine
 {
 public:
--- a/src/quarantine/suspect.cpp
+++ b/src/quarantine/suspect.cpp
@@ -47,7 +47,7 @@
 void
 Suspect::AddProof(const wire::TargetPlace& aPlace, Deadline aProvenSince)
 {
-  // The same target has gone on: neither its end nor a change of its software was due to the request.
+  // The target that ended runs the request again, with the same software.
   std::erase_if(m_crashes,
                 [&](const Crash& aCrash) { return aCrash.at < aProvenSince && aCrash.place == aPlace; });
   for (Crash& crash : m_crashes) {
--- a/src/quarantine/suspectlist.h
+++ b/src/quarantine/suspectlist.h
@@ -33,11 +33,14 @@
   bool TakeSignOfLifeIfDue(Deadline aNow);
 
 private:
+  void ExpireLocked(Deadline aNow);
+
   std::atomic<bool> m_isEmpty{ true };
   std::mutex m_mutex;
   /** From when on a proof of a request counts. */
   std::map<std::string, Deadline> m_provenFrom;
   Deadline m_nextSignOfLife{};
+  Deadline m_expiresAt{};
 };
 
 } // namespace mimosarun
--- a/tests/target/completedrunstest.cpp
+++ b/tests/target/completedrunstest.cpp
@@ -80,4 +80,10 @@
   BOOST_TEST(suspects.TakeProofIfDue("request", At(401), At(450)));
   suspects.Set({}, At(500));
   BOOST_TEST(suspects.IsEmpty());
+  // A replica that lists a request may not be heard any more.
+  suspects.Set({ "request" }, At(600));
+  BOOST_TEST(suspects.TakeSignOfLifeIfDue(At(700)));
+  BOOST_TEST(!suspects.TakeSignOfLifeIfDue(At(701)));
+  BOOST_TEST(!suspects.TakeSignOfLifeIfDue(At(70000)));
+  BOOST_TEST(suspects.IsEmpty());
 }
