Names of the quarantine's parts without terms of a court

Suspects are evaluated and quarantined; a node to which a request isn't sent is excluded, as elsewhere in the entry. Behaviour and formats are unchanged.

--- a/src/caller/entry.cpp
+++ b/src/caller/entry.cpp
@@ -347,15 +347,15 @@
 }
 
 std::set<std::string>
-Entry::BarredNodes(const Route& aRoute,
-                   const std::string& aTeam,
-                   const HttpRequest& aRequest,
-                   Deadline aNow) const
+Entry::ExcludedNodes(const Route& aRoute,
+                     const std::string& aTeam,
+                     const HttpRequest& aRequest,
+                     Deadline aNow) const
 {
   if (m_options.quarantine == nullptr || !m_options.quarantine->MayListRequests()) {
     return {};
   }
-  return m_options.quarantine->BarredNodes(RequestFingerprint(aRoute.name, aTeam, aRequest), aNow);
+  return m_options.quarantine->ExcludedNodes(RequestFingerprint(aRoute.name, aTeam, aRequest), aNow);
 }
 
 void
--- a/src/caller/entry.h
+++ b/src/caller/entry.h
@@ -156,10 +156,10 @@
                                            const HttpRequest& aRequest,
                                            Deadline aNow) const;
   /** Returns the nodes whose targets may not run a request of a team, though others may. */
-  std::set<std::string> BarredNodes(const Route& aRoute,
-                                    const std::string& aTeam,
-                                    const HttpRequest& aRequest,
-                                    Deadline aNow) const;
+  std::set<std::string> ExcludedNodes(const Route& aRoute,
+                                      const std::string& aTeam,
+                                      const HttpRequest& aRequest,
+                                      Deadline aNow) const;
   void RefuseImmediately(const ExchangePointer& aExchange, const RefusalDetails& aRefusal);
   /** Refuses a request after the check of its key and records why. */
   void RefuseCredential(const ExchangePointer& aExchange,
--- a/src/caller/gateselector.cpp
+++ b/src/caller/gateselector.cpp
@@ -21,7 +21,7 @@
   const std::set<std::string> excluded = m_triedGates.excluded;
   m_triedGates.excluded.insert(aRequest.avoidedGates.begin(), aRequest.avoidedGates.end());
   m_triedGates.excluded.merge(
-    m_entry.BarredNodes(*m_options.route, m_options.team, aRequest.request, SteadyClock::now()));
+    m_entry.ExcludedNodes(*m_options.route, m_options.team, aRequest.request, SteadyClock::now()));
   std::variant<GateChoice, StopReason> next = ChooseWithin(aRequest);
   m_triedGates.excluded = excluded;
   return next;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -536,7 +536,7 @@
       }
     }
     LogSilenceChanges();
-    m_crashes.Decide(SteadyClock::now());
+    m_crashes.EvaluateSuspects(SteadyClock::now());
     if (++round % kWatchRoundsPerExpiry == 0) {
       ExpireClaims();
     }
--- a/src/quarantine/crashledger.cpp
+++ b/src/quarantine/crashledger.cpp
@@ -61,18 +61,18 @@
 // --- decisions -------------------------------------------------------------------------------------------
 
 wire::QuarantinedRequest
-CrashLedger::ConvictLocked(const std::string& aFingerprint, const Verdict& aVerdict)
+CrashLedger::QuarantineLocked(const std::string& aFingerprint, const QuarantineScope& aScope)
 {
   wire::QuarantinedRequest request;
   request.fingerprint = aFingerprint;
   request.millisLeft = std::chrono::milliseconds(kQuarantineTime).count();
-  Suspect& guilty = m_suspects.at(aFingerprint).suspect;
-  if (aVerdict.node) {
-    request.__set_node(*aVerdict.node);
-    guilty.Bar(*aVerdict.node);
+  Suspect& suspect = m_suspects.at(aFingerprint).suspect;
+  if (aScope.node) {
+    request.__set_node(*aScope.node);
+    suspect.ExcludeNode(*aScope.node);
     return request;
   }
-  const std::set<std::string> explained = guilty.Crashes();
+  const std::set<std::string> explained = suspect.Crashes();
   // After its time in quarantine, the request is given as many targets again.
   RemoveLocked(aFingerprint);
   for (auto& [fingerprint, entry] : m_suspects) {
@@ -86,7 +86,7 @@
 {
   std::set<std::string> explained;
   for (const auto& [fingerprint, entry] : m_suspects) {
-    if (entry.suspect.IsStrong()) {
+    if (entry.suspect.IsLikelyCause()) {
       explained.merge(entry.suspect.Crashes());
     }
   }
@@ -94,7 +94,7 @@
 }
 
 CrashLedger::Change
-CrashLedger::JudgeLocked(const std::set<std::string>& aFingerprints, Deadline aNow)
+CrashLedger::EvaluateLocked(const std::set<std::string>& aFingerprints, Deadline aNow)
 {
   Change change;
   const std::set<std::string> explained = ExplainedLocked();
@@ -104,11 +104,11 @@
       continue;
     }
     found->second.suspect.Expire(aNow);
-    if (const std::optional<Verdict> verdict = found->second.suspect.Judge(explained, aNow)) {
-      change.guilty.push_back(ConvictLocked(fingerprint, *verdict));
+    if (const std::optional<QuarantineScope> scope = found->second.suspect.Evaluate(explained, aNow)) {
+      change.quarantined.push_back(QuarantineLocked(fingerprint, *scope));
     }
   }
-  // A request that was convicted may have cleared others.
+  // A request that was quarantined may have cleared others.
   for (const std::string& fingerprint : aFingerprints) {
     change.isListChanged = UpdateListLocked(fingerprint, aNow) || change.isListChanged;
   }
@@ -133,7 +133,7 @@
       FindOrAddLocked(reported.fingerprint).AddCrash(aCrash, provenSince, aNow);
       touched.insert(reported.fingerprint);
     }
-    change = JudgeLocked(touched, aNow);
+    change = EvaluateLocked(touched, aNow);
   }
   Publish(change, aNow);
 }
@@ -146,7 +146,7 @@
     const std::lock_guard lock(m_mutex);
     for (const std::string& fingerprint : m_listed) {
       if (const auto found = m_suspects.find(fingerprint); found != m_suspects.end()) {
-        found->second.suspect.AddSignOfLife(aRuns.place.serviceName, aNow);
+        found->second.suspect.RecordActivity(aRuns.place.serviceName, aNow);
       }
     }
     std::set<std::string> touched;
@@ -158,18 +158,18 @@
         touched.insert(reported.fingerprint);
       }
     }
-    change = JudgeLocked(touched, aNow);
+    change = EvaluateLocked(touched, aNow);
   }
   Publish(change, aNow);
 }
 
 void
-CrashLedger::Decide(Deadline aNow)
+CrashLedger::EvaluateSuspects(Deadline aNow)
 {
   Change change;
   {
     const std::lock_guard lock(m_mutex);
-    change = JudgeLocked(std::set<std::string>(m_listed), aNow);
+    change = EvaluateLocked(std::set<std::string>(m_listed), aNow);
   }
   Publish(change, aNow);
 }
@@ -177,7 +177,7 @@
 void
 CrashLedger::Publish(const Change& aChange, Deadline aNow)
 {
-  for (const wire::QuarantinedRequest& request : aChange.guilty) {
+  for (const wire::QuarantinedRequest& request : aChange.quarantined) {
     Log(Event::RequestQuarantined,
         { { "fingerprint", request.fingerprint },
           { "node", request.__isset.node ? request.node : "all" },
@@ -190,7 +190,7 @@
     }
     Log(Event::SuspectsChanged, { { "suspects", Suspects().size() } });
   }
-  const bool isQuarantineChanged = m_quarantine.Add(aChange.guilty, aNow);
+  const bool isQuarantineChanged = m_quarantine.Add(aChange.quarantined, aNow);
   if (isQuarantineChanged) {
     const std::lock_guard lock(m_mutex);
     ++m_revision;
--- a/src/quarantine/crashledger.h
+++ b/src/quarantine/crashledger.h
@@ -32,7 +32,7 @@
   void Add(const std::vector<wire::QuarantinedRequest>& aRequests, Deadline aNow);
 
   /** Quarantines the requests that had the time to clear themselves; to be called every few hundred ms. */
-  void Decide(Deadline aNow);
+  void EvaluateSuspects(Deadline aNow);
 
   /** Returns the state of both lists, which names this object by a random number. */
   wire::QuarantineMark Mark() const;
@@ -53,18 +53,18 @@
   /** What follows from a report or from the passing of time. */
   struct Change
   {
-    std::vector<wire::QuarantinedRequest> guilty;
+    std::vector<wire::QuarantinedRequest> quarantined;
     bool isListChanged = false;
   };
 
   Suspect& FindOrAddLocked(const std::string& aFingerprint);
   void RemoveLocked(const std::string& aFingerprint);
-  /** Judges some requests, and updates the list of suspects. */
-  Change JudgeLocked(const std::set<std::string>& aFingerprints, Deadline aNow);
-  /** Returns the ends for which there is a strong suspect. */
+  /** Decides on some requests, and updates the list of suspects. */
+  Change EvaluateLocked(const std::set<std::string>& aFingerprints, Deadline aNow);
+  /** Returns the ends of which a suspect is the likely cause. */
   std::set<std::string> ExplainedLocked() const;
-  /** Makes a request guilty; clears those that ran beside it of the ends that it explains. */
-  wire::QuarantinedRequest ConvictLocked(const std::string& aFingerprint, const Verdict& aVerdict);
+  /** Quarantines a request; clears those that ran beside it of the ends that it explains. */
+  wire::QuarantinedRequest QuarantineLocked(const std::string& aFingerprint, const QuarantineScope& aScope);
   /** Lists a request, or removes it from the list; returns whether the list has changed. */
   bool UpdateListLocked(const std::string& aFingerprint, Deadline aNow);
   void Publish(const Change& aChange, Deadline aNow);
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -53,7 +53,7 @@
 }
 
 std::set<std::string>
-Quarantine::BarredNodes(const std::string& aFingerprint, Deadline aNow) const
+Quarantine::ExcludedNodes(const std::string& aFingerprint, Deadline aNow) const
 {
   std::set<std::string> nodes;
   const std::lock_guard lock(m_mutex);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -28,7 +28,7 @@
   std::optional<Deadline> ListedUntil(const std::string& aFingerprint, Deadline aNow) const;
 
   /** Returns the nodes whose targets may not run a request, though others may. */
-  std::set<std::string> BarredNodes(const std::string& aFingerprint, Deadline aNow) const;
+  std::set<std::string> ExcludedNodes(const std::string& aFingerprint, Deadline aNow) const;
 
   std::vector<wire::QuarantinedRequest> All(Deadline aNow) const;
 
--- a/src/quarantine/suspect.cpp
+++ b/src/quarantine/suspect.cpp
@@ -4,7 +4,7 @@
 
 namespace mimosarun {
 
-/** Targets that may end under a request before it is blamed. */
+/** Targets that may end under a request before it is quarantined. */
 static constexpr size_t kCrashLimit = 3;
 /** Times in which nodes that run a request again and again report it after the third end. */
 static constexpr std::chrono::milliseconds kShortestProofTime{ 1000 };
@@ -16,8 +16,8 @@
 /** Nodes look for proofs for this time after an end. */
 static constexpr std::chrono::seconds kListTime{ 30 };
 static constexpr size_t kMaximumCrashes = 16;
-/** Nodes whose targets alone may end under a request; with more of them it is kept from all targets. */
-static constexpr size_t kBarredNodeLimit = 2;
+/** Nodes whose targets alone may end under a request; with more of them no target gets it. */
+static constexpr size_t kExcludedNodeLimit = 2;
 
 void
 Suspect::AddCrash(const wire::TargetCrash& aCrash, std::optional<Deadline> aProvenSince, Deadline aNow)
@@ -38,7 +38,7 @@
     crash.provingTime = std::chrono::ceil<std::chrono::milliseconds>(aNow - *aProvenSince);
   }
   m_crashes.push_back(std::move(crash));
-  m_servedSince.reset();
+  m_activeSince.reset();
   if (m_crashes.size() > kMaximumCrashes) {
     m_crashes.erase(m_crashes.begin());
   }
@@ -62,12 +62,12 @@
 }
 
 void
-Suspect::AddSignOfLife(const std::string& aService, Deadline aNow)
+Suspect::RecordActivity(const std::string& aService, Deadline aNow)
 {
   const bool isOfService =
     std::ranges::any_of(m_crashes, [&](const Crash& aCrash) { return aCrash.place.serviceName == aService; });
-  if (isOfService && !m_servedSince) {
-    m_servedSince = aNow;
+  if (isOfService && !m_activeSince) {
+    m_activeSince = aNow;
   }
 }
 
@@ -100,7 +100,7 @@
 }
 
 std::vector<Deadline>
-Suspect::BlamingTimes(const std::set<std::string>& aExplained) const
+Suspect::CountedTimes(const std::set<std::string>& aExplained) const
 {
   std::vector<Deadline> times;
   for (const Crash& crash : m_crashes) {
@@ -121,7 +121,7 @@
 }
 
 bool
-Suspect::IsStrong() const
+Suspect::IsLikelyCause() const
 {
   return CountCertain() + 1 >= kCrashLimit;
 }
@@ -140,33 +140,33 @@
 }
 
 bool
-Suspect::HadTimeForProof(const std::vector<Deadline>& aBlamingTimes, Deadline aNow) const
+Suspect::HadTimeForProof(const std::vector<Deadline>& aCountedTimes, Deadline aNow) const
 {
   const bool hasEverRun =
     std::ranges::any_of(m_crashes, [](const Crash& aCrash) { return aCrash.provingTime.has_value(); });
   if (!hasEverRun) {
-    return aNow > aBlamingTimes.back() + ProofTime();
+    return aNow > aCountedTimes.back() + ProofTime();
   }
   // Many targets may end in one moment, as those of a failure domain do, and none of them runs anything.
-  const bool isRepeated = aBlamingTimes.back() > aBlamingTimes[kCrashLimit - 1] + ProofTime();
-  return isRepeated || (m_servedSince && aNow > *m_servedSince + ProofTime());
+  const bool isRepeated = aCountedTimes.back() > aCountedTimes[kCrashLimit - 1] + ProofTime();
+  return isRepeated || (m_activeSince && aNow > *m_activeSince + ProofTime());
 }
 
-std::optional<Verdict>
-Suspect::Judge(const std::set<std::string>& aExplained, Deadline aNow) const
+std::optional<QuarantineScope>
+Suspect::Evaluate(const std::set<std::string>& aExplained, Deadline aNow) const
 {
-  const std::vector<Deadline> times = BlamingTimes(aExplained);
+  const std::vector<Deadline> times = CountedTimes(aExplained);
   const bool isLimitReached = times.size() >= kCrashLimit;
   // Only the targets of one node end, while others run the request.
   const std::optional<std::string> node = NodeWithManyCrashes();
   const bool runsElsewhere =
     std::ranges::any_of(m_crashes, [](const Crash& aCrash) { return aCrash.isProvenElsewhere; });
   if (node && runsElsewhere && (!isLimitReached || IsAtOneNode())) {
-    const bool isBarrable = m_barredNodes.size() < kBarredNodeLimit && !m_barredNodes.contains(*node);
-    return Verdict{ .node = isBarrable ? node : std::nullopt };
+    const bool canExclude = m_excludedNodes.size() < kExcludedNodeLimit && !m_excludedNodes.contains(*node);
+    return QuarantineScope{ .node = canExclude ? node : std::nullopt };
   }
   if (CountCertain() >= kCrashLimit || (isLimitReached && HadTimeForProof(times, aNow))) {
-    return Verdict{};
+    return QuarantineScope{};
   }
   return std::nullopt;
 }
@@ -174,7 +174,7 @@
 bool
 Suspect::NeedsProof(Deadline aNow) const
 {
-  return BlamingTimes({}).size() + 1 >= kCrashLimit && aNow < m_crashes.back().at + kListTime;
+  return CountedTimes({}).size() + 1 >= kCrashLimit && aNow < m_crashes.back().at + kListTime;
 }
 
 std::set<std::string>
@@ -188,9 +188,9 @@
 }
 
 void
-Suspect::Bar(const std::string& aNode)
+Suspect::ExcludeNode(const std::string& aNode)
 {
-  m_barredNodes.insert(aNode);
+  m_excludedNodes.insert(aNode);
   std::erase_if(m_crashes, [&](const Crash& aCrash) { return aCrash.place.node == aNode; });
 }
 
--- a/src/quarantine/suspectlist.cpp
+++ b/src/quarantine/suspectlist.cpp
@@ -4,7 +4,7 @@
 
 /** A replica that missed a proof gets the next one while it still lists the request. */
 static constexpr std::chrono::milliseconds kProofInterval{ 200 };
-static constexpr std::chrono::milliseconds kSignOfLifeInterval{ 500 };
+static constexpr std::chrono::milliseconds kActivityInterval{ 500 };
 /** A replica that doesn't change its list for so long isn't heard any more. */
 static constexpr std::chrono::seconds kListLifetime{ 60 };
 
@@ -45,14 +45,14 @@
 }
 
 bool
-SuspectList::TakeSignOfLifeIfDue(Deadline aNow)
+SuspectList::TakeActivityReportIfDue(Deadline aNow)
 {
   const std::lock_guard lock(m_mutex);
   ExpireLocked(aNow);
-  if (m_provenFrom.empty() || aNow < m_nextSignOfLife) {
+  if (m_provenFrom.empty() || aNow < m_nextActivityReport) {
     return false;
   }
-  m_nextSignOfLife = aNow + kSignOfLifeInterval;
+  m_nextActivityReport = aNow + kActivityInterval;
   return true;
 }
 
--- a/src/quarantine/suspectlist.h
+++ b/src/quarantine/suspectlist.h
@@ -30,7 +30,7 @@
   bool TakeProofIfDue(const std::string& aFingerprint, Deadline aProvenSince, Deadline aNow);
 
   /** Returns whether it is to be reported that some request has run to its end, and notes that it is. */
-  bool TakeSignOfLifeIfDue(Deadline aNow);
+  bool TakeActivityReportIfDue(Deadline aNow);
 
 private:
   void ExpireLocked(Deadline aNow);
@@ -39,7 +39,7 @@
   std::mutex m_mutex;
   /** From when on a proof of a request counts. */
   std::map<std::string, Deadline> m_provenFrom;
-  Deadline m_nextSignOfLife{};
+  Deadline m_nextActivityReport{};
   Deadline m_expiresAt{};
 };
 
--- a/src/target/gate.cpp
+++ b/src/target/gate.cpp
@@ -244,7 +244,7 @@
     proven.__set_provenMillisAgo(MillisSince(*provenSince));
     runs.requests.push_back(std::move(proven));
   }
-  if (!runs.requests.empty() || suspects->TakeSignOfLifeIfDue(now)) {
+  if (!runs.requests.empty() || suspects->TakeActivityReportIfDue(now)) {
     runs.place = Place();
     m_options.onRunsProven(runs);
   }
--- a/tests/quarantine/crashledgertest.cpp
+++ b/tests/quarantine/crashledgertest.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 static const Deadline kStart{ std::chrono::hours(1) };
-/** Time after the third end by which a guilty request is held back (the users' bar). */
+/** Time after the third end by which a request that ends targets is held back (the users' bar). */
 static constexpr milliseconds kHoldTime{ 3000 };
 
 /** A request at the end of a target. */
@@ -91,9 +91,9 @@
   void PassUntil(Deadline aFrom, Deadline aUntil)
   {
     for (Deadline now = aFrom; now <= aUntil; now += milliseconds(250)) {
-      ledger.Decide(now);
+      ledger.EvaluateSuspects(now);
     }
-    ledger.Decide(aUntil);
+    ledger.EvaluateSuspects(aUntil);
   }
 
   int changes = 0;
@@ -130,7 +130,8 @@
   return kStart + milliseconds(aMillis);
 }
 
-// --- guilty requests -------------------------------------------------------------------------------------
+// --- requests that end targets
+// -------------------------------------------------------------------------------------
 
 BOOST_FIXTURE_TEST_CASE(a_request_is_quarantined_after_the_third_target_that_ended_under_it, Fixture)
 {
@@ -234,7 +235,7 @@
   }
 }
 
-// Guards against: a request that takes long, or comes rarely, is blamed before it can run to its end.
+// Guards against: a request that takes long, or comes rarely, is quarantined before it can run to its end.
 BOOST_FIXTURE_TEST_CASE(a_request_that_takes_long_has_as_long_to_clear_itself, Fixture)
 {
   for (const char* node : { "a", "b", "c" }) {
@@ -275,11 +276,12 @@
   BOOST_TEST(IsHeld("request", At(now)));
 }
 
-// --- innocent requests -----------------------------------------------------------------------------------
+// --- requests that ran beside an end
+// -----------------------------------------------------------------------------------
 
 // Guards against: after three ends of targets, each by itself, a request that many callers send alike is
 // refused everywhere (docs/incidents/023).
-BOOST_FIXTURE_TEST_CASE(a_request_that_runs_on_at_the_targets_that_ended_is_not_blamed, Fixture)
+BOOST_FIXTURE_TEST_CASE(a_request_that_runs_on_at_the_targets_that_ended_is_not_quarantined, Fixture)
 {
   for (int crash = 0; crash < 12; ++crash) {
     const int millis = 2500 * crash;
@@ -291,21 +293,21 @@
 }
 
 // Guards against: the same, where several targets end within moments, as those of a failure domain do.
-BOOST_FIXTURE_TEST_CASE(a_request_that_others_run_after_three_ends_at_once_is_not_blamed, Fixture)
+BOOST_FIXTURE_TEST_CASE(a_request_that_others_run_after_three_ends_at_once_is_not_quarantined, Fixture)
 {
   for (const char* node : { "a", "b", "c" }) {
     Crash(node, { { "list", At(-300) } }, At(0));
   }
   BOOST_TEST(ledger.Suspects().size() == 1u);
-  ledger.Decide(At(250));
+  ledger.EvaluateSuspects(At(250));
   Prove("d", "list", At(100), At(500));
   BOOST_TEST(ledger.Suspects().empty());
   PassUntil(At(500), At(500) + kHoldTime);
   BOOST_TEST(ledger.Quarantined(At(4000)).empty());
 }
 
-// Guards against: requests are blamed for the end of all targets at once, after which none can run them.
-BOOST_FIXTURE_TEST_CASE(a_request_is_not_blamed_while_no_target_can_run_it, Fixture)
+// Guards against: requests are quarantined for the end of all targets at once, after which none can run them.
+BOOST_FIXTURE_TEST_CASE(a_request_is_not_quarantined_while_no_target_can_run_it, Fixture)
 {
   for (const char* node : { "a", "b", "c", "d" }) {
     Crash(node, { { "list", At(-300) } }, At(0));
@@ -314,7 +316,7 @@
   BOOST_TEST(ledger.Quarantined(At(60000)).empty());
 }
 
-// Guards against: what runs beside guilty requests is blamed before these are convicted.
+// Guards against: what runs beside requests that end targets is quarantined before these are.
 BOOST_FIXTURE_TEST_CASE(an_end_with_a_stronger_suspect_does_not_count, Fixture)
 {
   const std::vector<std::string> nodes{ "a", "b", "c", "d" };
@@ -329,8 +331,8 @@
   BOOST_TEST(!IsHeld("list", At(1220)));
 }
 
-// Guards against: what runs beside a guilty request is quarantined with it.
-BOOST_FIXTURE_TEST_CASE(a_request_that_ran_beside_a_guilty_one_is_cleared_by_its_conviction, Fixture)
+// Guards against: what runs beside a request that ends targets is quarantined with it.
+BOOST_FIXTURE_TEST_CASE(a_request_that_ran_beside_the_cause_is_cleared_by_its_quarantine, Fixture)
 {
   for (const int millis : { 0, 100, 200 }) {
     Crash("node-" + std::to_string(millis), { { "deadly" }, { "list", At(millis - 300) } }, At(millis));
@@ -340,8 +342,8 @@
   BOOST_TEST(!IsHeld("list", At(200) + kHoldTime));
 }
 
-// Guards against: the same beside several guilty requests.
-BOOST_FIXTURE_TEST_CASE(a_request_is_cleared_beside_several_guilty_ones, Fixture)
+// Guards against: the same beside several requests that end targets.
+BOOST_FIXTURE_TEST_CASE(a_request_is_cleared_beside_several_causes, Fixture)
 {
   int millis = 0;
   for (int round = 0; round < 3; ++round) {
@@ -357,9 +359,9 @@
   BOOST_TEST(!IsHeld("list", At(millis) + kHoldTime));
 }
 
-// Guards against: a gate that was restarted, and doesn't know yet what runs to its end, makes requests
-// guilty.
-BOOST_FIXTURE_TEST_CASE(a_report_of_a_gate_that_is_new_is_no_certain_blame, Fixture)
+// Guards against: reports of gates that were restarted, and don't know yet what runs to its end, quarantine
+// requests.
+BOOST_FIXTURE_TEST_CASE(a_report_of_a_new_gate_is_inconclusive, Fixture)
 {
   for (int crash = 0; crash < 3; ++crash) {
     wire::TargetCrash report;
@@ -385,7 +387,7 @@
   BOOST_TEST(IsHeld("deadly", At(3000)));
 }
 
-// Guards against: three ends in the course of days, each by itself, make a rare request guilty.
+// Guards against: three ends in the course of days, each by itself, quarantine a rare request.
 BOOST_FIXTURE_TEST_CASE(old_ends_do_not_count, Fixture)
 {
   for (const int hours : { 0, 2, 4 }) {
--- a/tests/target/completedrunstest.cpp
+++ b/tests/target/completedrunstest.cpp
@@ -82,8 +82,8 @@
   BOOST_TEST(suspects.IsEmpty());
   // A replica that lists a request may not be heard any more.
   suspects.Set({ "request" }, At(600));
-  BOOST_TEST(suspects.TakeSignOfLifeIfDue(At(700)));
-  BOOST_TEST(!suspects.TakeSignOfLifeIfDue(At(701)));
-  BOOST_TEST(!suspects.TakeSignOfLifeIfDue(At(70000)));
+  BOOST_TEST(suspects.TakeActivityReportIfDue(At(700)));
+  BOOST_TEST(!suspects.TakeActivityReportIfDue(At(701)));
+  BOOST_TEST(!suspects.TakeActivityReportIfDue(At(70000)));
   BOOST_TEST(suspects.IsEmpty());
 }
