A suspect stores since when it was proven, not for how long

House rule: deadlines are stored, never durations. The time that a request took to run to its end again and again is computed where it is used; crashledgertest passes as before.

--- a/src/quarantine/suspect.cpp
+++ b/src/quarantine/suspect.cpp
@@ -30,14 +30,11 @@
   if (isKnown) {
     return;
   }
-  Crash crash{ .identifier = aCrash.identifier,
-               .place = aCrash.place,
-               .at = aNow,
-               .isDoubtful = aProvenSince || aCrash.isNewlyWatched };
-  if (aProvenSince) {
-    crash.provingTime = std::chrono::ceil<std::chrono::milliseconds>(aNow - *aProvenSince);
-  }
-  m_crashes.push_back(std::move(crash));
+  m_crashes.push_back({ .identifier = aCrash.identifier,
+                        .place = aCrash.place,
+                        .at = aNow,
+                        .isDoubtful = aProvenSince || aCrash.isNewlyWatched,
+                        .provenSince = aProvenSince });
   m_activeSince.reset();
   if (m_crashes.size() > kMaximumCrashes) {
     m_crashes.erase(m_crashes.begin());
@@ -131,8 +128,9 @@
 {
   std::optional<std::chrono::milliseconds> shortest;
   for (const Crash& crash : m_crashes) {
-    if (crash.provingTime) {
-      shortest = std::min(shortest.value_or(*crash.provingTime), *crash.provingTime);
+    if (crash.provenSince) {
+      const auto time = std::chrono::ceil<std::chrono::milliseconds>(crash.at - *crash.provenSince);
+      shortest = std::min(shortest.value_or(time), time);
     }
   }
   const auto expected = kProofTimeFactor * shortest.value_or(std::chrono::milliseconds(0));
@@ -143,7 +141,7 @@
 Suspect::HadTimeForProof(const std::vector<Deadline>& aCountedTimes, Deadline aNow) const
 {
   const bool hasEverRun =
-    std::ranges::any_of(m_crashes, [](const Crash& aCrash) { return aCrash.provingTime.has_value(); });
+    std::ranges::any_of(m_crashes, [](const Crash& aCrash) { return aCrash.provenSince.has_value(); });
   if (!hasEverRun) {
     return aNow > aCountedTimes.back() + ProofTime();
   }
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -76,8 +76,8 @@
     Deadline at{};
     /** Whether the request had run to its end again and again at this target before, or may have. */
     bool isDoubtful = false;
-    /** How long it had taken to run so often; absent if it hadn't. */
-    std::optional<std::chrono::milliseconds> provingTime;
+    /** Since when it had run so often; absent if it hadn't. */
+    std::optional<Deadline> provenSince;
     /** Whether it has done so since at another target, and at another one of the same version. */
     bool isProvenElsewhere = false;
     bool isProvenAtVersion = false;
